Lay down the workspace, the kernel and the core types

Cause: nothing stands yet, and everything later has to fit into one shape. Change: an npm workspace; a kernel that starts the tasks of self-registering plug-ins, each task an xstate actor around a pure decision; the messages between tasks in one place; string unions and discriminated unions with exhaustive switches; first decisions for configuration, kept context, routing, admission, claims and the life of a request.

--- /dev/null
+++ b/packages/core/src/accounts/credentials.ts
@@ -0,0 +1,20 @@
+/** Which client account a bearer credential belongs to. */
+import * as crypto from 'node:crypto';
+
+import type * as schema from '../configuration/schema.js';
+
+export function digestCredential(credential: string): string {
+  return crypto.createHash('sha256').update(credential).digest('hex');
+}
+
+/** Compares with every account in constant time, so that timing tells nothing about a credential. */
+export function authenticate(
+  accounts: readonly schema.ClientAccount[],
+  credential: string,
+): schema.ClientAccount | undefined {
+  const digest = Buffer.from(digestCredential(credential), 'hex');
+  const matches = accounts.filter((account) =>
+    crypto.timingSafeEqual(digest, Buffer.from(account.credentialDigest, 'hex')),
+  );
+  return matches[0];
+}
--- /dev/null
+++ b/packages/core/src/accounts/index.ts
@@ -0,0 +1,2 @@
+/** The way into client accounts. */
+export * from './credentials.js';
--- /dev/null
+++ b/packages/core/src/admission/index.ts
@@ -0,0 +1,2 @@
+/** The way into admission. */
+export * from './decide.js';
--- /dev/null
+++ b/packages/core/src/configuration/check.ts
@@ -0,0 +1,67 @@
+/** Checks a configuration from outside: the schema first, then the names that refer to others. */
+import * as neverthrow from 'neverthrow';
+import type * as zod from 'zod';
+
+import * as results from '../results/index.js';
+import * as schema from './schema.js';
+
+/** Names the path of each fault, what was expected and what was found. */
+export function check(found: unknown): neverthrow.Result<schema.Configuration, results.Failure> {
+  const checked = schema.configurationSchema.safeParse(found);
+  if (!checked.success) {
+    const lines = checked.error.issues.map((issue) => explainIssue(issue, found));
+    return neverthrow.err(results.failure('invalidInput', lines.join('\n')));
+  }
+  const faults = findDanglingNames(checked.data);
+  if (faults.length === 0) return neverthrow.ok(checked.data);
+  return neverthrow.err(results.failure('invalidInput', faults.join('\n')));
+}
+
+function explainIssue(issue: zod.core.$ZodIssue, found: unknown): string {
+  const path = issue.path.map(String).join('.') || '(whole)';
+  const last = String(issue.path.at(-1) ?? '');
+  const isSecret = last === 'contextSecret' || last === 'credentialDigest';
+  const shown = isSecret ? 'a secret' : (JSON.stringify(valueAt(found, issue.path)) ?? 'nothing');
+  return `${path}: ${issue.message}; found ${shown.slice(0, MAX_SHOWN_CHARACTERS)}`;
+}
+
+const MAX_SHOWN_CHARACTERS = 80;
+
+function valueAt(found: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>(
+    (value, key) =>
+      typeof value === 'object' && value !== null
+        ? (value as Record<PropertyKey, unknown>)[key]
+        : undefined,
+    found,
+  );
+}
+
+function findDanglingNames(given: schema.Configuration): readonly string[] {
+  const dataCentres = new Set(given.dataCentres.map((each) => each.name));
+  const services = new Set(given.services.map((each) => each.name));
+  const placed = [
+    ...given.upstreams.map((each, at) => [`upstreams.${at}`, each.dataCentre] as const),
+    ...given.stores.map((each, at) => [`stores.${at}`, each.dataCentre] as const),
+  ];
+  const missingCentres = placed
+    .filter(([, dataCentre]) => !dataCentres.has(dataCentre))
+    .map(([path, found]) => `${path}.dataCentre: expected a configured data centre; found "${found}"`);
+  const missingServices = given.upstreams.flatMap((each, at) =>
+    each.services
+      .filter((service) => !services.has(service))
+      .map((found) => `upstreams.${at}.services: expected a configured service; found "${found}"`),
+  );
+  const kinds = ['dataCentres', 'clientAccounts', 'services', 'upstreams', 'stores'] as const;
+  const doubles = kinds.flatMap((kind) => findDoubles(kind, given[kind]));
+  return [...missingCentres, ...missingServices, ...doubles];
+}
+
+function findDoubles(kind: string, named: readonly { name: string }[]): readonly string[] {
+  const seen = new Set<string>();
+  return named.flatMap((each, at) => {
+    if (seen.has(each.name)) return [`${kind}.${at}.name: expected a new name; found "${each.name}"`];
+    seen.add(each.name);
+    return [];
+  });
+}
--- /dev/null
+++ b/packages/core/src/configuration/schema.ts
@@ -0,0 +1,121 @@
+/**
+ * The one schema of the configuration that operators generate and instances adopt.
+ * A number without a unit in its name is a count.
+ */
+import * as zod from 'zod';
+
+const name = zod.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits, -');
+const address = zod.string().regex(/^[^\s:/]+:\d{1,5}$/, 'expected HOST:PORT');
+
+/** `out`: operators have taken it out of service; it gets no new work. */
+const presence = zod.enum(['in', 'out']);
+
+const dataCentre = zod.strictObject({
+  name,
+  region: name,
+  presence: presence.default('in'),
+});
+
+const clientAccount = zod.strictObject({
+  name,
+  /** SHA-256 of the bearer credential, in hexadecimal. */
+  credentialDigest: zod.string().regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits'),
+  /** Keys the names of this account's pieces, so that no other account can name them. */
+  contextSecret: zod.string().min(32),
+  /** Weight of the account's share when work has to wait. */
+  share: zod.number().positive().default(1),
+});
+
+/** `short` goes before `long` in queues and on links. */
+const priority = zod.enum(['short', 'normal', 'long']);
+
+const modelService = zod.strictObject({
+  kind: zod.literal('model'),
+  name,
+  model: name,
+  adapter: zod.string().default(''),
+  /** New requests use blocks of this version only. */
+  weightVersion: zod.string().min(1),
+  priority: priority.default('normal'),
+  /** What a placement weighs: time to first token against tokens recomputed. */
+  weights: zod
+    .strictObject({
+      firstToken: zod.number().min(0).default(1),
+      recompute: zod.number().min(0).default(1),
+    })
+    .prefault({}),
+  /** A run that shows no progress for this long is resumed elsewhere. */
+  progressTimeoutMs: zod.number().int().positive().default(5_000),
+  /** The longest that a caller waits for the first token. */
+  deadlineMs: zod.number().int().positive().default(60_000),
+});
+
+const plainService = zod.strictObject({
+  kind: zod.literal('plain'),
+  name,
+  priority: priority.default('normal'),
+  /** Methods that may be repeated without a key. */
+  safeMethods: zod.array(zod.string()).default(['GET', 'HEAD']),
+  timeoutMs: zod.number().int().positive().default(10_000),
+});
+
+const service = zod.discriminatedUnion('kind', [modelService, plainService]);
+
+const upstream = zod.strictObject({
+  name,
+  kind: zod.enum(['engine', 'plain']),
+  address,
+  dataCentre: name,
+  /** Names of the services that it serves. */
+  services: zod.array(name).min(1),
+  /** Requests that it runs at once when warm. */
+  slots: zod.number().int().positive().default(8),
+  /** Requests that it bears at once in cold start, over all instances together. */
+  coldSlots: zod.number().int().positive().default(2),
+  prefillTokensPerS: zod.number().positive().default(8_000),
+  /** Whether it refuses an order that carries an old fencing number. */
+  checksFencing: zod.boolean().default(false),
+  presence: presence.default('in'),
+});
+
+const store = zod.strictObject({
+  name,
+  address,
+  dataCentre: name,
+  memoryBytes: zod.number().int().positive(),
+  diskBytes: zod.number().int().nonnegative(),
+  /** Rate of the link between the store and the engines. */
+  linkBytesPerS: zod.number().positive(),
+  presence: presence.default('in'),
+});
+
+const limits = zod.strictObject({
+  maxBodyBytes: zod.number().int().positive().default(4_000_000),
+  /** Requests that one instance holds at once, waiting or running. */
+  maxRequests: zod.number().int().positive().default(2_000),
+  /** How long recorded answers are kept. */
+  claimRetentionMs: zod.number().int().positive().default(86_400_000),
+  /** Bytes of kept context for one token. */
+  contextBytesPerToken: zod.number().positive().default(65_536),
+});
+
+export const configurationSchema = zod.strictObject({
+  generation: zod.number().int().nonnegative(),
+  dataCentres: zod.array(dataCentre).min(1),
+  clientAccounts: zod.array(clientAccount),
+  services: zod.array(service),
+  upstreams: zod.array(upstream),
+  stores: zod.array(store),
+  limits: limits.prefault({}),
+});
+
+export type Configuration = zod.infer<typeof configurationSchema>;
+export type DataCentre = zod.infer<typeof dataCentre>;
+export type ClientAccount = zod.infer<typeof clientAccount>;
+export type Service = zod.infer<typeof service>;
+export type ModelService = zod.infer<typeof modelService>;
+export type PlainService = zod.infer<typeof plainService>;
+export type Upstream = zod.infer<typeof upstream>;
+export type Store = zod.infer<typeof store>;
+export type Priority = zod.infer<typeof priority>;
+export type Presence = zod.infer<typeof presence>;
--- /dev/null
+++ b/packages/core/src/events/index.ts
@@ -0,0 +1,3 @@
+/** The way into events. */
+export * from './catalogue.js';
+export * from './event.js';
--- /dev/null
+++ b/packages/core/src/exchange/command.ts
@@ -0,0 +1,22 @@
+/** What the decisions about a request ask their shell to do. */
+import type * as events from '../events/index.js';
+import type * as messages from '../messages/index.js';
+
+export type Command =
+  | { kind: 'ask-admission' }
+  | { kind: 'release-admission' }
+  | { kind: 'plan-prompt'; outline: messages.PromptOutline }
+  | { kind: 'plan-call'; excluded: readonly string[] }
+  | { kind: 'import'; order: messages.ImportOrder }
+  | { kind: 'run'; order: messages.RunOrder }
+  | { kind: 'resume'; runId: string; upstream: string; offset: number }
+  | { kind: 'cancel'; runId: string; upstream: string }
+  | { kind: 'claim'; key: string; digest: string }
+  | { kind: 'record'; claim: messages.Claim; outcome: messages.RecordedOutcome }
+  | { kind: 'call'; call: messages.PlainCall }
+  | { kind: 'report'; upstream: string; outcome: messages.Outcome }
+  | { kind: 'answer'; answer: messages.Answer }
+  | { kind: 'schedule'; timer: messages.ExchangeTimer; delayMs: number }
+  | { kind: 'unschedule'; timer: messages.ExchangeTimer }
+  | { kind: 'note'; name: events.EventName; details: events.Event['details'] }
+  | { kind: 'count'; name: messages.MetricName; by: number };
--- /dev/null
+++ b/packages/core/src/exchange/index.ts
@@ -0,0 +1,5 @@
+/** The way into the life of a request. */
+export * from './command.js';
+export * as plain from './plain.js';
+export * as prompt from './prompt.js';
+export * from './truth.js';
--- /dev/null
+++ b/packages/core/src/exchange/truth.ts
@@ -0,0 +1,18 @@
+/** The one place that decides whether "not run" may be said. */
+import type * as messages from '../messages/index.js';
+import * as results from '../results/index.js';
+
+/** What may be told to a caller about a request that came this far on the wire. */
+export function truthOf(reach: messages.Reach): results.RunTruth {
+  switch (reach.kind) {
+    case 'not-connected':
+    case 'vouched-not-run':
+      return 'not-run';
+    case 'sending':
+    case 'sent':
+    case 'answering':
+      return 'unknown';
+    default:
+      return results.never(reach);
+  }
+}
--- /dev/null
+++ b/packages/core/src/feeds/index.ts
@@ -0,0 +1,2 @@
+/** The way into report streams. */
+export * from './decide.js';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,16 @@
+/** The core of medlarweir: kernel, core types, and decisions by capability. */
+export * as accounts from './accounts/index.js';
+export * as admission from './admission/index.js';
+export * as claims from './claims/index.js';
+export * as configuration from './configuration/index.js';
+export * as events from './events/index.js';
+export * as exchange from './exchange/index.js';
+export * as feeds from './feeds/index.js';
+export * as keptContext from './kept-context/index.js';
+export * as kernel from './kernel/index.js';
+export * as load from './load/index.js';
+export * as membership from './membership/index.js';
+export * as messages from './messages/index.js';
+export * as results from './results/index.js';
+export * as routing from './routing/index.js';
+export * as settings from './settings/index.js';
--- /dev/null
+++ b/packages/core/src/kept-context/safe-read.ts
@@ -0,0 +1,58 @@
+/**
+ * Safe reads of stored pieces. What arrived is compared with the committed manifest after the last
+ * byte, so a slot that was freed and used again during the read is noticed.
+ */
+import type * as naming from './naming.js';
+
+/** Committed by the store after all bytes are there; nothing is readable before. */
+export type Manifest = {
+  piece: naming.PieceName;
+  store: string;
+  slot: number;
+  /** Changes whenever the slot is given out anew. */
+  slotIncarnation: string;
+  /** Changes at every start of the store. */
+  storeIncarnation: string;
+  lengthBytes: number;
+  /** SHA-256 in hexadecimal. */
+  checksum: string;
+  tier: Tier;
+};
+
+export type Tier = 'memory' | 'disk';
+
+/** What the reader saw, gathered after the last byte arrived. */
+export type Observation = Pick<
+  Manifest,
+  'piece' | 'slotIncarnation' | 'storeIncarnation' | 'lengthBytes' | 'checksum'
+>;
+
+export type ReadVerdict =
+  | { kind: 'safe' }
+  | { kind: 'unsafe'; reason: 'wrong-piece' | 'slot-reused' | 'store-restarted' | 'length' | 'checksum' };
+
+export function judgeRead(manifest: Manifest, seen: Observation): ReadVerdict {
+  if (seen.piece !== manifest.piece) return { kind: 'unsafe', reason: 'wrong-piece' };
+  if (seen.storeIncarnation !== manifest.storeIncarnation) {
+    return { kind: 'unsafe', reason: 'store-restarted' };
+  }
+  if (seen.slotIncarnation !== manifest.slotIncarnation) {
+    return { kind: 'unsafe', reason: 'slot-reused' };
+  }
+  if (seen.lengthBytes !== manifest.lengthBytes) return { kind: 'unsafe', reason: 'length' };
+  if (seen.checksum !== manifest.checksum) return { kind: 'unsafe', reason: 'checksum' };
+  return { kind: 'safe' };
+}
+
+/** The longest run of pieces from the first that may be used: one unsafe piece ends it. */
+export function safePrefix(
+  manifests: readonly Manifest[],
+  seen: readonly Observation[],
+): readonly Manifest[] {
+  const byPiece = new Map(seen.map((each) => [each.piece, each]));
+  const firstUnsafe = manifests.findIndex((manifest) => {
+    const observation = byPiece.get(manifest.piece);
+    return !observation || judgeRead(manifest, observation).kind === 'unsafe';
+  });
+  return firstUnsafe === -1 ? manifests : manifests.slice(0, firstUnsafe);
+}
--- /dev/null
+++ b/packages/core/src/kernel/task.ts
@@ -0,0 +1,69 @@
+/**
+ * A task is an xstate actor that alone holds its sockets, timers and state.
+ * Its decision is a pure function; its shell carries out the commands that the decision returns.
+ */
+import type * as xstate from 'xstate';
+
+/** Anything that takes messages of one union. Every actor reference of xstate is one. */
+export type Address<Message> = { send(message: Message): void };
+
+/** One reading of the runtime's clocks, taken when a message is handled. */
+export type Instant = {
+  /** Milliseconds of the monotonic clock: for leases, deadlines and delays. */
+  monotonicMs: number;
+  /** Milliseconds since 1970: for retention and for people. */
+  wallMs: number;
+};
+
+/** What a decision returns: the next state and what its shell has to do, in order. */
+export type Step<State, Command> = { state: State; commands: readonly Command[] };
+
+/** A pure function with no I/O, no clock reads and no encoding. */
+export type Decision<State, Message, Command> = (
+  state: State,
+  message: Message,
+  now: Instant,
+) => Step<State, Command>;
+
+/** A running task, as its creator gives it to the kernel. */
+export type Behaviour<State, Message, Command> = {
+  initial: State;
+  decide: Decision<State, Message, Command>;
+  /** Carries out one command. It may open sockets and send messages; it never returns a value. */
+  perform(command: Command): void;
+  /** The state as operators may see it: no prompts, no secrets. */
+  dump(state: State): unknown;
+  /** True once the task has nothing more to do; its actor then ends. */
+  isDone?(state: State): boolean;
+};
+
+/** An actor's snapshot: what xstate keeps of a task between two messages. */
+export type TaskSnapshot<State> = xstate.Snapshot<undefined> & { state: State };
+
+/** Reads both clocks of the runtime. */
+export function readClock(): Instant {
+  return { monotonicMs: performance.now(), wallMs: Date.now() };
+}
+
+/** Turns a behaviour into the logic of an xstate actor. */
+export function actorLogic<State, Message extends xstate.EventObject, Command>(
+  create: (self: Address<Message>) => Behaviour<State, Message, Command>,
+): xstate.ActorLogic<TaskSnapshot<State>, Message> {
+  let behaviour: Behaviour<State, Message, Command>;
+  return {
+    getInitialSnapshot(scope) {
+      behaviour = create(scope.self);
+      return { status: 'active', output: undefined, error: undefined, state: behaviour.initial };
+    },
+    transition(snapshot, message, scope) {
+      const step = behaviour.decide(snapshot.state, message, readClock());
+      step.commands.forEach((command) => scope.defer(() => behaviour.perform(command)));
+      const next = { ...snapshot, state: step.state };
+      if (!behaviour.isDone?.(step.state)) return next;
+      return { ...next, status: 'done', output: undefined, error: undefined };
+    },
+    getPersistedSnapshot(snapshot) {
+      return { ...snapshot, state: undefined } as unknown as TaskSnapshot<State>;
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/load/index.ts
@@ -0,0 +1,2 @@
+/** The way into load. */
+export * from './view.js';
--- /dev/null
+++ b/packages/core/src/membership/index.ts
@@ -0,0 +1,2 @@
+/** The way into membership. */
+export * from './decide.js';
--- /dev/null
+++ b/packages/core/src/messages/admission.ts
@@ -0,0 +1,36 @@
+/** Messages to and from the admission task: shares, priorities, queues, deadlines. */
+import type * as schema from '../configuration/schema.js';
+import type * as task from '../kernel/task.js';
+import type * as results from '../results/index.js';
+import type * as configuration from './configuration.js';
+import type * as life from './life.js';
+import type * as peers from './peers.js';
+
+export type AdmissionAnswer =
+  | { kind: 'granted' }
+  | { kind: 'refused'; failure: results.Failure; retryAfterMs: number };
+
+export type AdmissionAnswered = {
+  type: 'admission.answered';
+  requestId: string;
+  answer: AdmissionAnswer;
+};
+
+export type AdmissionMessage =
+  | life.TaskMessage
+  | configuration.ConfigurationAdopted
+  | peers.DigestReceived
+  | {
+      type: 'admission.ask';
+      requestId: string;
+      clientAccount: string;
+      service: string;
+      priority: schema.Priority;
+      deadlineMs: number;
+      replyTo: task.Address<AdmissionAnswered>;
+    }
+  /** Gives a granted place back, or withdraws a waiting one. */
+  | { type: 'admission.release'; requestId: string }
+  /** Requests that the upstreams of a service can run at once, as routing sees it. */
+  | { type: 'admission.capacity'; service: string; slots: number }
+  | { type: 'admission.tick' };
--- /dev/null
+++ b/packages/core/src/messages/claims.ts
@@ -0,0 +1,60 @@
+/** Messages to and from the claims task, which makes keyed requests take effect once. */
+import type * as task from '../kernel/task.js';
+import type * as results from '../results/index.js';
+import type * as configuration from './configuration.js';
+import type * as life from './life.js';
+import type * as membership from './membership.js';
+import type * as peers from './peers.js';
+import type * as platform from './platform.js';
+import type * as upstreams from './upstreams.js';
+
+/** A granted right to send one keyed request. */
+export type Claim = {
+  clientAccount: string;
+  key: string;
+  /** SHA-256 of method, path and body: the same key with another digest is another request. */
+  digest: string;
+  /** Names this one attempt, so that only its holder may record an outcome. */
+  attemptId: string;
+};
+
+export type RecordedOutcome =
+  | { kind: 'answered'; answer: upstreams.PlainAnswer }
+  /** The request cannot have run; the key may be claimed again. */
+  | { kind: 'not-run' }
+  | { kind: 'unknown' };
+
+export type ClaimAnswer =
+  | { kind: 'granted'; claim: Claim; sendBeforeMs: number }
+  | { kind: 'recorded'; answer: upstreams.PlainAnswer }
+  | { kind: 'in-progress' }
+  | { kind: 'outcome-unknown' }
+  | { kind: 'key-reused' }
+  | { kind: 'key-expired' }
+  | { kind: 'unavailable'; failure: results.Failure };
+
+export type ClaimAnswered = { type: 'claim.answered'; requestId: string; answer: ClaimAnswer };
+export type ClaimRecorded = { type: 'claim.recorded'; requestId: string; isDurable: boolean };
+
+export type ClaimsMessage =
+  | life.TaskMessage
+  | configuration.ConfigurationAdopted
+  | membership.MembershipChanged
+  | peers.DigestReceived
+  | platform.PlatformAnswered
+  | {
+      type: 'claims.claim';
+      requestId: string;
+      clientAccount: string;
+      key: string;
+      digest: string;
+      replyTo: task.Address<ClaimAnswered>;
+    }
+  | {
+      type: 'claims.record';
+      requestId: string;
+      claim: Claim;
+      outcome: RecordedOutcome;
+      replyTo: task.Address<ClaimRecorded>;
+    }
+  | { type: 'claims.tick' };
--- /dev/null
+++ b/packages/core/src/messages/configuration.ts
@@ -0,0 +1,20 @@
+/** Messages to and from the configuration task. */
+import type * as schema from '../configuration/schema.js';
+import type * as life from './life.js';
+import type * as platform from './platform.js';
+
+/** Sent to every task that works by the configuration, whenever a generation is adopted. */
+export type ConfigurationAdopted = {
+  type: 'configuration.adopted';
+  configuration: schema.Configuration;
+};
+
+/** A configuration as a peer relayed it; unchecked. */
+export type ConfigurationRelayed = { type: 'configuration.relayed'; configuration: unknown };
+
+export type ConfigurationMessage =
+  | life.TaskMessage
+  | platform.PlatformReply
+  | ConfigurationRelayed
+  /** The set of live peers has changed; new ones may know a higher generation. */
+  | { type: 'configuration.peers-changed' };
--- /dev/null
+++ b/packages/core/src/messages/journal.ts
@@ -0,0 +1,25 @@
+/** Messages to the tasks that write events and metrics. */
+import type * as events from '../events/event.js';
+import type * as life from './life.js';
+
+export type JournalMessage = life.TaskMessage | { type: 'journal.record'; event: events.Event };
+
+export type MetricsMessage =
+  | life.TaskMessage
+  | { type: 'metrics.count'; name: MetricName; by: number }
+  | { type: 'metrics.timing'; name: MetricName; ms: number }
+  | { type: 'metrics.gauge'; name: MetricName; value: number };
+
+/** The metrics that the system sends, each under the prefix `medlarweir.`. */
+export type MetricName =
+  | 'requests.accepted'
+  | 'requests.refused'
+  | 'requests.ended'
+  | 'requests.open'
+  | 'tokens.streamed'
+  | 'tokens.reused'
+  | 'tokens.imported'
+  | 'first_token'
+  | 'claims.writes'
+  | 'answers.dropped'
+  | 'platform.calls';
--- /dev/null
+++ b/packages/core/src/messages/mailboxes.ts
@@ -0,0 +1,33 @@
+/** Which task takes which messages. A plug-in's task is reached by its name here, never directly. */
+import type * as admission from './admission.js';
+import type * as callers from './callers.js';
+import type * as claims from './claims.js';
+import type * as configuration from './configuration.js';
+import type * as exchange from './exchange.js';
+import type * as journal from './journal.js';
+import type * as membership from './membership.js';
+import type * as orders from './orders.js';
+import type * as peers from './peers.js';
+import type * as platform from './platform.js';
+import type * as routing from './routing.js';
+import type * as stores from './stores.js';
+import type * as upstreams from './upstreams.js';
+
+export type Mailboxes = {
+  admission: admission.AdmissionMessage;
+  callers: callers.CallersMessage;
+  claims: claims.ClaimsMessage;
+  configuration: configuration.ConfigurationMessage;
+  exchange: exchange.ExchangesMessage;
+  journal: journal.JournalMessage;
+  membership: membership.MembershipMessage;
+  metrics: journal.MetricsMessage;
+  orders: orders.OrdersMessage;
+  peers: peers.PeersMessage;
+  platform: platform.PlatformMessage;
+  routing: routing.RoutingMessage;
+  stores: stores.StoresMessage;
+  upstreams: upstreams.UpstreamsMessage;
+};
+
+export type TaskName = keyof Mailboxes;
--- /dev/null
+++ b/packages/core/src/messages/platform.ts
@@ -0,0 +1,75 @@
+/** Messages to and from the task that talks with the platform's service. */
+import type * as task from '../kernel/task.js';
+import type * as results from '../results/index.js';
+import type * as life from './life.js';
+
+/** One versioned object of the platform. */
+export type StoredObject = {
+  key: string;
+  /** Grows with each write of the object; 0 stands for "does not exist". */
+  version: number;
+  value: unknown;
+  /** Chosen by the writer of this version, so that it can recognise its own write. */
+  writeId: string;
+};
+
+/** One line of the platform's lagging list. */
+export type ListedInstance = {
+  name: string;
+  dataCentre: string;
+  /** HOST:PORT at which peers connect. */
+  peers: string;
+  state: 'live' | 'leaving';
+};
+
+export type PlatformAnswer =
+  | { kind: 'object'; object: StoredObject }
+  | { kind: 'missing' }
+  | { kind: 'objects'; objects: readonly StoredObject[] }
+  | { kind: 'written'; version: number }
+  | { kind: 'conflict'; current: StoredObject | undefined }
+  /** No answer: a write may or may not have taken effect. */
+  | { kind: 'unavailable'; failure: results.Failure };
+
+export type PlatformAnswered = { type: 'platform.answered'; ticket: string; answer: PlatformAnswer };
+
+/** News of a watch. Empty `objects` mean: confirmed, nothing has changed. */
+export type PlatformChanged = {
+  type: 'platform.changed';
+  prefix: string;
+  objects: readonly StoredObject[];
+};
+
+export type PlatformInstances = {
+  type: 'platform.instances-changed';
+  instances: readonly ListedInstance[];
+};
+
+export type PlatformReply = PlatformAnswered | PlatformChanged;
+
+export type PlatformMessage =
+  | life.TaskMessage
+  | {
+      type: 'platform.read';
+      ticket: string;
+      key: string;
+      replyTo: task.Address<PlatformAnswered>;
+    }
+  | {
+      type: 'platform.list';
+      ticket: string;
+      prefix: string;
+      replyTo: task.Address<PlatformAnswered>;
+    }
+  /** A conditional update: takes effect only on `expectedVersion`. */
+  | {
+      type: 'platform.write';
+      ticket: string;
+      key: string;
+      expectedVersion: number;
+      value: unknown;
+      writeId: string;
+      replyTo: task.Address<PlatformAnswered>;
+    }
+  | { type: 'platform.watch'; prefix: string; replyTo: task.Address<PlatformChanged> }
+  | { type: 'platform.watch-instances'; replyTo: task.Address<PlatformInstances> };
--- /dev/null
+++ b/packages/core/src/routing/index.ts
@@ -0,0 +1,3 @@
+/** The way into routing. */
+export * from './decide.js';
+export * as placement from './placement.js';
--- /dev/null
+++ b/packages/core/src/settings/index.ts
@@ -0,0 +1,2 @@
+/** The way into settings. */
+export * from './schema.js';
