--- /dev/null
+++ b/packages/line-feed/src/index.ts
@@ -0,0 +1,2 @@
+/** The way into line feeds. */
+export * from './line-feed.js';
--- /dev/null
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -0,0 +1,164 @@
+/** The sockets of the callers' task: one open response for each request. */
+import type * as http from 'node:http';
+
+import * as core from '@medlarweir/core';
+
+import * as encode from './encode.js';
+import type * as requests from './requests.js';
+import * as server from './server.js';
+
+type Open = {
+  response: http.ServerResponse;
+  model: string;
+  isStream: boolean;
+  /** The answer so far, for callers that do not stream. */
+  text: string;
+  exchange: core.kernel.Address<core.messages.ExchangeMessage> | undefined;
+};
+
+export type Handlers = {
+  onArrived(requestId: string, read: server.Arrival['read']): void;
+  onFlow(requestId: string, flow: 'open' | 'paused'): void;
+  onClosed(requestId: string): void;
+  onListening(address: string): void;
+  onAllClosed(): void;
+};
+
+export type Connections = {
+  listen(address: string): void;
+  /** Notes how an accepted request wants its answer. */
+  expect(accepted: requests.Accepted): void;
+  bind(begun: core.messages.ExchangeBegun): void;
+  tell(requestId: string, message: core.messages.ExchangeMessage): void;
+  write(answer: core.messages.Answer): void;
+  limitBodies(maxBodyBytes: number): void;
+  announceLeave(): void;
+  close(): void;
+};
+
+const BODY_LIMIT_BEFORE_CONFIGURATION_BYTES = 1_000_000;
+const HEALTH_PATH = '/healthz';
+
+export function create(handlers: Handlers): Connections {
+  const open = new Map<string, Open>();
+  let listening: http.Server | undefined;
+  let maxBodyBytes = BODY_LIMIT_BEFORE_CONFIGURATION_BYTES;
+  let isLeaving = false;
+
+  function onArrival({ response, read }: server.Arrival): void {
+    if (read.kind === 'whole' && read.received.path === HEALTH_PATH) {
+      response.writeHead(isLeaving ? 503 : 200).end(isLeaving ? 'leaving\n' : 'serving\n');
+      return;
+    }
+    const requestId = crypto.randomUUID();
+    open.set(requestId, { response, model: '', isStream: false, text: '', exchange: undefined });
+    response.on('close', () => {
+      if (open.has(requestId)) handlers.onClosed(requestId);
+      open.delete(requestId);
+    });
+    response.on('drain', () => handlers.onFlow(requestId, 'open'));
+    response.on('error', () => undefined);
+    if (read.kind === 'too-large') response.setHeader('connection', 'close');
+    handlers.onArrived(requestId, read);
+  }
+
+  return {
+    listen(address) {
+      listening = server.listen(address, {
+        maxBodyBytes: () => maxBodyBytes,
+        onArrival,
+        onListening: handlers.onListening,
+      });
+    },
+    expect({ request, isStream }) {
+      const found = open.get(request.requestId);
+      if (found) Object.assign(found, { model: request.service.name, isStream });
+    },
+    bind({ requestId, exchange }) {
+      const found = open.get(requestId);
+      if (found) found.exchange = exchange;
+      else exchange.send({ type: 'exchange.cancelled' });
+    },
+    tell(requestId, message) {
+      open.get(requestId)?.exchange?.send(message);
+    },
+    write(answer) {
+      const found = open.get(answer.requestId);
+      if (!found) return;
+      const isOver = answer.type !== 'answer.started' && answer.type !== 'answer.token';
+      if (isOver) open.delete(answer.requestId);
+      writeAnswer(found, answer, () => handlers.onFlow(answer.requestId, 'paused'));
+    },
+    limitBodies(bytes) {
+      maxBodyBytes = bytes;
+    },
+    announceLeave() {
+      isLeaving = true;
+    },
+    close() {
+      listening?.close(() => handlers.onAllClosed());
+      listening?.closeIdleConnections();
+    },
+  };
+}
+
+function writeAnswer(open: Open, answer: core.messages.Answer, onFull: () => void): void {
+  const { response } = open;
+  switch (answer.type) {
+    case 'answer.started':
+      if (open.isStream) startStream(response, answer.requestId);
+      return;
+    case 'answer.token':
+      if (!open.isStream) open.text += answer.text;
+      else if (!response.write(encode.tokenEvent(answer, open.model))) onFull();
+      return;
+    case 'answer.ended':
+      if (open.isStream) response.end(encode.endEvents(answer, open.model));
+      else endJson(response, 200, {}, encode.completionBody(answer, open.model, open.text));
+      return;
+    case 'answer.whole':
+      response.writeHead(answer.answer.status, {
+        ...answer.answer.headers,
+        'x-request-id': answer.requestId,
+        ...(answer.isReplay ? { 'idempotency-replayed': 'true' } : {}),
+      });
+      response.end(answer.answer.body);
+      return;
+    case 'answer.refused':
+      refuse(response, answer);
+      return;
+    default:
+      core.results.never(answer);
+  }
+}
+
+function startStream(response: http.ServerResponse, requestId: string): void {
+  response.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-store',
+    'x-request-id': requestId,
+  });
+  response.flushHeaders();
+}
+
+function refuse(
+  response: http.ServerResponse,
+  refusal: Extract<core.messages.Answer, { type: 'answer.refused' }>,
+): void {
+  if (response.headersSent) {
+    response.end(encode.errorEvent(refusal));
+    return;
+  }
+  const body = JSON.stringify(encode.errorBody(refusal));
+  endJson(response, encode.refusalStatus(refusal), encode.refusalHeaders(refusal), body);
+}
+
+function endJson(
+  response: http.ServerResponse,
+  status: number,
+  headers: Record<string, string>,
+  body: string,
+): void {
+  response.writeHead(status, { 'content-type': 'application/json', ...headers });
+  response.end(body);
+}
--- /dev/null
+++ b/packages/plugins/callers-http/src/decode.ts
@@ -0,0 +1,121 @@
+/** Decodes callers' requests; every fault is a failure with a numbered code. */
+import * as core from '@medlarweir/core';
+import * as neverthrow from 'neverthrow';
+import * as zod from 'zod';
+
+/** A request as it came off the wire, its body read up to the limit. */
+export type Received = {
+  method: string;
+  /** Path and query. */
+  path: string;
+  headers: Readonly<Record<string, string>>;
+  body: Uint8Array;
+};
+
+/** What the caller wants, before its service has been looked up. */
+export type Wanted =
+  | {
+      kind: 'prompt';
+      service: string;
+      prompt: string;
+      maxTokens: number;
+      isStream: boolean;
+      offset: number;
+    }
+  | {
+      kind: 'plain';
+      service: string;
+      method: string;
+      path: string;
+      headers: Readonly<Record<string, string>>;
+      body: Uint8Array;
+      idempotencyKey: string | undefined;
+    };
+
+type Decoded<Value> = neverthrow.Result<Value, core.results.Failure>;
+
+const MAX_TOKENS = 32_768;
+const DEFAULT_MAX_TOKENS = 256;
+const MAX_KEY_CHARACTERS = 255;
+
+const completion = zod.object({
+  model: zod.string().min(1),
+  prompt: zod.string(),
+  max_tokens: zod.number().int().min(1).max(MAX_TOKENS).default(DEFAULT_MAX_TOKENS),
+  stream: zod.boolean().default(false),
+});
+
+/** The credential of `Authorization: Bearer`. */
+export function credentialOf(headers: Received['headers']): Decoded<string> {
+  const [scheme, credential] = (headers.authorization ?? '').split(' ');
+  if (scheme?.toLowerCase() === 'bearer' && credential) return neverthrow.ok(credential);
+  return fail('unauthorized', 'expected `Authorization: Bearer CREDENTIAL`');
+}
+
+export function decode(received: Received): Decoded<Wanted> {
+  const [path = ''] = received.path.split('?');
+  if (path === '/v1/completions') return decodeCompletion(received);
+  if (path.startsWith('/services/')) return decodePlain(received);
+  return fail('unknownService', `no such path: ${path.slice(0, MAX_KEY_CHARACTERS)}`);
+}
+
+function decodeCompletion(received: Received): Decoded<Wanted> {
+  if (received.method !== 'POST') {
+    return fail('malformedRequest', `method: expected POST; found ${received.method}`);
+  }
+  const json = parseJson(Buffer.from(received.body).toString('utf8'));
+  if (json.isErr()) return fail('malformedRequest', 'body: expected JSON');
+  const checked = completion.safeParse(json.value);
+  if (!checked.success) return fail('malformedRequest', explain(checked.error));
+  const { model, prompt, max_tokens: maxTokens, stream } = checked.data;
+  return neverthrow.ok({
+    kind: 'prompt',
+    service: model,
+    prompt,
+    maxTokens,
+    isStream: stream,
+    offset: 0,
+  });
+}
+
+const parseJson = neverthrow.Result.fromThrowable(
+  (text: string): unknown => JSON.parse(text),
+  () => 'not JSON' as const,
+);
+
+function explain(error: zod.ZodError): string {
+  return error.issues
+    .map((issue) => `${issue.path.map(String).join('.') || 'body'}: ${issue.message}`)
+    .join('; ');
+}
+
+/** Headers of a request that are passed on to plain services. */
+const PASSED_HEADERS = ['content-type', 'accept', 'accept-language', 'if-none-match'];
+
+function decodePlain(received: Received): Decoded<Wanted> {
+  const [, , service = '', ...rest] = received.path.split('/');
+  if (service === '') return fail('unknownService', 'expected /services/SERVICE/PATH');
+  const idempotencyKey = received.headers['idempotency-key'];
+  const isKeyTooLong = (idempotencyKey?.length ?? 0) > MAX_KEY_CHARACTERS;
+  if (idempotencyKey === '' || isKeyTooLong) {
+    const expected = `expected 1 to ${MAX_KEY_CHARACTERS} characters`;
+    return fail('malformedRequest', `Idempotency-Key: ${expected}`);
+  }
+  const passed = PASSED_HEADERS.flatMap((name) => {
+    const value = received.headers[name];
+    return value === undefined ? [] : [[name, value] as const];
+  });
+  return neverthrow.ok({
+    kind: 'plain',
+    service,
+    method: received.method,
+    path: `/${rest.join('/')}`,
+    headers: Object.fromEntries(passed),
+    body: received.body,
+    idempotencyKey,
+  });
+}
+
+function fail(code: core.results.CodeName, detail: string) {
+  return neverthrow.err(core.results.failure(code, detail));
+}
--- /dev/null
+++ b/packages/plugins/callers-http/src/encode.ts
@@ -0,0 +1,71 @@
+/** Encodes answers: OpenAI-style completion objects, server-sent events, and JSON errors. */
+import * as core from '@medlarweir/core';
+
+type Ended = Extract<core.messages.Answer, { type: 'answer.ended' }>;
+type Token = Extract<core.messages.Answer, { type: 'answer.token' }>;
+type Refused = Extract<core.messages.Answer, { type: 'answer.refused' }>;
+
+/** One token as an event; its id lets a caller resume behind it. */
+export function tokenEvent(token: Token, model: string): string {
+  const choice = { index: 0, text: token.text, finish_reason: null };
+  return event(`${token.requestId}:${token.offset + 1}`, chunk(token.requestId, model, [choice]));
+}
+
+export function endEvents(ended: Ended, model: string): string {
+  const choice = { index: 0, text: '', finish_reason: ended.finish };
+  const last = { ...chunk(ended.requestId, model, [choice]), usage: usageOf(ended) };
+  return `data: ${JSON.stringify(last)}\n\ndata: [DONE]\n\n`;
+}
+
+/** A failure after the stream has begun. */
+export function errorEvent(refused: Refused): string {
+  return `event: error\ndata: ${JSON.stringify(errorBody(refused))}\n\n`;
+}
+
+function event(id: string, data: unknown): string {
+  return `id: ${id}\ndata: ${JSON.stringify(data)}\n\n`;
+}
+
+function chunk(id: string, model: string, choices: readonly unknown[]) {
+  return { id, object: 'text_completion', model, choices };
+}
+
+/** The whole answer in one object, for callers that do not stream. */
+export function completionBody(ended: Ended, model: string, text: string): string {
+  const choice = { index: 0, text, finish_reason: ended.finish };
+  const whole = { ...chunk(ended.requestId, model, [choice]), usage: usageOf(ended) };
+  return JSON.stringify(whole);
+}
+
+function usageOf({ usage }: Ended) {
+  return {
+    prompt_tokens: usage.promptTokens,
+    completion_tokens: usage.completionTokens,
+    total_tokens: usage.promptTokens + usage.completionTokens,
+    prompt_tokens_details: { cached_tokens: usage.cachedTokens },
+  };
+}
+
+export function errorBody({ failure, truth, requestId }: Refused) {
+  const code = core.results.table[failure.code];
+  return {
+    error: {
+      code: code.number,
+      name: failure.code,
+      message: `${code.title}: ${failure.detail}`,
+      hint: code.hint,
+      run: truth,
+      request_id: requestId,
+    },
+  };
+}
+
+/** `Retry-After` counts whole seconds. */
+export function refusalHeaders({ retryAfterMs }: Refused): Record<string, string> {
+  if (retryAfterMs === undefined) return {};
+  return { 'retry-after': String(Math.ceil(retryAfterMs / 1_000)) };
+}
+
+export function refusalStatus({ failure }: Refused): number {
+  return core.results.table[failure.code].status;
+}
--- /dev/null
+++ b/packages/plugins/callers-http/src/requests.ts
@@ -0,0 +1,67 @@
+/** From a decoded request to one that the exchange runs: account, service, and their faults. */
+import * as core from '@medlarweir/core';
+import * as neverthrow from 'neverthrow';
+
+import * as decode from './decode.js';
+
+export type Accepted = { request: core.messages.Request; isStream: boolean };
+
+export function accept(
+  configuration: core.configuration.Configuration,
+  received: decode.Received,
+  requestId: string,
+): neverthrow.Result<Accepted, core.results.Failure> {
+  return decode
+    .credentialOf(received.headers)
+    .andThen((credential) => findAccount(configuration, credential))
+    .andThen((clientAccount) =>
+      decode
+        .decode(received)
+        .andThen((wanted) => toRequest(configuration, clientAccount, wanted, requestId)),
+    );
+}
+
+function findAccount(configuration: core.configuration.Configuration, credential: string) {
+  const account = core.accounts.authenticate(configuration.clientAccounts, credential);
+  return account
+    ? neverthrow.ok(account)
+    : neverthrow.err(core.results.failure('unauthorized', 'unknown credential'));
+}
+
+function toRequest(
+  configuration: core.configuration.Configuration,
+  clientAccount: core.configuration.ClientAccount,
+  wanted: decode.Wanted,
+  requestId: string,
+): neverthrow.Result<Accepted, core.results.Failure> {
+  const service = configuration.services.find(({ name }) => name === wanted.service);
+  switch (wanted.kind) {
+    case 'prompt': {
+      if (service?.kind !== 'model') return unknownService(wanted.service);
+      const { prompt, maxTokens, offset, isStream } = wanted;
+      const request: core.messages.Request = {
+        kind: 'prompt',
+        requestId,
+        clientAccount,
+        service,
+        prompt,
+        maxTokens,
+        offset,
+      };
+      return neverthrow.ok({ request, isStream });
+    }
+    case 'plain': {
+      if (service?.kind !== 'plain') return unknownService(wanted.service);
+      return neverthrow.ok({
+        request: { ...wanted, requestId, clientAccount, service },
+        isStream: false,
+      });
+    }
+    default:
+      return core.results.never(wanted);
+  }
+}
+
+function unknownService(name: string) {
+  return neverthrow.err(core.results.failure('unknownService', name));
+}
--- /dev/null
+++ b/packages/plugins/callers-http/src/server.ts
@@ -0,0 +1,73 @@
+/** The HTTP server: reads requests up to their limit and hands them on. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+import type * as decode from './decode.js';
+
+/** The longest that a caller may take to send a request. */
+const REQUEST_TIMEOUT_MS = 60_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_MS = 30_000;
+
+export type Arrival = {
+  response: http.ServerResponse;
+  read: { kind: 'whole'; received: decode.Received } | { kind: 'too-large'; limitBytes: number };
+};
+
+export type Handlers = {
+  /** Read at each request, since the configuration may change it. */
+  maxBodyBytes(): number;
+  onArrival(arrival: Arrival): void;
+  onListening(address: string): void;
+};
+
+export function listen(address: string, handlers: Handlers): http.Server {
+  const [host = '', port = ''] = address.split(':');
+  const server = http.createServer((request, response) => {
+    void readArrival(request, response, handlers.maxBodyBytes()).then((arrival) => {
+      if (arrival) handlers.onArrival(arrival);
+    });
+  });
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+  server.headersTimeout = HEADERS_TIMEOUT_MS;
+  server.keepAliveTimeout = KEEP_ALIVE_MS;
+  server.listen(Number(port), host, () => {
+    const bound = server.address() as net.AddressInfo;
+    handlers.onListening(`${bound.address}:${bound.port}`);
+  });
+  return server;
+}
+
+/** Nothing if the caller went away while sending. */
+async function readArrival(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  limitBytes: number,
+): Promise<Arrival | undefined> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      length += chunk.length;
+      if (length > limitBytes) return { response, read: { kind: 'too-large', limitBytes } };
+      chunks.push(chunk);
+    }
+  } catch {
+    return undefined;
+  }
+  const received: decode.Received = {
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: firstValues(request.headers),
+    body: Buffer.concat(chunks),
+  };
+  return { response, read: { kind: 'whole', received } };
+}
+
+function firstValues(headers: http.IncomingHttpHeaders): Record<string, string> {
+  const pairs = Object.entries(headers).flatMap(([name, value]) => {
+    const first = Array.isArray(value) ? value[0] : value;
+    return first === undefined ? [] : [[name, first] as const];
+  });
+  return Object.fromEntries(pairs);
+}
--- /dev/null
+++ b/packages/plugins/exchange/src/request-task.ts
@@ -0,0 +1,188 @@
+/** The task of one request: carries out what the decisions about it ask for. */
+import * as core from '@medlarweir/core';
+
+type Message = core.messages.ExchangeMessage;
+type Command = core.exchange.Command;
+type State =
+  | { kind: 'prompt'; prompt: core.exchange.prompt.State }
+  | { kind: 'plain'; plain: core.exchange.plain.State };
+
+/** What the shell needs to know of its request. */
+type Scope = {
+  request: core.messages.Request;
+  caller: core.kernel.Address<core.messages.Answer>;
+  surroundings: core.kernel.Surroundings<Message>;
+};
+
+export function definition(
+  request: core.messages.Request,
+  caller: core.kernel.Address<core.messages.Answer>,
+): core.kernel.TaskDefinition<State, Message, Command> {
+  return {
+    name: 'request',
+    create: (surroundings) => ({
+      initial: initial(request),
+      decide,
+      perform: (command) => perform({ request, caller, surroundings }, command),
+      dump,
+      isDone,
+    }),
+  };
+}
+
+function initial(request: core.messages.Request): State {
+  switch (request.kind) {
+    case 'prompt':
+      return { kind: 'prompt', prompt: core.exchange.prompt.initial(request) };
+    case 'plain':
+      return { kind: 'plain', plain: core.exchange.plain.initial(request) };
+    default:
+      return core.results.never(request);
+  }
+}
+
+function decide(
+  state: State,
+  message: Message,
+  now: core.kernel.Instant,
+): core.kernel.Step<State, Command> {
+  switch (state.kind) {
+    case 'prompt': {
+      const step = core.exchange.prompt.decide(state.prompt, message, now);
+      return { state: { kind: 'prompt', prompt: step.state }, commands: step.commands };
+    }
+    case 'plain': {
+      const step = core.exchange.plain.decide(state.plain, message, now);
+      return { state: { kind: 'plain', plain: step.state }, commands: step.commands };
+    }
+    default:
+      return core.results.never(state);
+  }
+}
+
+function isDone(state: State): boolean {
+  const { phase } = state.kind === 'prompt' ? state.prompt : state.plain;
+  return phase.kind === 'ended';
+}
+
+function dump(state: State): unknown {
+  const { request, phase, attempt } = state.kind === 'prompt' ? state.prompt : state.plain;
+  return {
+    requestId: request.requestId,
+    clientAccount: request.clientAccount.name,
+    service: request.service.name,
+    phase: phase.kind,
+    attempt,
+  };
+}
+
+function perform(scope: Scope, command: Command): void {
+  const { surroundings, request, caller } = scope;
+  const { self, send } = surroundings;
+  const { requestId } = request;
+  switch (command.kind) {
+    case 'ask-admission':
+      askAdmission(scope);
+      return;
+    case 'release-admission':
+      send('admission', { type: 'admission.release', requestId });
+      return;
+    case 'plan-prompt':
+      send('routing', { type: 'routing.plan-prompt', outline: command.outline, replyTo: self });
+      return;
+    case 'plan-call':
+      send('routing', {
+        type: 'routing.plan-call',
+        requestId,
+        service: request.service.name,
+        excluded: command.excluded,
+        replyTo: self,
+      });
+      return;
+    case 'import':
+      send('upstreams', { type: 'upstreams.import', order: command.order, replyTo: self });
+      return;
+    case 'run':
+      send('upstreams', { type: 'upstreams.run', order: command.order, replyTo: self });
+      return;
+    case 'resume':
+      send('upstreams', {
+        type: 'upstreams.resume',
+        runId: command.runId,
+        upstream: command.upstream,
+        offset: command.offset,
+        replyTo: self,
+      });
+      return;
+    case 'cancel':
+      send('upstreams', {
+        type: 'upstreams.cancel',
+        runId: command.runId,
+        upstream: command.upstream,
+      });
+      return;
+    case 'claim':
+      send('claims', {
+        type: 'claims.claim',
+        requestId,
+        clientAccount: request.clientAccount.name,
+        key: command.key,
+        digest: command.digest,
+        replyTo: self,
+      });
+      return;
+    case 'record':
+      send('claims', {
+        type: 'claims.record',
+        requestId,
+        claim: command.claim,
+        outcome: command.outcome,
+        replyTo: self,
+      });
+      return;
+    case 'call':
+      send('upstreams', { type: 'upstreams.call', call: command.call, replyTo: self });
+      return;
+    case 'report':
+      send('routing', {
+        type: 'routing.finished',
+        requestId,
+        upstream: command.upstream,
+        outcome: command.outcome,
+      });
+      return;
+    case 'answer':
+      caller.send(command.answer);
+      return;
+    case 'schedule':
+      surroundings.schedule(command.timer, command.delayMs, {
+        type: 'exchange.timeout',
+        timer: command.timer,
+      });
+      return;
+    case 'unschedule':
+      surroundings.unschedule(command.timer);
+      return;
+    case 'note':
+      surroundings.record({ name: command.name, requestId, details: command.details });
+      return;
+    case 'count':
+      send('metrics', { type: 'metrics.count', name: command.name, by: command.by });
+      return;
+    default:
+      core.results.never(command);
+  }
+}
+
+function askAdmission({ surroundings, request }: Scope): void {
+  const { service } = request;
+  surroundings.send('admission', {
+    type: 'admission.ask',
+    requestId: request.requestId,
+    clientAccount: request.clientAccount.name,
+    service: service.name,
+    priority: service.priority,
+    deadlineMs: service.kind === 'model' ? service.deadlineMs : service.timeoutMs,
+    replyTo: surroundings.self,
+  });
+}
--- /dev/null
+++ b/packages/plugins/peers-trpc/src/client.ts
@@ -0,0 +1,22 @@
+/** The tRPC client for one instance. */
+import * as trpcClient from '@trpc/client';
+
+import type * as router from './router.js';
+
+/** The longest that a call between instances may take. */
+const CALL_TIMEOUT_MS = 2_000;
+
+export type Client = ReturnType<typeof create>;
+
+export function create(address: string, deploymentKey: string) {
+  return trpcClient.createTRPCClient<router.Router>({
+    links: [
+      trpcClient.httpLink({
+        url: `http://${address}`,
+        headers: { authorization: `Bearer ${deploymentKey}` },
+        fetch: (input, init) =>
+          fetch(input, { ...init, signal: AbortSignal.timeout(CALL_TIMEOUT_MS) } as RequestInit),
+      }),
+    ],
+  });
+}
--- /dev/null
+++ b/packages/plugins/peers-trpc/src/peers-task.ts
@@ -0,0 +1,158 @@
+/** The task that owns the connections between this instance and its peers. */
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+
+import * as core from '@medlarweir/core';
+import * as standalone from '@trpc/server/adapters/standalone';
+
+import * as client from './client.js';
+import * as router from './router.js';
+
+type Message =
+  | core.messages.PeersMessage
+  | { type: 'peers.listening'; address: string }
+  | { type: 'peers.received'; note: core.messages.PeerNote };
+type State = { members: readonly core.messages.Member[] };
+type Command =
+  | { kind: 'listen' }
+  | { kind: 'close' }
+  | { kind: 'notify'; address: string; note: core.messages.PeerNote }
+  | { kind: 'deliver'; note: core.messages.PeerNote }
+  | { kind: 'note-listening'; address: string };
+type Step = core.kernel.Step<State, Command>;
+type Surroundings = core.kernel.Surroundings<Message>;
+
+export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
+  name: 'peers',
+  create: (surroundings) => {
+    const sockets: Sockets = { server: undefined, clients: new Map() };
+    return {
+      initial: { members: [] },
+      decide,
+      perform: (command) => perform(surroundings, sockets, command),
+      dump: ({ members }) => ({ members }),
+    };
+  },
+};
+
+type Sockets = { server: http.Server | undefined; clients: Map<string, client.Client> };
+
+function decide(state: State, message: Message): Step {
+  switch (message.type) {
+    case 'task.start':
+      return { state, commands: [{ kind: 'listen' }] };
+    case 'peers.listening':
+      return { state, commands: [{ kind: 'note-listening', address: message.address }] };
+    case 'membership.changed':
+      return { state: { members: message.members }, commands: [] };
+    case 'peers.notify':
+      return notify(state, message.to, message.note);
+    case 'peers.received':
+      return { state, commands: [{ kind: 'deliver', note: message.note }] };
+    case 'task.stop':
+      return { state, commands: [{ kind: 'close' }] };
+    case 'task.leave':
+      return { state, commands: [] };
+    default:
+      return core.results.never(message);
+  }
+}
+
+function notify(
+  state: State,
+  to: readonly string[] | 'all',
+  note: core.messages.PeerNote,
+): Step {
+  const chosen = state.members.filter(({ name }) => to === 'all' || to.includes(name));
+  return {
+    state,
+    commands: chosen.map(({ peers }) => ({ kind: 'notify', address: peers, note })),
+  };
+}
+
+function perform(surroundings: Surroundings, sockets: Sockets, command: Command): void {
+  switch (command.kind) {
+    case 'listen':
+      sockets.server = listen(surroundings);
+      return;
+    case 'close':
+      sockets.server?.close();
+      sockets.server?.closeAllConnections();
+      return;
+    case 'notify':
+      void send(surroundings, sockets, command.address, command.note);
+      return;
+    case 'deliver':
+      deliver(surroundings, command.note);
+      return;
+    case 'note-listening':
+      surroundings.record({ name: 'instanceListening', details: { peers: command.address } });
+      return;
+    default:
+      core.results.never(command);
+  }
+}
+
+function listen(surroundings: Surroundings): http.Server {
+  const { settings, self } = surroundings;
+  const [host = '', port = ''] = settings.peers.split(':');
+  const server = standalone.createHTTPServer({
+    router: router.createRouter({
+      onNote: (received) => self.send({ type: 'peers.received', note: received }),
+      dump: () => surroundings.dump(),
+    }),
+    createContext: ({ req }) => ({
+      isAuthenticated: holdsKey(req.headers.authorization ?? '', settings.deploymentKey),
+    }),
+  });
+  server.listen(Number(port), host, () => {
+    const bound = server.address() as net.AddressInfo;
+    self.send({ type: 'peers.listening', address: `${bound.address}:${bound.port}` });
+  });
+  return server;
+}
+
+/** Compares in constant time. */
+function holdsKey(authorization: string, deploymentKey: string): boolean {
+  const digest = (text: string) => crypto.createHash('sha256').update(text).digest();
+  return crypto.timingSafeEqual(digest(authorization), digest(`Bearer ${deploymentKey}`));
+}
+
+async function send(
+  { settings }: Surroundings,
+  { clients }: Sockets,
+  address: string,
+  note: core.messages.PeerNote,
+): Promise<void> {
+  const found = clients.get(address) ?? client.create(address, settings.deploymentKey);
+  clients.set(address, found);
+  try {
+    await found.notify.mutate(note as never);
+  } catch {
+    // Notes are soft state: the next one, or the platform, makes up for a lost one.
+  }
+}
+
+function deliver(surroundings: Surroundings, note: core.messages.PeerNote): void {
+  switch (note.kind) {
+    case 'configuration':
+      surroundings.send('configuration', {
+        type: 'configuration.relayed',
+        configuration: note.configuration,
+      });
+      return;
+    case 'heartbeat':
+      surroundings.send('membership', { ...note, type: 'membership.heard' });
+      return;
+    case 'digest':
+      surroundings.send(note.for, {
+        type: 'peers.digest-received',
+        from: note.from,
+        digest: note.digest,
+      });
+      return;
+    default:
+      core.results.never(note);
+  }
+}
--- /dev/null
+++ b/packages/plugins/peers-trpc/src/router.ts
@@ -0,0 +1,47 @@
+/** The procedures that an instance offers to its peers and to operators. */
+import * as core from '@medlarweir/core';
+import * as trpcServer from '@trpc/server';
+import * as zod from 'zod';
+
+/** What a call carries besides its input. */
+export type Context = { isAuthenticated: boolean };
+
+const note = zod.discriminatedUnion('kind', [
+  zod.object({ kind: zod.literal('configuration'), configuration: zod.unknown() }),
+  zod.object({
+    kind: zod.literal('heartbeat'),
+    from: zod.string(),
+    incarnation: zod.string(),
+    sequence: zod.number(),
+  }),
+  zod.object({
+    kind: zod.literal('digest'),
+    for: zod.enum(['routing', 'admission', 'claims', 'membership', 'orders']),
+    from: zod.string(),
+    digest: zod.unknown(),
+  }),
+]);
+
+export type Handlers = {
+  onNote(received: core.messages.PeerNote): void;
+  dump(): Record<string, unknown>;
+};
+
+const trpc = trpcServer.initTRPC.context<Context>().create();
+
+/** Refuses callers that do not hold the deployment's key. */
+const guarded = trpc.procedure.use(({ ctx, next }) => {
+  if (!ctx.isAuthenticated) throw new trpcServer.TRPCError({ code: 'UNAUTHORIZED' });
+  return next();
+});
+
+export function createRouter(handlers: Handlers) {
+  return trpc.router({
+    notify: guarded.input(note).mutation(({ input }) => {
+      handlers.onNote(input as core.messages.PeerNote);
+    }),
+    dump: guarded.query(() => handlers.dump()),
+  });
+}
+
+export type Router = ReturnType<typeof createRouter>;
--- /dev/null
+++ b/packages/plugins/routing/src/index.ts
@@ -0,0 +1,9 @@
+/** Places requests on upstreams and keeps the directory of kept context. */
+import * as core from '@medlarweir/core';
+
+import * as routingTask from './routing-task.js';
+
+core.kernel.register({
+  name: 'routing',
+  hooks: { 'instance:setup': ({ addTask }) => addTask(routingTask.definition) },
+});
--- /dev/null
+++ b/packages/plugins/routing/src/routing-task.ts
@@ -0,0 +1,59 @@
+/** The task that owns the load view and the cache directory. */
+import * as core from '@medlarweir/core';
+
+type Message = core.messages.RoutingMessage;
+type State = core.routing.State;
+type Command = core.routing.Command;
+
+export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
+  name: 'routing',
+  create: (surroundings) => ({
+    initial: core.routing.initial(surroundings.settings.dataCentre),
+    decide: core.routing.decide,
+    perform: (command) => perform(surroundings, command),
+    dump,
+  }),
+};
+
+function dump(state: State): unknown {
+  const { directory } = state;
+  return {
+    placed: state.placed.size,
+    load: Object.fromEntries(state.load),
+    enginePieces: Object.fromEntries(
+      [...directory.engines].map(([name, { pieces }]) => [name, pieces.size]),
+    ),
+    storePieces: Object.fromEntries(
+      [...directory.stores].map(([name, { manifests }]) => [name, manifests.size]),
+    ),
+  };
+}
+
+function perform(surroundings: core.kernel.Surroundings<Message>, command: Command): void {
+  switch (command.kind) {
+    case 'reply':
+      command.replyTo.send(command.message);
+      return;
+    case 'export':
+      surroundings.send('upstreams', {
+        type: 'upstreams.export',
+        order: command.order,
+        replyTo: surroundings.self,
+      });
+      return;
+    case 'resynchronize-engine':
+      surroundings.send('upstreams', {
+        type: 'upstreams.resynchronize',
+        upstream: command.upstream,
+      });
+      return;
+    case 'resynchronize-store':
+      surroundings.send('stores', { type: 'stores.resynchronize', store: command.store });
+      return;
+    case 'note-exported':
+      surroundings.record({ name: 'piecesExported', details: { pieces: command.pieces } });
+      return;
+    default:
+      core.results.never(command);
+  }
+}
--- /dev/null
+++ b/packages/plugins/stores-http/src/stores-task.ts
@@ -0,0 +1,116 @@
+/** The task that owns the connections to the stores' report streams. */
+import * as core from '@medlarweir/core';
+import * as lineFeed from '@medlarweir/line-feed';
+
+import * as wire from './wire.js';
+
+type Message =
+  | core.messages.StoresMessage
+  | { type: 'feed.ended'; source: string; address: string }
+  | { type: 'feed.retry'; source: string };
+type State = core.feeds.State;
+type Command = core.feeds.Command;
+type Step = core.kernel.Step<State, Command>;
+type Surroundings = core.kernel.Surroundings<Message>;
+
+export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
+  name: 'stores',
+  create: (surroundings) => {
+    const open = new Map<string, lineFeed.Feed>();
+    return {
+      initial: core.feeds.initial,
+      decide,
+      perform: (command) => perform(surroundings, open, command),
+      dump: ({ addresses }) => ({ addresses }),
+    };
+  },
+};
+
+function decide(state: State, message: Message): Step {
+  switch (message.type) {
+    case 'configuration.adopted':
+      return core.feeds.decide(state, { kind: 'sources', addresses: addressesOf(message) });
+    case 'stores.resynchronize':
+      return resynchronize(state, message.store);
+    case 'feed.ended':
+      return core.feeds.decide(state, {
+        kind: 'ended',
+        source: message.source,
+        address: message.address,
+      });
+    case 'feed.retry':
+      return core.feeds.decide(state, { kind: 'retry', source: message.source });
+    case 'task.stop':
+      return core.feeds.decide(state, { kind: 'stop' });
+    case 'stores.drop':
+    case 'task.start':
+    case 'task.leave':
+      return { state, commands: [] };
+    default:
+      return core.results.never(message);
+  }
+}
+
+function addressesOf({ configuration }: core.messages.ConfigurationAdopted) {
+  const stores = configuration.stores.filter(({ presence }) => presence === 'in');
+  return Object.fromEntries(stores.map(({ name, address }) => [name, address]));
+}
+
+/** A stream begins with a snapshot, so opening it anew closes any gap. */
+function resynchronize(state: State, store: string): Step {
+  const address = state.addresses[store];
+  if (address === undefined) return { state, commands: [] };
+  return {
+    state,
+    commands: [
+      { kind: 'close', source: store },
+      { kind: 'open', source: store, address },
+    ],
+  };
+}
+
+function perform(
+  surroundings: Surroundings,
+  open: Map<string, lineFeed.Feed>,
+  command: Command,
+): void {
+  switch (command.kind) {
+    case 'open':
+      open.set(command.source, openFeed(surroundings, command.source, command.address));
+      return;
+    case 'close':
+      open.get(command.source)?.close();
+      open.delete(command.source);
+      return;
+    case 'silent':
+      tellRouting(surroundings, command.source, { kind: 'silent' });
+      return;
+    case 'retry-later':
+      surroundings.schedule(`retry-${command.source}`, core.feeds.RETRY_MS, {
+        type: 'feed.retry',
+        source: command.source,
+      });
+      return;
+    default:
+      core.results.never(command);
+  }
+}
+
+function openFeed(surroundings: Surroundings, source: string, address: string): lineFeed.Feed {
+  return lineFeed.open({
+    url: `http://${address}/events`,
+    onLine: (line) => {
+      const report = wire.decodeReport(line);
+      if (report) tellRouting(surroundings, source, report);
+    },
+    onEnd: () => surroundings.self.send({ type: 'feed.ended', source, address }),
+  });
+}
+
+function tellRouting(
+  surroundings: Surroundings,
+  store: string,
+  report: core.messages.StoreReport,
+): void {
+  surroundings.send('routing', { type: 'store.reported', store, report });
+}
--- /dev/null
+++ b/packages/plugins/upstreams-http/src/calls.ts
@@ -0,0 +1,155 @@
+/** Single calls: plain services, imports, exports and orders. */
+import * as core from '@medlarweir/core';
+import * as lineFeed from '@medlarweir/line-feed';
+import * as undici from 'undici';
+
+import * as wire from './wire.js';
+
+/** The longest that a move of pieces may take. */
+const MOVE_TIMEOUT_MS = 30_000;
+const ORDER_TIMEOUT_MS = 5_000;
+
+type Reply = { status: number; text: string };
+
+async function post(
+  dispatcher: undici.Dispatcher,
+  url: string,
+  body: unknown,
+  timeoutMs: number,
+): Promise<Reply> {
+  const response = await undici.request(url, {
+    method: 'POST',
+    dispatcher,
+    signal: AbortSignal.timeout(timeoutMs),
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  return { status: response.statusCode, text: await response.body.text() };
+}
+
+export async function importPieces(
+  dispatcher: undici.Dispatcher,
+  address: string,
+  order: core.messages.ImportOrder,
+): Promise<core.messages.ImportReport> {
+  const { runId, storeAddress, manifests } = order;
+  const failed = (detail: string): core.messages.ImportReport => ({
+    type: 'import.failed',
+    runId,
+    failure: core.results.failure('unsafeRead', detail),
+  });
+  try {
+    const body = { importId: runId, storeAddress, manifests };
+    const url = `http://${address}/v1/kv/import`;
+    const reply = await post(dispatcher, url, body, MOVE_TIMEOUT_MS);
+    const decoded = reply.status === 200 ? wire.decodeImported(reply.text) : undefined;
+    if (!decoded) return failed(`status ${reply.status}`);
+    return { type: 'import.finished', runId, seen: decoded.seen };
+  } catch (error) {
+    return failed(String(error));
+  }
+}
+
+export async function exportPieces(
+  dispatcher: undici.Dispatcher,
+  address: string,
+  order: core.messages.ExportOrder,
+): Promise<core.messages.ExportReport> {
+  const { exportId, storeAddress, pieces, tier } = order;
+  const failed = (detail: string): core.messages.ExportReport => ({
+    type: 'export.failed',
+    exportId,
+    failure: core.results.failure('upstreamRefused', detail),
+  });
+  try {
+    const url = `http://${address}/v1/kv/export`;
+    const reply = await post(dispatcher, url, { storeAddress, pieces, tier }, MOVE_TIMEOUT_MS);
+    const decoded = reply.status === 200 ? wire.decodeExported(reply.text) : undefined;
+    if (!decoded) return failed(`status ${reply.status}`);
+    return { type: 'export.finished', exportId, pieces: decoded.exported };
+  } catch (error) {
+    return failed(String(error));
+  }
+}
+
+/** Sends one request to a plain service, once. */
+export async function callService(
+  dispatcher: undici.Dispatcher,
+  address: string,
+  call: core.messages.PlainCall,
+): Promise<core.messages.CallReport> {
+  const { requestId } = call;
+  try {
+    const response = await undici.request(`http://${address}${call.path}`, {
+      method: call.method as undici.Dispatcher.HttpMethod,
+      dispatcher,
+      signal: AbortSignal.timeout(call.timeoutMs),
+      headers: { ...call.headers, 'x-request-id': requestId },
+      ...(call.body.length === 0 ? {} : { body: call.body }),
+    });
+    const body = new Uint8Array(await response.body.arrayBuffer());
+    const headers = answerHeaders(response.headers);
+    return {
+      type: 'call.answered',
+      requestId,
+      answer: { status: response.statusCode, headers, body },
+    };
+  } catch (error) {
+    const isUnreached = lineFeed.isConnectFailure(error);
+    return {
+      type: 'call.failed',
+      requestId,
+      reach: isUnreached ? { kind: 'not-connected' } : { kind: 'sending' },
+      failure: core.results.failure(
+        isUnreached ? 'upstreamUnreachable' : 'outcomeUnknown',
+        String(error),
+      ),
+    };
+  }
+}
+
+/** Headers of an answer that are passed on to callers. */
+const PASSED_HEADERS = ['content-type', 'location', 'cache-control', 'etag'];
+
+function answerHeaders(found: Record<string, string | string[] | undefined>) {
+  const kept = PASSED_HEADERS.flatMap((name) => {
+    const value = found[name];
+    return typeof value === 'string' ? [[name, value] as const] : [];
+  });
+  return Object.fromEntries(kept);
+}
+
+export async function giveOrder(
+  dispatcher: undici.Dispatcher,
+  address: string,
+  order: core.messages.UpstreamOrder,
+): Promise<core.messages.OrderReport> {
+  const { orderId, fencing, action } = order;
+  try {
+    const url = `http://${address}/v1/orders`;
+    const reply = await post(dispatcher, url, { orderId, fencing, action }, ORDER_TIMEOUT_MS);
+    if (reply.status === 200) return { type: 'order.accepted', orderId };
+    const reason = reply.status === 409 ? 'old-fencing' : 'unsupported';
+    return { type: 'order.refused', orderId, reason };
+  } catch (error) {
+    const failure = core.results.failure('upstreamUnreachable', String(error));
+    return { type: 'order.failed', orderId, failure };
+  }
+}
+
+/** Frees the engine; a lost cancel costs the engine the rest of the run and nothing else. */
+export async function cancelRun(
+  dispatcher: undici.Dispatcher,
+  address: string,
+  runId: string,
+): Promise<void> {
+  try {
+    const response = await undici.request(
+      `http://${address}/v1/runs/${encodeURIComponent(runId)}`,
+      { method: 'DELETE', dispatcher, signal: AbortSignal.timeout(ORDER_TIMEOUT_MS) },
+    );
+    await response.body.dump();
+  } catch {
+    // The run ends by itself.
+  }
+}
--- /dev/null
+++ b/packages/plugins/upstreams-http/src/runs.ts
@@ -0,0 +1,111 @@
+/** Runs at model engines: one streaming connection for each. */
+import * as core from '@medlarweir/core';
+import * as lineFeed from '@medlarweir/line-feed';
+
+import * as wire from './wire.js';
+
+type Reports = core.kernel.Address<core.messages.RunReport>;
+
+/** Sends a prompt to an engine and reports its stream. */
+export function start(
+  address: string,
+  order: core.messages.RunOrder,
+  replyTo: Reports,
+): lineFeed.Feed {
+  const { upstream, ...body } = order;
+  return follow(order.runId, replyTo, {
+    url: `http://${address}/v1/runs`,
+    method: 'POST',
+    body: JSON.stringify(body),
+  });
+}
+
+/** Takes up a run that the engine still knows, from an offset. */
+export function resume(
+  address: string,
+  runId: string,
+  offset: number,
+  replyTo: Reports,
+): lineFeed.Feed {
+  return follow(runId, replyTo, {
+    url: `http://${address}/v1/runs/${encodeURIComponent(runId)}?offset=${offset}`,
+  });
+}
+
+function follow(
+  runId: string,
+  replyTo: Reports,
+  request: Pick<lineFeed.Order, 'url' | 'method' | 'body'>,
+): lineFeed.Feed {
+  let hasEnded = false;
+  let status = 0;
+  const fail = (reach: core.messages.Reach, failure: core.results.Failure) => {
+    if (hasEnded) return;
+    hasEnded = true;
+    replyTo.send({ type: 'run.failed', runId, reach, failure });
+  };
+  const onLine = (line: string) => {
+    if (hasEnded || status !== 200) return;
+    const decoded = wire.decodeRunLine(line);
+    if (!decoded) {
+      fail({ kind: 'answering' }, core.results.failure('upstreamMalformed', 'unreadable line'));
+      return;
+    }
+    hasEnded = decoded.kind === 'ended';
+    replyTo.send(toReport(decoded));
+  };
+  return lineFeed.open({
+    ...request,
+    onStatus: (found) => {
+      status = found;
+    },
+    onLine,
+    onEnd: (end) => fail(reachOf(end, status), failureOf(end, status)),
+  });
+}
+
+function toReport(line: wire.RunLine): core.messages.RunReport {
+  switch (line.kind) {
+    case 'started':
+      return { ...line, type: 'run.started' };
+    case 'token':
+      return { ...line, type: 'run.token' };
+    case 'ended':
+      return { ...line, type: 'run.ended' };
+    default:
+      return core.results.never(line);
+  }
+}
+
+/** Engines answer 409, 429 and 503 only before they run anything. */
+const VOUCHED_NOT_RUN = [409, 429, 503];
+
+function reachOf(end: lineFeed.End, status: number): core.messages.Reach {
+  if (VOUCHED_NOT_RUN.includes(status)) return { kind: 'vouched-not-run' };
+  switch (end.kind) {
+    case 'not-connected':
+      return { kind: 'not-connected' };
+    case 'broken':
+      return end.hasStatus ? { kind: 'answering' } : { kind: 'sending' };
+    case 'finished':
+      return { kind: 'answering' };
+    default:
+      return core.results.never(end);
+  }
+}
+
+function failureOf(end: lineFeed.End, status: number): core.results.Failure {
+  if (status !== 0 && status !== 200) {
+    return core.results.failure('upstreamRefused', `status ${status}`);
+  }
+  switch (end.kind) {
+    case 'not-connected':
+      return core.results.failure('upstreamUnreachable', end.detail);
+    case 'broken':
+      return core.results.failure('runLost', end.detail);
+    case 'finished':
+      return core.results.failure('runLost', 'the stream ended before the run');
+    default:
+      return core.results.never(end);
+  }
+}
