--- /dev/null
+++ b/packages/stand-ins/src/engine/engine.ts
@@ -0,0 +1,308 @@
+/**
+ * A stand-in for a model engine: continuous batching slots, a limited prefix cache, prefill and
+ * decode rates, resumption, cancellation, import and export of kept context, reports, and orders.
+ */
+import * as serve from '../http/serve.js';
+import * as context from './context.js';
+import * as moves from './moves.js';
+import * as reports from './reports.js';
+import * as runs from './runs.js';
+
+export type Options = {
+  slots: number;
+  cachePieces: number;
+  prefillTokensPerS: number;
+  decodeMsPerToken: number;
+  weightVersion: string;
+  checksFencing: boolean;
+  /** Requests at once that it bears while cold. */
+  coldSlots: number;
+  /** How long it stays cold after its start. */
+  coldMs: number;
+  loadReportMs: number;
+  /** How long new weights take to load. */
+  loadWeightsMs: number;
+};
+
+export const DEFAULTS: Options = {
+  slots: 8,
+  cachePieces: 64,
+  prefillTokensPerS: 100_000,
+  decodeMsPerToken: 2,
+  weightVersion: 'v1',
+  checksFencing: true,
+  coldSlots: 2,
+  coldMs: 0,
+  loadReportMs: 200,
+  loadWeightsMs: 400,
+};
+
+type RunOrder = {
+  runId: string;
+  model: string;
+  adapter: string;
+  weightVersion: string;
+  prompt: string;
+  pieces: readonly string[];
+  adopted: readonly string[];
+  maxTokens: number;
+  priority: runs.Priority;
+  offset: number;
+};
+
+/** What one run cost, for tests and measurements. */
+export type RunRecord = {
+  runId: string;
+  promptTokens: number;
+  reusedTokens: number;
+  importedTokens: number;
+  computedTokens: number;
+  isCancelled: boolean;
+};
+
+export type Stats = {
+  records: readonly RunRecord[];
+  /** Most requests at once while cold. */
+  coldPeak: number;
+  /** Requests that it could not bear while cold. */
+  coldOverloads: number;
+  refusedOrders: number;
+  weightVersion: string;
+};
+
+export type Engine = serve.Server & { stats(): Stats };
+
+export async function start(given: Partial<Options> = {}, port = 0): Promise<Engine> {
+  const options = { ...DEFAULTS, ...given };
+  const published = reports.create();
+  const cache = context.createCache(
+    options.cachePieces,
+    (name) => published.cacheChanged('piece-cached', name),
+    (name) => published.cacheChanged('piece-evicted', name),
+  );
+  const slots = runs.createSlots(options.slots);
+  const open = new Map<string, runs.Run>();
+  const staging = new Map<string, Map<string, Buffer>>();
+  const state = {
+    records: [] as RunRecord[],
+    coldUntilMs: performance.now() + options.coldMs,
+    coldPeak: 0,
+    coldOverloads: 0,
+    refusedOrders: 0,
+    highestFencing: 0,
+    weightVersion: options.weightVersion,
+    isSilent: false,
+  };
+  const isCold = () => performance.now() < state.coldUntilMs;
+
+  function reportLoad(): void {
+    published.load({
+      kind: 'load',
+      ...slots.load(),
+      temperature: isCold() ? 'cold' : 'warm',
+      weightVersion: state.weightVersion,
+    });
+  }
+  const reporter = setInterval(reportLoad, options.loadReportMs);
+
+  /** Walks the prompt's pieces: what is cached or adopted is used, the rest is computed. */
+  function prefill(order: RunOrder) {
+    const text = Buffer.from(order.prompt, 'utf8');
+    const adopted = new Set(order.adopted);
+    const staged = staging.get(order.runId);
+    const found = { reusedTokens: 0, importedTokens: 0 };
+    const added: context.Piece[] = [];
+    let before = context.emptyContext(`${order.model}/${order.adapter}/${order.weightVersion}`);
+    let isPrefix = true;
+    const wholePieces = Math.floor(text.length / context.PIECE_BYTES);
+    for (let at = 0; at < wholePieces; at += 1) {
+      const name = order.pieces[at] ?? '';
+      const piece = text.subarray(at * context.PIECE_BYTES, (at + 1) * context.PIECE_BYTES);
+      const cached = isPrefix ? cache.get(name) : undefined;
+      const imported = isPrefix && adopted.has(name) ? staged?.get(name) : undefined;
+      if (cached) found.reusedTokens += context.PIECE_TOKENS;
+      else if (imported) found.importedTokens += context.PIECE_TOKENS;
+      else isPrefix = false;
+      before = cached ?? imported ?? context.compute(before, piece);
+      if (!cached && name !== '') added.push({ name, content: before });
+    }
+    staging.delete(order.runId);
+    const rest = text.subarray(wholePieces * context.PIECE_BYTES);
+    const promptTokens = context.countTokens(text);
+    const computedTokens = promptTokens - found.reusedTokens - found.importedTokens;
+    const final = context.compute(before, rest);
+    return { ...found, promptTokens, computedTokens, final, added };
+  }
+
+  async function execute(order: RunOrder, run: runs.Run): Promise<void> {
+    await slots.take(order.priority);
+    try {
+      const filled = prefill(order);
+      const { promptTokens, reusedTokens, importedTokens, computedTokens } = filled;
+      const { runId } = order;
+      const record: RunRecord = {
+        runId,
+        promptTokens,
+        reusedTokens,
+        importedTokens,
+        computedTokens,
+        isCancelled: false,
+      };
+      state.records.push(record);
+      runs.emit(run, { kind: 'started', runId, promptTokens, reusedTokens, importedTokens });
+      await serve.pause((computedTokens / options.prefillTokensPerS) * 1_000);
+      filled.added.forEach(cache.put);
+      await decode(order, run, filled.final);
+      record.isCancelled = run.isCancelled;
+    } finally {
+      slots.giveBack();
+    }
+  }
+
+  async function decode(order: RunOrder, run: runs.Run, final: Buffer): Promise<void> {
+    const { runId } = order;
+    for (let offset = order.offset; offset < order.maxTokens && !run.isCancelled; offset += 1) {
+      await serve.pause(options.decodeMsPerToken);
+      runs.emit(run, { kind: 'token', runId, offset, text: context.tokenText(final, offset) });
+    }
+    const finish = run.isCancelled ? 'cancelled' : 'length';
+    runs.emit(run, { kind: 'ended', runId, finish, tokens: order.maxTokens });
+  }
+
+  function beginRun(body: Buffer): serve.Reply {
+    const order = JSON.parse(body.toString('utf8')) as RunOrder;
+    if (order.weightVersion !== state.weightVersion) {
+      return serve.json(409, { error: `weights are ${state.weightVersion}` });
+    }
+    const { running, waiting } = slots.load();
+    if (isCold()) {
+      state.coldPeak = Math.max(state.coldPeak, running + waiting + 1);
+      if (running + waiting >= options.coldSlots) {
+        state.coldOverloads += 1;
+        return serve.json(503, { error: 'cold' });
+      }
+    }
+    const run = runs.createRun(order.runId);
+    open.set(order.runId, run);
+    void execute(order, run);
+    return { kind: 'lines', open: (lines) => runs.follow(run, lines, order.offset) };
+  }
+
+  function resumeRun(runId: string, query: URLSearchParams): serve.Reply {
+    const run = open.get(runId);
+    if (!run) return serve.json(404, { error: 'unknown run' });
+    const offset = Number(query.get('offset') ?? 0);
+    return { kind: 'lines', open: (lines) => runs.follow(run, lines, offset) };
+  }
+
+  function cancelRun(runId: string): serve.Reply {
+    const run = open.get(runId);
+    if (run) run.isCancelled = true;
+    return serve.json(run ? 200 : 404, {});
+  }
+
+  async function importPieces(body: Buffer): Promise<serve.Reply> {
+    const order = JSON.parse(body.toString('utf8')) as {
+      importId: string;
+      storeAddress: string;
+      manifests: readonly moves.Manifest[];
+    };
+    const reads = await Promise.all(
+      order.manifests.map((manifest) => moves.importPiece(order.storeAddress, manifest)),
+    );
+    const found = reads.filter((read) => read !== undefined);
+    const held = new Map(found.map(({ observation, content }) => [observation.piece, content]));
+    staging.set(order.importId, held);
+    return serve.json(200, { seen: found.map(({ observation }) => observation) });
+  }
+
+  async function exportPieces(body: Buffer): Promise<serve.Reply> {
+    const order = JSON.parse(body.toString('utf8')) as {
+      storeAddress: string;
+      pieces: readonly string[];
+      tier: string;
+    };
+    const exported: string[] = [];
+    for (const name of order.pieces) {
+      const content = cache.get(name);
+      const isStored =
+        content && (await moves.exportPiece(order.storeAddress, { name, content }, order.tier));
+      if (isStored) exported.push(name);
+    }
+    return serve.json(200, { exported });
+  }
+
+  async function obey(body: Buffer): Promise<serve.Reply> {
+    const order = JSON.parse(body.toString('utf8')) as {
+      fencing: number;
+      action: { kind: string; weightVersion?: string };
+    };
+    if (options.checksFencing && order.fencing < state.highestFencing) {
+      state.refusedOrders += 1;
+      return serve.json(409, { highestFencing: state.highestFencing });
+    }
+    state.highestFencing = Math.max(state.highestFencing, order.fencing);
+    if (order.action.kind === 'load-version' && order.action.weightVersion !== undefined) {
+      await serve.pause(options.loadWeightsMs);
+      state.weightVersion = order.action.weightVersion;
+    }
+    reportLoad();
+    return serve.json(200, {});
+  }
+
+  function control(request: serve.Request): serve.Reply {
+    if (request.path[1] === 'stats') return serve.json(200, stats());
+    const wish = JSON.parse(request.body.toString('utf8')) as {
+      reportFaults?: reports.Faults;
+      isSilent?: boolean;
+      turnCold?: boolean;
+      coldMs?: number;
+      forgetRuns?: boolean;
+    };
+    if (wish.reportFaults) published.setFaults(wish.reportFaults);
+    if (wish.isSilent !== undefined) state.isSilent = wish.isSilent;
+    if (wish.coldMs !== undefined) state.coldUntilMs = performance.now() + wish.coldMs;
+    if (wish.turnCold) cache.clear();
+    if (wish.forgetRuns) open.clear();
+    return serve.json(200, {});
+  }
+
+  function stats(): Stats {
+    const { records, coldPeak, coldOverloads, refusedOrders, weightVersion } = state;
+    return { records, coldPeak, coldOverloads, refusedOrders, weightVersion };
+  }
+
+  function handle(request: serve.Request): Promise<serve.Reply> | serve.Reply {
+    const { method, path, query, body } = request;
+    if (path[0] === 'control') return control(request);
+    if (state.isSilent) return { kind: 'silent' };
+    switch (`${method} ${path.slice(0, 3).join('/')}`) {
+      case 'POST v1/runs':
+        return beginRun(body);
+      case 'POST v1/kv/import':
+        return importPieces(body);
+      case 'POST v1/kv/export':
+        return exportPieces(body);
+      case 'POST v1/orders':
+        return obey(body);
+      case 'GET v1/events':
+        return {
+          kind: 'lines',
+          open: (lines) => {
+            published.addReader(lines, cache.names());
+            reportLoad();
+          },
+        };
+      default:
+        if (path[1] !== 'runs') return serve.json(404, { error: 'no such path' });
+        return method === 'DELETE' ? cancelRun(path[2] ?? '') : resumeRun(path[2] ?? '', query);
+    }
+  }
+
+  const server = await serve.listen(handle, port);
+  const close = () => {
+    clearInterval(reporter);
+    return server.close();
+  };
+  return { address: server.address, close, stats };
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/reports.ts
@@ -0,0 +1,56 @@
+/** What an engine publishes: cache events, late and with gaps, and load reports with a lag. */
+import type * as serve from '../http/serve.js';
+
+export type Report =
+  | { kind: 'piece-cached'; sequence: number; piece: string }
+  | { kind: 'piece-evicted'; sequence: number; piece: string }
+  | { kind: 'snapshot'; sequence: number; pieces: readonly string[] }
+  | {
+      kind: 'load';
+      running: number;
+      waiting: number;
+      temperature: 'cold' | 'warm';
+      weightVersion: string;
+    };
+
+export type Faults = {
+  /** How late events are. */
+  lagMs: number;
+  /** Every n-th event is lost; 0 loses none. */
+  loseEvery: number;
+};
+
+export type Reports = {
+  cacheChanged(kind: 'piece-cached' | 'piece-evicted', piece: string): void;
+  load(report: Extract<Report, { kind: 'load' }>): void;
+  /** Adds a reader; its stream begins with a snapshot. */
+  addReader(lines: serve.Lines, pieces: readonly string[]): void;
+  setFaults(faults: Faults): void;
+};
+
+export function create(): Reports {
+  const readers = new Set<serve.Lines>();
+  const state = { sequence: 0, faults: { lagMs: 0, loseEvery: 0 } };
+  const publish = (report: Report) => {
+    const deliver = () => readers.forEach((reader) => reader.write(report));
+    if (state.faults.lagMs === 0) deliver();
+    else setTimeout(deliver, state.faults.lagMs).unref();
+  };
+  return {
+    cacheChanged(kind, piece) {
+      state.sequence += 1;
+      const { loseEvery } = state.faults;
+      const isLost = loseEvery > 0 && state.sequence % loseEvery === 0;
+      if (!isLost) publish({ kind, sequence: state.sequence, piece });
+    },
+    load: publish,
+    addReader(lines, pieces) {
+      lines.write({ kind: 'snapshot', sequence: state.sequence, pieces });
+      readers.add(lines);
+      lines.onClose(() => readers.delete(lines));
+    },
+    setFaults(faults) {
+      state.faults = faults;
+    },
+  };
+}
