--- /dev/null
+++ b/examples/src/main.ts
@@ -0,0 +1,50 @@
+/** `npm run demo`: the path from end to end for both examples. */
+import * as util from 'node:util';
+
+import * as clusters from './cluster.js';
+import * as deployments from './deployment.js';
+import * as stories from './story.js';
+
+const { values } = util.parseArgs({ options: { json: { type: 'boolean', default: false } } });
+
+function say(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+async function runExample(name: deployments.ExampleName): Promise<stories.Figures> {
+  say(`== ${name}`);
+  const cluster = await clusters.start(await deployments.load(name));
+  const figures = await stories.tell(cluster, say);
+  const codes = await cluster.stop();
+  say(`the instances stopped as planned, exit codes ${codes.join(', ')}`);
+  if (codes.some((code) => code !== 0)) throw new Error('an instance did not stop as planned');
+  return figures;
+}
+
+/** The worst of both examples in each figure. */
+function combine(all: readonly stories.Figures[]): stories.Figures {
+  const most = (pick: (figures: stories.Figures) => number) => Math.max(...all.map(pick));
+  return {
+    answersWhole: all.every(({ answersWhole }) => answersWhole),
+    firstRecomputedShare: most((each) => each.firstRecomputedShare),
+    returnRecomputedShare: most((each) => each.returnRecomputedShare),
+    otherAccountReuse: most((each) => each.otherAccountReuse),
+    bookingRuns: most((each) => each.bookingRuns),
+    configGeneration: most((each) => each.configGeneration),
+  };
+}
+
+function isSuccess(figures: stories.Figures): boolean {
+  return (
+    figures.answersWhole &&
+    figures.returnRecomputedShare < figures.firstRecomputedShare &&
+    figures.otherAccountReuse === 0 &&
+    figures.bookingRuns === 1
+  );
+}
+
+const all: stories.Figures[] = [];
+for (const name of deployments.EXAMPLES) all.push(await runExample(name));
+const figures = combine(all);
+if (values.json) say(JSON.stringify(figures));
+process.exit(isSuccess(figures) ? 0 : 1);
--- /dev/null
+++ b/examples/src/processes.ts
@@ -0,0 +1,91 @@
+/** Starts processes of this repository on loopback and ends them by their handles. */
+import * as childProcess from 'node:child_process';
+import * as events from 'node:events';
+import * as path from 'node:path';
+import * as readline from 'node:readline';
+import * as url from 'node:url';
+
+const ROOT = url.fileURLToPath(new URL('../..', import.meta.url));
+const START_TIMEOUT_MS = 20_000;
+
+export const BINARIES = {
+  standIn: path.join(ROOT, 'packages/stand-ins/dist/main.js'),
+  medlarweir: path.join(ROOT, 'packages/medlarweir/dist/main.js'),
+  medlarctl: path.join(ROOT, 'packages/medlarctl/dist/main.js'),
+};
+
+export type Process = {
+  pid: number;
+  /** Resolves with the first line of output, parsed, for which `pick` returns a value. */
+  waitFor<Value>(pick: (line: Record<string, unknown>) => Value | undefined): Promise<Value>;
+  signal(signal: NodeJS.Signals): void;
+  /** The exit code, or the signal's name. */
+  exited: Promise<number | string>;
+};
+
+export function start(script: string, args: readonly string[]): Process {
+  const child = childProcess.spawn(process.execPath, [script, ...args], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+    env: { PATH: process.env.PATH },
+  });
+  const lines: Record<string, unknown>[] = [];
+  const arrivals = new events.EventEmitter();
+  arrivals.setMaxListeners(0);
+  readline.createInterface({ input: child.stdout }).on('line', (text) => {
+    lines.push(parseLine(text));
+    arrivals.emit('line');
+  });
+  const exited = new Promise<number | string>((resolve) => {
+    child.on('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
+  });
+  return {
+    pid: child.pid ?? -1,
+    exited,
+    signal: (signal) => child.kill(signal),
+    waitFor: (pick) => pickFrom(lines, arrivals, pick),
+  };
+}
+
+function parseLine(text: string): Record<string, unknown> {
+  try {
+    return JSON.parse(text) as Record<string, unknown>;
+  } catch {
+    return { text };
+  }
+}
+
+function pickFrom<Value>(
+  lines: readonly Record<string, unknown>[],
+  arrivals: events.EventEmitter,
+  pick: (line: Record<string, unknown>) => Value | undefined,
+): Promise<Value> {
+  const look = () => lines.map(pick).find((value) => value !== undefined);
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => {
+      arrivals.off('line', onLine);
+      reject(new Error(`a process did not say what was expected of it: ${JSON.stringify(lines)}`));
+    }, START_TIMEOUT_MS);
+    function onLine() {
+      const found = look();
+      if (found === undefined) return;
+      clearTimeout(timer);
+      arrivals.off('line', onLine);
+      resolve(found);
+    }
+    arrivals.on('line', onLine);
+    onLine();
+  });
+}
+
+/** Runs a command to its end and returns what it printed. */
+export async function runToEnd(script: string, args: readonly string[]): Promise<string> {
+  const child = childProcess.spawn(process.execPath, [script, ...args], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+    env: { PATH: process.env.PATH },
+  });
+  const chunks: Buffer[] = [];
+  child.stdout.on('data', (chunk: Buffer) => chunks.push(chunk));
+  const [code] = (await events.once(child, 'close')) as [number | null];
+  if (code !== 0) throw new Error(`${path.basename(script)} ${args.join(' ')} exited with ${code}`);
+  return Buffer.concat(chunks).toString('utf8');
+}
