Give the right to send to a cold upstream to one instance at a time

Cause: the cold limit counted own work and the last report only, so nine instances sent nine times the limit. Ruled out: grants in engines' reports (engines are not ours), senders chosen by rendezvous hash alone (two may choose themselves while their membership lists differ). Change: a task of cold starts takes a lease on one platform object for each cold upstream; only the conditional update decides, rendezvous order only saves calls. The holder counts what others may have left there, bounded by reports that are late enough to prove it; the right is checked again directly before the send. A refusal puts "warm" in doubt, peers are told; after warming the total doubles by evidence. Upstreams that do not report get nothing.

--- /dev/null
+++ b/benchmark/src/models/choice.ts
@@ -0,0 +1,88 @@
+/** How an upstream is chosen: the real decisions, and two baselines that know no cold starts. */
+import * as core from '@medlarweir/core';
+
+/** What a choice may look at. */
+export type Question = {
+  state: core.routing.State;
+  outline: core.messages.PromptOutline;
+  now: core.kernel.Instant;
+  tellRouting(message: core.messages.RoutingMessage): void;
+  replyTo: core.kernel.Address<core.messages.PlanMade>;
+};
+
+export type Choice = { plan(question: Question): void };
+export type Policy = 'medlarweir' | 'least-loaded' | 'round-robin';
+export const POLICIES: readonly Policy[] = ['medlarweir', 'least-loaded', 'round-robin'];
+
+/** Each instance needs a choice of its own: round-robin counts. */
+export function create(policy: Policy): Choice {
+  switch (policy) {
+    case 'medlarweir':
+      return {
+        plan: ({ outline, replyTo, tellRouting }) =>
+          tellRouting({ type: 'routing.plan-prompt', outline, replyTo }),
+      };
+    case 'least-loaded':
+      return { plan: planLeastLoaded };
+    case 'round-robin':
+      return roundRobin();
+    default:
+      return core.results.never(policy);
+  }
+}
+
+function eligible({ state, outline }: Question): readonly core.configuration.Upstream[] {
+  const centres = state.configuration?.dataCentres ?? [];
+  const inService = new Set(centres.filter((c) => c.presence === 'in').map(({ name }) => name));
+  return (state.configuration?.upstreams ?? []).filter(
+    (upstream) =>
+      upstream.services.includes(outline.service) &&
+      upstream.presence === 'in' &&
+      inService.has(upstream.dataCentre) &&
+      !outline.excluded.includes(upstream.name),
+  );
+}
+
+/** The least of own work in flight and reported work, with no limit while cold and no ramp. */
+function planLeastLoaded(question: Question): void {
+  const { state } = question;
+  const loadOf = ({ name }: core.configuration.Upstream) => {
+    const load = core.load.read(state.load, name);
+    return Math.max(load.inFlight, load.reportedRunning + load.reportedWaiting);
+  };
+  const ranked = [...eligible(question)].sort((a, b) => loadOf(a) - loadOf(b));
+  answer(question, ranked[0]);
+}
+
+function roundRobin(): Choice {
+  const counter = { next: 0 };
+  return {
+    plan(question) {
+      const all = eligible(question);
+      counter.next += 1;
+      answer(question, all[counter.next % Math.max(1, all.length)]);
+    },
+  };
+}
+
+function answer(question: Question, upstream: core.configuration.Upstream | undefined): void {
+  const { state, outline, now, replyTo } = question;
+  const { requestId } = outline;
+  if (!upstream) {
+    const failure = core.results.failure('noUpstream', 'none is in service');
+    const plan: core.messages.Plan = { kind: 'refused', failure, retryAfterMs: 0 };
+    replyTo.send({ type: 'plan.made', requestId, plan });
+    return;
+  }
+  core.load.begin(state.load, upstream.name, now);
+  state.placed.set(requestId, { upstream: upstream.name, outline });
+  const placement: core.messages.Placement = {
+    upstream: upstream.name,
+    reusePieces: 0,
+    imports: [],
+    storeAddress: '',
+    expectedFirstTokenMs: 0,
+  };
+  const plan: core.messages.Plan = { kind: 'placed', placement, candidates: [] };
+  replyTo.send({ type: 'plan.made', requestId, plan });
+}
--- /dev/null
+++ b/benchmark/src/models/entry.ts
@@ -0,0 +1,283 @@
+/**
+ * An entry instance at its interfaces, with the real decisions of routing and of cold starts
+ * inside. It can be paused and can die; its monotonic clock is its own.
+ */
+import * as core from '@medlarweir/core';
+
+import type * as choices from './choice.js';
+import type * as engines from './engine.js';
+import type * as platforms from './platform.js';
+import type * as randomness from './randomness.js';
+import type * as timelines from './timeline.js';
+
+export type Entry = {
+  name: string;
+  /** A caller's prompt arrives. */
+  ask(prompt: Prompt): void;
+  /** A report of an engine arrives. */
+  hear(upstream: string, report: core.messages.EngineReport): void;
+  adopt(configuration: core.configuration.Configuration): void;
+  seeMembers(members: readonly core.messages.Member[]): void;
+  pause(): void;
+  resume(): void;
+  die(): void;
+};
+
+/** `hasToken` is set once its caller has a first token. */
+export type Prompt = { service: string; arrivedAtMs: number; hasToken: boolean };
+
+/** What became of a prompt. */
+export type Ending =
+  | { kind: 'first-token'; waitedMs: number }
+  | { kind: 'ended' }
+  | { kind: 'refused' }
+  /** The caller had tokens already, and the run was lost; it goes on elsewhere. */
+  | { kind: 'resumed' }
+  /** The caller had tokens already and gets no more. */
+  | { kind: 'cut' };
+
+export type Options = {
+  name: string;
+  dataCentre: string;
+  /** What its monotonic clock shows at the start. */
+  clockOffsetMs: number;
+  /** Longest time from a placement to its send, as imports take. */
+  longestImportMs: number;
+  longestDeliveryMs: number;
+  /** Share of callers that go away; the engine does not hear of it and runs on. */
+  cancelledShare: number;
+};
+
+export type World = {
+  timeline: timelines.Timeline;
+  random: randomness.Randomness;
+  platform: platforms.Platform;
+  engines: ReadonlyMap<string, engines.Engine>;
+  choice: choices.Choice;
+  onEnding(ending: Ending): void;
+};
+
+type Life = { kind: 'running' } | { kind: 'paused'; held: (() => void)[] } | { kind: 'dead' };
+
+/** Attempts at different upstreams before a prompt is refused. */
+const MAX_ATTEMPTS = 3;
+
+export function create(world: World, options: Options): Entry {
+  const { timeline, random } = world;
+  const { name, dataCentre } = options;
+  const routing = { state: core.routing.initial(name, dataCentre) };
+  const coldStarts = {
+    state: core.coldStarts.initial({ name, dataCentre }, `${name}-incarnation`),
+  };
+  const own: { life: Life; nextRequest: number } = { life: { kind: 'running' }, nextRequest: 1 };
+  const now = (): core.kernel.Instant => {
+    const monotonicMs = timeline.nowMs() + options.clockOffsetMs;
+    return { monotonicMs, wallMs: monotonicMs };
+  };
+
+  /** Does something now, or when a pause ends, or never. */
+  function whenAwake(run: () => void): void {
+    switch (own.life.kind) {
+      case 'running':
+        run();
+        return;
+      case 'paused':
+        own.life.held.push(run);
+        return;
+      case 'dead':
+        return;
+      default:
+        core.results.never(own.life);
+    }
+  }
+
+  function tellRouting(message: core.messages.RoutingMessage): void {
+    const step = core.routing.decide(routing.state, message, now());
+    routing.state = step.state;
+    step.commands.forEach(performRouting);
+  }
+
+  function performRouting(command: core.routing.Command): void {
+    switch (command.kind) {
+      case 'reply':
+        command.replyTo.send(command.message);
+        return;
+      case 'want-cold-rights':
+        tellColdStarts({ type: 'cold-starts.wanted', upstreams: command.upstreams });
+        return;
+      case 'schedule-tick':
+        timeline.after(core.routing.TICK_MS, () =>
+          whenAwake(() => tellRouting({ type: 'routing.tick' })),
+        );
+        return;
+      case 'broadcast':
+      case 'export':
+      case 'note-exported':
+      case 'resynchronize-engine':
+      case 'resynchronize-store':
+        return;
+      default:
+        core.results.never(command);
+    }
+  }
+
+  function tellColdStarts(message: core.messages.ColdStartsMessage): void {
+    const step = core.coldStarts.decide(coldStarts.state, message, now());
+    coldStarts.state = step.state;
+    step.commands.forEach(performColdStarts);
+  }
+
+  function performColdStarts(command: core.coldStarts.Command): void {
+    switch (command.kind) {
+      case 'read':
+      case 'write':
+        world.platform.call(command, (ticket, answer) =>
+          whenAwake(() => tellColdStarts({ type: 'platform.answered', ticket, answer })),
+        );
+        return;
+      case 'tell-routing': {
+        const { upstream, right } = command;
+        tellRouting({ type: 'cold-starts.changed', upstream, right });
+        return;
+      }
+      case 'schedule-tick':
+        timeline.after(core.coldStarts.TICK_MS, () =>
+          whenAwake(() => tellColdStarts({ type: 'cold-starts.tick' })),
+        );
+        return;
+      case 'note-gained':
+        return;
+      default:
+        core.results.never(command);
+    }
+  }
+
+  function place(prompt: Prompt, excluded: readonly string[]): void {
+    const requestId = String(own.nextRequest);
+    own.nextRequest += 1;
+    const replyTo = {
+      send: ({ plan }: core.messages.PlanMade) => {
+        if (plan.kind === 'refused') giveUp(prompt);
+        else sendLater(requestId, prompt, plan.placement, excluded);
+      },
+    };
+    const outline: core.messages.PromptOutline = {
+      requestId,
+      clientAccount: 'alpha',
+      service: prompt.service,
+      weightVersion: 'v1',
+      pieces: [],
+      promptTokens: 0,
+      maxTokens: 1,
+      excluded,
+    };
+    world.choice.plan({ state: routing.state, outline, now: now(), tellRouting, replyTo });
+  }
+
+  function giveUp({ hasToken }: Prompt): void {
+    world.onEnding({ kind: hasToken ? 'cut' : 'refused' });
+  }
+
+  function sendLater(
+    requestId: string,
+    prompt: Prompt,
+    placement: core.messages.Placement,
+    excluded: readonly string[],
+  ): void {
+    const { upstream, sendBeforeMs = Infinity } = placement;
+    const finish = (outcome: core.messages.Outcome) =>
+      tellRouting({ type: 'routing.finished', requestId, upstream, outcome });
+    const again = (reach: core.messages.Reach) => {
+      finish({ kind: 'failed', reach });
+      if (excluded.length + 1 < MAX_ATTEMPTS) place(prompt, [...excluded, upstream]);
+      else giveUp(prompt);
+    };
+    const send = () => {
+      if (now().monotonicMs >= sendBeforeMs) again({ kind: 'not-connected' });
+      else deliver(upstream, prompt, finish, again);
+    };
+    timeline.after(random.between(0, options.longestImportMs), () => whenAwake(send));
+  }
+
+  function deliver(
+    upstream: string,
+    prompt: Prompt,
+    finish: (outcome: core.messages.Outcome) => void,
+    again: (reach: core.messages.Reach) => void,
+  ): void {
+    const caller = { isGone: false };
+    const back = (run: () => void) =>
+      timeline.after(ONE_WAY_MS, () =>
+        whenAwake(() => {
+          if (!caller.isGone) run();
+        }),
+      );
+    if (random.share() < options.cancelledShare) {
+      timeline.after(random.between(0, LATEST_CANCEL_MS), () => {
+        back(() => {
+          caller.isGone = true;
+          finish({ kind: 'cancelled' });
+        });
+      });
+    }
+    const run: engines.Run = {
+      onRefused: () => back(() => again({ kind: 'vouched-not-run' })),
+      onFirstToken: () =>
+        back(() => {
+          if (prompt.hasToken) return;
+          Object.assign(prompt, { hasToken: true });
+          const waitedMs = timeline.nowMs() - prompt.arrivedAtMs;
+          world.onEnding({ kind: 'first-token', waitedMs });
+        }),
+      onEnded: () =>
+        back(() => {
+          finish({ kind: 'completed', reusedTokens: 0, importedTokens: 0, firstTokenMs: 0 });
+          world.onEnding({ kind: 'ended' });
+        }),
+      onLost: () =>
+        back(() => {
+          if (prompt.hasToken) world.onEnding({ kind: 'resumed' });
+          again({ kind: 'answering' });
+        }),
+    };
+    timeline.after(random.between(ONE_WAY_MS, options.longestDeliveryMs), () =>
+      world.engines.get(upstream)?.receive(run),
+    );
+  }
+
+  tellRouting({ type: 'task.start' });
+  tellColdStarts({ type: 'task.start' });
+  return {
+    name,
+    ask: (prompt) => whenAwake(() => place(prompt, [])),
+    hear: (upstream, report) =>
+      whenAwake(() => tellRouting({ type: 'engine.reported', upstream, report })),
+    adopt: (configuration) =>
+      whenAwake(() => {
+        tellRouting({ type: 'configuration.adopted', configuration });
+        tellColdStarts({ type: 'configuration.adopted', configuration });
+      }),
+    seeMembers: (members) =>
+      whenAwake(() => {
+        tellRouting({ type: 'membership.changed', members });
+        tellColdStarts({ type: 'membership.changed', members });
+      }),
+    pause() {
+      if (own.life.kind === 'running') own.life = { kind: 'paused', held: [] };
+    },
+    resume() {
+      if (own.life.kind !== 'paused') return;
+      const { held } = own.life;
+      own.life = { kind: 'running' };
+      held.forEach(whenAwake);
+    },
+    die() {
+      own.life = { kind: 'dead' };
+    },
+  };
+}
+
+/** Latest time after a send at which a caller goes away. */
+const LATEST_CANCEL_MS = 2_000;
+/** One-way delay between an instance and an upstream. */
+const ONE_WAY_MS = 1;
--- /dev/null
+++ b/packages/core/src/cold-starts/answers.ts
@@ -0,0 +1,111 @@
+/** What the task of cold starts makes of the platform's answers. */
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/index.js';
+import * as results from '../results/index.js';
+import * as lease from './lease.js';
+import * as states from './state.js';
+
+type State = states.State;
+type Step = states.Step;
+
+export function onAnswer(
+  state: State,
+  message: messages.PlatformAnswered,
+  now: task.Instant,
+): Step {
+  const upstream = message.ticket.slice(0, message.ticket.lastIndexOf('#'));
+  const entry = state.entries[upstream];
+  if (entry?.lease.kind === 'asking' && entry.lease.ticket === message.ticket) {
+    return onRead(state, upstream, entry.lease.seen, message.answer, now);
+  }
+  if (entry?.lease.kind === 'writing' && entry.lease.ticket === message.ticket) {
+    return onWritten(state, upstream, entry.lease, message.answer, now);
+  }
+  return { state, commands: [] };
+}
+
+function onRead(
+  state: State,
+  upstream: string,
+  before: lease.Seen | undefined,
+  answer: messages.PlatformAnswer,
+  now: task.Instant,
+): Step {
+  switch (answer.kind) {
+    case 'object':
+    case 'missing': {
+      const found = answer.kind === 'object' ? answer.object : undefined;
+      return onSeen(state, upstream, lease.observe(before, found, now), now);
+    }
+    case 'objects':
+    case 'written':
+    case 'conflict':
+    case 'unavailable':
+      return {
+        state: states.withLease(state, upstream, { kind: 'idle', seen: before }),
+        commands: [],
+      };
+    default:
+      return results.never(answer);
+  }
+}
+
+/** Takes a lease that nobody can hold any more; otherwise keeps what was seen. */
+function onSeen(state: State, upstream: string, seen: lease.Seen, now: task.Instant): Step {
+  const isWanted = state.entries[upstream]?.wish.kind === 'wanted';
+  if (!isWanted || !lease.isFree(seen, state.holder, now)) {
+    return { state: states.withLease(state, upstream, { kind: 'idle', seen }), commands: [] };
+  }
+  const next = states.newWrite(state, seen.version, now.monotonicMs, now);
+  return states.write(state, upstream, next, { kind: 'none' }, now);
+}
+
+function onWritten(
+  state: State,
+  upstream: string,
+  writing: Extract<lease.Lease, { kind: 'writing' }>,
+  answer: messages.PlatformAnswer,
+  now: task.Instant,
+): Step {
+  switch (answer.kind) {
+    case 'written':
+      return settle(state, upstream, writing, answer.version);
+    case 'conflict': {
+      const { current } = answer;
+      if (current?.writeId === writing.write.writeId) {
+        return settle(state, upstream, writing, current.version);
+      }
+      const seen = lease.observe(undefined, current, now);
+      const idle = states.withLease(state, upstream, { kind: 'idle', seen });
+      return {
+        state: idle,
+        commands: [{ kind: 'tell-routing', upstream, right: { kind: 'none' } }],
+      };
+    }
+    case 'unavailable':
+    case 'object':
+    case 'missing':
+    case 'objects':
+      return { state, commands: [] };
+    default:
+      return results.never(answer);
+  }
+}
+
+function settle(
+  state: State,
+  upstream: string,
+  writing: Extract<lease.Lease, { kind: 'writing' }>,
+  version: number,
+): Step {
+  const settled = lease.written(writing.write, version);
+  const right = lease.rightOf(settled);
+  const isGained = writing.right.kind === 'none' && right.kind === 'held';
+  return {
+    state: states.withLease(state, upstream, settled),
+    commands: [
+      { kind: 'tell-routing', upstream, right },
+      ...(isGained ? [{ kind: 'note-gained' as const, upstream }] : []),
+    ],
+  };
+}
--- /dev/null
+++ b/packages/core/src/cold-starts/index.ts
@@ -0,0 +1,5 @@
+/** The way into cold starts. */
+export * from './decide.js';
+export * as lease from './lease.js';
+export { initial, KEY_PREFIX, TICK_MS, type Command, type State } from './state.js';
+export * as turns from './turns.js';
--- /dev/null
+++ b/packages/core/src/cold-starts/lease.ts
@@ -0,0 +1,93 @@
+/**
+ * One lease on one versioned object of the platform. An observer takes it over only after it has
+ * seen the same version for a whole term by its own monotonic clock, so no two clocks are compared.
+ */
+import * as zod from 'zod';
+
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/index.js';
+import * as results from '../results/index.js';
+
+/** How long a written lease binds everyone else. */
+export const TERM_MS = 6_000;
+/** How much earlier its holder stops: covers clocks that run at different rates. */
+export const MARGIN_MS = 500;
+/** A holder renews when less than this is left. */
+export const RENEW_BEFORE_MS = 3_000;
+/** An answer that has not come after this long is treated as lost. */
+export const ANSWER_TIMEOUT_MS = 3_000;
+
+/** What the object holds. */
+const record = zod.object({ holder: zod.string() });
+export type Record = zod.infer<typeof record>;
+
+/** A conditional update under way; repeated with the same id until its end is known. */
+export type Write = {
+  writeId: string;
+  expectedVersion: number;
+  value: Record;
+  /** When it was first sent: its lease counts from then. */
+  sentAtMs: number;
+  /** When all earlier holders had stopped. */
+  sinceMs: number;
+};
+
+/** What the own instance knows of the object. */
+export type Seen = { version: number; record: Record | undefined; sinceMs: number };
+
+export type Lease =
+  | { kind: 'idle'; seen: Seen | undefined }
+  | { kind: 'asking'; seen: Seen | undefined; ticket: string; sentAtMs: number }
+  | {
+      kind: 'writing';
+      write: Write;
+      ticket: string;
+      triedAtMs: number;
+      /** The right that is being renewed, if any. */
+      right: messages.ColdRight;
+    }
+  | { kind: 'held'; version: number; right: Extract<messages.ColdRight, { kind: 'held' }> };
+
+/** The right that a lease gives. It may have lapsed: whoever uses it compares `untilMs`. */
+export function rightOf(lease: Lease): messages.ColdRight {
+  switch (lease.kind) {
+    case 'idle':
+    case 'asking':
+      return { kind: 'none' };
+    case 'writing':
+    case 'held':
+      return lease.right;
+    default:
+      return results.never(lease);
+  }
+}
+
+/** Whether nobody else can hold the lease any more. */
+export function isFree(seen: Seen, ownName: string, now: task.Instant): boolean {
+  if (seen.record === undefined) return true;
+  if (seen.record.holder === ownName) return true;
+  return now.monotonicMs - seen.sinceMs >= TERM_MS;
+}
+
+/** Takes in what a read showed; a version seen before keeps the time of its first sight. */
+export function observe(
+  before: Seen | undefined,
+  found: messages.StoredObject | undefined,
+  now: task.Instant,
+): Seen {
+  const version = found?.version ?? 0;
+  if (before?.version === version) return before;
+  const checked = record.safeParse(found?.value);
+  const unreadable: Record = { holder: '' };
+  return {
+    version,
+    record: found && (checked.success ? checked.data : unreadable),
+    sinceMs: now.monotonicMs,
+  };
+}
+
+/** The lease after its write has taken effect. */
+export function written(write: Write, version: number): Lease {
+  const untilMs = write.sentAtMs + TERM_MS - MARGIN_MS;
+  return { kind: 'held', version, right: { kind: 'held', sinceMs: write.sinceMs, untilMs } };
+}
--- /dev/null
+++ b/packages/core/src/cold-starts/state.ts
@@ -0,0 +1,117 @@
+/** What the task of cold starts holds, and the steps that several of its decisions take. */
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/index.js';
+import type * as lease from './lease.js';
+import type * as turns from './turns.js';
+
+/** One cold upstream, or one whose lease has yet to lapse. */
+export type Entry = { wish: Wish; lease: lease.Lease };
+export type Wish = { kind: 'wanted'; sinceMs: number } | { kind: 'unwanted' };
+
+export type State = {
+  own: turns.Contender;
+  /** New at each start: a restarted instance is another holder. */
+  holder: string;
+  dataCentres: Readonly<Record<string, string>>;
+  members: readonly messages.Member[];
+  entries: Readonly<Record<string, Entry>>;
+  isLeaving: boolean;
+  nextTicket: number;
+};
+
+export type Command =
+  | { kind: 'read'; ticket: string; key: string }
+  | {
+      kind: 'write';
+      ticket: string;
+      key: string;
+      expectedVersion: number;
+      value: lease.Record;
+      writeId: string;
+    }
+  | { kind: 'tell-routing'; upstream: string; right: messages.ColdRight }
+  | { kind: 'note-gained'; upstream: string }
+  | { kind: 'schedule-tick' };
+
+export type Step = task.Step<State, Command>;
+
+/** How often leases are looked after. */
+export const TICK_MS = 500;
+export const KEY_PREFIX = 'cold-starts/';
+
+export function initial(own: turns.Contender, incarnation: string): State {
+  return {
+    own,
+    holder: incarnation,
+    dataCentres: {},
+    members: [],
+    entries: {},
+    isLeaving: false,
+    nextTicket: 1,
+  };
+}
+
+export function newWrite(
+  state: State,
+  expectedVersion: number,
+  sinceMs: number,
+  now: task.Instant,
+): lease.Write {
+  return {
+    writeId: `${state.holder}-${state.nextTicket}`,
+    expectedVersion,
+    value: { holder: state.holder },
+    sentAtMs: now.monotonicMs,
+    sinceMs,
+  };
+}
+
+export function ask(
+  state: State,
+  upstream: string,
+  seen: lease.Seen | undefined,
+  now: task.Instant,
+): Step {
+  const { ticket, state: counted } = takeTicket(state, upstream);
+  const asking: lease.Lease = { kind: 'asking', seen, ticket, sentAtMs: now.monotonicMs };
+  return {
+    state: withLease(counted, upstream, asking),
+    commands: [{ kind: 'read', ticket, key: `${KEY_PREFIX}${upstream}` }],
+  };
+}
+
+/** Sends a conditional update, or the same one again. */
+export function write(
+  state: State,
+  upstream: string,
+  wanted: lease.Write,
+  right: messages.ColdRight,
+  now: task.Instant,
+): Step {
+  const { ticket, state: counted } = takeTicket(state, upstream);
+  const { expectedVersion, value, writeId } = wanted;
+  const triedAtMs = now.monotonicMs;
+  const writing: lease.Lease = { kind: 'writing', write: wanted, ticket, triedAtMs, right };
+  const key = `${KEY_PREFIX}${upstream}`;
+  return {
+    state: withLease(counted, upstream, writing),
+    commands: [{ kind: 'write', ticket, key, expectedVersion, value, writeId }],
+  };
+}
+
+function takeTicket(state: State, upstream: string): { ticket: string; state: State } {
+  const ticket = `${upstream}#${state.nextTicket}`;
+  return { ticket, state: { ...state, nextTicket: state.nextTicket + 1 } };
+}
+
+export function withLease(state: State, upstream: string, next: lease.Lease): State {
+  const entry = state.entries[upstream];
+  if (!entry) return state;
+  return { ...state, entries: { ...state.entries, [upstream]: { ...entry, lease: next } } };
+}
+
+export function forget(state: State, upstream: string): State {
+  const { [upstream]: forgotten, ...entries } = state.entries;
+  void forgotten;
+  return { ...state, entries };
+}
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -27,6 +27,7 @@
   claimRecorded: { number: 405, level: 'debug', text: 'claim recorded' },
   runResumed: { number: 406, level: 'info', text: 'run resumed' },
   upstreamSilent: { number: 501, level: 'warn', text: 'upstream does not report' },
+  coldRightGained: { number: 521, level: 'info', text: 'may send to a cold upstream' },
   platformUnavailable: { number: 701, level: 'warn', text: 'platform unavailable' },
   platformBack: { number: 702, level: 'info', text: 'platform is back' },
 } as const satisfies Record<string, Entry>;
--- a/packages/core/src/exchange/prompt-plan.ts
+++ b/packages/core/src/exchange/prompt-plan.ts
@@ -108,6 +108,7 @@
     priority: request.service.priority,
     offset: state.offset,
     answered: state.answered,
+    ...(placement.sendBeforeMs === undefined ? {} : { sendBeforeMs: placement.sendBeforeMs }),
   };
   return {
     state: { ...state, phase: { kind: 'running', placement } },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * as accounts from './accounts/index.js';
 export * as admission from './admission/index.js';
 export * as claims from './claims/index.js';
+export * as coldStarts from './cold-starts/index.js';
 export * as configuration from './configuration/index.js';
 export * as events from './events/index.js';
 export * as exchange from './exchange/index.js';
--- a/packages/core/src/load/relay.ts
+++ b/packages/core/src/load/relay.ts
@@ -1,13 +1,27 @@
-/** What instances tell each other about load, so that together they keep an upstream's limits. */
+/**
+ * What instances tell each other about load: upstreams that have refused work though they were
+ * reported warm. Each tells only what it met itself, so that a doubt ends with its first witness.
+ */
+import * as zod from 'zod';
+
+import * as turns from '../cold-starts/turns.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/index.js';
-import type * as view from './view.js';
+import * as view from './view.js';
+
+/** The most upstreams that one digest names. */
+const MAX_NAMED = 32;
+
+const shape = zod.object({ refusedBy: zod.array(zod.string().max(64)).max(MAX_NAMED) });
 
 /** The own view in a bounded form for peers, or nothing if there is no news. */
 export function digest(of: view.LoadView, now: task.Instant): unknown {
-  void of;
   void now;
-  return undefined;
+  const refusedBy = [...of.upstreams]
+    .filter(([, { doubt }]) => doubt.kind === 'refused')
+    .map(([name]) => name)
+    .slice(0, MAX_NAMED);
+  return refusedBy.length === 0 ? undefined : { refusedBy };
 }
 
 /** Takes in a peer's digest; anything that does not have the shape is dropped. */
@@ -17,10 +31,14 @@
   found: unknown,
   now: task.Instant,
 ): void {
-  void to;
   void from;
-  void found;
-  void now;
+  const checked = shape.safeParse(found);
+  if (!checked.success) return;
+  checked.data.refusedBy
+    .filter((name) => to.upstreams.has(name))
+    .map((name) => view.read(to, name))
+    .filter(({ doubt }) => doubt.kind === 'none')
+    .forEach((load) => Object.assign(load, { doubt: { kind: 'told', sinceMs: now.monotonicMs } }));
 }
 
 /** The set of live instances has changed. */
@@ -29,7 +47,7 @@
   members: readonly messages.Member[],
   now: task.Instant,
 ): void {
-  void to;
-  void members;
   void now;
+  const own: turns.Contender = { name: to.ownName, dataCentre: '' };
+  Object.assign(to, { contenders: turns.contenders(own, members) });
 }
--- /dev/null
+++ b/packages/core/src/load/rights.ts
@@ -0,0 +1,84 @@
+/**
+ * How many requests the holder of the right to a cold upstream may send. Others may have left runs
+ * there; how many is known only from lagging reports, so the count errs on the high side.
+ */
+import type * as schema from '../configuration/schema.js';
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/index.js';
+import * as results from '../results/index.js';
+
+/** The longest from a send that a right covers to its arrival at the upstream. */
+export const DELIVERY_MAX_MS = 1_500;
+/** The longest from an upstream's measurement of its load to the report's arrival here. */
+export const REPORT_LAG_MAX_MS = 1_000;
+
+/** What is known of runs at a cold upstream that the own instance does not count as in flight. */
+export type Strangers = {
+  right: messages.ColdRight;
+  /** The most that there can be; `undefined` until a report has bounded it. */
+  atMost: number | undefined;
+  /** Reports that arrive before this time say nothing about them. */
+  provenAfterMs: number;
+};
+
+export function noRight(): Strangers {
+  return { right: { kind: 'none' }, atMost: undefined, provenAfterMs: Infinity };
+}
+
+/** Takes in a right gained, renewed or lost. A renewed right keeps what is known. */
+export function withRight(before: Strangers, right: messages.ColdRight): Strangers {
+  switch (right.kind) {
+    case 'none':
+      return noRight();
+    case 'held': {
+      const isRenewed = before.right.kind === 'held' && before.right.sinceMs === right.sinceMs;
+      if (isRenewed) return { ...before, right };
+      const provenAfterMs = right.sinceMs + DELIVERY_MAX_MS + REPORT_LAG_MAX_MS;
+      return { right, atMost: undefined, provenAfterMs };
+    }
+    default:
+      return results.never(right);
+  }
+}
+
+/** Nobody else sends any more, so each later report is an upper bound. */
+export function withReport(before: Strangers, reported: number, now: task.Instant): Strangers {
+  if (now.monotonicMs < before.provenAfterMs) return before;
+  return { ...before, atMost: Math.min(before.atMost ?? Infinity, reported) };
+}
+
+/** An own run has ended for the instance, but the upstream may go on with it. */
+export function withAbandoned(before: Strangers, now: task.Instant): Strangers {
+  const provenAfterMs = Math.max(
+    before.provenAfterMs,
+    now.monotonicMs + DELIVERY_MAX_MS + REPORT_LAG_MAX_MS,
+  );
+  const atMost = before.atMost === undefined ? undefined : before.atMost + 1;
+  return { ...before, atMost, provenAfterMs };
+}
+
+/** Whether the upstream may still be running a request that ended here with this outcome. */
+export function isAbandoned(outcome: messages.Outcome): boolean {
+  switch (outcome.kind) {
+    case 'completed':
+      return false;
+    case 'cancelled':
+      return true;
+    case 'failed':
+      return outcome.reach.kind !== 'not-connected' && outcome.reach.kind !== 'vouched-not-run';
+    default:
+      return results.never(outcome);
+  }
+}
+
+/** Whether the holder of the right may send one more. */
+export function mayUse(
+  strangers: Strangers,
+  inFlight: number,
+  upstream: schema.Upstream,
+  now: task.Instant,
+): boolean {
+  const { right, atMost } = strangers;
+  if (right.kind === 'none' || atMost === undefined) return false;
+  return now.monotonicMs < right.untilMs && inFlight + atMost < upstream.coldSlots;
+}
--- a/packages/core/src/load/view.ts
+++ b/packages/core/src/load/view.ts
@@ -2,9 +2,12 @@
  * What one instance knows of each upstream's load: its own work in flight, and lagging reports.
  * Updated in place by the routing task, which alone owns it.
  */
+import * as turns from '../cold-starts/turns.js';
 import type * as schema from '../configuration/schema.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/index.js';
+import * as ramp from './ramp.js';
+import * as rights from './rights.js';
 
 export type UpstreamLoad = {
   /** Requests that this instance has placed there and that have not ended. */
@@ -12,21 +15,39 @@
   /** The upstream's last report, over all instances. */
   reportedRunning: number;
   reportedWaiting: number;
+  /** Own requests begun, less those ended, since the last report. */
+  netSinceReport: number;
   temperature: messages.Temperature;
   isSilent: boolean;
+  hasReported: boolean;
+  /** Why the last `warm` is not believed. */
+  doubt: Doubt;
+  ramp: ramp.Ramp;
+  strangers: rights.Strangers;
+  slots: number;
+  coldSlots: number;
   /** Empty until reported. */
   weightVersion: string;
 };
 
+/** `refused`: the upstream refused a request of this instance; `told`: a peer's was refused. */
+export type Doubt = { kind: 'none' } | { kind: 'refused' | 'told'; sinceMs: number };
+
 export type LoadView = {
   ownName: string;
   upstreams: Map<string, UpstreamLoad>;
+  /** Instances that may be alive, the own one included. */
+  contenders: readonly turns.Contender[];
 };
 
 export function create(ownName: string): LoadView {
-  return { ownName, upstreams: new Map() };
+  const contenders = [{ name: ownName, dataCentre: '' }];
+  return { ownName, upstreams: new Map(), contenders };
 }
 
+const DEFAULT_SLOTS = 8;
+const DEFAULT_COLD_SLOTS = 2;
+
 export function read(view: LoadView, upstream: string): UpstreamLoad {
   const found = view.upstreams.get(upstream);
   if (found) return found;
@@ -34,8 +55,15 @@
     inFlight: 0,
     reportedRunning: 0,
     reportedWaiting: 0,
+    netSinceReport: 0,
     temperature: 'cold',
     isSilent: true,
+    hasReported: false,
+    doubt: { kind: 'none' },
+    ramp: { kind: 'full' },
+    strangers: rights.noRight(),
+    slots: DEFAULT_SLOTS,
+    coldSlots: DEFAULT_COLD_SLOTS,
     weightVersion: '',
   };
   view.upstreams.set(upstream, fresh);
@@ -45,7 +73,9 @@
 /** A request was placed on the upstream. */
 export function begin(view: LoadView, upstream: string, now: task.Instant): void {
   void now;
-  read(view, upstream).inFlight += 1;
+  const load = read(view, upstream);
+  load.inFlight += 1;
+  load.netSinceReport += 1;
 }
 
 /** A placed request has ended. */
@@ -55,10 +85,12 @@
   outcome: messages.Outcome,
   now: task.Instant,
 ): void {
-  void outcome;
-  void now;
   const load = read(view, upstream);
   load.inFlight = Math.max(0, load.inFlight - 1);
+  load.netSinceReport -= 1;
+  if (rights.isAbandoned(outcome)) load.strangers = rights.withAbandoned(load.strangers, now);
+  const isRefusal = outcome.kind === 'failed' && outcome.reach.kind === 'vouched-not-run';
+  if (isRefusal) load.doubt = { kind: 'refused', sinceMs: now.monotonicMs };
 }
 
 export function applyReport(
@@ -67,17 +99,54 @@
   report: Extract<messages.EngineReport, { kind: 'load' | 'silent' }>,
   now: task.Instant,
 ): void {
-  void now;
   const load = read(view, upstream);
   if (report.kind === 'silent') {
     load.isSilent = true;
     return;
   }
+  const wasCold = isCold(load);
   load.reportedRunning = report.running;
   load.reportedWaiting = report.waiting;
+  load.netSinceReport = 0;
   load.temperature = report.temperature;
   load.weightVersion = report.weightVersion;
   load.isSilent = false;
+  load.strangers = rights.withReport(load.strangers, report.running + report.waiting, now);
+  if (isAnswered(load.doubt, now)) load.doubt = { kind: 'none' };
+  if (isCold(load)) load.ramp = { kind: 'full' };
+  else if (wasCold && load.hasReported) load.ramp = ramp.start(load.coldSlots, now);
+  else load.ramp = ramp.withReport(load.ramp, report.running + report.waiting, load.slots, now);
+  load.hasReported = true;
+}
+
+/** A report answers a doubt only if it was made after the doubt arose. */
+function isAnswered(doubt: Doubt, now: task.Instant): boolean {
+  return doubt.kind !== 'none' && now.monotonicMs - doubt.sinceMs >= rights.REPORT_LAG_MAX_MS;
+}
+
+/** A silent upstream may have restarted, so it counts as cold until it reports again. */
+function isCold(load: UpstreamLoad): boolean {
+  return load.temperature === 'cold' || load.isSilent || load.doubt.kind !== 'none';
+}
+
+/** The right to send to a cold upstream was gained, renewed or lost. */
+export function applyRight(view: LoadView, upstream: string, right: messages.ColdRight): void {
+  const load = read(view, upstream);
+  load.strangers = rights.withRight(load.strangers, right);
+}
+
+/** Cold upstreams that report: those for which a right is worth a call to the platform. */
+export function coldUpstreams(view: LoadView): readonly string[] {
+  return [...view.upstreams]
+    .filter(([, load]) => !load.isSilent && isCold(load))
+    .map(([name]) => name);
+}
+
+/** Until when a request placed now may be sent, where the right to send can lapse. */
+export function sendBeforeMs(view: LoadView, upstream: string): number | undefined {
+  const load = read(view, upstream);
+  const { right } = load.strangers;
+  return isCold(load) && right.kind === 'held' ? right.untilMs : undefined;
 }
 
 /** The configuration in force has changed. */
@@ -91,20 +160,33 @@
   [...view.upstreams.keys()]
     .filter((name) => !names.has(name))
     .forEach((name) => view.upstreams.delete(name));
+  configuration.upstreams.forEach(({ name, slots, coldSlots }) =>
+    Object.assign(read(view, name), { slots, coldSlots }),
+  );
 }
 
 /** Whether a new request may be placed on the upstream now. */
 export function canTake(view: LoadView, upstream: schema.Upstream, now: task.Instant): boolean {
-  void now;
+  if (upstream.kind === 'plain') return true;
   const load = read(view, upstream.name);
-  if (upstream.kind === 'engine' && load.temperature === 'cold') {
-    return load.inFlight + load.reportedRunning < upstream.coldSlots;
-  }
-  return true;
+  if (isCold(load)) return rights.mayUse(load.strangers, load.inFlight, upstream, now);
+  if (load.ramp.kind === 'full') return true;
+  return load.inFlight < ownRampPart(view, upstream.name, load.ramp.total);
 }
 
-/** Requests ahead of a new one, by the better known of the two sources. */
+function ownRampPart(view: LoadView, upstream: string, total: number): number {
+  const own = view.contenders.find(({ name }) => name === view.ownName);
+  if (!own) return 0;
+  const rank = turns.rank(own, view.contenders, upstream, NO_DATA_CENTRE);
+  return ramp.ownPart(total, rank, view.contenders.length);
+}
+
+/** No data centre has this name, so none goes first. */
+const NO_DATA_CENTRE = '-';
+
+/** Requests ahead of a new one: the last report, corrected by own work since, or all own work. */
 export function requestsAhead(view: LoadView, upstream: schema.Upstream): number {
   const load = read(view, upstream.name);
-  return Math.max(load.inFlight, load.reportedRunning + load.reportedWaiting);
+  const reported = load.reportedRunning + load.reportedWaiting;
+  return Math.max(load.inFlight, reported + load.netSinceReport);
 }
--- a/packages/core/src/messages/index.ts
+++ b/packages/core/src/messages/index.ts
@@ -2,6 +2,7 @@
 export * from './admission.js';
 export * from './callers.js';
 export * from './claims.js';
+export * from './cold-starts.js';
 export * from './configuration.js';
 export * from './exchange.js';
 export * from './journal.js';
--- a/packages/core/src/messages/mailboxes.ts
+++ b/packages/core/src/messages/mailboxes.ts
@@ -2,6 +2,7 @@
 import type * as admission from './admission.js';
 import type * as callers from './callers.js';
 import type * as claims from './claims.js';
+import type * as coldStarts from './cold-starts.js';
 import type * as configuration from './configuration.js';
 import type * as exchange from './exchange.js';
 import type * as journal from './journal.js';
@@ -17,6 +18,7 @@
   admission: admission.AdmissionMessage;
   callers: callers.CallersMessage;
   claims: claims.ClaimsMessage;
+  coldStarts: coldStarts.ColdStartsMessage;
   configuration: configuration.ConfigurationMessage;
   exchange: exchange.ExchangesMessage;
   journal: journal.JournalMessage;
--- a/packages/core/src/messages/routing.ts
+++ b/packages/core/src/messages/routing.ts
@@ -3,6 +3,7 @@
 import type * as safeRead from '../kept-context/safe-read.js';
 import type * as task from '../kernel/task.js';
 import type * as results from '../results/index.js';
+import type * as coldStarts from './cold-starts.js';
 import type * as configuration from './configuration.js';
 import type * as life from './life.js';
 import type * as membership from './membership.js';
@@ -20,6 +21,8 @@
   /** HOST:PORT of that store, or empty. */
   storeAddress: string;
   expectedFirstTokenMs: number;
+  /** Monotonic time after which it must not be sent any more: the right to send has lapsed. */
+  sendBeforeMs?: number;
 };
 
 /** One candidate and its cost, for the journal. */
@@ -56,6 +59,7 @@
   | configuration.ConfigurationConfidence
   | membership.MembershipChanged
   | peers.DigestReceived
+  | coldStarts.ColdRightChanged
   | upstreams.EngineReported
   | stores.StoreReported
   | upstreams.ExportReport
--- a/packages/core/src/messages/upstreams.ts
+++ b/packages/core/src/messages/upstreams.ts
@@ -37,6 +37,8 @@
   offset: number;
   /** The text of those tokens, so that any replica can go on from them. */
   answered: string;
+  /** Monotonic time after which it must not be sent any more. */
+  sendBeforeMs?: number;
 };
 
 export type RunReport =
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -76,6 +76,13 @@
   title: 'instance is leaving',
   hint: 'Not run. Connect again; the balancer chooses another instance.',
 };
+/** The right to send to a cold upstream lapsed before the send. */
+const coldRightLapsed: Code = {
+  number: 2101,
+  status: 503,
+  title: 'right to a cold upstream lapsed',
+  hint: 'Not run there. The prompt is placed again; nothing needs to be done.',
+};
 /** A request with the same key is running now. */
 const inProgress: Code = {
   number: 3001,
@@ -199,6 +206,7 @@
   noUpstream,
   deadlineUnreachable,
   leaving,
+  coldRightLapsed,
   inProgress,
   outcomeUnknown,
   keyReused,
--- a/packages/core/src/routing/decide.ts
+++ b/packages/core/src/routing/decide.ts
@@ -34,6 +34,7 @@
   | { kind: 'resynchronize-store'; store: string }
   | { kind: 'note-exported'; pieces: number }
   | { kind: 'broadcast'; digest: Digest }
+  | { kind: 'want-cold-rights'; upstreams: readonly string[] }
   | { kind: 'schedule-tick' };
 
 type Step = task.Step<State, Command>;
@@ -78,6 +79,9 @@
     case 'membership.changed':
       load.applyMembership(state.load, message.members, now);
       return { state, commands: [] };
+    case 'cold-starts.changed':
+      load.applyRight(state.load, message.upstream, message.right);
+      return { state, commands: [] };
     case 'peers.digest-received':
       return onDigest(state, message, now);
     case 'task.start':
@@ -100,10 +104,13 @@
 }
 
 function onTick(state: State, now: task.Instant): Step {
-  const next: Command = { kind: 'schedule-tick' };
+  const commands: Command[] = [
+    { kind: 'schedule-tick' },
+    { kind: 'want-cold-rights', upstreams: load.coldUpstreams(state.load) },
+  ];
   const loadDigest = load.digest(state.load, now);
-  if (loadDigest === undefined) return { state, commands: [next] };
-  return { state, commands: [next, { kind: 'broadcast', digest: { load: loadDigest } }] };
+  if (loadDigest === undefined) return { state, commands };
+  return { state, commands: [...commands, { kind: 'broadcast', digest: { load: loadDigest } }] };
 }
 
 function viewsOf(state: State, now: task.Instant): eligible.Views | undefined {
@@ -149,12 +156,16 @@
   replyTo: task.Address<messages.PlanMade>,
   now: task.Instant,
 ): Step {
+  const message: messages.PlanMade = { type: 'plan.made', requestId, plan };
   if (plan.kind === 'placed') {
     const { upstream } = plan.placement;
+    const sendBeforeMs = load.sendBeforeMs(state.load, upstream);
+    if (sendBeforeMs !== undefined) {
+      message.plan = { ...plan, placement: { ...plan.placement, sendBeforeMs } };
+    }
     load.begin(state.load, upstream, now);
     state.placed.set(requestId, { upstream, outline });
   }
-  const message: messages.PlanMade = { type: 'plan.made', requestId, plan };
   return { state, commands: [{ kind: 'reply', replyTo, message }] };
 }
 
--- a/packages/plugins/admission/src/index.ts
+++ b/packages/plugins/admission/src/index.ts
@@ -1,9 +1,15 @@
-/** Decides which requests an instance takes, and when. */
+/** Decides which requests an instance takes, when, and which cold upstreams it may send to. */
 import * as core from '@medlarweir/core';
 
 import * as admissionTask from './admission-task.js';
+import * as coldStartsTask from './cold-starts-task.js';
 
 core.kernel.register({
   name: 'admission',
-  hooks: { 'instance:setup': ({ addTask }) => addTask(admissionTask.definition) },
+  hooks: {
+    'instance:setup': ({ addTask }) => {
+      addTask(admissionTask.definition);
+      addTask(coldStartsTask.definition);
+    },
+  },
 });
--- a/packages/plugins/configuration/src/configuration-task.ts
+++ b/packages/plugins/configuration/src/configuration-task.ts
@@ -10,6 +10,7 @@
   'admission',
   'callers',
   'claims',
+  'coldStarts',
   'orders',
   'routing',
   'stores',
--- a/packages/plugins/membership/src/membership-task.ts
+++ b/packages/plugins/membership/src/membership-task.ts
@@ -6,7 +6,7 @@
 type Command = core.membership.Command;
 
 /** Tasks that divide work among instances. */
-const READERS = ['claims', 'orders', 'peers', 'routing'] as const;
+const READERS = ['claims', 'coldStarts', 'orders', 'peers', 'routing'] as const;
 
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
   name: 'membership',
--- a/packages/plugins/routing/src/routing-task.ts
+++ b/packages/plugins/routing/src/routing-task.ts
@@ -62,6 +62,12 @@
         },
       });
       return;
+    case 'want-cold-rights':
+      surroundings.send('coldStarts', {
+        type: 'cold-starts.wanted',
+        upstreams: command.upstreams,
+      });
+      return;
     case 'schedule-tick':
       surroundings.schedule('tick', core.routing.TICK_MS, { type: 'routing.tick' });
       return;
--- a/packages/plugins/upstreams-http/src/runs.ts
+++ b/packages/plugins/upstreams-http/src/runs.ts
@@ -12,7 +12,8 @@
   order: core.messages.RunOrder,
   replyTo: Reports,
 ): lineFeed.Feed {
-  const { upstream, ...body } = order;
+  const { upstream, sendBeforeMs, ...body } = order;
+  void sendBeforeMs;
   return follow(order.runId, replyTo, {
     url: `http://${address}/v1/runs`,
     method: 'POST',
--- a/packages/plugins/upstreams-http/src/upstreams-task.ts
+++ b/packages/plugins/upstreams-http/src/upstreams-task.ts
@@ -27,7 +27,10 @@
   }
 >;
 type State = { addresses: Readonly<Record<string, string>>; feeds: core.feeds.State };
-type Command = core.feeds.Command | { kind: 'work'; work: Work; address: string };
+type Command =
+  | core.feeds.Command
+  | { kind: 'work'; work: Work; address: string }
+  | { kind: 'refuse-late'; runId: string; replyTo: core.kernel.Address<core.messages.RunReport> };
 type Step = core.kernel.Step<State, Command>;
 type Surroundings = core.kernel.Surroundings<Message>;
 
@@ -59,11 +62,12 @@
   },
 };
 
-function decide(state: State, message: Message): Step {
+function decide(state: State, message: Message, now: core.kernel.Instant): Step {
   switch (message.type) {
     case 'configuration.adopted':
       return onConfiguration(state, message.configuration);
     case 'upstreams.run':
+      return beginRun(state, message, now);
     case 'upstreams.import':
     case 'upstreams.export':
     case 'upstreams.order':
@@ -119,6 +123,17 @@
   };
 }
 
+/** The last check before the send: a process that was paused may have outlived its right. */
+function beginRun(
+  state: State,
+  message: Extract<Work, { type: 'upstreams.run' }>,
+  now: core.kernel.Instant,
+): Step {
+  const { runId, upstream, sendBeforeMs = Infinity } = message.order;
+  if (now.monotonicMs < sendBeforeMs) return work(state, message, upstream);
+  return { state, commands: [{ kind: 'refuse-late', runId, replyTo: message.replyTo }] };
+}
+
 function work(state: State, message: Work, upstream: string): Step {
   const address = state.addresses[upstream] ?? NO_ADDRESS;
   return { state, commands: [{ kind: 'work', work: message, address }] };
@@ -129,6 +144,14 @@
     case 'work':
       carryOut(sockets, command.work, command.address);
       return;
+    case 'refuse-late':
+      command.replyTo.send({
+        type: 'run.failed',
+        runId: command.runId,
+        reach: { kind: 'not-connected' },
+        failure: core.results.failure('coldRightLapsed', 'the send came too late'),
+      });
+      return;
     case 'open':
       sockets.feeds.set(command.source, openFeed(surroundings, command.source, command.address));
       return;
