Add leases on platform objects with fencing numbers

Cause: parts that issue orders or resolve claims need one holder at a time; nothing gave them a lease, and comparing clocks or trusting a write's answer would break under pauses and lost answers. Change: a pure library over one platform object. The version of the acquiring write is the fencing number. A contender takes over after it saw one version unchanged for the term and a margin; a holder counts from before its first attempt and stops a margin early by either clock; a write is repeated under its own id until its end is known; permission is asked directly before each effect, and an upstream that checks no number gets nothing until the longest delivery time has passed.

--- /dev/null
+++ b/packages/core/src/leases/decide.ts
@@ -0,0 +1,219 @@
+/**
+ * The life of a lease. A contender takes over only after it saw one version unchanged for the whole
+ * term and a margin by its own monotonic clock; a holder counts its term from before its write was
+ * sent and stops a margin early. No two clocks are ever compared.
+ */
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/index.js';
+import * as results from '../results/index.js';
+import * as calls from './calls.js';
+import * as lease from './lease.js';
+
+/** A holder renews once this share of its term has passed. */
+const RENEWAL_SHARE = 0.3;
+/** Largest difference in rate between the monotonic clocks of two instances. */
+const MAX_CLOCK_DRIFT = 0.01;
+
+/** Begins to acquire the lease; without effect if that has begun already. */
+export function acquire(given: lease.Lease, now: task.Instant): lease.Step {
+  if (given.phase.kind !== 'idle') return { state: given, commands: [] };
+  return calls.read(given, undefined, now);
+}
+
+/**
+ * Gives the lease up. The caller must have finished, or given up, every effect under it. A release
+ * that does not reach the platform costs the next holder the rest of the term only.
+ */
+export function release(given: lease.Lease, now: task.Instant): lease.Step {
+  if (given.phase.kind !== 'held') {
+    return { state: { ...given, phase: { kind: 'idle' } }, commands: [] };
+  }
+  const { version } = given.phase.grip;
+  const { state, write } = calls.newWrite(given, version, now);
+  return calls.send({ ...state, phase: { kind: 'releasing', write } }, write, 'released');
+}
+
+/** To be called when a `lease-wake` is due; calling it more often is harmless. */
+export function wake(given: lease.Lease, now: task.Instant): lease.Step {
+  const { phase } = given;
+  switch (phase.kind) {
+    case 'idle':
+      return { state: given, commands: [] };
+    case 'reading':
+      return readAt(given, phase.retryAtMs, phase.observation, now);
+    case 'waiting':
+      return readAt(given, takeOverAtMs(given, phase.observation), phase.observation, now);
+    case 'acquiring':
+      return calls.repeatIfDue(given, phase.write, now);
+    case 'held':
+      if (phase.renewal) return calls.repeatIfDue(given, phase.renewal, now);
+      return renewIfDue(given, phase.grip, now);
+    case 'releasing':
+      return { state: { ...given, phase: { kind: 'idle' } }, commands: [] };
+    default:
+      return results.never(phase);
+  }
+}
+
+function readAt(
+  given: lease.Lease,
+  atMs: number,
+  observation: lease.Observation | undefined,
+  now: task.Instant,
+): lease.Step {
+  const waitMs = atMs - now.monotonicMs;
+  return waitMs > 0 ? calls.wakeAfter(given, waitMs) : calls.read(given, observation, now);
+}
+
+/** Takes in the platform's answer; one to a call that has been given up is dropped. */
+export function onAnswer(
+  given: lease.Lease,
+  { ticket, answer }: messages.PlatformAnswered,
+  now: task.Instant,
+): lease.Step {
+  const { phase } = given;
+  if (!isExpected(phase, ticket)) return { state: given, commands: [] };
+  switch (phase.kind) {
+    case 'reading':
+      return onRead(given, phase, answer, now);
+    case 'acquiring':
+      return onAcquireAnswer(given, phase.write, answer, now);
+    case 'held':
+      return onRenewalAnswer(given, phase, answer, now);
+    case 'releasing':
+      return { state: { ...given, phase: { kind: 'idle' } }, commands: [] };
+    case 'idle':
+    case 'waiting':
+      return { state: given, commands: [] };
+    default:
+      return results.never(phase);
+  }
+}
+
+function isExpected(phase: lease.Phase, ticket: string): boolean {
+  switch (phase.kind) {
+    case 'reading':
+      return ticket === phase.ticket;
+    case 'acquiring':
+    case 'releasing':
+      return calls.isAttemptOf(phase.write, ticket);
+    case 'held':
+      return phase.renewal !== undefined && calls.isAttemptOf(phase.renewal, ticket);
+    case 'idle':
+    case 'waiting':
+      return false;
+    default:
+      return results.never(phase);
+  }
+}
+
+function onRead(
+  given: lease.Lease,
+  phase: Extract<lease.Phase, { kind: 'reading' }>,
+  answer: messages.PlatformAnswer,
+  now: task.Instant,
+): lease.Step {
+  switch (answer.kind) {
+    case 'missing':
+      return takeOver(given, 0, now);
+    case 'object':
+      return judge(given, phase.observation, answer.object, now);
+    case 'unavailable':
+    case 'objects':
+    case 'written':
+    case 'conflict':
+      return calls.readAgain(given, phase, now);
+    default:
+      return results.never(answer);
+  }
+}
+
+/** Takes the lease if its holder has let it lapse, released it, or was this process itself. */
+function judge(
+  given: lease.Lease,
+  before: lease.Observation | undefined,
+  object: messages.StoredObject,
+  now: task.Instant,
+): lease.Step {
+  const checked = lease.recordSchema.safeParse(object.value);
+  const record: lease.LeaseRecord = checked.success ? checked.data : unreadable(given.terms);
+  const isOwn = record.incarnation === given.terms.incarnation;
+  if (isOwn || record.state === 'released') return takeOver(given, object.version, now);
+  const isUnchanged = before?.version === object.version;
+  const observation = isUnchanged
+    ? before
+    : { version: object.version, record, seenAtMs: now.monotonicMs };
+  const waitMs = takeOverAtMs(given, observation) - now.monotonicMs;
+  if (waitMs <= 0) return takeOver(given, object.version, now);
+  return calls.wakeAfter({ ...given, phase: { kind: 'waiting', observation } }, waitMs);
+}
+
+/** A record that cannot be read is waited out like one with the own term. */
+function unreadable({ termMs }: lease.Terms): lease.LeaseRecord {
+  return { holder: '', incarnation: '', termMs, state: 'held' };
+}
+
+function takeOverAtMs({ terms }: lease.Lease, { record, seenAtMs }: lease.Observation): number {
+  return seenAtMs + record.termMs * (1 + MAX_CLOCK_DRIFT) + terms.marginMs;
+}
+
+function takeOver(given: lease.Lease, version: number, now: task.Instant): lease.Step {
+  const { state, write } = calls.newWrite(given, version, now);
+  return calls.send({ ...state, phase: { kind: 'acquiring', write } }, write, 'held');
+}
+
+function onAcquireAnswer(
+  given: lease.Lease,
+  write: lease.PendingWrite,
+  answer: messages.PlatformAnswer,
+  now: task.Instant,
+): lease.Step {
+  const written = calls.versionWritten(write, answer);
+  if (written !== undefined) {
+    const grip: lease.Grip = {
+      fencing: written,
+      version: written,
+      stopAt: calls.stopAt(given.terms, write),
+      quietUntilMs: calls.quietUntilMs(given.terms, write),
+    };
+    const held: lease.Lease = { ...given, phase: { kind: 'held', grip, renewal: undefined } };
+    const next = renewIfDue(held, grip, now);
+    return {
+      state: next.state,
+      commands: [{ kind: 'lease-acquired', fencing: written }, ...next.commands],
+    };
+  }
+  if (answer.kind === 'conflict') return calls.read(given, undefined, now);
+  return calls.repeatSoon(given, write, now);
+}
+
+function onRenewalAnswer(
+  given: lease.Lease,
+  { grip, renewal }: Extract<lease.Phase, { kind: 'held' }>,
+  answer: messages.PlatformAnswer,
+  now: task.Instant,
+): lease.Step {
+  if (!renewal) return { state: given, commands: [] };
+  const written = calls.versionWritten(renewal, answer);
+  if (written !== undefined) {
+    const renewed = { ...grip, version: written, stopAt: calls.stopAt(given.terms, renewal) };
+    const phase: lease.Phase = { kind: 'held', grip: renewed, renewal: undefined };
+    return renewIfDue({ ...given, phase }, renewed, now);
+  }
+  if (answer.kind !== 'conflict') return calls.repeatSoon(given, renewal, now);
+  const next = calls.read(given, undefined, now);
+  return {
+    state: next.state,
+    commands: [{ kind: 'lease-lost', fencing: grip.fencing }, ...next.commands],
+  };
+}
+
+/** A lapsed lease is renewed as well: if that succeeds, nobody held it in between. */
+function renewIfDue(given: lease.Lease, grip: lease.Grip, now: task.Instant): lease.Step {
+  const { termMs, marginMs } = given.terms;
+  const renewAtMs = grip.stopAt.monotonicMs + marginMs - termMs * (1 - RENEWAL_SHARE);
+  const waitMs = renewAtMs - now.monotonicMs;
+  if (waitMs > 0) return calls.wakeAfter(given, waitMs);
+  const { state, write } = calls.newWrite(given, grip.version, now);
+  return calls.send({ ...state, phase: { kind: 'held', grip, renewal: write } }, write, 'held');
+}
--- /dev/null
+++ b/packages/core/src/leases/index.ts
@@ -0,0 +1,4 @@
+/** The way into leases. */
+export * from './decide.js';
+export * from './lease.js';
+export * from './permission.js';
--- /dev/null
+++ b/packages/core/test/leases/leases.test.ts
@@ -0,0 +1,163 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('leases');
+
+const RUN_MS = 180_000;
+const LAST_FAULT_MS = 120_000;
+
+const atMs = fastCheck.integer({ min: 0, max: LAST_FAULT_MS - 40_000 });
+const forMs = fastCheck.integer({ min: 100, max: 40_000 });
+const who = fastCheck.integer({ min: 0, max: 2 });
+const fault = fastCheck.oneof(
+  fastCheck.record({ kind: fastCheck.constant('pause' as const), atMs, forMs, who }),
+  fastCheck.record({ kind: fastCheck.constant('restart' as const), atMs, who }),
+  fastCheck.record({ kind: fastCheck.constant('release' as const), atMs, who }),
+  fastCheck.record({
+    kind: fastCheck.constantFrom('outage' as const, 'lost-answers' as const, 'slow' as const),
+    atMs,
+    forMs,
+  }),
+);
+const faults = fastCheck.array(fault, { maxLength: 8 });
+const delays = fastCheck.array(fastCheck.double({ min: 0, max: 1, noNaN: true }), {
+  minLength: 7,
+  maxLength: 23,
+});
+
+/** Whether an effect of one holder was on its way when one of a later holder was sent. */
+function overlaps(effects: readonly fixtures.Effect[]): boolean {
+  return effects.some((early) =>
+    effects.some((late) => late.fencing > early.fencing && late.sentAtMs < early.arrivedAtMs),
+  );
+}
+
+/** Long deliveries try the quiet period; short ones try the term itself. */
+const DELIVERIES_MS = [5_000, 100];
+
+DELIVERIES_MS.forEach((maxDeliveryMs) => {
+  suite(`no two holders’ effects overlap: deliveries of up to ${maxDeliveryMs} ms`, () => {
+    fastCheck.assert(
+      fastCheck.property(faults, delays, (given, used) => {
+        const world = fixtures.aLeaseWorld(given, used, { maxDeliveryMs });
+        world.timeline.runUntil(RUN_MS);
+        const numbers = world.acquired.map(({ fencing }) => fencing);
+        assert.is(new Set(numbers).size, numbers.length, 'a fencing number was given twice');
+        const accepted = world.accepted.map(({ fencing }) => fencing);
+        const sorted = [...accepted].sort((a, b) => a - b);
+        assert.equal(accepted, sorted, 'an old fencing number was accepted');
+        assert.not.ok(overlaps(world.unchecked), 'effects overlap where fencing is not checked');
+      }),
+      fixtures.seeded(150),
+    );
+  });
+});
+
+suite('somebody acts again within two terms of the last fault', () => {
+  fastCheck.assert(
+    fastCheck.property(faults, delays, (given, used) => {
+      const world = fixtures.aLeaseWorld(given, used);
+      world.timeline.runUntil(RUN_MS);
+      assert.ok(world.unchecked.some(({ sentAtMs }) => sentAtMs > LAST_FAULT_MS + 30_000));
+    }),
+    fixtures.seeded(100),
+  );
+});
+
+suite('a release that is sent lets the next holder act at once', () => {
+  const world = fixtures.aLeaseWorld([{ kind: 'release', atMs: 5_000, who: 0 }], [0.5]);
+  world.timeline.runUntil(16_000);
+  assert.is(world.acquired[0]?.who, 0);
+  assert.is.not(world.acquired[1]?.who, undefined);
+});
+
+suite('a holder that is woken after the next one acted sends nothing', () => {
+  const pause: fixtures.LeaseFault = { kind: 'pause', atMs: 4_000, forMs: 40_000, who: 0 };
+  const world = fixtures.aLeaseWorld([pause], [0.5]);
+  world.timeline.runUntil(60_000);
+  const holders = [...new Set(world.unchecked.map(({ who: sender }) => sender))];
+  assert.is(holders.length, 2, 'the next holder acted');
+  assert.ok(world.unchecked.every((each) => each.who !== 0 || each.sentAtMs < 4_000));
+});
+
+/** Each row is a lease at a time, and what its holder may do then. */
+const CHECKS: readonly {
+  name: string;
+  sinceMs: number;
+  checksFencing: boolean;
+  wallAheadMs?: number;
+  expected: string;
+}[] = [
+  { name: 'fresh, checked', sinceMs: 0, checksFencing: true, expected: 'granted' },
+  { name: 'fresh, unchecked', sinceMs: 4_999, checksFencing: false, expected: 'quiet-period' },
+  { name: 'quiet, unchecked', sinceMs: 5_000, checksFencing: false, expected: 'granted' },
+  { name: 'just before the margin', sinceMs: 8_999, checksFencing: true, expected: 'granted' },
+  { name: 'in the margin', sinceMs: 9_000, checksFencing: true, expected: 'lapsed' },
+  {
+    name: 'monotonic clock stood still in a suspended machine',
+    sinceMs: 1_000,
+    wallAheadMs: 9_000,
+    checksFencing: true,
+    expected: 'lapsed',
+  },
+];
+
+CHECKS.forEach(({ name, sinceMs, checksFencing, wallAheadMs = 0, expected }) => {
+  suite(`the check before an effect: ${name}`, () => {
+    const held = aHeldLease();
+    const at = fixtures.anInstant(sinceMs);
+    const now = { ...at, wallMs: at.wallMs + wallAheadMs };
+    const permission = core.leases.permit(held, { checksFencing }, now);
+    const found = permission.kind === 'granted' ? permission.kind : permission.reason;
+    assert.is(found, expected);
+  });
+});
+
+suite(
+  'a renewal whose answer was lost is told by its write id and keeps the fencing number',
+  () => {
+    const held = aHeldLease();
+    const due = core.leases.wake(held, fixtures.anInstant(3_000));
+    const lost = answer(due, fixtures.noAnswer(), 5_000);
+    const again = core.leases.wake(lost.state, fixtures.anInstant(5_500));
+    const write = again.commands.find((each) => each.kind === 'lease-write');
+    assert.ok(write?.kind === 'lease-write');
+    const current = { key: write.key, version: 9, value: write.value, writeId: write.writeId };
+    const told = answer(again, { kind: 'conflict', current }, 5_600);
+    const permission = core.leases.permit(
+      told.state,
+      { checksFencing: true },
+      fixtures.anInstant(11_999),
+    );
+    assert.equal(permission, { kind: 'granted', fencing: 8, sendBeforeMs: 12_000 });
+  },
+);
+
+/** A lease that was taken over from a holder that released it, at the start of the clock. */
+function aHeldLease(): core.leases.Lease {
+  const now = fixtures.anInstant();
+  const terms = core.leases.terms('leases/test', 'instance-1', 'incarnation-1');
+  const reading = core.leases.acquire(core.leases.create(terms), now);
+  const record = { holder: 'x', incarnation: 'x', termMs: 10_000, state: 'released' };
+  const object = { key: terms.key, version: 7, value: record, writeId: 'x' };
+  const acquiring = answer(reading, { kind: 'object', object });
+  const held = answer(acquiring, { kind: 'written', version: 8 });
+  assert.ok(held.commands.some((each) => each.kind === 'lease-acquired' && each.fencing === 8));
+  return held.state;
+}
+
+function answer(
+  { state, commands }: core.leases.Step,
+  given: core.messages.PlatformAnswer,
+  sinceStartMs = 0,
+): core.leases.Step {
+  const asked = commands.find((each) => 'ticket' in each);
+  const ticket = asked && 'ticket' in asked ? asked.ticket : '';
+  const message = { type: 'platform.answered' as const, ticket, answer: given };
+  return core.leases.onAnswer(state, message, fixtures.anInstant(sinceStartMs));
+}
+
+suite.run();
