Accept changes as deltas on a small head, relay them, and vouch for instances by heartbeats

Cause: every instance watched one object with the whole configuration and the instance list: at 380 instances about 500 calls a second, above a quarter of the platform's rate, and the whole object for each change. Nothing ever told routing that the configuration was unconfirmed, a start asked no peer, and membership heard nobody. Change: a head with generation, latest changes and the key of an immutable base; two relays of each data centre (rendezvous hashing, a hint) watch it and send changes on; heartbeats carry generation and the age of the last confirmation, so gaps are asked for and the 3 s rule reaches routing; a start asks peers and seeds beside the platform; membership by heartbeats through relays, with incarnations, grace after pauses, and cut data centres; one poll for many readers with spread back-off; two accepted deployment keys; medlarctl writes base and head under write ids and names the winner of a race. Rates at fleet size are not measured yet.

--- a/packages/core/src/configuration/adoption.ts
+++ b/packages/core/src/configuration/adoption.ts
@@ -1,93 +1,139 @@
 /**
- * Adoption of configuration: an instance takes a generation higher than its own and nothing else,
- * from the platform or from a peer, so that a slow watch or a stale relay cannot revert it.
+ * The decisions of the configuration task. An instance takes a generation higher than its own and
+ * nothing else, from the platform or from a peer, so that a slow watch, a stale relay or a restart
+ * cannot revert it. Few instances of a data centre watch the platform and relay changes to the rest;
+ * which ones follows from rendezvous hashing, as a hint only: whoever is not confirmed looks itself.
  */
 import type * as task from '../kernel/task.js';
+import * as relays from '../membership/relays.js';
+import * as rendezvous from '../membership/rendezvous.js';
 import type * as configurationMessages from '../messages/configuration.js';
-import type * as peerMessages from '../messages/peers.js';
-import type * as platformMessages from '../messages/platform.js';
+import type * as membershipMessages from '../messages/membership.js';
 import * as results from '../results/index.js';
-import * as check from './check.js';
-import type * as schema from './schema.js';
+import * as adopt from './adopt.js';
+import * as confidence from './confidence.js';
+import * as head from './head.js';
+import type * as state from './state.js';
 
-/** The object that holds the configuration in force. */
-export const CONFIGURATION_KEY = 'configuration/current';
+type State = state.State;
+type Step = task.Step<State, state.Command>;
 
-export type State = {
-  current: schema.Configuration | undefined;
-  /** When the platform or a peer last confirmed the current generation. */
-  confirmedAtMs: number | undefined;
-};
-
-export type Command =
-  | { kind: 'watch' }
-  | { kind: 'publish'; configuration: schema.Configuration }
-  | { kind: 'relay'; configuration: schema.Configuration }
-  | { kind: 'note-adopted'; generation: number; source: Source }
-  | { kind: 'note-refused'; failure: results.Failure };
-
-export type Source = 'platform' | 'peer';
-
-export const initial: State = { current: undefined, confirmedAtMs: undefined };
+/** Peers that are asked at once for what this instance lacks. */
+const ASKED_PEERS = 2;
 
 export function decide(
-  state: State,
+  given: State,
   message: configurationMessages.ConfigurationMessage,
   now: task.Instant,
-): task.Step<State, Command> {
+): Step {
   switch (message.type) {
     case 'task.start':
-      return { state, commands: [{ kind: 'watch' }] };
-    case 'platform.changed':
-      return adoptFromPlatform(state, message, now);
+      return start(given);
+    case 'platform.changed': {
+      const found = message.objects.find(({ key }) => key === head.HEAD_KEY);
+      return found ? adopt.fromHead(given, found.value, now) : confidence.confirm(given, now);
+    }
+    case 'platform.answered':
+      return adopt.fromAnswer(given, message, now);
     case 'configuration.relayed':
-      return adopt(state, message.configuration, 'peer', now);
+      return adopt.whole(given, message.configuration, now);
+    case 'configuration.changes-relayed':
+      return adopt.relayedChanges(given, message.changes, now);
+    case 'configuration.requested':
+      return answerPeer(given, message);
+    case 'configuration.peer-confirmed':
+      return onPeerConfirmed(given, message, now);
+    case 'configuration.peers-changed':
+      return chooseRole(given, message.members);
+    case 'configuration.tick':
+      return onTick(given, now);
     case 'task.leave':
     case 'task.stop':
-    case 'platform.answered':
-    case 'configuration.peers-changed':
-      return { state, commands: [] };
+      return { state: given, commands: [] };
     default:
       return results.never(message);
   }
 }
 
-function adoptFromPlatform(
-  state: State,
-  message: platformMessages.PlatformChanged,
-  now: task.Instant,
-): task.Step<State, Command> {
-  const found = message.objects.find((object) => object.key === CONFIGURATION_KEY);
-  if (found) return adopt(state, found.value, 'platform', now);
-  return { state: { ...state, confirmedAtMs: now.monotonicMs }, commands: [] };
+function start(given: State): Step {
+  return {
+    state: given,
+    commands: [
+      { kind: 'watch' },
+      { kind: 'publish-confidence', confidence: given.confidence },
+      { kind: 'schedule-tick' },
+    ],
+  };
 }
 
-function adopt(
-  state: State,
-  found: unknown,
-  source: Source,
+/** Sends what the peer lacks: the changes if they reach back far enough, or else the whole. */
+function answerPeer(
+  given: State,
+  { address, generation }: configurationMessages.ConfigurationRequested,
+): Step {
+  const { current } = given;
+  if (!current || generation >= current.generation) return { state: given, commands: [] };
+  const later = adopt.knownChanges(given, generation);
+  const note: state.Command =
+    later.length > 0
+      ? { kind: 'answer-changes', address, changes: later }
+      : { kind: 'answer-whole', address, configuration: current };
+  return { state: given, commands: [note] };
+}
+
+function onPeerConfirmed(
+  given: State,
+  { from, generation, ageMs }: configurationMessages.ConfigurationPeerConfirmed,
   now: task.Instant,
-): task.Step<State, Command> {
-  const checked = check.check(found);
-  if (checked.isErr()) {
-    return { state, commands: [{ kind: 'note-refused', failure: checked.error }] };
+): Step {
+  const own = adopt.ownGeneration(given);
+  if (generation > own) {
+    return { state: given, commands: [{ kind: 'request', to: [from], generation: own }] };
   }
-  const configuration = checked.value;
-  const own = state.current?.generation ?? -1;
-  if (configuration.generation < own) return { state, commands: [] };
-  const confirmed = { ...state, confirmedAtMs: now.monotonicMs };
-  if (configuration.generation === own) return { state: confirmed, commands: [] };
+  if (generation < own || ageMs === undefined) return { state: given, commands: [] };
+  return confidence.confirmAt(given, now.monotonicMs - ageMs, now);
+}
+
+function chooseRole(given: State, members: readonly membershipMessages.Member[]): Step {
+  const near = relays.liveIn(members, given.ownDataCentre);
+  const others = members.map(({ name }) => name);
+  const chosen = relays.relaysOf(given.ownDataCentre, [...near, given.ownName]);
+  const isRelay = chosen.includes(given.ownName);
+  const next = { ...given, near, others, isRelay };
+  if (isRelay === given.isRelay) return { state: next, commands: [] };
+  return { state: next, commands: [{ kind: isRelay ? 'watch' : 'unwatch' }] };
+}
+
+function onTick(given: State, now: task.Instant): Step {
+  const judged = confidence.judge(given, now);
+  const looked = lookIfNeeded(judged.state, now);
   return {
-    state: { ...confirmed, current: configuration },
-    commands: [
-      { kind: 'publish', configuration },
-      { kind: 'relay', configuration },
-      { kind: 'note-adopted', generation: configuration.generation, source },
-    ],
+    state: looked.state,
+    commands: [...judged.commands, ...looked.commands, { kind: 'schedule-tick' }],
   };
 }
 
-/** What a peer is sent; the encoding is the peers plug-in's. */
-export function relayNote(configuration: schema.Configuration): peerMessages.PeerNote {
-  return { kind: 'configuration', configuration };
+/** An instance that is not confirmed reads the platform itself, and asks peers at its start. */
+function lookIfNeeded(given: State, now: task.Instant): Step {
+  const isNeeded = given.confidence === 'unconfirmed' || given.awaited !== undefined;
+  if (!isNeeded || now.monotonicMs < given.nextReadAtMs) return { state: given, commands: [] };
+  const reads = given.reads + 1;
+  const next = {
+    ...given,
+    reads,
+    nextReadAtMs: now.monotonicMs + confidence.readDelayMs(given.ownName, reads),
+  };
+  const read: state.Command = given.awaited
+    ? { kind: 'read', what: 'base', key: given.awaited.head.base.key }
+    : { kind: 'read', what: 'head', key: head.HEAD_KEY };
+  if (given.current) return { state: next, commands: [read] };
+  const to = rendezvous.choose(`${given.ownName}/${reads}`, given.others, ASKED_PEERS);
+  return {
+    state: next,
+    commands: [
+      read,
+      { kind: 'request', to, generation: 0 },
+      { kind: 'request', to: 'seeds', generation: 0 },
+    ],
+  };
 }
--- a/packages/core/src/configuration/check.ts
+++ b/packages/core/src/configuration/check.ts
@@ -12,8 +12,15 @@
     const lines = checked.error.issues.map((issue) => explainIssue(issue, found));
     return neverthrow.err(results.failure('invalidInput', lines.join('\n')));
   }
-  const faults = findDanglingNames(checked.data);
-  if (faults.length === 0) return neverthrow.ok(checked.data);
+  return checkNames(checked.data);
+}
+
+/** Checks only the names that refer to others: for a configuration whose entries were checked. */
+export function checkNames(
+  given: schema.Configuration,
+): neverthrow.Result<schema.Configuration, results.Failure> {
+  const faults = findDanglingNames(given);
+  if (faults.length === 0) return neverthrow.ok(given);
   return neverthrow.err(results.failure('invalidInput', faults.join('\n')));
 }
 
--- a/packages/core/src/configuration/schema.ts
+++ b/packages/core/src/configuration/schema.ts
@@ -111,6 +111,20 @@
   limits: limits.prefault({}),
 });
 
+/** What one entry of each list looks like; entries are known by their names. */
+export const entrySchemas = {
+  dataCentres: dataCentre,
+  clientAccounts: clientAccount,
+  services: service,
+  upstreams: upstream,
+  stores: store,
+} as const;
+
+export const limitsSchema = limits;
+
+export type ListName = keyof typeof entrySchemas;
+export const LIST_NAMES = Object.keys(entrySchemas) as readonly ListName[];
+
 export type Configuration = zod.infer<typeof configurationSchema>;
 export type DataCentre = zod.infer<typeof dataCentre>;
 export type ClientAccount = zod.infer<typeof clientAccount>;
--- /dev/null
+++ b/packages/core/src/configuration/state.ts
@@ -0,0 +1,65 @@
+/** What the configuration task knows, and what its shell is told to do. */
+import type * as configurationMessages from '../messages/configuration.js';
+import type * as results from '../results/index.js';
+import type * as changes from './changes.js';
+import type * as head from './head.js';
+import type * as schema from './schema.js';
+
+export type Source = 'platform' | 'peer';
+export type Confidence = configurationMessages.ConfigurationConfidence['confidence'];
+
+export type State = {
+  ownName: string;
+  ownDataCentre: string;
+  current: schema.Configuration | undefined;
+  /** The latest changes up to the current generation, for peers that lack them; bounded. */
+  recent: readonly changes.Change[];
+  /** A head that is ahead of what its changes can bridge; its base is being read. */
+  awaited: { head: head.Head; seenAtMs: number } | undefined;
+  /** Monotonic time at which the platform last confirmed the current generation, here or at a peer. */
+  confirmedAtMs: number | undefined;
+  confidence: Confidence;
+  /** Whether this instance watches the platform and relays changes in its data centre. */
+  isRelay: boolean;
+  /** Other live instances of the own data centre. */
+  near: readonly string[];
+  /** All other instances. */
+  others: readonly string[];
+  nextReadAtMs: number;
+  /** Reads since the last confirmation. */
+  reads: number;
+};
+
+export type Command =
+  | { kind: 'watch' }
+  | { kind: 'unwatch' }
+  | { kind: 'read'; what: 'head' | 'base'; key: string }
+  | { kind: 'publish'; configuration: schema.Configuration }
+  | { kind: 'publish-confidence'; confidence: Confidence }
+  | { kind: 'relay-changes'; to: readonly string[]; changes: readonly changes.Change[] }
+  | { kind: 'answer-changes'; address: string; changes: readonly changes.Change[] }
+  | { kind: 'answer-whole'; address: string; configuration: schema.Configuration }
+  | { kind: 'request'; to: readonly string[] | 'seeds'; generation: number }
+  /** For the heartbeats, which carry the confirmation to peers. */
+  | { kind: 'report'; generation: number; confirmedAtMs: number | undefined }
+  | { kind: 'schedule-tick' }
+  | { kind: 'note-adopted'; generation: number; source: Source }
+  | { kind: 'note-refused'; failure: results.Failure };
+
+/** An instance begins as a relay: until it knows others, nobody relays to it. */
+export function initial(ownName: string, ownDataCentre: string): State {
+  return {
+    ownName,
+    ownDataCentre,
+    current: undefined,
+    recent: [],
+    awaited: undefined,
+    confirmedAtMs: undefined,
+    confidence: 'unconfirmed',
+    isRelay: true,
+    near: [],
+    others: [],
+    nextReadAtMs: 0,
+    reads: 0,
+  };
+}
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -14,6 +14,7 @@
   instanceStopped: { number: 103, level: 'info', text: 'instance stopped' },
   configurationAdopted: { number: 201, level: 'info', text: 'configuration adopted' },
   configurationRefused: { number: 202, level: 'warn', text: 'configuration refused' },
+  configurationConfidence: { number: 221, level: 'warn', text: 'configuration confidence changed' },
   membershipChanged: { number: 203, level: 'info', text: 'membership changed' },
   promptPlaced: { number: 301, level: 'info', text: 'prompt placed' },
   piecesExported: { number: 302, level: 'info', text: 'pieces exported' },
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -1,2 +1,5 @@
 /** The way into membership. */
 export * from './decide.js';
+export * from './relays.js';
+export * from './rendezvous.js';
+export * from './state.js';
--- /dev/null
+++ b/packages/core/src/membership/state.ts
@@ -0,0 +1,53 @@
+/** What the membership task knows, and what its shell is told to do. */
+import type * as messages from '../messages/index.js';
+
+/** The last heartbeat of one instance, in the order of its own incarnation. */
+export type Heard = {
+  incarnation: string;
+  /** The incarnation before: a delayed heartbeat of it must not count. */
+  formerIncarnation: string;
+  sequence: number;
+  atMs: number;
+  silent: readonly string[];
+  cut: readonly string[];
+};
+
+export type State = {
+  ownName: string;
+  ownDataCentre: string;
+  incarnation: string;
+  listed: readonly messages.ListedInstance[];
+  heard: Readonly<Record<string, Heard>>;
+  members: readonly messages.Member[];
+  sequence: number;
+  generation: number;
+  confirmedAtMs: number | undefined;
+  tickedAtMs: number;
+  /** Until then nobody is judged silent: after the start, a pause, or a new list. */
+  graceUntilMs: number;
+  isRelay: boolean;
+};
+
+export type Command =
+  | { kind: 'watch-instances'; pauseMs: number }
+  | { kind: 'publish'; members: readonly messages.Member[] }
+  | { kind: 'heartbeat'; to: readonly string[]; heartbeat: messages.Heartbeat }
+  | { kind: 'report-confirmed'; from: string; generation: number; ageMs: number | undefined }
+  | { kind: 'schedule-tick' };
+
+export function initial(ownName: string, ownDataCentre: string, incarnation: string): State {
+  return {
+    ownName,
+    ownDataCentre,
+    incarnation,
+    listed: [],
+    heard: {},
+    members: [],
+    sequence: 0,
+    generation: 0,
+    confirmedAtMs: undefined,
+    tickedAtMs: -Infinity,
+    graceUntilMs: 0,
+    isRelay: true,
+  };
+}
--- a/packages/core/src/messages/membership.ts
+++ b/packages/core/src/messages/membership.ts
@@ -16,5 +16,7 @@
   | life.TaskMessage
   | platform.PlatformInstances
   | peers.DigestReceived
-  | { type: 'membership.heard'; from: string; incarnation: string; sequence: number }
-  | { type: 'membership.check' };
+  | { type: 'membership.heard'; heartbeat: peers.Heartbeat }
+  /** What the own heartbeats say of the configuration. */
+  | { type: 'membership.confirmed'; generation: number; confirmedAtMs: number | undefined }
+  | { type: 'membership.tick' };
--- a/packages/core/src/messages/peers.ts
+++ b/packages/core/src/messages/peers.ts
@@ -5,10 +5,29 @@
 /** What one instance tells another. Soft state only: the receiver checks it and may drop it. */
 export type PeerNote =
   | { kind: 'configuration'; configuration: unknown }
-  | { kind: 'heartbeat'; from: string; incarnation: string; sequence: number }
+  | { kind: 'configuration-changes'; changes: unknown }
+  /** Asks for what comes after a generation; the peers task fills in the own address. */
+  | { kind: 'configuration-request'; generation: number; address: string }
+  | Heartbeat
   /** A digest for the task of this name; its content is checked by that task. */
   | { kind: 'digest'; for: DigestReader; from: string; digest: unknown };
 
+/** Sent every second or two to a few instances; names of lists are bounded in number. */
+export type Heartbeat = {
+  kind: 'heartbeat';
+  from: string;
+  incarnation: string;
+  /** Grows within one incarnation. */
+  sequence: number;
+  /** The sender's generation of the configuration, and how long ago the platform confirmed it. */
+  generation: number;
+  ageMs?: number | undefined;
+  /** Instances that the sender's data centre does not hear. */
+  silent: readonly string[];
+  /** Data centres that the sender does not hear. */
+  cut: readonly string[];
+};
+
 /** Tasks that exchange digests with the same task of other instances. */
 export type DigestReader = 'routing' | 'admission' | 'claims' | 'membership' | 'orders';
 
@@ -19,4 +38,6 @@
   | life.TaskMessage
   | membership.MembershipChanged
   /** Sends a note to the named instances; losing one is harmless. */
-  | { type: 'peers.notify'; to: readonly string[] | 'all'; note: PeerNote };
+  | { type: 'peers.notify'; to: readonly string[] | 'all' | 'seeds'; note: PeerNote }
+  /** Answers a note at the address that it named. */
+  | { type: 'peers.answer'; address: string; note: PeerNote };
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -76,4 +76,7 @@
       replyTo: task.Address<PlatformAnswered>;
     }
   | { type: 'platform.watch'; prefix: string; replyTo: task.Address<PlatformChanged> }
-  | { type: 'platform.watch-instances'; replyTo: task.Address<PlatformInstances> };
+  /** Ends the watch of this prefix for this reader. */
+  | { type: 'platform.unwatch'; prefix: string; replyTo: task.Address<PlatformChanged> }
+  /** Sent again, it only changes the pause after each answer. */
+  | { type: 'platform.watch-instances'; pauseMs: number; replyTo: task.Address<PlatformInstances> };
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -167,6 +167,13 @@
   title: 'changed by another writer',
   hint: 'Look at both versions and apply the change again.',
 };
+/** A change was sent, and no answer tells whether it took effect. */
+const changeUnknown: Code = {
+  number: 5101,
+  status: 503,
+  title: 'change may have taken effect',
+  hint: 'Look at `medlarctl history` once the platform answers; do not assume either end.',
+};
 /** A setting, an answer or a configuration field is wrong. */
 const invalidInput: Code = {
   number: 6001,
@@ -212,6 +219,7 @@
   platformUnavailable,
   platformMalformed,
   conflict,
+  changeUnknown,
   invalidInput,
   notConfigured,
   unknownCommand,
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -17,8 +17,16 @@
   peers: hostAndPort.default('127.0.0.1:8081'),
   /** The platform's object API. */
   platform: hostAndPort,
+  /** HOST:PORT of a few peers, parted by commas: asked at a start while the platform is down. */
+  seeds: zod
+    .string()
+    .transform((text) => text.split(',').filter((each) => each !== ''))
+    .pipe(zod.array(hostAndPort))
+    .optional(),
   /** Shared by all instances of the deployment: authenticates them to each other. */
   deploymentKey: zod.string().min(16),
+  /** A second key that is accepted from others while keys are rotated; never sent. */
+  otherDeploymentKey: zod.string().min(16).optional(),
   /** Where metrics go (StatsD over UDP); none are sent without it. */
   statsd: hostAndPort.optional(),
   logLevel: zod.enum(['debug', 'info', 'warn', 'error']).default('info'),
@@ -30,7 +38,7 @@
 export type SettingName = keyof Settings;
 
 /** Settings whose values never appear in a dump or a log. */
-export const SECRET_SETTINGS: readonly SettingName[] = ['deploymentKey'];
+export const SECRET_SETTINGS: readonly SettingName[] = ['deploymentKey', 'otherDeploymentKey'];
 
 /** `balancerLagMs` is `--balancer-lag-ms` as a flag. */
 export function flagName(name: SettingName): string {
--- a/packages/core/test/configuration/adoption.test.ts
+++ b/packages/core/test/configuration/adoption.test.ts
@@ -7,45 +7,61 @@
 const suite = uvu.suite('adoption of configuration');
 
 type Message = core.messages.ConfigurationMessage;
+type State = core.configuration.State;
+
+const EMPTY = core.configuration.initial('instance-1', 'dc-1');
+
+/** Decides on a message, and answers a read of a base at once. */
+function take(state: State, message: Message): State {
+  const step = core.configuration.decide(state, message, fixtures.anInstant());
+  const read = step.commands.find((each) => each.kind === 'read');
+  if (read?.kind !== 'read' || read.what !== 'base') return step.state;
+  return take(step.state, fixtures.baseAnswer(read.key));
+}
 
 function relayed(generation: number): Message {
-  const configuration = fixtures.aConfiguration({ generation });
+  const configuration = fixtures.theGeneration(generation);
   return { type: 'configuration.relayed', configuration };
 }
 
-function watched(generation: number): Message {
-  const value = fixtures.aConfiguration({ generation });
-  const object = { key: core.configuration.CONFIGURATION_KEY, version: 1, value, writeId: 'w' };
-  return { type: 'platform.changed', prefix: object.key, objects: [object] };
+function relayedChange(generation: number): Message {
+  return { type: 'configuration.changes-relayed', changes: [fixtures.aChange(generation)] };
 }
 
-suite('never reverts, whatever order the news arrives in', () => {
-  const news = fastCheck.record({
-    generation: fastCheck.integer({ min: 1, max: 20 }),
-    isRelayed: fastCheck.boolean(),
-  });
+const news = fastCheck.oneof(
+  fastCheck.integer({ min: 1, max: 40 }).map(relayed),
+  fastCheck.integer({ min: 1, max: 40 }).map(fixtures.watchedHead),
+  fastCheck.integer({ min: 1, max: 40 }).map(relayedChange),
+);
+
+function generationOf(message: Message): number {
+  if (message.type === 'configuration.relayed') {
+    return (message.configuration as core.configuration.Configuration).generation;
+  }
+  if (message.type !== 'platform.changed') return 0;
+  return (message.objects[0]?.value as core.configuration.heads.Head).generation;
+}
+
+suite('never reverts, whatever order the news arrives in, and each generation is whole', () => {
   fastCheck.assert(
     fastCheck.property(fastCheck.array(news, { maxLength: 30 }), (all) => {
-      const final = all.reduce((state, { generation, isRelayed }) => {
-        const message = isRelayed ? relayed(generation) : watched(generation);
-        const step = core.configuration.decide(state, message, fixtures.anInstant());
+      const final = all.reduce((state, message) => {
+        const next = take(state, message);
         const before = state.current?.generation ?? 0;
-        assert.ok((step.state.current?.generation ?? 0) >= before);
-        return step.state;
-      }, core.configuration.initial);
-      const highest = Math.max(0, ...all.map(({ generation }) => generation));
-      assert.is(final.current?.generation ?? 0, highest);
+        const after = next.current?.generation ?? 0;
+        assert.ok(after >= before);
+        if (after > 0) assert.equal(next.current, fixtures.theGeneration(after));
+        return next;
+      }, EMPTY);
+      const highest = Math.max(0, ...all.map(generationOf));
+      assert.ok((final.current?.generation ?? 0) >= highest);
     }),
     fixtures.seeded(),
   );
 });
 
 suite('keeps the last good configuration when a broken one arrives', () => {
-  const good = core.configuration.decide(
-    core.configuration.initial,
-    watched(3),
-    fixtures.anInstant(),
-  ).state;
+  const good = take(EMPTY, fixtures.watchedHead(3));
   const broken: Message = {
     type: 'configuration.relayed',
     configuration: { generation: 9, upstreams: 'none' },
@@ -55,4 +71,145 @@
   assert.is(step.commands[0]?.kind, 'note-refused');
 });
 
+suite('a diff applied to the older configuration gives the newer one', () => {
+  const entry = fastCheck.record({
+    name: fastCheck.constantFrom('a', 'b', 'c', 'd'),
+    share: fastCheck.integer({ min: 1, max: 3 }),
+  });
+  const accounts = fastCheck.uniqueArray(entry, { selector: ({ name }) => name });
+  fastCheck.assert(
+    fastCheck.property(accounts, accounts, (before, after) => {
+      const from = fixtures.aConfiguration({
+        clientAccounts: before.map(fixtures.aClientAccount),
+      });
+      const to = fixtures.aConfiguration({
+        generation: 2,
+        clientAccounts: after.map(fixtures.aClientAccount),
+      });
+      const edits = [...core.configuration.diff(from, to)];
+      const change = { generation: 2, edits, by: '', atMs: 0, why: '' };
+      const applied = core.configuration.applyAll(from, [change]);
+      assert.ok(applied.isOk());
+      const sorted = (given: core.configuration.Configuration) => ({
+        ...given,
+        clientAccounts: [...given.clientAccounts].sort((a, b) => (a.name < b.name ? -1 : 1)),
+      });
+      if (applied.isOk()) assert.equal(sorted(applied.value), sorted(to));
+    }),
+    fixtures.seeded(),
+  );
+});
+
+type Row = { name: string; messages: readonly (readonly [number, Message])[]; expected: string };
+
+const CONFIRMED: Message = { type: 'platform.changed', prefix: 'x', objects: [] };
+const TICK: Message = { type: 'configuration.tick' };
+
+function peerConfirmed(generation: number, ageMs: number): Message {
+  return { type: 'configuration.peer-confirmed', from: 'instance-2', generation, ageMs };
+}
+
+const CONFIDENCE: readonly Row[] = [
+  { name: 'after a start', messages: [[0, TICK]], expected: 'unconfirmed' },
+  {
+    name: 'just adopted from the platform',
+    messages: [
+      [0, fixtures.watchedHead(2)],
+      [2_999, TICK],
+    ],
+    expected: 'confirmed',
+  },
+  {
+    name: 'not confirmed for longer than 3 s',
+    messages: [
+      [0, fixtures.watchedHead(2)],
+      [3_001, TICK],
+    ],
+    expected: 'unconfirmed',
+  },
+  {
+    name: 'confirmed again by a watch',
+    messages: [
+      [0, fixtures.watchedHead(2)],
+      [3_001, TICK],
+      [3_500, CONFIRMED],
+    ],
+    expected: 'confirmed',
+  },
+  {
+    name: 'adopted from a peer only',
+    messages: [
+      [0, relayed(2)],
+      [100, TICK],
+    ],
+    expected: 'unconfirmed',
+  },
+  {
+    name: 'confirmed by a peer’s fresh confirmation',
+    messages: [
+      [0, relayed(2)],
+      [100, peerConfirmed(2, 500)],
+    ],
+    expected: 'confirmed',
+  },
+  {
+    name: 'a peer’s old confirmation',
+    messages: [
+      [0, relayed(2)],
+      [100, peerConfirmed(2, 3_001)],
+    ],
+    expected: 'unconfirmed',
+  },
+  {
+    name: 'a peer with an older generation',
+    messages: [
+      [0, relayed(2)],
+      [100, peerConfirmed(1, 0)],
+    ],
+    expected: 'unconfirmed',
+  },
+  {
+    name: 'a watch answers while a base is still being read',
+    messages: [
+      [0, fixtures.watchedHead(2)],
+      [0, fixtures.watchedHead(40)],
+      [3_500, CONFIRMED],
+      [3_600, TICK],
+    ],
+    expected: 'unconfirmed',
+  },
+];
+
+CONFIDENCE.forEach(({ name, messages, expected }) => {
+  suite(`confidence: ${name}`, () => {
+    const isHeldBack = name.includes('still being read');
+    const final = messages.reduce((state, [atMs, message]) => {
+      const step = core.configuration.decide(state, message, fixtures.anInstant(atMs));
+      const read = step.commands.find((each) => each.kind === 'read');
+      const isAnswered = read?.kind === 'read' && read.what === 'base';
+      if (!isAnswered || (isHeldBack && state.current)) return step.state;
+      return core.configuration.decide(
+        step.state,
+        fixtures.baseAnswer(read.key),
+        fixtures.anInstant(atMs),
+      ).state;
+    }, EMPTY);
+    assert.is(final.confidence, expected);
+  });
+});
+
+suite('a start during an outage asks peers and seeds, and takes the highest answer', () => {
+  const step = core.configuration.decide(EMPTY, TICK, fixtures.anInstant());
+  const asked = step.commands.filter((each) => each.kind === 'request');
+  assert.ok(asked.some((each) => each.kind === 'request' && each.to === 'seeds'));
+  const final = [relayed(4), relayed(7), relayed(5)].reduce(take, step.state);
+  assert.is(final.current?.generation, 7);
+});
+
+suite('a gap behind a peer is asked for', () => {
+  const behind = take(EMPTY, fixtures.watchedHead(2));
+  const step = core.configuration.decide(behind, peerConfirmed(5, 0), fixtures.anInstant());
+  assert.equal(step.commands, [{ kind: 'request', to: ['instance-2'], generation: 2 }]);
+});
+
 suite.run();
--- a/packages/medlarctl/src/change.ts
+++ b/packages/medlarctl/src/change.ts
@@ -1,34 +1,80 @@
 /** Changes of the configuration in force: a conditional update whose end is always known truthfully. */
 import * as crypto from 'node:crypto';
+import * as os from 'node:os';
 
 import * as core from '@medlarweir/core';
-import * as platformHttp from '@medlarweir/plugin-platform-http';
+import type * as platformHttp from '@medlarweir/plugin-platform-http';
 import * as neverthrow from 'neverthrow';
 
 import type * as registry from './registry.js';
 
-/** What is in force, and the version of the object that holds it. */
+type Client = platformHttp.client.Client;
+type Configuration = core.configuration.Configuration;
+
+/** What is in force, and the version of the head that names it. */
 export type InForce = {
   version: number;
-  configuration: core.configuration.Configuration | undefined;
+  configuration: Configuration | undefined;
+  head?: core.configuration.heads.Head | undefined;
 };
 
+/** Who changes the configuration, and why; kept in its history. */
+export type Reason = { by: string; why: string };
+
 type Outcome<Value> = Promise<neverthrow.Result<Value, core.results.Failure>>;
 
-const KEY = core.configuration.CONFIGURATION_KEY;
+const { heads } = core.configuration;
 const MAX_TRIES = 5;
 
-export async function readInForce(platform: platformHttp.client.Client): Outcome<InForce> {
-  const answer = await platform.read(KEY);
+/** From `--by` and `--why`, or the name under which the operator is logged in. */
+export function reasonOf(flags: registry.Flags): Reason {
+  const text = (value: string | boolean | undefined) => (typeof value === 'string' ? value : '');
+  return { by: text(flags.by) || os.userInfo().username, why: text(flags.why) };
+}
+
+export async function readInForce(platform: Client): Outcome<InForce> {
+  const answer = await platform.read(heads.HEAD_KEY);
+  if (answer.kind === 'missing') {
+    return neverthrow.ok({ version: 0, configuration: undefined });
+  }
+  const object = objectOf(answer);
+  if (object.isErr()) return neverthrow.err(object.error);
+  const { version, value } = object.value;
+  const head = parse(heads.headSchema, value, heads.HEAD_KEY);
+  if (head.isErr()) return neverthrow.err(head.error);
+  const configuration = await readConfiguration(platform, head.value);
+  return configuration.map((found) => ({ version, configuration: found, head: head.value }));
+}
+
+async function readConfiguration(
+  platform: Client,
+  head: core.configuration.heads.Head,
+): Outcome<Configuration> {
+  const base = await readBase(platform, head.base.key);
+  return base.andThen(({ configuration }) => {
+    const later = core.configuration.following(head.changes, configuration.generation) ?? [];
+    return core.configuration.applyAll(configuration, later);
+  });
+}
+
+/** Reads one whole configuration of the history. */
+export async function readBase(
+  platform: Client,
+  key: string,
+): Outcome<core.configuration.heads.Base> {
+  const object = objectOf(await platform.read(key));
+  return object.andThen(({ value }) => parse(heads.baseSchema, value, key));
+}
+
+function objectOf(
+  answer: core.messages.PlatformAnswer,
+): neverthrow.Result<core.messages.StoredObject, core.results.Failure> {
   switch (answer.kind) {
-    case 'missing':
-      return neverthrow.ok({ version: 0, configuration: undefined });
-    case 'object': {
-      const { version, value } = answer.object;
-      return core.configuration.check(value).map((configuration) => ({ version, configuration }));
-    }
+    case 'object':
+      return neverthrow.ok(answer.object);
     case 'unavailable':
       return neverthrow.err(answer.failure);
+    case 'missing':
     case 'objects':
     case 'written':
     case 'conflict':
@@ -38,41 +84,95 @@
   }
 }
 
-/** Puts a configuration in force on top of the version that it was made from. */
+type Schema<Value> = {
+  safeParse(
+    found: unknown,
+  ): { success: true; data: Value } | { success: false; error: { message: string } };
+};
+
+function parse<Value>(
+  schema: Schema<Value>,
+  found: unknown,
+  key: string,
+): neverthrow.Result<Value, core.results.Failure> {
+  const checked = schema.safeParse(found);
+  if (checked.success) return neverthrow.ok(checked.data);
+  return neverthrow.err(
+    core.results.failure('platformMalformed', `${key}: ${checked.error.message}`),
+  );
+}
+
+/** Puts a configuration in force on top of the generation that it was made from. */
 export async function apply(
-  platform: platformHttp.client.Client,
+  platform: Client,
   base: InForce,
-  configuration: core.configuration.Configuration,
+  configuration: Configuration,
+  reason: Reason = reasonOf({}),
 ): Outcome<number> {
+  const { generation } = configuration;
+  const edits = base.configuration
+    ? core.configuration.diff(base.configuration, configuration)
+    : [];
+  const change = { generation, edits: [...edits], atMs: Date.now(), ...reason };
+  const id = crypto.randomUUID();
+  const writes = heads.next(base.head, change, configuration, id);
+  if (writes.base) {
+    const { key, value } = writes.base;
+    const written = await write(platform, key, 0, value);
+    if (written.isErr()) return neverthrow.err(written.error);
+  }
+  const accepted = await write(platform, heads.HEAD_KEY, base.version, writes.head);
+  return accepted.map(() => generation);
+}
+
+/** One conditional update, repeated under its own write id until its end is known. */
+async function write(
+  platform: Client,
+  key: string,
+  expectedVersion: number,
+  value: unknown,
+): Outcome<void> {
   const writeId = crypto.randomUUID();
-  const write = { key: KEY, expectedVersion: base.version, value: configuration, writeId };
   for (let tries = 0; tries < MAX_TRIES; tries += 1) {
-    const answer = await platform.write(write);
-    if (answer.kind === 'written') return neverthrow.ok(configuration.generation);
-    if (answer.kind === 'conflict') return judgeConflict(answer.current, writeId, configuration);
+    const answer = await platform.write({ key, expectedVersion, value, writeId });
+    if (answer.kind === 'written') return neverthrow.ok(undefined);
+    if (answer.kind === 'conflict') return judgeConflict(answer.current, writeId);
   }
-  const detail = `no answer after ${MAX_TRIES} tries; the change may yet take effect: see \`get\``;
-  return neverthrow.err(core.results.failure('platformUnavailable', detail));
+  const detail = `no answer after ${MAX_TRIES} tries; the change may yet take effect: see \`history\``;
+  return neverthrow.err(core.results.failure('changeUnknown', detail));
 }
 
 /** The own write id in the object means that an earlier try succeeded and its answer was lost. */
 function judgeConflict(
   current: core.messages.StoredObject | undefined,
   writeId: string,
-  configuration: core.configuration.Configuration,
-): neverthrow.Result<number, core.results.Failure> {
-  if (current?.writeId === writeId) return neverthrow.ok(configuration.generation);
-  const detail = `the configuration is now at version ${current?.version ?? 0}`;
-  return neverthrow.err(core.results.failure('conflict', detail));
+): neverthrow.Result<void, core.results.Failure> {
+  if (current?.writeId === writeId) return neverthrow.ok(undefined);
+  return neverthrow.err(core.results.failure('conflict', describeWinner(current?.value)));
+}
+
+/** What the operator who was second is told of the one who was first. */
+function describeWinner(value: unknown): string {
+  const head = heads.headSchema.safeParse(value);
+  const last = head.success ? head.data.changes.at(-1) : undefined;
+  if (!last) return 'another writer was first; nothing of this change took effect';
+  const { generation, by, why, edits } = last;
+  const names = edits.map((edit) => `  ${core.configuration.describeEdit(edit)}`);
+  return [
+    `generation ${generation} by ${by} was first (${why || 'no reason given'}):`,
+    ...names,
+    'nothing of this change took effect; apply it again on top of that generation',
+  ].join('\n');
 }
 
 /** Applies a configuration and reports it. */
 export async function accept(
-  platform: platformHttp.client.Client,
+  platform: Client,
   base: InForce,
-  configuration: core.configuration.Configuration,
+  configuration: Configuration,
+  reason: Reason = reasonOf({}),
 ): Outcome<registry.Report> {
-  const applied = await apply(platform, base, configuration);
+  const applied = await apply(platform, base, configuration, reason);
   return applied.map((generation) => ({
     text: `generation ${generation} is accepted`,
     data: { generation },
--- a/packages/medlarctl/src/commands/apply.ts
+++ b/packages/medlarctl/src/commands/apply.ts
@@ -13,7 +13,7 @@
   run: applyFile,
 });
 
-async function applyFile({ platform, words }: registry.Input): registry.Outcome {
+async function applyFile({ platform, words, flags }: registry.Input): registry.Outcome {
   const [file] = words;
   if (file === undefined) {
     const detail = 'apply: expected FILE; found nothing';
@@ -26,5 +26,5 @@
   const generation = (base.value.configuration?.generation ?? 0) + 1;
   const checked = core.configuration.check({ ...(found.value as object), generation });
   if (checked.isErr()) return neverthrow.err(checked.error);
-  return change.accept(platform, base.value, checked.value);
+  return change.accept(platform, base.value, checked.value, change.reasonOf(flags));
 }
--- a/packages/medlarctl/src/commands/data-centre.ts
+++ b/packages/medlarctl/src/commands/data-centre.ts
@@ -12,7 +12,7 @@
   run: moveDataCentre,
 });
 
-async function moveDataCentre({ platform, words }: registry.Input): registry.Outcome {
+async function moveDataCentre({ platform, words, flags }: registry.Input): registry.Outcome {
   const [presence, name = ''] = words;
   if (presence !== 'in' && presence !== 'out') return fail('expected `out NAME` or `in NAME`');
   const base = await change.readInForce(platform);
@@ -25,7 +25,12 @@
     each.name === name ? { ...each, presence } : each,
   );
   const generation = configuration.generation + 1;
-  return change.accept(platform, base.value, { ...configuration, generation, dataCentres });
+  return change.accept(
+    platform,
+    base.value,
+    { ...configuration, generation, dataCentres },
+    change.reasonOf(flags),
+  );
 }
 
 function fail(detail: string) {
--- a/packages/medlarctl/src/commands/questionnaire.ts
+++ b/packages/medlarctl/src/commands/questionnaire.ts
@@ -27,7 +27,7 @@
   const generated = generate.generate(given.value, base.value.configuration);
   if (generated.isErr()) return neverthrow.err(generated.error);
   const { configuration, newCredentials } = generated.value;
-  const applied = await change.apply(platform, base.value, configuration);
+  const applied = await change.apply(platform, base.value, configuration, change.reasonOf(flags));
   return applied.map((generation) => ({
     text: `generation ${generation} is accepted`,
     data: { generation, newCredentials },
--- a/packages/plugins/configuration/src/configuration-task.ts
+++ b/packages/plugins/configuration/src/configuration-task.ts
@@ -19,53 +19,116 @@
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
   name: 'configuration',
   create: (surroundings) => ({
-    initial: core.configuration.initial,
+    initial: core.configuration.initial(
+      surroundings.settings.name,
+      surroundings.settings.dataCentre,
+    ),
     decide: core.configuration.decide,
     perform: (command) => perform(surroundings, command),
-    dump: ({ current, confirmedAtMs }) => ({
+    dump: ({ current, confirmedAtMs, confidence, isRelay, awaited }) => ({
       generation: current?.generation ?? null,
       confirmedAtMs: confirmedAtMs ?? null,
+      confidence,
+      isRelay,
+      awaitedGeneration: awaited?.head.generation ?? null,
     }),
   }),
 };
 
-function perform(surroundings: core.kernel.Surroundings<Message>, command: Command): void {
+type Surroundings = core.kernel.Surroundings<Message>;
+
+function perform(surroundings: Surroundings, command: Command): void {
+  const { send, self } = surroundings;
+  const prefix = core.configuration.heads.HEAD_KEY;
   switch (command.kind) {
     case 'watch':
-      surroundings.send('platform', {
-        type: 'platform.watch',
-        prefix: core.configuration.CONFIGURATION_KEY,
-        replyTo: surroundings.self,
-      });
+      send('platform', { type: 'platform.watch', prefix, replyTo: self });
+      return;
+    case 'unwatch':
+      send('platform', { type: 'platform.unwatch', prefix, replyTo: self });
       return;
+    case 'read': {
+      const ticket = core.configuration.TICKETS[command.what];
+      send('platform', { type: 'platform.read', ticket, key: command.key, replyTo: self });
+      return;
+    }
     case 'publish':
       READERS.forEach((name) =>
-        surroundings.send(name, {
-          type: 'configuration.adopted',
-          configuration: command.configuration,
-        }),
+        send(name, { type: 'configuration.adopted', configuration: command.configuration }),
       );
       return;
-    case 'relay':
-      surroundings.send('peers', {
-        type: 'peers.notify',
-        to: 'all',
-        note: core.configuration.relayNote(command.configuration),
-      });
+    case 'publish-confidence':
+      send('routing', { type: 'configuration.confidence', confidence: command.confidence });
+      note(surroundings, 'configurationConfidence', { confidence: command.confidence });
       return;
-    case 'note-adopted':
-      surroundings.record({
-        name: 'configurationAdopted',
-        details: { generation: command.generation, source: command.source },
-      });
+    case 'relay-changes':
+    case 'answer-changes':
+    case 'answer-whole':
+    case 'request':
+      performForPeers(surroundings, command);
       return;
+    case 'report': {
+      const { generation, confirmedAtMs } = command;
+      send('membership', { type: 'membership.confirmed', generation, confirmedAtMs });
+      return;
+    }
+    case 'schedule-tick':
+      surroundings.schedule('tick', core.configuration.TICK_MS, { type: 'configuration.tick' });
+      return;
+    case 'note-adopted': {
+      const { generation, source } = command;
+      note(surroundings, 'configurationAdopted', { generation, source });
+      return;
+    }
     case 'note-refused':
-      surroundings.record({
-        name: 'configurationRefused',
-        details: { failure: core.results.describe(command.failure) },
+      note(surroundings, 'configurationRefused', {
+        failure: core.results.describe(command.failure),
       });
       return;
     default:
       core.results.never(command);
   }
 }
+
+type ForPeers = Extract<
+  Command,
+  { kind: 'relay-changes' | 'answer-changes' | 'answer-whole' | 'request' }
+>;
+
+function performForPeers({ send }: Surroundings, command: ForPeers): void {
+  switch (command.kind) {
+    case 'relay-changes': {
+      const { to, changes } = command;
+      send('peers', { type: 'peers.notify', to, note: { kind: 'configuration-changes', changes } });
+      return;
+    }
+    case 'answer-changes': {
+      const { address, changes } = command;
+      const answer = { kind: 'configuration-changes', changes } as const;
+      send('peers', { type: 'peers.answer', address, note: answer });
+      return;
+    }
+    case 'answer-whole': {
+      const { address, configuration } = command;
+      const answer = { kind: 'configuration', configuration } as const;
+      send('peers', { type: 'peers.answer', address, note: answer });
+      return;
+    }
+    case 'request': {
+      const { to, generation } = command;
+      const request = { kind: 'configuration-request', generation, address: '' } as const;
+      send('peers', { type: 'peers.notify', to, note: request });
+      return;
+    }
+    default:
+      core.results.never(command);
+  }
+}
+
+function note(
+  { record }: Surroundings,
+  name: core.events.EventName,
+  details: core.events.Event['details'],
+): void {
+  record({ name, details });
+}
--- a/packages/plugins/membership/src/membership-task.ts
+++ b/packages/plugins/membership/src/membership-task.ts
@@ -10,33 +10,55 @@
 
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
   name: 'membership',
-  create: (surroundings) => ({
-    initial: core.membership.initial(surroundings.settings.name),
-    decide: core.membership.decide,
-    perform: (command) => perform(surroundings, command),
-    dump: (state) => ({ listed: state.listed, heardAtMs: state.heardAtMs }),
-  }),
+  create: (surroundings) => {
+    const { settings, incarnation } = surroundings;
+    return {
+      initial: core.membership.initial(settings.name, settings.dataCentre, incarnation),
+      decide: core.membership.decide,
+      perform: (command) => perform(surroundings, command),
+      dump: ({ members, isRelay, incarnation: own }) => ({ incarnation: own, isRelay, members }),
+    };
+  },
 };
 
 function perform(surroundings: core.kernel.Surroundings<Message>, command: Command): void {
+  const { send, self } = surroundings;
   switch (command.kind) {
     case 'watch-instances':
-      surroundings.send('platform', {
+      send('platform', {
         type: 'platform.watch-instances',
-        replyTo: surroundings.self,
+        pauseMs: command.pauseMs,
+        replyTo: self,
       });
       return;
     case 'publish':
-      READERS.forEach((name) =>
-        surroundings.send(name, { type: 'membership.changed', members: command.members }),
-      );
-      surroundings.send('configuration', { type: 'configuration.peers-changed' });
-      surroundings.record({
-        name: 'membershipChanged',
-        details: { members: command.members.map(({ name }) => name) },
-      });
+      publish(surroundings, command.members);
+      return;
+    case 'heartbeat':
+      send('peers', { type: 'peers.notify', to: command.to, note: command.heartbeat });
+      return;
+    case 'report-confirmed': {
+      const { from, generation, ageMs } = command;
+      send('configuration', { type: 'configuration.peer-confirmed', from, generation, ageMs });
+      return;
+    }
+    case 'schedule-tick':
+      surroundings.schedule('tick', core.membership.TICK_MS, { type: 'membership.tick' });
       return;
     default:
       core.results.never(command);
   }
 }
+
+function publish(
+  { send, record }: core.kernel.Surroundings<Message>,
+  members: readonly core.messages.Member[],
+): void {
+  READERS.forEach((name) => send(name, { type: 'membership.changed', members }));
+  send('configuration', { type: 'configuration.peers-changed', members });
+  const silent = members.filter(({ evidence }) => evidence === 'silent');
+  record({
+    name: 'membershipChanged',
+    details: { members: members.length, silent: silent.map(({ name }) => name) },
+  });
+}
--- a/packages/plugins/peers-trpc/src/peers-task.ts
+++ b/packages/plugins/peers-trpc/src/peers-task.ts
@@ -13,7 +13,11 @@
   | core.messages.PeersMessage
   | { type: 'peers.listening'; address: string }
   | { type: 'peers.received'; note: core.messages.PeerNote };
-type State = { members: readonly core.messages.Member[] };
+type State = {
+  members: readonly core.messages.Member[];
+  seeds: readonly string[];
+  ownAddress: string;
+};
 type Command =
   | { kind: 'listen' }
   | { kind: 'close' }
@@ -28,7 +32,7 @@
   create: (surroundings) => {
     const sockets: Sockets = { servers: new Set(), clients: new Map() };
     return {
-      initial: { members: [] },
+      initial: { members: [], seeds: surroundings.settings.seeds ?? [], ownAddress: '' },
       decide,
       perform: (command) => perform(surroundings, sockets, command),
       dump: ({ members }) => ({ members }),
@@ -43,11 +47,19 @@
     case 'task.start':
       return { state, commands: [{ kind: 'listen' }] };
     case 'peers.listening':
-      return { state, commands: [{ kind: 'note-listening', address: message.address }] };
+      return {
+        state: { ...state, ownAddress: message.address },
+        commands: [{ kind: 'note-listening', address: message.address }],
+      };
     case 'membership.changed':
-      return { state: { members: message.members }, commands: [] };
+      return { state: { ...state, members: message.members }, commands: [] };
     case 'peers.notify':
       return notify(state, message.to, message.note);
+    case 'peers.answer':
+      return {
+        state,
+        commands: [{ kind: 'notify', address: message.address, note: message.note }],
+      };
     case 'peers.received':
       return { state, commands: [{ kind: 'deliver', note: message.note }] };
     case 'task.stop':
@@ -59,14 +71,28 @@
   }
 }
 
-function notify(state: State, to: readonly string[] | 'all', note: core.messages.PeerNote): Step {
-  const chosen = state.members.filter(({ name }) => to === 'all' || to.includes(name));
+type Receivers = readonly string[] | 'all' | 'seeds';
+
+function notify(state: State, to: Receivers, note: core.messages.PeerNote): Step {
+  const named = state.members
+    .filter(({ name }) => to === 'all' || to.includes(name))
+    .map(({ peers }) => peers);
+  const addresses = to === 'seeds' ? state.seeds : named;
+  const signed = withOwnAddress(state, note);
   return {
     state,
-    commands: chosen.map(({ peers }) => ({ kind: 'notify', address: peers, note })),
+    commands: addresses.map((address) => ({ kind: 'notify', address, note: signed })),
   };
 }
 
+/** A request names where its answer goes. */
+function withOwnAddress(
+  { ownAddress }: State,
+  note: core.messages.PeerNote,
+): core.messages.PeerNote {
+  return note.kind === 'configuration-request' ? { ...note, address: ownAddress } : note;
+}
+
 function perform(surroundings: Surroundings, sockets: Sockets, command: Command): void {
   switch (command.kind) {
     case 'listen':
@@ -101,7 +127,10 @@
       dump: () => surroundings.dump(),
     }),
     createContext: ({ req }) => ({
-      isAuthenticated: holdsKey(req.headers.authorization ?? '', settings.deploymentKey),
+      isAuthenticated: holdsKey(req.headers.authorization ?? '', [
+        settings.deploymentKey,
+        ...(settings.otherDeploymentKey === undefined ? [] : [settings.otherDeploymentKey]),
+      ]),
     }),
   });
   server.listen(Number(port), host, () => {
@@ -111,10 +140,12 @@
   return server;
 }
 
-/** Compares in constant time. */
-function holdsKey(authorization: string, deploymentKey: string): boolean {
+/** Compares with every key in constant time. */
+function holdsKey(authorization: string, keys: readonly string[]): boolean {
   const digest = (text: string) => crypto.createHash('sha256').update(text).digest();
-  return crypto.timingSafeEqual(digest(authorization), digest(`Bearer ${deploymentKey}`));
+  const given = digest(authorization);
+  const matches = keys.filter((key) => crypto.timingSafeEqual(given, digest(`Bearer ${key}`)));
+  return matches.length > 0;
 }
 
 async function send(
@@ -140,8 +171,21 @@
         configuration: note.configuration,
       });
       return;
+    case 'configuration-changes':
+      surroundings.send('configuration', {
+        type: 'configuration.changes-relayed',
+        changes: note.changes,
+      });
+      return;
+    case 'configuration-request':
+      surroundings.send('configuration', {
+        type: 'configuration.requested',
+        address: note.address,
+        generation: note.generation,
+      });
+      return;
     case 'heartbeat':
-      surroundings.send('membership', { ...note, type: 'membership.heard' });
+      surroundings.send('membership', { type: 'membership.heard', heartbeat: note });
       return;
     case 'digest':
       surroundings.send(note.for, {
--- a/packages/plugins/peers-trpc/src/router.ts
+++ b/packages/plugins/peers-trpc/src/router.ts
@@ -8,11 +8,21 @@
 
 const note = zod.discriminatedUnion('kind', [
   zod.object({ kind: zod.literal('configuration'), configuration: zod.unknown() }),
+  zod.object({ kind: zod.literal('configuration-changes'), changes: zod.unknown() }),
+  zod.object({
+    kind: zod.literal('configuration-request'),
+    generation: zod.number(),
+    address: zod.string(),
+  }),
   zod.object({
     kind: zod.literal('heartbeat'),
     from: zod.string(),
     incarnation: zod.string(),
     sequence: zod.number(),
+    generation: zod.number(),
+    ageMs: zod.number().nonnegative().optional(),
+    silent: zod.array(zod.string()).readonly(),
+    cut: zod.array(zod.string()).readonly(),
   }),
   zod.object({
     kind: zod.literal('digest'),
