Draw two upstreams and prefer the better, so that instances do not herd

Cause: upstreams below their slots cost the same, and the first in the list won at every instance; above that, all instances followed the same lagging report to the same one. Ruled out: the report's lag alone (the same lag serves round-robin well). Change: upstreams that may take work are ordered by a draw of two, the less loaded first, from a generator in the routing task's state; a report is corrected by own work begun and ended since.

--- /dev/null
+++ b/packages/core/src/load/draws.ts
@@ -0,0 +1,14 @@
+/** The generator from which an instance draws its samples. */
+import * as generators from 'pure-rand/generator/xoroshiro128plus';
+
+const SEED_FACTOR = 31;
+const SEED_RANGE = 2 ** 31 - 1;
+
+/** Each instance draws differently, and the same in every run. */
+export function generatorOf(ownName: string) {
+  const seed = [...ownName].reduce(
+    (sum, letter) => (sum * SEED_FACTOR + letter.charCodeAt(0)) % SEED_RANGE,
+    1,
+  );
+  return generators.xoroshiro128plus(seed);
+}
--- a/packages/core/src/load/index.ts
+++ b/packages/core/src/load/index.ts
@@ -2,4 +2,5 @@
 export * as ramp from './ramp.js';
 export * from './relay.js';
 export * as rights from './rights.js';
+export * from './sample.js';
 export * from './view.js';
--- a/packages/core/src/load/view.ts
+++ b/packages/core/src/load/view.ts
@@ -2,10 +2,13 @@
  * What one instance knows of each upstream's load: its own work in flight, and lagging reports.
  * Updated in place by the routing task, which alone owns it.
  */
+import type * as randomness from 'pure-rand/types/JumpableRandomGenerator';
+
 import * as turns from '../cold-starts/turns.js';
 import type * as schema from '../configuration/schema.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/index.js';
+import * as draws from './draws.js';
 import * as ramp from './ramp.js';
 import * as rights from './rights.js';
 
@@ -38,11 +41,13 @@
   upstreams: Map<string, UpstreamLoad>;
   /** Instances that may be alive, the own one included. */
   contenders: readonly turns.Contender[];
+  /** Advanced in place by each draw. */
+  generator: randomness.JumpableRandomGenerator;
 };
 
 export function create(ownName: string): LoadView {
   const contenders = [{ name: ownName, dataCentre: '' }];
-  return { ownName, upstreams: new Map(), contenders };
+  return { ownName, upstreams: new Map(), contenders, generator: draws.generatorOf(ownName) };
 }
 
 const DEFAULT_SLOTS = 8;
--- a/packages/core/src/routing/eligible.ts
+++ b/packages/core/src/routing/eligible.ts
@@ -17,6 +17,7 @@
 /**
  * Upstreams of a service that may be given new work. An instance whose configuration was not
  * confirmed lately sends no work to other data centres: one of them may have been taken out.
+ * Among upstreams of equal cost, the earlier in the list is to be preferred.
  */
 export function upstreamsOf(
   views: Views,
@@ -28,7 +29,7 @@
       .filter(({ presence }) => presence === 'in')
       .map(({ name }) => name),
   );
-  return views.configuration.upstreams.filter(
+  const found = views.configuration.upstreams.filter(
     (upstream) =>
       upstream.services.includes(service) &&
       upstream.presence === 'in' &&
@@ -37,4 +38,5 @@
       !excluded.includes(upstream.name) &&
       load.canTake(views.load, upstream, views.now),
   );
+  return load.spread(views.load, found);
 }
--- /dev/null
+++ b/packages/core/test/load/sample.test.ts
@@ -0,0 +1,72 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('choice among upstreams of equal cost');
+
+const { load } = core;
+const UPSTREAMS = Array.from({ length: 13 }, (_, at) =>
+  fixtures.anUpstream({ name: `engine-${at + 1}` }),
+);
+
+/** A view in which upstream number n runs `running(n)` requests. */
+function aView(ownName: string, running: (at: number) => number): core.load.LoadView {
+  const view = load.create(ownName);
+  UPSTREAMS.forEach(({ name }, at) =>
+    load.applyReport(
+      view,
+      name,
+      {
+        kind: 'load',
+        running: running(at),
+        waiting: 0,
+        temperature: 'warm',
+        weightVersion: 'v1',
+      },
+      fixtures.anInstant(),
+    ),
+  );
+  return view;
+}
+
+function firstChoices(view: core.load.LoadView, count: number): readonly string[] {
+  return Array.from({ length: count }, () => load.spread(view, UPSTREAMS)[0]?.name ?? '');
+}
+
+suite('instances with the same reports do not all take the least loaded', () => {
+  const choices = Array.from({ length: 9 }, (_, at) =>
+    firstChoices(
+      aView(`instance-${at + 1}`, (n) => n),
+      1,
+    ),
+  ).flat();
+  const onLeast = choices.filter((name) => name === 'engine-1').length;
+  assert.ok(onLeast <= 4, `${onLeast} of 9 took the least loaded`);
+});
+
+suite('the most loaded is first only if it was drawn twice', () => {
+  const choices = firstChoices(
+    aView('instance-1', (n) => n),
+    1_300,
+  );
+  const onMost = choices.filter((name) => name === 'engine-13').length;
+  assert.ok(onMost < 30, `${onMost} of 1300 took the most loaded`);
+});
+
+suite('own work since the last report counts', () => {
+  const view = aView('instance-1', () => 1);
+  load.begin(view, 'engine-1', fixtures.anInstant());
+  assert.is(load.requestsAhead(view, fixtures.anUpstream({ name: 'engine-1' })), 2);
+});
+
+suite('every upstream is in the order once', () => {
+  const ordered = load.spread(
+    aView('instance-1', () => 0),
+    UPSTREAMS,
+  );
+  assert.is(new Set(ordered).size, UPSTREAMS.length);
+  assert.is(ordered.length, UPSTREAMS.length);
+});
+
+suite.run();
