Admit requests by shares, free slots and deadlines

Cause: admission was one count of 2,000 requests: an instance sent whatever came, a large client account could take all of it, nothing waited its turn, and an instance that had just started refused prompts because no upstream had reported yet. Ruled out: limits from response times alone, since answers differ in length a hundredfold. Change: each service has places and a bounded queue. Places grow by the own part of the slots that routing sees free and shrink by a tenth while none is; client accounts get places by shares, and any may use what is free; a wait past 0.8 of the deadline is refused at once with the expected time; without any upstream requests wait 5 s at most. A full instance refuses the newest of the account that is furthest above its share.

--- a/benchmark/src/models/choice.ts
+++ b/benchmark/src/models/choice.ts
@@ -10,7 +10,11 @@
   replyTo: core.kernel.Address<core.messages.PlanMade>;
 };
 
-export type Choice = { plan(question: Question): void };
+export type Choice = {
+  plan(question: Question): void;
+  /** Whether prompts pass admission first. */
+  hasAdmission: boolean;
+};
 export type Policy = 'medlarweir' | 'least-loaded' | 'round-robin';
 export const POLICIES: readonly Policy[] = ['medlarweir', 'least-loaded', 'round-robin'];
 
@@ -19,11 +23,12 @@
   switch (policy) {
     case 'medlarweir':
       return {
+        hasAdmission: true,
         plan: ({ outline, replyTo, tellRouting }) =>
           tellRouting({ type: 'routing.plan-prompt', outline, replyTo }),
       };
     case 'least-loaded':
-      return { plan: planLeastLoaded };
+      return { plan: planLeastLoaded, hasAdmission: false };
     case 'round-robin':
       return roundRobin();
     default:
@@ -57,6 +62,7 @@
 function roundRobin(): Choice {
   const counter = { next: 0 };
   return {
+    hasAdmission: false,
     plan(question) {
       const all = eligible(question);
       counter.next += 1;
--- a/benchmark/src/models/world.ts
+++ b/benchmark/src/models/world.ts
@@ -118,7 +118,12 @@
       const next = () => {
         if (timeline.nowMs() >= toMs) return;
         const entry = entryList[Math.floor(random.share() * entryList.length)];
-        entry?.ask({ service: SERVICE, arrivedAtMs: timeline.nowMs(), hasToken: false });
+        entry?.ask({
+          service: SERVICE,
+          arrivedAtMs: timeline.nowMs(),
+          hasToken: false,
+          requestId: '',
+        });
         timeline.after(random.exponential(1_000 / perS), next);
       };
       timeline.at(fromMs, next);
@@ -131,6 +136,20 @@
   return { name, dataCentre, peers: '127.0.0.1:1', state: 'live', evidence: 'heard' };
 }
 
+function aService(): core.configuration.ModelService {
+  return {
+    kind: 'model',
+    name: SERVICE,
+    model: SERVICE,
+    adapter: '',
+    weightVersion: 'v1',
+    priority: 'normal',
+    weights: { firstToken: 1, recompute: 1 },
+    progressTimeoutMs: 5_000,
+    deadlineMs: 60_000,
+  };
+}
+
 function configurationOf(
   { engines: count, engine, dataCentres }: Options,
   centreOf: (at: number) => string,
@@ -139,7 +158,7 @@
     generation: 1,
     dataCentres: dataCentres.map((name) => ({ name, region: 'region-1', presence: 'in' })),
     clientAccounts: [],
-    services: [],
+    services: [aService()],
     upstreams: Array.from({ length: count }, (_, at) => ({
       name: `engine-${at + 1}`,
       kind: 'engine',
--- a/packages/core/src/admission/decide.ts
+++ b/packages/core/src/admission/decide.ts
@@ -1,43 +1,61 @@
-/** Admission: how much an instance holds at once. */
+/**
+ * Admission: which requests an instance takes, and when. Each service has places and a bounded
+ * queue; what cannot be served in time is refused at once, with the time after which to retry.
+ */
 import type * as schema from '../configuration/schema.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
+import * as limit from './limit.js';
+import * as queues from './queue.js';
 
 export type State = {
   configuration: schema.Configuration | undefined;
-  /** Ids of the requests that hold a place. Updated in place by the task that owns it. */
-  granted: Set<string>;
+  shares: ReadonlyMap<string, number>;
+  /** By service. Updated in place by the task that owns them. */
+  queues: Map<string, queues.Queue>;
+  /** Service by the id of each request that waits or holds a place. Updated in place. */
+  held: Map<string, string>;
 };
 
-export type Command = {
-  kind: 'reply';
-  replyTo: task.Address<messages.AdmissionAnswered>;
-  message: messages.AdmissionAnswered;
-};
+export type Command =
+  | {
+      kind: 'reply';
+      replyTo: task.Address<messages.AdmissionAnswered>;
+      message: messages.AdmissionAnswered;
+    }
+  | { kind: 'schedule-tick' };
 
 type Step = task.Step<State, Command>;
 
-/** What a caller is told to wait when the instance is full. */
-const RETRY_AFTER_MS = 1_000;
+/** How often deadlines are checked and rates are measured. */
+export const TICK_MS = 500;
+const SHORTEST_RETRY_MS = 1_000;
+const LONGEST_RETRY_MS = 30_000;
+/** Part of a deadline that may be spent in the queue; the rest is for the first token. */
+const QUEUE_SHARE = 0.8;
+/** How long requests wait while no upstream takes work: a restart of an instance or a short outage. */
+const CLOSED_WAIT_MS = 5_000;
 
 export function initial(): State {
-  return { configuration: undefined, granted: new Set() };
+  return { configuration: undefined, shares: new Map(), queues: new Map(), held: new Map() };
 }
 
-export function decide(state: State, message: messages.AdmissionMessage): Step {
+export function decide(state: State, message: messages.AdmissionMessage, now: task.Instant): Step {
   switch (message.type) {
     case 'configuration.adopted':
-      return { state: { ...state, configuration: message.configuration }, commands: [] };
+      return { state: onConfiguration(state, message.configuration), commands: [] };
     case 'admission.ask':
-      return onAsk(state, message);
+      return onAsk(state, message, now);
     case 'admission.release':
-      state.granted.delete(message.requestId);
-      return { state, commands: [] };
+      return onRelease(state, message.requestId, now);
     case 'admission.capacity':
+      return onCapacity(state, message, now);
+    case 'task.start':
+      return { state, commands: [{ kind: 'schedule-tick' }] };
     case 'admission.tick':
+      return onTick(state, now);
     case 'peers.digest-received':
-    case 'task.start':
     case 'task.leave':
     case 'task.stop':
       return { state, commands: [] };
@@ -46,21 +64,139 @@
   }
 }
 
+function onConfiguration(state: State, configuration: schema.Configuration): State {
+  const shares = configuration.clientAccounts.map(({ name, share }) => [name, share] as const);
+  return { ...state, configuration, shares: new Map(shares) };
+}
+
+function queueOf(state: State, service: string, now: task.Instant): queues.Queue {
+  const found = state.queues.get(service) ?? queues.create(now);
+  state.queues.set(service, found);
+  return found;
+}
+
 function onAsk(
   state: State,
   message: Extract<messages.AdmissionMessage, { type: 'admission.ask' }>,
+  now: task.Instant,
 ): Step {
-  const { requestId, replyTo } = message;
+  const { requestId, clientAccount, service, deadlineMs, replyTo } = message;
+  const queue = queueOf(state, service, now);
+  const shareOf = sharesOf(state);
+  const waiting: queues.Waiting = {
+    requestId,
+    clientAccount,
+    deadlineAtMs: now.monotonicMs + deadlineMs,
+    replyTo,
+  };
+  const expectedMs = queues.expectedWaitMs(queue, clientAccount, shareOf);
+  if (expectedMs !== undefined && expectedMs > deadlineMs * QUEUE_SHARE) {
+    const detail = `the wait would be ${Math.round(expectedMs)} ms of ${deadlineMs} ms`;
+    const failure = results.failure('deadlineUnreachable', detail);
+    return { state, commands: [refuse(waiting, failure, expectedMs)] };
+  }
+  queue.waiting.push(waiting);
+  state.held.set(requestId, service);
+  const refused = keepBound(state, queue, expectedMs);
+  const closed = refuseClosed(state, queue, now);
+  return { state, commands: [...refused, ...closed, ...grant(state, queue)] };
+}
+
+/** Waiting has no end in sight once no upstream has taken work for a while. */
+function refuseClosed(state: State, queue: queues.Queue, now: task.Instant): readonly Command[] {
+  const { closedSinceMs = now.monotonicMs } = queue;
+  if (now.monotonicMs - closedSinceMs < CLOSED_WAIT_MS) return [];
+  const failure = results.failure('noUpstream', 'no upstream of the service takes work now');
+  return queue.waiting.splice(0).map((waiting) => {
+    state.held.delete(waiting.requestId);
+    return refuse(waiting, failure, undefined);
+  });
+}
+
+/** An instance holds a bounded number of requests; the account furthest above its share yields. */
+function keepBound(
+  state: State,
+  queue: queues.Queue,
+  expectedMs: number | undefined,
+): readonly Command[] {
   const most = state.configuration?.limits.maxRequests ?? 0;
-  const isFull = state.granted.size >= most;
-  if (!isFull) state.granted.add(requestId);
-  const answer: messages.AdmissionAnswer = isFull
-    ? {
-        kind: 'refused',
-        failure: results.failure('overloaded', `the instance holds ${most} requests`),
-        retryAfterMs: RETRY_AFTER_MS,
-      }
-    : { kind: 'granted' };
-  const reply: messages.AdmissionAnswered = { type: 'admission.answered', requestId, answer };
-  return { state, commands: [{ kind: 'reply', replyTo, message: reply }] };
+  if (state.held.size <= most) return [];
+  const yielding = queues.overflow(queue, sharesOf(state));
+  if (!yielding) return [];
+  state.held.delete(yielding.requestId);
+  const failure = results.failure('overloaded', `the instance holds ${most} requests`);
+  return [refuse(yielding, failure, expectedMs)];
+}
+
+function onRelease(state: State, requestId: string, now: task.Instant): Step {
+  const service = state.held.get(requestId);
+  if (service === undefined) return { state, commands: [] };
+  state.held.delete(requestId);
+  const queue = queueOf(state, service, now);
+  queues.release(queue, requestId);
+  return { state, commands: grant(state, queue) };
+}
+
+function onCapacity(
+  state: State,
+  {
+    service,
+    freeSlots,
+    upstreams,
+  }: Extract<messages.AdmissionMessage, { type: 'admission.capacity' }>,
+  now: task.Instant,
+): Step {
+  const queue = queueOf(state, service, now);
+  if (upstreams > 0) queue.closedSinceMs = undefined;
+  else queue.closedSinceMs ??= now.monotonicMs;
+  queue.limit = limit.next(queue.limit, queue.granted.size, { freeSlots, upstreams });
+  return { state, commands: grant(state, queue) };
+}
+
+function onTick(state: State, now: task.Instant): Step {
+  const commands = [...state.queues.values()].flatMap((queue) => {
+    queues.measure(queue, TICK_MS);
+    const expired = queues.takeExpired(queue, now.monotonicMs).map((waiting) => {
+      state.held.delete(waiting.requestId);
+      const failure = results.failure('deadlineUnreachable', 'waited until the deadline');
+      return refuse(waiting, failure, undefined);
+    });
+    return [...expired, ...refuseClosed(state, queue, now)];
+  });
+  return { state, commands: [...commands, { kind: 'schedule-tick' }] };
+}
+
+function grant(state: State, queue: queues.Queue): readonly Command[] {
+  const commands: Command[] = [];
+  const shareOf = sharesOf(state);
+  for (
+    let next = queues.takeNext(queue, shareOf);
+    next !== undefined;
+    next = queues.takeNext(queue, shareOf)
+  ) {
+    commands.push(reply(next, { kind: 'granted' }));
+  }
+  return commands;
+}
+
+/** Refuses for as long as the queue is expected to stay too long. */
+function refuse(
+  waiting: queues.Waiting,
+  failure: results.Failure,
+  expectedMs: number | undefined,
+): Command {
+  const waitMs = expectedMs ?? SHORTEST_RETRY_MS;
+  const retryAfterMs = Math.min(LONGEST_RETRY_MS, Math.max(SHORTEST_RETRY_MS, waitMs));
+  return reply(waiting, { kind: 'refused', failure, retryAfterMs });
+}
+
+function reply(waiting: queues.Waiting, answer: messages.AdmissionAnswer): Command {
+  const { requestId, replyTo } = waiting;
+  return { kind: 'reply', replyTo, message: { type: 'admission.answered', requestId, answer } };
+}
+
+const DEFAULT_SHARE = 1;
+
+function sharesOf({ shares }: State): queues.ShareOf {
+  return (clientAccount) => shares.get(clientAccount) ?? DEFAULT_SHARE;
 }
--- a/packages/core/src/load/rights.ts
+++ b/packages/core/src/load/rights.ts
@@ -78,7 +78,17 @@
   upstream: schema.Upstream,
   now: task.Instant,
 ): boolean {
-  const { right, atMost } = strangers;
-  if (right.kind === 'none' || atMost === undefined) return false;
-  return now.monotonicMs < right.untilMs && inFlight + atMost < upstream.coldSlots;
+  const { right } = strangers;
+  const isHeld = right.kind === 'held' && now.monotonicMs < right.untilMs;
+  return isHeld && unused(strangers, inFlight, upstream) > 0;
+}
+
+/** Slots of a cold upstream that the holder of the right may still use. */
+export function unused(
+  { right, atMost }: Strangers,
+  inFlight: number,
+  upstream: schema.Upstream,
+): number {
+  if (right.kind === 'none' || atMost === undefined) return 0;
+  return Math.max(0, upstream.coldSlots - inFlight - atMost);
 }
--- a/packages/core/src/load/view.ts
+++ b/packages/core/src/load/view.ts
@@ -195,3 +195,14 @@
   const reported = load.reportedRunning + load.reportedWaiting;
   return Math.max(load.inFlight, reported + load.netSinceReport);
 }
+
+/** The own part of the slots that are free: instances that see the same reports divide them. */
+export function freeSlots(view: LoadView, upstream: schema.Upstream): number {
+  const free = Math.max(0, upstream.slots - requestsAhead(view, upstream));
+  if (upstream.kind === 'plain') return free;
+  const load = read(view, upstream.name);
+  if (isCold(load)) return rights.unused(load.strangers, load.inFlight, upstream);
+  const part = free / view.contenders.length;
+  if (load.ramp.kind === 'full') return part;
+  return Math.max(0, ownRampPart(view, upstream.name, load.ramp.total) - load.inFlight);
+}
--- a/packages/core/src/messages/admission.ts
+++ b/packages/core/src/messages/admission.ts
@@ -30,6 +30,6 @@
     }
   /** Gives a granted place back, or withdraws a waiting one. */
   | { type: 'admission.release'; requestId: string }
-  /** Requests that the upstreams of a service can run at once, as routing sees it. */
-  | { type: 'admission.capacity'; service: string; slots: number }
+  /** The own part of a service's free slots, and its upstreams that take work, as routing sees it. */
+  | { type: 'admission.capacity'; service: string; freeSlots: number; upstreams: number }
   | { type: 'admission.tick' };
--- a/packages/core/src/routing/decide.ts
+++ b/packages/core/src/routing/decide.ts
@@ -5,6 +5,7 @@
 import * as load from '../load/index.js';
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
+import * as capacity from './capacity.js';
 import type * as eligible from './eligible.js';
 import * as placement from './placement.js';
 
@@ -34,6 +35,7 @@
   | { kind: 'resynchronize-store'; store: string }
   | { kind: 'note-exported'; pieces: number }
   | { kind: 'broadcast'; digest: Digest }
+  | { kind: 'tell-capacity'; services: readonly capacity.ServiceCapacity[] }
   | { kind: 'want-cold-rights'; upstreams: readonly string[] }
   | { kind: 'schedule-tick' };
 
@@ -104,8 +106,10 @@
 }
 
 function onTick(state: State, now: task.Instant): Step {
+  const views = viewsOf(state, now);
   const commands: Command[] = [
     { kind: 'schedule-tick' },
+    { kind: 'tell-capacity', services: views ? capacity.ofServices(views) : [] },
     { kind: 'want-cold-rights', upstreams: load.coldUpstreams(state.load) },
   ];
   const loadDigest = load.digest(state.load, now);
--- a/packages/core/src/routing/eligible.ts
+++ b/packages/core/src/routing/eligible.ts
@@ -17,9 +17,8 @@
 /**
  * Upstreams of a service that may be given new work. An instance whose configuration was not
  * confirmed lately sends no work to other data centres: one of them may have been taken out.
- * Among upstreams of equal cost, the earlier in the list is to be preferred.
  */
-export function upstreamsOf(
+export function available(
   views: Views,
   service: string,
   excluded: readonly string[],
@@ -29,7 +28,7 @@
       .filter(({ presence }) => presence === 'in')
       .map(({ name }) => name),
   );
-  const found = views.configuration.upstreams.filter(
+  return views.configuration.upstreams.filter(
     (upstream) =>
       upstream.services.includes(service) &&
       upstream.presence === 'in' &&
@@ -38,5 +37,13 @@
       !excluded.includes(upstream.name) &&
       load.canTake(views.load, upstream, views.now),
   );
-  return load.spread(views.load, found);
+}
+
+/** The same for one request, in the order in which upstreams of equal cost are to be preferred. */
+export function upstreamsOf(
+  views: Views,
+  service: string,
+  excluded: readonly string[],
+): readonly schema.Upstream[] {
+  return load.spread(views.load, available(views, service, excluded));
 }
--- /dev/null
+++ b/packages/core/test/admission/admission.test.ts
@@ -0,0 +1,148 @@
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('admission');
+
+/** Asks for many requests of one account, named after it. */
+function askMany(admission: fixtures.Admission, clientAccount: string, count: number): void {
+  Array.from({ length: count }, (_, at) =>
+    admission.ask(`${clientAccount}-${at + 1}`, { clientAccount }),
+  );
+}
+
+/** Ends `rounds` requests one after another, the oldest first. */
+function serve(admission: fixtures.Admission, rounds: number): void {
+  Array.from({ length: rounds }, () => admission.release(admission.granted()[0] ?? ''));
+}
+
+function countOf(admission: fixtures.Admission, clientAccount: string): number {
+  return admission.granted().filter((id) => id.startsWith(`${clientAccount}-`)).length;
+}
+
+suite('a request waits until routing has told of upstreams', () => {
+  const admission = fixtures.anAdmission();
+  admission.ask('r-1');
+  assert.equal(admission.granted(), []);
+  admission.capacity(2);
+  assert.equal(admission.granted(), ['r-1']);
+});
+
+suite('one account may use all that is free', () => {
+  const admission = fixtures.anAdmission({ large: 4, small: 1 });
+  admission.capacity(10);
+  askMany(admission, 'small', 10);
+  assert.is(countOf(admission, 'small'), 10);
+});
+
+suite('when nothing is free, accounts come to their shares', () => {
+  const admission = fixtures.anAdmission({ large: 4, small: 1 });
+  admission.capacity(10);
+  askMany(admission, 'small', 60);
+  askMany(admission, 'large', 60);
+  serve(admission, 30);
+  assert.is(countOf(admission, 'large'), 8);
+  assert.is(countOf(admission, 'small'), 2);
+});
+
+suite('places shrink while no slot is free, and never below one', () => {
+  const admission = fixtures.anAdmission();
+  admission.capacity(10);
+  Array.from({ length: 100 }, () => admission.capacity(0));
+  askMany(admission, 'alpha', 5);
+  assert.is(admission.granted().length, 1);
+});
+
+suite('what cannot be served before its deadline is refused at once, with the time to wait', () => {
+  const admission = fixtures.anAdmission();
+  admission.capacity(2);
+  askMany(admission, 'alpha', 12);
+  serve(admission, 2);
+  admission.wait(1_000);
+  admission.ask('late', { deadlineMs: 1_000 });
+  const refusal = admission.refusals.get('late');
+  assert.is(refusal?.failure.code, 'deadlineUnreachable');
+  assert.ok((refusal?.retryAfterMs ?? 0) >= 1_000);
+});
+
+suite('what has waited until its deadline is refused', () => {
+  const admission = fixtures.anAdmission();
+  admission.capacity(1);
+  admission.ask('first');
+  admission.ask('second', { deadlineMs: 2_000 });
+  admission.wait(2_500);
+  assert.is(admission.refusals.get('second')?.failure.code, 'deadlineUnreachable');
+});
+
+suite('a full instance refuses the newest of the account that is furthest above its share', () => {
+  const admission = fixtures.anAdmission({ large: 4, small: 1 }, 10);
+  admission.capacity(2);
+  askMany(admission, 'small', 10);
+  admission.ask('large-1', { clientAccount: 'large' });
+  assert.equal([...admission.refusals.keys()], ['small-10']);
+  assert.is(admission.refusals.get('small-10')?.failure.code, 'overloaded');
+});
+
+suite('without any upstream, requests wait a short while and are then refused', () => {
+  const admission = fixtures.anAdmission();
+  admission.capacity(1);
+  admission.capacity(0, 0);
+  admission.ask('r-1');
+  admission.wait(4_500);
+  assert.is(admission.refusals.size, 0);
+  admission.wait(1_000);
+  assert.is(admission.refusals.get('r-1')?.failure.code, 'noUpstream');
+  admission.ask('r-2');
+  assert.is(admission.refusals.get('r-2')?.failure.code, 'noUpstream');
+});
+
+suite('a request that is withdrawn while it waits takes no place', () => {
+  const admission = fixtures.anAdmission();
+  admission.capacity(1);
+  ['first', 'second', 'third'].forEach((id) => admission.ask(id));
+  admission.release('second');
+  admission.release('first');
+  assert.equal(admission.granted(), ['third']);
+});
+
+type Action =
+  | { kind: 'ask'; account: string }
+  | { kind: 'release'; at: number }
+  | { kind: 'capacity'; freeSlots: number }
+  | { kind: 'wait' };
+
+suite('a request with a place is never refused, and places never exceed what was told', () => {
+  const action: fastCheck.Arbitrary<Action> = fastCheck.oneof(
+    fastCheck.record({
+      kind: fastCheck.constant('ask' as const),
+      account: fastCheck.constantFrom('large', 'small'),
+    }),
+    fastCheck.record({ kind: fastCheck.constant('release' as const), at: fastCheck.nat(20) }),
+    fastCheck.record({
+      kind: fastCheck.constant('capacity' as const),
+      freeSlots: fastCheck.integer({ min: 0, max: 4 }),
+    }),
+    fastCheck.record({ kind: fastCheck.constant('wait' as const) }),
+  );
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(action, { maxLength: 60 }), (actions) => {
+      const admission = fixtures.anAdmission({ large: 4, small: 1 }, 12);
+      const told = { most: 1 };
+      actions.forEach((each, at) => {
+        if (each.kind === 'ask') admission.ask(`r-${at}`, { clientAccount: each.account });
+        if (each.kind === 'release') admission.release(admission.granted()[each.at] ?? '');
+        if (each.kind === 'wait') admission.wait(500);
+        if (each.kind === 'capacity') {
+          told.most = Math.max(told.most, admission.granted().length + each.freeSlots);
+          admission.capacity(each.freeSlots);
+        }
+        assert.ok(admission.granted().length <= told.most);
+        admission.granted().forEach((id) => assert.is(admission.refusals.has(id), false));
+      });
+    }),
+    fixtures.seeded(),
+  );
+});
+
+suite.run();
--- a/packages/plugins/admission/src/admission-task.ts
+++ b/packages/plugins/admission/src/admission-task.ts
@@ -7,10 +7,32 @@
 
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
   name: 'admission',
-  create: () => ({
+  create: (surroundings) => ({
     initial: core.admission.initial(),
     decide: core.admission.decide,
-    perform: (command) => command.replyTo.send(command.message),
-    dump: ({ granted }) => ({ granted: granted.size }),
+    perform: (command) => perform(surroundings, command),
+    dump,
   }),
 };
+
+function perform(surroundings: core.kernel.Surroundings<Message>, command: Command): void {
+  switch (command.kind) {
+    case 'reply':
+      command.replyTo.send(command.message);
+      return;
+    case 'schedule-tick':
+      surroundings.schedule('tick', core.admission.TICK_MS, { type: 'admission.tick' });
+      return;
+    default:
+      core.results.never(command);
+  }
+}
+
+function dump(state: State): unknown {
+  return Object.fromEntries(
+    [...state.queues].map(([service, { limit, granted, waiting, releasesPerS }]) => [
+      service,
+      { limit, granted: granted.size, waiting: waiting.length, releasesPerS },
+    ]),
+  );
+}
--- a/packages/plugins/routing/src/routing-task.ts
+++ b/packages/plugins/routing/src/routing-task.ts
@@ -62,6 +62,11 @@
         },
       });
       return;
+    case 'tell-capacity':
+      command.services.forEach((each) =>
+        surroundings.send('admission', { type: 'admission.capacity', ...each }),
+      );
+      return;
     case 'want-cold-rights':
       surroundings.send('coldStarts', {
         type: 'cold-starts.wanted',
