Keep credentials and presence when a team answers again

Cause: the generator built every named entry from the answers alone. Answering again without a credential made a new one and cut the account's callers off; naming a data centre, upstream or store that operators had taken out put it back in service, since presence fell back to its default. The configuration check was ruled out: both results are valid configurations.

Change: an account that is configured keeps its digest unless a credential is given; presence of what is configured is kept; replaced entries keep their place.

--- a/packages/medlarctl/src/questionnaire/generate.ts
+++ b/packages/medlarctl/src/questionnaire/generate.ts
@@ -6,62 +6,68 @@
 
 import type * as answers from './answers.js';
 
+type Configuration = core.configuration.Configuration;
+
 export type Generated = {
-  configuration: core.configuration.Configuration;
+  configuration: Configuration;
   /** Credentials made here, by account: shown once and kept nowhere. */
   newCredentials: Readonly<Record<string, string>>;
 };
 
-const SECRET_BYTES = 32;
-
-function secret(): string {
-  return crypto.randomBytes(SECRET_BYTES).toString('hex');
-}
-
 export function generate(
   given: answers.Answers,
-  current: core.configuration.Configuration | undefined,
+  current: Configuration | undefined,
 ): neverthrow.Result<Generated, core.results.Failure> {
-  const credentials = given.clientAccounts.map((account) => ({
-    account,
-    credential: account.credential ?? secret(),
-  }));
-  const added = {
-    dataCentres: given.dataCentres.map((each) => ({ name: each, region: given.region })),
-    clientAccounts: credentials.map(({ account, credential }) => ({
-      name: account.name,
-      credentialDigest: core.accounts.digestCredential(credential),
-      contextSecret: existingSecret(current, account.name) ?? secret(),
-      share: account.share,
-    })),
-    services: given.services.map(toService),
-    upstreams: given.upstreams,
-    stores: given.stores,
-  };
+  const accounts = given.clientAccounts.map((account) => toAccount(account, current));
+  const dataCentres = given.dataCentres.map((name) => ({ name, region: given.region }));
   const merged = {
     generation: (current?.generation ?? 0) + 1,
-    dataCentres: merge(current?.dataCentres, added.dataCentres),
-    clientAccounts: merge(current?.clientAccounts, added.clientAccounts),
-    services: merge(current?.services, added.services),
-    upstreams: merge(current?.upstreams, added.upstreams),
-    stores: merge(current?.stores, added.stores),
+    dataCentres: merge(current?.dataCentres, keepPresence(current?.dataCentres, dataCentres)),
+    clientAccounts: merge(
+      current?.clientAccounts,
+      accounts.map(({ configured }) => configured),
+    ),
+    services: merge(current?.services, given.services.map(toService)),
+    upstreams: merge(current?.upstreams, keepPresence(current?.upstreams, given.upstreams)),
+    stores: merge(current?.stores, keepPresence(current?.stores, given.stores)),
     limits: { ...current?.limits, ...given.limits },
   };
-  const fresh = credentials.filter(({ account }) => account.credential === undefined);
   const newCredentials = Object.fromEntries(
-    fresh.map(({ account, credential }) => [account.name, credential]),
+    accounts.flatMap(({ configured, fresh }) =>
+      fresh === undefined ? [] : [[configured.name, fresh] as const],
+    ),
   );
   return core.configuration
     .check(JSON.parse(JSON.stringify(merged)))
     .map((configuration) => ({ configuration, newCredentials }));
 }
 
-/** An account that is there already keeps its secret, or its kept context would be lost. */
-function existingSecret(
-  current: core.configuration.Configuration | undefined,
-  account: string,
-): string | undefined {
-  return current?.clientAccounts.find(({ name }) => name === account)?.contextSecret;
+/** `fresh` is a credential that was made here, because none was given and none is configured. */
+type Account = { configured: core.configuration.ClientAccount; fresh: string | undefined };
+
+/**
+ * An account that is configured already keeps its context secret, or its kept context would be
+ * lost, and its credential unless another one is given.
+ */
+function toAccount(
+  { name, credential, share }: answers.Answers['clientAccounts'][number],
+  current: Configuration | undefined,
+): Account {
+  const existing = current?.clientAccounts.find((each) => each.name === name);
+  const contextSecret = existing?.contextSecret ?? secret();
+  if (existing && credential === undefined) {
+    return { configured: { ...existing, share }, fresh: undefined };
+  }
+  const chosen = credential ?? secret();
+  const credentialDigest = core.accounts.digestCredential(chosen);
+  const fresh = credential === undefined ? chosen : undefined;
+  return { configured: { name, credentialDigest, contextSecret, share }, fresh };
+}
+
+const SECRET_BYTES = 32;
+
+function secret(): string {
+  return crypto.randomBytes(SECRET_BYTES).toString('hex');
 }
 
 type Weights = core.configuration.ModelService['weights'];
@@ -86,11 +92,24 @@
   }
 }
 
-/** Later entries replace earlier ones of the same name. */
-function merge(
-  current: readonly { name: string }[] | undefined,
-  added: readonly { name: string }[],
-): readonly { name: string }[] {
-  const names = new Set(added.map(({ name }) => name));
-  return [...(current ?? []).filter(({ name }) => !names.has(name)), ...added];
+type Named = { name: string };
+type Placed = Named & { presence: core.configuration.Presence };
+
+/** What operators have taken out of service stays out until they take it back. */
+function keepPresence(
+  current: readonly Placed[] | undefined,
+  added: readonly Named[],
+): readonly Named[] {
+  return added.map((each) => {
+    const existing = current?.find(({ name }) => name === each.name);
+    return existing ? { ...each, presence: existing.presence } : each;
+  });
+}
+
+/** Later entries replace earlier ones of the same name, in their place. */
+function merge(current: readonly Named[] | undefined, added: readonly Named[]): readonly Named[] {
+  const replacements = new Map(added.map((each) => [each.name, each]));
+  const kept = (current ?? []).map((each) => replacements.get(each.name) ?? each);
+  const known = new Set(kept.map(({ name }) => name));
+  return [...kept, ...added.filter(({ name }) => !known.has(name))];
 }
