Ask a new team's questions at the terminal and ask before changes

Cause: the questionnaire read a file only and put it in force unasked; apply did the same; get printed credential digests and context secrets; there was no dump command. Asking inside the command was ruled out, since a test could then not drive the questions without a terminal.

Change: questions are data, checked with the schema fields of the answers; the flow is a decision (state, line) => state and commands; the command's shell carries it out. A difference by names, which never holds a secret's value, is shown before questionnaire and apply ask. get prints tables and redacts. dump asks one instance over tRPC. Codes 6141-6144. A closed terminal now counts as nobody there; before, the promise never resolved.

--- a/examples/src/processes.ts
+++ b/examples/src/processes.ts
@@ -3,6 +3,7 @@
 import * as events from 'node:events';
 import * as path from 'node:path';
 import * as readline from 'node:readline';
+import type * as stream from 'node:stream';
 import * as url from 'node:url';
 
 const ROOT = url.fileURLToPath(new URL('../..', import.meta.url));
@@ -77,17 +78,35 @@
   });
 }
 
-/** Runs a command to its end and returns what it printed. */
+/** Runs a command to its end and returns what it printed; throws if it failed. */
 export async function runToEnd(script: string, args: readonly string[]): Promise<string> {
+  const { code, stdout, stderr } = await run(script, args);
+  if (code === 0) return stdout;
+  throw new Error(`${path.basename(script)} ${args.join(' ')} exited with ${code}: ${stderr}`);
+}
+
+/** How a command ended, and all that it printed. */
+export type Run = { code: number | string; stdout: string; stderr: string };
+
+/** Runs a command to its end, without a terminal. */
+export async function run(
+  script: string,
+  args: readonly string[],
+  environment: Readonly<Record<string, string>> = {},
+): Promise<Run> {
   const child = childProcess.spawn(process.execPath, [script, ...args], {
-    stdio: ['ignore', 'pipe', 'inherit'],
-    env: { PATH: process.env.PATH },
+    stdio: ['ignore', 'pipe', 'pipe'],
+    env: { PATH: process.env.PATH, ...environment },
   });
-  const chunks: Buffer[] = [];
-  child.stdout.on('data', (chunk: Buffer) => chunks.push(chunk));
-  const code = await new Promise<number | null>((resolve) => {
-    child.on('close', resolve);
+  const [stdout, stderr] = [collect(child.stdout), collect(child.stderr)];
+  const code = await new Promise<number | string>((resolve) => {
+    child.on('close', (exitCode, signal) => resolve(exitCode ?? signal ?? 'unknown'));
   });
-  if (code !== 0) throw new Error(`${path.basename(script)} ${args.join(' ')} exited with ${code}`);
-  return Buffer.concat(chunks).toString('utf8');
+  return { code, stdout: stdout(), stderr: stderr() };
+}
+
+function collect(given: stream.Readable): () => string {
+  const chunks: Buffer[] = [];
+  given.on('data', (chunk: Buffer) => chunks.push(chunk));
+  return () => Buffer.concat(chunks).toString('utf8');
 }
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -189,6 +189,35 @@
   hint: 'See `medlarctl --help`.',
 };
 
+/** The operator did not agree to a change, or could not be asked. */
+const declined: Code = {
+  number: 6141,
+  status: 409,
+  title: 'declined',
+  hint: 'Nothing was changed. Answer yes, or agree beforehand with `--yes`.',
+};
+/** A command of the operator's tool lacks a word or a flag. */
+const wrongUse: Code = {
+  number: 6142,
+  status: 400,
+  title: 'wrong use',
+  hint: 'See `medlarctl --help`.',
+};
+/** The platform's list has no instance of this name. */
+const unknownInstance: Code = {
+  number: 6143,
+  status: 404,
+  title: 'unknown instance',
+  hint: 'The platform’s list lags; look at `medlarctl status`.',
+};
+/** An instance does not answer, or refuses the deployment's key. */
+const instanceUnreachable: Code = {
+  number: 6144,
+  status: 502,
+  title: 'instance does not answer',
+  hint: 'Look at the instance’s journal, and at the deployment key.',
+};
+
 export const table = {
   unauthorized,
   unknownService,
@@ -215,6 +244,10 @@
   invalidInput,
   notConfigured,
   unknownCommand,
+  declined,
+  wrongUse,
+  unknownInstance,
+  instanceUnreachable,
 } as const satisfies Record<string, Code>;
 
 export type CodeName = keyof typeof table;
--- a/packages/medlarctl/src/command-line.ts
+++ b/packages/medlarctl/src/command-line.ts
@@ -4,10 +4,12 @@
 import * as core from '@medlarweir/core';
 import * as neverthrow from 'neverthrow';
 
+import * as exitCodes from './exit-codes.js';
 import * as registry from './registry.js';
 
 export type Wish =
   | { kind: 'help' }
+  | { kind: 'version' }
   | {
       kind: 'run';
       command: registry.OperatorCommand;
@@ -24,6 +26,7 @@
   json: { type: 'boolean' },
   yes: { type: 'boolean', short: 'y' },
   help: { type: 'boolean', short: 'h' },
+  version: { type: 'boolean', short: 'v' },
 };
 
 type Parsed = { values: registry.Flags; positionals: readonly string[] };
@@ -39,7 +42,7 @@
     });
     return { values: values as registry.Flags, positionals };
   },
-  (error) => core.results.failure('invalidInput', (error as Error).message),
+  (error) => core.results.failure('wrongUse', (error as Error).message),
 );
 
 type Environment = Readonly<Record<string, string | undefined>>;
@@ -56,13 +59,14 @@
   environment: Environment,
 ): neverthrow.Result<Wish, core.results.Failure> {
   const [name, ...words] = positionals;
+  if (values.version === true) return neverthrow.ok({ kind: 'version' });
   if (values.help === true || name === undefined) return neverthrow.ok({ kind: 'help' });
   const command = registry.find(name);
   if (!command) return neverthrow.err(core.results.failure('unknownCommand', name));
   const platform = values.platform ?? environment.MEDLARWEIR_PLATFORM;
   if (typeof platform !== 'string') {
     const detail = '--platform (MEDLARWEIR_PLATFORM): expected HOST:PORT; found nothing';
-    return neverthrow.err(core.results.failure('invalidInput', detail));
+    return neverthrow.err(core.results.failure('wrongUse', detail));
   }
   const key = values['deployment-key'] ?? environment.MEDLARWEIR_DEPLOYMENT_KEY;
   return neverthrow.ok({
@@ -91,7 +95,9 @@
     '  --deployment-key KEY      needed to ask instances (MEDLARWEIR_DEPLOYMENT_KEY)',
     '  --json                    prints one JSON object',
     '  --yes, -y                 does not ask before a change',
+    '  --help, -h; --version, -v',
     '',
-    'Exit codes: 0 done; 1 failed or declined; 2 wrong use.',
+    'Exit codes:',
+    ...exitCodes.ALL.map(({ code, meaning }) => `  ${code}  ${meaning}`),
   ].join('\n');
 }
--- a/packages/medlarctl/src/commands/apply.ts
+++ b/packages/medlarctl/src/commands/apply.ts
@@ -3,6 +3,7 @@
 import * as neverthrow from 'neverthrow';
 
 import * as change from '../change.js';
+import * as confirm from '../confirm.js';
 import * as files from '../files.js';
 import * as registry from '../registry.js';
 
@@ -13,18 +14,28 @@
   run: applyFile,
 });
 
-async function applyFile({ platform, words }: registry.Input): registry.Outcome {
+async function applyFile(input: registry.Input): registry.Outcome {
+  const { platform, words } = input;
   const [file] = words;
   if (file === undefined) {
     const detail = 'apply: expected FILE; found nothing';
-    return neverthrow.err(core.results.failure('invalidInput', detail));
+    return neverthrow.err(core.results.failure('wrongUse', detail));
   }
   const found = await files.readJson(file);
   if (found.isErr()) return neverthrow.err(found.error);
   const base = await change.readInForce(platform);
   if (base.isErr()) return neverthrow.err(base.error);
-  const generation = (base.value.configuration?.generation ?? 0) + 1;
-  const checked = core.configuration.check({ ...(found.value as object), generation });
+  const { configuration: current } = base.value;
+  const generation = (current?.generation ?? 0) + 1;
+  const checked = core.configuration.check(withGeneration(found.value, generation));
   if (checked.isErr()) return neverthrow.err(checked.error);
+  const confirmed = await confirm.confirm(input, current, checked.value);
+  if (confirmed.isErr()) return neverthrow.err(confirmed.error);
   return change.accept(platform, base.value, checked.value);
 }
+
+/** What is no object stays as it is, so that the check can say what was found. */
+function withGeneration(found: unknown, generation: number): unknown {
+  const isObject = typeof found === 'object' && found !== null && !Array.isArray(found);
+  return isObject ? { ...found, generation } : found;
+}
--- a/packages/medlarctl/src/commands/data-centre.ts
+++ b/packages/medlarctl/src/commands/data-centre.ts
@@ -29,5 +29,5 @@
 }
 
 function fail(detail: string) {
-  return neverthrow.err(core.results.failure('invalidInput', `data-centre: ${detail}`));
+  return neverthrow.err(core.results.failure('wrongUse', `data-centre: ${detail}`));
 }
--- a/packages/medlarctl/src/commands/index.ts
+++ b/packages/medlarctl/src/commands/index.ts
@@ -3,3 +3,4 @@
 import './apply.js';
 import './get.js';
 import './data-centre.js';
+import './dump.js';
--- a/packages/medlarctl/src/commands/questionnaire.ts
+++ b/packages/medlarctl/src/commands/questionnaire.ts
@@ -3,8 +3,10 @@
 import * as neverthrow from 'neverthrow';
 
 import * as change from '../change.js';
+import * as confirm from '../confirm.js';
 import * as files from '../files.js';
 import * as answers from '../questionnaire/answers.js';
+import * as flow from '../questionnaire/flow.js';
 import * as generate from '../questionnaire/generate.js';
 import * as registry from '../registry.js';
 
@@ -16,20 +18,82 @@
   run: questionnaire,
 });
 
-async function questionnaire({ platform, flags }: registry.Input): registry.Outcome {
-  if (typeof flags.answers !== 'string') {
-    return neverthrow.err(core.results.failure('invalidInput', '--answers: expected FILE'));
-  }
-  const given = (await files.readJson(flags.answers)).andThen(answers.parse);
-  if (given.isErr()) return neverthrow.err(given.error);
+type Given = neverthrow.Result<answers.Answers, core.results.Failure>;
+
+async function questionnaire(input: registry.Input): registry.Outcome {
+  const { platform, flags } = input;
   const base = await change.readInForce(platform);
   if (base.isErr()) return neverthrow.err(base.error);
-  const generated = generate.generate(given.value, base.value.configuration);
+  const { configuration: current } = base.value;
+  const given = await (typeof flags.answers === 'string'
+    ? fromFile(flags.answers)
+    : fromTerminal(input, flow.initial(current)));
+  const generated = given.andThen((found) => generate.generate(found, current));
   if (generated.isErr()) return neverthrow.err(generated.error);
   const { configuration, newCredentials } = generated.value;
+  const confirmed = await confirm.confirm(input, current, configuration);
+  if (confirmed.isErr()) return neverthrow.err(confirmed.error);
   const applied = await change.apply(platform, base.value, configuration);
   return applied.map((generation) => ({
-    text: `generation ${generation} is accepted`,
+    text: describe(generation, newCredentials),
     data: { generation, newCredentials },
   }));
 }
+
+async function fromFile(file: string): Promise<Given> {
+  return (await files.readJson(file)).andThen(answers.parse);
+}
+
+/** Carries the flow's commands out at the terminal until every question is answered. */
+async function fromTerminal(input: registry.Input, initial: flow.State): Promise<Given> {
+  let step = flow.decide(initial, { kind: 'begin' });
+  for (;;) {
+    const { state, commands } = step;
+    const shown = await show(input, commands);
+    switch (shown.kind) {
+      case 'line':
+        step = flow.decide(state, shown);
+        break;
+      case 'answers':
+        return answers.parse(shown.answers);
+      case 'nobody': {
+        const detail = 'there is no terminal to ask at; nothing was changed (see --answers FILE)';
+        return neverthrow.err(core.results.failure('declined', detail));
+      }
+      default:
+        return core.results.never(shown);
+    }
+  }
+}
+
+type Shown =
+  { kind: 'line'; line: string } | { kind: 'answers'; answers: unknown } | { kind: 'nobody' };
+
+async function show(input: registry.Input, commands: readonly flow.Command[]): Promise<Shown> {
+  let shown: Shown = { kind: 'nobody' };
+  for (const command of commands) {
+    switch (command.kind) {
+      case 'explain':
+        input.say(core.results.describe(command.failure));
+        break;
+      case 'ask': {
+        const line = await input.ask(command.text);
+        shown = line === undefined ? { kind: 'nobody' } : { kind: 'line', line };
+        break;
+      }
+      case 'finish':
+        shown = { kind: 'answers', answers: command.answers };
+        break;
+      default:
+        core.results.never(command);
+    }
+  }
+  return shown;
+}
+
+function describe(generation: number, credentials: Readonly<Record<string, string>>): string {
+  const made = Object.entries(credentials).map(([name, credential]) => `  ${name}  ${credential}`);
+  const accepted = `generation ${generation} is accepted`;
+  if (made.length === 0) return accepted;
+  return [accepted, 'new credentials, shown only now:', ...made].join('\n');
+}
--- a/packages/medlarctl/src/main.ts
+++ b/packages/medlarctl/src/main.ts
@@ -8,14 +8,16 @@
 import * as platformHttp from '@medlarweir/plugin-platform-http';
 
 import * as commandLine from './command-line.js';
+import * as exitCodes from './exit-codes.js';
 
-const EXIT_FAILED = 1;
-const EXIT_WRONG_USE = 2;
+const VERSION = '0.1.0';
 
+/** Nothing if nobody is there to answer: no terminal, or one that was closed. */
 async function ask(question: string): Promise<string | undefined> {
   if (!process.stdin.isTTY) return undefined;
   const terminal = readline.createInterface({ input: process.stdin, output: process.stderr });
-  const answer = await new Promise<string>((resolve) => {
+  const answer = await new Promise<string | undefined>((resolve) => {
+    terminal.once('close', () => resolve(undefined));
     terminal.question(question, resolve);
   });
   terminal.close();
@@ -30,13 +32,13 @@
   await platform.close();
   outcome.match(
     ({ text, data }) => process.stdout.write(`${isJson ? JSON.stringify(data) : text}\n`),
-    (failure) => fail(failure, EXIT_FAILED),
+    fail,
   );
 }
 
-function fail(failure: core.results.Failure, exitCode: number): void {
+function fail(failure: core.results.Failure): void {
   process.stderr.write(`${core.results.describe(failure)}\n`);
-  process.exitCode = exitCode;
+  process.exitCode = exitCodes.of(failure);
 }
 
 async function obey(wish: commandLine.Wish): Promise<void> {
@@ -44,6 +46,9 @@
     case 'help':
       process.stdout.write(`${commandLine.helpText()}\n`);
       return;
+    case 'version':
+      process.stdout.write(`${VERSION}\n`);
+      return;
     case 'run':
       await run(wish);
       return;
@@ -53,5 +58,5 @@
 }
 
 const parsed = commandLine.parse(process.argv.slice(2), process.env);
-if (parsed.isErr()) fail(parsed.error, EXIT_WRONG_USE);
+if (parsed.isErr()) fail(parsed.error);
 else await obey(parsed.value);
--- a/packages/medlarctl/src/questionnaire/answers.ts
+++ b/packages/medlarctl/src/questionnaire/answers.ts
@@ -7,6 +7,8 @@
   .string()
   .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits, -');
 
+const address = zod.string().regex(/^[^\s:/]+:\d{1,5}$/, 'expected HOST:PORT');
+
 const clientAccount = zod.strictObject({
   name,
   /** Generated and shown once if it is left out. */
@@ -17,7 +19,7 @@
 const modelService = zod.strictObject({
   kind: zod.literal('model'),
   name,
-  model: zod.string().min(1),
+  model: name,
   adapter: zod.string().default(''),
   weightVersion: zod.string().min(1),
   priority: zod.enum(['short', 'normal', 'long']).default('normal'),
@@ -34,7 +36,7 @@
 const upstream = zod.strictObject({
   name,
   kind: zod.enum(['engine', 'plain']),
-  address: zod.string(),
+  address,
   dataCentre: name,
   services: zod.array(name).min(1),
   slots: zod.number().int().positive().optional(),
@@ -45,13 +47,16 @@
 
 const store = zod.strictObject({
   name,
-  address: zod.string(),
+  address,
   dataCentre: name,
   memoryBytes: zod.number().int().positive(),
   diskBytes: zod.number().int().nonnegative(),
   linkBytesPerS: zod.number().positive(),
 });
 
+/** The parts of the answers; the questions at the terminal are checked with their fields. */
+export const parts = { name, clientAccount, modelService, plainService, upstream, store };
+
 export const answersSchema = zod.strictObject({
   team: name,
   region: name,
@@ -70,11 +75,32 @@
 
 export type Answers = zod.infer<typeof answersSchema>;
 
+/** Names the path of each fault, what was expected and what was found; a credential is not shown. */
 export function parse(found: unknown): neverthrow.Result<Answers, core.results.Failure> {
   const checked = answersSchema.safeParse(found);
   if (checked.success) return neverthrow.ok(checked.data);
-  const lines = checked.error.issues.map(
-    (issue) => `${issue.path.map(String).join('.') || '(whole)'}: ${issue.message}`,
-  );
+  const lines = checked.error.issues.map((issue) => explain(issue, found));
   return neverthrow.err(core.results.failure('invalidInput', lines.join('\n')));
 }
+
+const MAX_SHOWN_CHARACTERS = 80;
+
+function explain(issue: zod.core.$ZodIssue, found: unknown): string {
+  const path = issue.path.map(String).join('.') || '(whole)';
+  const value = issue.path.reduce<unknown>(fieldOf, found);
+  const isPlain = typeof value !== 'object' && issue.path.at(-1) !== 'credential';
+  const shown = isPlain ? (JSON.stringify(value) ?? 'nothing') : describeKind(value);
+  return `${path}: ${issue.message}; found ${shown.slice(0, MAX_SHOWN_CHARACTERS)}`;
+}
+
+function fieldOf(value: unknown, key: PropertyKey): unknown {
+  if (typeof value !== 'object' || value === null) return undefined;
+  return Object.hasOwn(value, key) ? (value as Record<PropertyKey, unknown>)[key] : undefined;
+}
+
+/** What is said of a value that may hold a secret. */
+function describeKind(value: unknown): string {
+  if (value === undefined) return 'nothing';
+  if (Array.isArray(value)) return 'a list';
+  return typeof value === 'object' ? 'an object' : 'another text';
+}
--- /dev/null
+++ b/packages/medlarctl/src/redact.ts
@@ -0,0 +1,15 @@
+/** Leaves the secrets of a configuration out, for screens and logs. */
+import type * as core from '@medlarweir/core';
+
+export const REDACTED = '(secret)';
+
+export function redact(
+  configuration: core.configuration.Configuration,
+): core.configuration.Configuration {
+  const clientAccounts = configuration.clientAccounts.map((account) => ({
+    ...account,
+    credentialDigest: REDACTED,
+    contextSecret: REDACTED,
+  }));
+  return { ...configuration, clientAccounts };
+}
--- /dev/null
+++ b/packages/medlarctl/test/flow.test.ts
@@ -0,0 +1,156 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
+import * as medlarctl from 'medlarctl';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('questionnaire at the terminal');
+
+type Talk = { state: medlarctl.flow.State; asked: string[]; explained: string[]; end: unknown };
+
+/** Gives the lines one by one and keeps what was asked, explained and answered in the end. */
+function aTalk(
+  lines: readonly string[],
+  current: core.configuration.Configuration | undefined = undefined,
+): Talk {
+  const { flow } = medlarctl;
+  const talk: Talk = { state: flow.initial(current), asked: [], explained: [], end: undefined };
+  const messages = [{ kind: 'begin' as const }, ...lines.map(aLine)];
+  messages.forEach((message) => {
+    const step = flow.decide(talk.state, message);
+    talk.state = step.state;
+    step.commands.forEach((command) => note(talk, command));
+  });
+  return talk;
+}
+
+function aLine(line: string) {
+  return { kind: 'line' as const, line };
+}
+
+function note(talk: Talk, command: medlarctl.flow.Command): void {
+  switch (command.kind) {
+    case 'ask':
+      talk.asked.push(command.text);
+      return;
+    case 'explain':
+      talk.explained.push(command.failure.detail);
+      return;
+    case 'finish':
+      Object.assign(talk, { end: command.answers });
+      return;
+    default:
+      core.results.never(command);
+  }
+}
+
+const TEAM = ['surveyors', 'region-1', 'dc-1, dc-2'];
+const ACCOUNT = ['gamma', '2', 'no'];
+const SERVICES = ['', 'survey', 'survey-model', '', 'v1', '', '', 'yes', 'plain', 'ledger', '', ''];
+const UPSTREAM = ['', 'engine-9', '127.0.0.1:7009', 'dc-1', 'survey', '', '', '', 'yes', ''];
+const STORE = [
+  'yes',
+  'store-9',
+  '127.0.0.1:7109',
+  'dc-1',
+  '64000000000',
+  '512000000000',
+  '1000',
+  '',
+];
+const LIMITS = ['', ''];
+const WHOLE = [...TEAM, ...ACCOUNT, ...SERVICES, ...UPSTREAM, ...STORE, ...LIMITS];
+
+suite('asks one by one until the answers make a configuration', () => {
+  const { end, explained } = aTalk(WHOLE);
+  assert.equal(explained, []);
+  const answers = fixtures.valueOf(medlarctl.answers.parse(end));
+  const { configuration } = fixtures.valueOf(medlarctl.generate.generate(answers, undefined));
+  assert.equal(
+    configuration.services.map(({ kind, name }) => [kind, name]),
+    [
+      ['model', 'survey'],
+      ['plain', 'ledger'],
+    ],
+  );
+  assert.is(configuration.upstreams[0]?.checksFencing, true);
+  assert.is(configuration.stores[0]?.linkBytesPerS, 1_000);
+});
+
+suite('asks nothing about a model for a plain service', () => {
+  const { asked } = aTalk([...TEAM, ...ACCOUNT, 'plain', 'ledger']);
+  assert.match(asked.at(-1) ?? '', 'priority');
+});
+
+const FAULTS: readonly { fault: string; before: readonly string[]; line: string; said: string }[] =
+  [
+    {
+      fault: 'a name with capitals',
+      before: [],
+      line: 'Surveyors',
+      said: 'team: expected lower-case letters, digits, -; found "Surveyors"',
+    },
+    { fault: 'no answer', before: [], line: ' ', said: 'team: expected an answer; found nothing' },
+    {
+      fault: 'no number',
+      before: [...TEAM, 'gamma'],
+      line: 'a lot',
+      said: 'share: expected a number; found "a lot"',
+    },
+    {
+      fault: 'a name that was answered before',
+      before: [...TEAM, 'gamma', '', 'yes'],
+      line: 'gamma',
+      said: 'name: expected a name that was not answered before; found "gamma"',
+    },
+    {
+      fault: 'no clear yes or no',
+      before: [...TEAM, 'gamma', ''],
+      line: 'perhaps',
+      said: 'expected yes or no; found "perhaps"',
+    },
+    {
+      fault: 'an address without a port',
+      before: [...TEAM, ...ACCOUNT, ...SERVICES, '', 'engine-9'],
+      line: 'nowhere',
+      said: 'address: expected HOST:PORT; found "nowhere"',
+    },
+    {
+      fault: 'a data centre that nobody named',
+      before: [...TEAM, ...ACCOUNT, ...SERVICES, '', 'engine-9', 'h:1'],
+      line: 'dc-9',
+      said: 'dataCentre: expected names among dc-1, dc-2; found "dc-9"',
+    },
+  ];
+
+FAULTS.forEach(({ fault, before, line, said }) => {
+  suite(`explains ${fault} at once and asks again`, () => {
+    const asked = aTalk(before).asked.at(-1);
+    const talk = aTalk([...before, line]);
+    assert.is(talk.explained.at(-1), said);
+    assert.is(talk.asked.at(-1), asked);
+  });
+});
+
+suite('knows the names that are configured already', () => {
+  const before = [...TEAM, ...ACCOUNT, ...SERVICES, '', 'engine-9', '127.0.0.1:7009', 'dc-1'];
+  const { explained } = aTalk([...before, 'briefing'], fixtures.aConfiguration());
+  assert.equal(explained, []);
+});
+
+suite('any lines lead to a question or to answers, and never to a defect', () => {
+  const line = fastCheck.oneof(
+    fastCheck.string(),
+    fastCheck.constantFrom('', 'yes', 'no', ...WHOLE),
+  );
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(line, { maxLength: 60 }), (lines) => {
+      const { state, asked } = aTalk(lines);
+      assert.ok(asked.length > 0 || state.position.kind === 'finished');
+    }),
+    fixtures.seeded(),
+  );
+});
+
+suite.run();
