Show no secret in the explanation of bad input

Cause: the configuration check quoted the value at each fault's path. The command line of medlarweir quoted a stray word, which can be the deployment key. Found by property tests of every decoder; the callers', platform's, stores', upstreams', peers' and claims' decoders were ruled out.

Change: objects and lists are named by their kind, single values of client accounts are shown for name and share only; a stray word is not repeated. Fixtures make arbitrary bytes, arbitrary JSON and valid input with one part spoilt.

--- a/packages/core/src/configuration/check.ts
+++ b/packages/core/src/configuration/check.ts
@@ -19,13 +19,22 @@
 
 function explainIssue(issue: zod.core.$ZodIssue, found: unknown): string {
   const path = issue.path.map(String).join('.') || '(whole)';
-  const last = String(issue.path.at(-1) ?? '');
-  const isSecret = last === 'contextSecret' || last === 'credentialDigest';
-  const shown = isSecret ? 'a secret' : (JSON.stringify(valueAt(found, issue.path)) ?? 'nothing');
-  return `${path}: ${issue.message}; found ${shown.slice(0, MAX_SHOWN_CHARACTERS)}`;
+  return `${path}: ${issue.message}; found ${show(valueAt(found, issue.path), issue.path)}`;
 }
 
 const MAX_SHOWN_CHARACTERS = 80;
+/** Fields of a client account that are no secrets. */
+const SHOWN_OF_ACCOUNTS: readonly string[] = ['name', 'share'];
+
+/** Shows single values only: an object or a list may hold a secret further down. */
+function show(value: unknown, path: readonly PropertyKey[]): string {
+  if (value === undefined) return 'nothing';
+  if (Array.isArray(value)) return 'a list';
+  if (typeof value === 'object' && value !== null) return 'an object';
+  const isOfAccount = path[0] === 'clientAccounts';
+  if (isOfAccount && !SHOWN_OF_ACCOUNTS.includes(String(path.at(-1)))) return 'a secret';
+  return JSON.stringify(value).slice(0, MAX_SHOWN_CHARACTERS);
+}
 
 function valueAt(found: unknown, path: readonly PropertyKey[]): unknown {
   return path.reduce<unknown>(
--- /dev/null
+++ b/packages/medlarctl/test/bad-input.test.ts
@@ -0,0 +1,60 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
+import * as medlarctl from 'medlarctl';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('operators’ bad input');
+
+const SECRET = fixtures.PLANTED_SECRET;
+const VALID = fixtures.aTeamsAnswers({ clientAccounts: [{ name: 'gamma', credential: SECRET }] });
+
+suite(
+  'any answers and spoilt answers end in answers or a clear failure without a credential',
+  () => {
+    const input = fastCheck.oneof(fastCheck.jsonValue(), fixtures.nearly(VALID));
+    fastCheck.assert(
+      fastCheck.property(input, (found) => {
+        const parsed = medlarctl.answers.parse(found);
+        if (parsed.isOk()) return;
+        const text = core.results.describe(parsed.error);
+        assert.match(text, /^6001 invalid input: ./);
+        assert.not.match(text, SECRET.slice(0, 20));
+      }),
+      fixtures.seeded(500),
+    );
+  },
+);
+
+suite('any answers that pass generate a configuration or a clear failure', () => {
+  fastCheck.assert(
+    fastCheck.property(fixtures.nearly(VALID), (found) => {
+      const generated = medlarctl.answers
+        .parse(found)
+        .andThen((given) => medlarctl.generate.generate(given, fixtures.aConfiguration()));
+      if (generated.isErr()) assert.ok(generated.error.detail.length > 0);
+    }),
+    fixtures.seeded(),
+  );
+});
+
+suite('any command line ends in a wish or a numbered failure', () => {
+  const word = fastCheck.oneof(
+    fastCheck.string(),
+    fastCheck.constantFrom('get', 'apply', '--platform', 'h:1', '--yes', '--json', '--', '-h'),
+  );
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(word), (argv) => {
+      const wish = medlarctl.commandLine.parse(argv, {});
+      if (wish.isErr()) assert.ok([6003, 6142].includes(codeOf(wish.error)));
+    }),
+    fixtures.seeded(500),
+  );
+});
+
+function codeOf(failure: core.results.Failure): number {
+  return core.results.table[failure.code].number;
+}
+
+suite.run();
--- a/packages/medlarweir/src/flags.ts
+++ b/packages/medlarweir/src/flags.ts
@@ -39,9 +39,15 @@
     };
     return util.parseArgs({ args: [...argv], options, strict: true }).values as Flags;
   },
-  (error) => core.results.failure('invalidInput', String((error as Error).message)),
+  (error) => core.results.failure('invalidInput', explainFlags(error as NodeJS.ErrnoException)),
 );
 
+/** A word that stands alone is not shown: it may be a secret whose flag was forgotten. */
+function explainFlags({ code, message }: NodeJS.ErrnoException): string {
+  if (code !== 'ERR_PARSE_ARGS_UNEXPECTED_POSITIONAL') return message;
+  return 'expected flags and their values only; found a word that belongs to no flag';
+}
+
 export function helpText(): string {
   const lines = core.settings.settingNames.map(
     (name) =>
--- /dev/null
+++ b/packages/medlarweir/test/decoders.test.ts
@@ -0,0 +1,197 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as callersHttp from '@medlarweir/plugin-callers-http';
+import * as platformHttp from '@medlarweir/plugin-platform-http';
+import * as storesHttp from '@medlarweir/plugin-stores-http';
+import * as upstreamsHttp from '@medlarweir/plugin-upstreams-http';
+import * as fastCheck from 'fast-check';
+import type * as neverthrow from 'neverthrow';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as flags from '../src/flags.js';
+
+const suite = uvu.suite('decoders and bad input');
+
+const SECRET = fixtures.PLANTED_SECRET;
+const DIGEST = core.accounts.digestCredential(SECRET);
+
+/** What a decoder made of a text: a value, nothing, or a numbered failure. */
+type Decoded = { kind: 'value' } | { kind: 'nothing' } | { kind: 'failed'; text: string };
+type Decoder = { name: string; valid: unknown; decode(text: string): Decoded };
+
+function judge(outcome: neverthrow.Result<unknown, core.results.Failure>): Decoded {
+  if (outcome.isOk()) return { kind: 'value' };
+  assert.ok(core.results.table[outcome.error.code].number > 0);
+  assert.ok(outcome.error.detail.length > 0);
+  return { kind: 'failed', text: core.results.describe(outcome.error) };
+}
+
+function orNothing(value: unknown): Decoded {
+  return value === undefined ? { kind: 'nothing' } : { kind: 'value' };
+}
+
+/** For decoders that take what JSON.parse made; the text was JSON already. */
+function parsed(decode: (value: unknown) => Decoded): (text: string) => Decoded {
+  return (text) => {
+    try {
+      return decode(JSON.parse(text));
+    } catch (error) {
+      if (error instanceof SyntaxError) return { kind: 'nothing' };
+      throw error;
+    }
+  };
+}
+
+const STORED = { key: 'a', version: 1, value: { contextSecret: SECRET }, writeId: 'w' };
+const MANIFEST = {
+  piece: 'p',
+  store: 's',
+  slot: 1,
+  slotIncarnation: 'a',
+  storeIncarnation: 'b',
+  lengthBytes: 3,
+  checksum: 'c',
+  tier: 'memory',
+};
+const CLAIM = { digest: DIGEST, attemptId: 'a', atMs: 1, outcome: { kind: 'claimed' } };
+const CONFIGURATION = fixtures.aConfiguration({
+  clientAccounts: [
+    fixtures.aClientAccount({ contextSecret: SECRET, credentialDigest: DIGEST }),
+    fixtures.aClientAccount({ name: 'beta', contextSecret: SECRET, credentialDigest: DIGEST }),
+  ],
+});
+
+function platformDecoder(
+  name: 'storedObject' | 'watched' | 'objects' | 'conflict',
+  valid: unknown,
+) {
+  const { wire } = platformHttp;
+  return {
+    name: `platform ${name}`,
+    valid,
+    decode: (text: string) => judge(wire.decode<unknown>(wire[name], text, '/objects/a')),
+  };
+}
+
+const { wire: upstreamWire } = upstreamsHttp;
+
+const DECODERS: readonly Decoder[] = [
+  {
+    name: 'completion of a caller',
+    valid: { model: 'briefing', prompt: SECRET, max_tokens: 3, stream: true },
+    decode: (text) => judge(callersHttp.decode.decode(aReceived({ body: Buffer.from(text) }))),
+  },
+  platformDecoder('storedObject', STORED),
+  platformDecoder('objects', { objects: [STORED] }),
+  platformDecoder('watched', { revision: 1, objects: [STORED] }),
+  platformDecoder('conflict', { current: STORED }),
+  {
+    name: 'report of a store',
+    valid: { kind: 'snapshot', sequence: 1, storeIncarnation: 'b', manifests: [MANIFEST] },
+    decode: (text) => orNothing(storesHttp.wire.decodeReport(text)),
+  },
+  {
+    name: 'line of a run',
+    valid: { kind: 'token', runId: 'r', offset: 0, text: 't' },
+    decode: (text) => orNothing(upstreamWire.decodeRunLine(text)),
+  },
+  {
+    name: 'report of an engine',
+    valid: { kind: 'snapshot', sequence: 1, pieces: ['p'] },
+    decode: (text) => orNothing(upstreamWire.decodeEngineReport(text)),
+  },
+  {
+    name: 'imported pieces',
+    valid: { seen: [MANIFEST] },
+    decode: (text) => orNothing(upstreamWire.decodeImported(text)),
+  },
+  {
+    name: 'exported pieces',
+    valid: { exported: ['p'] },
+    decode: (text) => orNothing(upstreamWire.decodeExported(text)),
+  },
+  {
+    name: 'page of claims',
+    valid: { claims: { a: CLAIM } },
+    decode: parsed((value) => judge(core.claims.page.parsePage(value))),
+  },
+  {
+    name: 'configuration',
+    valid: CONFIGURATION,
+    decode: parsed((value) => judge(core.configuration.check(value))),
+  },
+];
+
+function aReceived(given: Partial<callersHttp.decode.Received>): callersHttp.decode.Received {
+  return { method: 'POST', path: '/v1/completions', headers: {}, body: Buffer.of(), ...given };
+}
+
+DECODERS.forEach(({ name, valid, decode }) => {
+  suite(`${name}: valid input is decoded`, () => {
+    assert.is(decode(JSON.stringify(valid)).kind, 'value');
+  });
+
+  suite(`${name}: any bytes, any JSON and spoilt input end in a value or a clear failure`, () => {
+    const input = fastCheck.oneof(
+      fixtures.anyText(),
+      fastCheck.json(),
+      fixtures.nearly(valid).map((value) => JSON.stringify(value)),
+    );
+    fastCheck.assert(
+      fastCheck.property(input, (text) => {
+        const decoded = decode(text);
+        if (decoded.kind !== 'failed') return;
+        assert.not.match(decoded.text, SECRET.slice(0, 20));
+        assert.not.match(decoded.text, DIGEST.slice(0, 20));
+      }),
+      fixtures.seeded(500),
+    );
+  });
+});
+
+suite('any request line and headers of a caller end in a value or a clear failure', () => {
+  const headers = fastCheck.dictionary(
+    fastCheck.constantFrom('authorization', 'idempotency-key', 'content-type', '__proto__'),
+    fastCheck.string(),
+  );
+  const path = fastCheck.oneof(
+    fastCheck.string(),
+    fastCheck.string().map((rest) => `/services/${rest}`),
+  );
+  fastCheck.assert(
+    fastCheck.property(fastCheck.string(), path, headers, (method, url, given) => {
+      const received = aReceived({ method, path: url, headers: given });
+      judge(callersHttp.decode.decode(received));
+      judge(callersHttp.decode.credentialOf(received.headers));
+    }),
+    fixtures.seeded(500),
+  );
+});
+
+suite('a wrong credential is not shown', () => {
+  const found = callersHttp.decode.credentialOf({ authorization: `Basic ${SECRET}` });
+  const decoded = judge(found);
+  assert.ok(decoded.kind === 'failed' && !decoded.text.includes(SECRET));
+});
+
+suite('any command line and environment end in a wish or a failure without the key', () => {
+  const word = fastCheck.oneof(
+    fastCheck.string(),
+    fastCheck.constantFrom('--name', '--platform', 'h:1', '--check', '--data-centre', '--', '-h'),
+    fastCheck.constant(`--deployment-key=${SECRET}`),
+  );
+  const environment = fastCheck.dictionary(
+    fastCheck.constantFrom('MEDLARWEIR_NAME', 'MEDLARWEIR_BALANCER_LAG_MS', 'MEDLARWEIR_STATSD'),
+    fastCheck.string(),
+  );
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(word), environment, (argv, given) => {
+      const decoded = judge(flags.parse(argv, given));
+      assert.ok(decoded.kind !== 'failed' || !decoded.text.includes(SECRET));
+    }),
+    fixtures.seeded(500),
+  );
+});
+
+suite.run();
