--- a/packages/core/src/claims/decide.ts
+++ b/packages/core/src/claims/decide.ts
@@ -1,247 +1,251 @@
 /**
- * The decisions of the claims task. Operations on one page gather while a write of it is under way
- * and go together into the next. The platform's conditional update alone decides who holds a claim.
+ * The decisions of the claims task. The platform's conditional update alone decides who holds a
+ * claim; only its holder may send, and only the holder may free the key again. Everybody else can
+ * at most resolve a lapsed attempt to "outcome unknown", so no two attempts can both send.
+ * The state is owned by the claims task and updated in place.
  */
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
-import * as page from './page.js';
-import * as replies from './replies.js';
-
-/** How long a granted claim may wait before its request leaves. */
-export const SEND_WITHIN_MS = 5_000;
-/** Tries to write one batch, before its claims are refused. */
-export const MAX_TRIES = 4;
-
-type Batch = {
-  waiting: readonly replies.Waiting[];
-  writeId: string;
-  tries: number;
-  startedAtMs: number;
-};
-
-/** What is known of one page, and what is under way for it. */
-type PageState = {
-  version: number;
-  value: page.Page;
-  isKnown: boolean;
-  queue: readonly replies.Waiting[];
-  batch: Batch | undefined;
-};
-
-export type State = {
-  incarnation: string;
-  nextId: number;
-  pages: Readonly<Record<string, PageState>>;
-};
-
-export type Command = replies.Command;
+import * as attempts from './attempts.js';
+import * as batches from './batches.js';
+import type * as command from './command.js';
+import * as digests from './digests.js';
+import * as keys from './keys.js';
+import * as outcomes from './outcomes.js';
+import * as states from './state.js';
+import * as steps from './steps.js';
+
+/** Attempts that an instance holds at most, those waiting for the platform included. */
+export const MAX_ATTEMPTS = 20_000;
+
+type Command = command.Command;
+type State = states.State;
 type Step = task.Step<State, Command>;
 
-export function initial(incarnation: string): State {
-  return { incarnation, nextId: 1, pages: {} };
+export function decide(state: State, message: messages.ClaimsMessage, now: task.Instant): Step {
+  const commands = handle(state, message, now);
+  const hasLeft = state.isDraining && state.attempts.size === 0;
+  return { state, commands: hasLeft ? [...commands, { kind: 'left' }] : commands };
 }
 
-export function decide(state: State, message: messages.ClaimsMessage, now: task.Instant): Step {
+function handle(
+  state: State,
+  message: messages.ClaimsMessage,
+  now: task.Instant,
+): readonly Command[] {
   switch (message.type) {
     case 'claims.claim':
       return onClaim(state, message, now);
     case 'claims.record':
       return onRecord(state, message, now);
+    case 'claims.tick':
+      return onTick(state, message.timer, now);
     case 'platform.answered':
       return onPlatform(state, message, now);
-    case 'configuration.adopted':
-    case 'membership.changed':
     case 'peers.digest-received':
-    case 'claims.tick':
+      return onDigest(state, message, now);
+    case 'membership.changed':
+      return onMembers(state, message.members);
+    case 'configuration.adopted': {
+      const { claimRetentionMs } = message.configuration.limits;
+      const retentionMs = Math.min(claimRetentionMs, keys.MAX_RETENTION_MS);
+      Object.assign(state.batches, { retentionMs });
+      return [];
+    }
+    case 'claims.drain':
+      Object.assign(state, { isDraining: true });
+      return [];
     case 'task.start':
-    case 'task.stop':
-      return { state, commands: [] };
     case 'task.leave':
-      return { state, commands: [{ kind: 'left' }] };
+    case 'task.stop':
+      return [];
     default:
       return results.never(message);
   }
 }
 
-function onClaim(
-  state: State,
-  message: Extract<messages.ClaimsMessage, { type: 'claims.claim' }>,
-  now: task.Instant,
-): Step {
-  const { clientAccount, key, digest, requestId, replyTo } = message;
-  const attemptId = `${state.incarnation}-${state.nextId}`;
-  const claim: messages.Claim = { clientAccount, key, digest, attemptId };
-  const waiting: replies.Waiting = { operation: { kind: 'claim', requestId, claim }, replyTo };
-  return enqueue({ ...state, nextId: state.nextId + 1 }, waiting, now);
+function onMembers(state: State, members: readonly messages.Member[]): readonly Command[] {
+  const live = members
+    .filter(({ state: listed, evidence }) => listed === 'live' && evidence !== 'silent')
+    .map(({ name }) => name);
+  Object.assign(state, { instances: [state.ownName, ...live] });
+  return [];
 }
 
-function onRecord(
-  state: State,
-  message: Extract<messages.ClaimsMessage, { type: 'claims.record' }>,
-  now: task.Instant,
-): Step {
-  const { claim, outcome, requestId, replyTo } = message;
-  const waiting: replies.Waiting = {
-    operation: { kind: 'record', requestId, claim, outcome },
-    replyTo,
-  };
-  return enqueue(state, waiting, now);
-}
-
-const UNKNOWN_PAGE: PageState = {
-  version: 0,
-  value: page.EMPTY_PAGE,
-  isKnown: false,
-  queue: [],
-  batch: undefined,
-};
-
-function enqueue(state: State, waiting: replies.Waiting, now: task.Instant): Step {
-  const { clientAccount, key } = waiting.operation.claim;
-  const objectKey = page.pageKey(clientAccount, key);
-  const found = state.pages[objectKey] ?? UNKNOWN_PAGE;
-  const queued = { ...found, queue: [...found.queue, waiting] };
-  return startBatch(withPage(state, objectKey, queued), objectKey, now);
-}
-
-function withPage(state: State, key: string, changed: PageState): State {
-  return { ...state, pages: { ...state.pages, [key]: changed } };
+type ClaimMessage = Extract<messages.ClaimsMessage, { type: 'claims.claim' }>;
+
+function onClaim(state: State, message: ClaimMessage, now: task.Instant): readonly Command[] {
+  const { clientAccount, key } = message;
+  const age = keys.ageOf(key, now.wallMs, state.batches.retentionMs);
+  switch (age) {
+    case 'expired':
+      return [attempts.answer(message, { kind: 'key-expired' })];
+    case 'from-future':
+      return [attempts.answer(message, { kind: 'key-from-future' })];
+    case 'valid':
+      return state.attempts.size < MAX_ATTEMPTS
+        ? beginClaim(state, message, keys.placeOf(clientAccount, key), now)
+        : [attempts.answer(message, attempts.unavailable('too many claims are open'))];
+    default:
+      return results.never(age);
+  }
 }
 
-/** Begins the next batch of a page, unless one is under way or nothing waits. */
-function startBatch(state: State, key: string, now: task.Instant): Step {
-  const found = state.pages[key] ?? UNKNOWN_PAGE;
-  if (found.batch || found.queue.length === 0) return { state, commands: [] };
-  const batch: Batch = {
-    waiting: found.queue,
-    writeId: `${state.incarnation}-${state.nextId}`,
-    tries: 0,
-    startedAtMs: now.monotonicMs,
+function beginClaim(
+  state: State,
+  message: ClaimMessage,
+  place: keys.Place,
+  now: task.Instant,
+): readonly Command[] {
+  const chosen = states.chooseGatherer(state, place, now);
+  if (chosen === state.ownName && state.batches.isSuspended) {
+    return [attempts.answer(message, attempts.unavailable('the platform does not answer'))];
+  }
+  const { clientAccount, key, digest, timeoutMs, requestId, replyTo } = message;
+  const attemptId = `${state.incarnation}-${state.nextId}`;
+  const lapsesAtMs = now.wallMs + attempts.SEND_WITHIN_MS + timeoutMs + attempts.LAPSE_MARGIN_MS;
+  const operation = { kind: 'claim', digest, attemptId, atMs: now.wallMs, lapsesAtMs } as const;
+  const isForwarded = chosen !== state.ownName;
+  const startedAtMs = now.monotonicMs;
+  const claim: messages.Claim = { clientAccount, key, digest, attemptId };
+  const attempt: attempts.Attempt = {
+    attemptId,
+    place,
+    phase: { kind: 'claiming', requestId, replyTo, claim, operation, startedAtMs, isForwarded },
   };
-  const begun = { ...found, queue: [], batch };
-  const next = withPage({ ...state, nextId: state.nextId + 1 }, key, begun);
-  return begun.isKnown
-    ? tryBatch(next, key, now)
-    : { state: next, commands: [{ kind: 'read', key }] };
+  state.attempts.set(attemptId, attempt);
+  Object.assign(state, { nextId: state.nextId + 1 });
+  const withinMs = isForwarded ? attempts.GATHERER_WITHIN_MS : attempts.CLAIM_WITHIN_MS;
+  const wait = steps.schedule(steps.timerOf(operation), withinMs);
+  return [wait, ...steps.submit(state, chosen, place, operation, now)];
 }
 
-type Tried = { value: page.Page; applied: readonly page.Applied[] };
-
-function applyAll(from: page.Page, waiting: readonly replies.Waiting[], wallMs: number): Tried {
-  return waiting.reduce<Tried>(
-    (so, { operation }) => {
-      const next = page.apply(so.value, operation, wallMs);
-      return { value: next.page, applied: [...so.applied, next.applied] };
-    },
-    { value: from, applied: [] },
-  );
+type RecordMessage = Extract<messages.ClaimsMessage, { type: 'claims.record' }>;
+
+function onRecord(state: State, message: RecordMessage, now: task.Instant): readonly Command[] {
+  const { requestId, replyTo, claim, outcome } = message;
+  const attempt = state.attempts.get(claim.attemptId);
+  if (attempt?.phase.kind !== 'held') return [attempts.confirm(message, false)];
+  const settled = outcomes.toSettled(outcome);
+  const operation = { kind: 'record', attemptId: claim.attemptId, outcome: settled } as const;
+  const phase = { kind: 'recording', requestId, replyTo, operation, isConfirmed: false } as const;
+  Object.assign(attempt, { phase });
+  const chosen = states.chooseGatherer(state, attempt.place, now);
+  const wait = steps.schedule(steps.timerOf(operation), attempts.RECORD_ACK_MS);
+  return [wait, ...steps.submit(state, chosen, attempt.place, operation, now)];
 }
 
-/** Applies the batch to the page as it is known, and writes the result if it differs. */
-function tryBatch(state: State, key: string, now: task.Instant): Step {
-  const found = state.pages[key];
-  if (!found?.batch) return { state, commands: [] };
-  const { batch } = found;
-  const tried = applyAll(found.value, batch.waiting, now.wallMs);
-  if (tried.value === found.value) return finish(state, key, tried, now);
-  if (batch.tries >= MAX_TRIES) return abandon(state, key, now);
-  const again = { ...found, batch: { ...batch, tries: batch.tries + 1 } };
-  return {
-    state: withPage(state, key, again),
-    commands: [
-      {
-        kind: 'write',
-        key,
-        expectedVersion: found.version,
-        value: tried.value,
-        writeId: batch.writeId,
-      },
-    ],
-  };
-}
-
-/** The ticket of each platform call is the page's key: one call for each page at a time. */
-function onPlatform(state: State, message: messages.PlatformAnswered, now: task.Instant): Step {
-  const key = message.ticket;
-  const found = state.pages[key];
-  if (!found?.batch) return { state, commands: [] };
-  const { answer } = message;
-  switch (answer.kind) {
-    case 'written':
-      return onWritten(state, key, answer.version, now);
-    case 'object':
-      return learn(state, key, answer.object, now);
-    case 'missing':
-      return learn(state, key, undefined, now);
-    case 'conflict':
-      return learn(state, key, answer.current, now);
-    case 'unavailable':
-      return onUnavailable(state, key, now);
-    case 'objects':
-      return { state, commands: [] };
+function onDigest(
+  state: State,
+  message: messages.DigestReceived,
+  now: task.Instant,
+): readonly Command[] {
+  const parsed = digests.parseDigest(message.digest);
+  if (parsed.isErr()) return [];
+  const digest = parsed.value;
+  switch (digest.kind) {
+    case 'ask':
+      return onAsk(state, message.from, digest, now);
+    case 'tell':
+      return digest.told.flatMap((told) => onTold(state, told, now));
     default:
-      return results.never(answer);
+      return results.never(digest);
   }
 }
 
-function onWritten(state: State, key: string, version: number, now: task.Instant): Step {
-  const found = state.pages[key];
-  if (!found?.batch) return { state, commands: [] };
-  const tried = applyAll(found.value, found.batch.waiting, now.wallMs);
-  const written = { ...found, version, value: tried.value };
-  return finish(withPage(state, key, written), key, tried, now);
+/**
+ * A late grant of an attempt that has ended here is a claim that nobody holds: it is taken back.
+ * Attempts of an earlier start of this instance are left alone: they may have been sent.
+ */
+function onTold(state: State, told: digests.Told, now: task.Instant): readonly Command[] {
+  const { operation, attemptId, place, result } = told;
+  const isGhost =
+    operation === 'claim' &&
+    result.kind === 'granted' &&
+    !state.attempts.has(attemptId) &&
+    attemptId.startsWith(`${state.incarnation}-`);
+  return isGhost
+    ? steps.release(state, attemptId, place, now)
+    : steps.onResult(state, operation, attemptId, result, now);
 }
 
-/** Takes the object as it stands; the own write id there means that a lost answer was a success. */
-function learn(
+function onAsk(
   state: State,
-  key: string,
-  object: messages.StoredObject | undefined,
+  from: string,
+  { asked }: Extract<digests.Digest, { kind: 'ask' }>,
   now: task.Instant,
-): Step {
-  const found = state.pages[key];
-  if (!found?.batch) return { state, commands: [] };
-  const parsed = object ? page.parsePage(object.value) : undefined;
-  if (parsed?.isErr()) return abandon(state, key, now);
-  const value = parsed?.isOk() ? parsed.value : page.EMPTY_PAGE;
-  const known = { ...found, version: object?.version ?? 0, value, isKnown: true };
-  return tryBatch(withPage(state, key, known), key, now);
+): readonly Command[] {
+  const requester = { kind: 'peer', name: from } as const;
+  const arrivedAtMs = now.monotonicMs;
+  const item = { ...asked, depth: 0, requester, arrivedAtMs, isFence: false };
+  if (!state.batches.isSuspended) {
+    return steps.advance(state, batches.enqueue(states.scopeOf(state, now), item), now);
+  }
+  const result = { kind: 'unavailable' } as const;
+  return steps.advance(state, { commands: [], done: [{ item, result }], hasFailed: false }, now);
 }
 
-/** Reads again: only the object itself tells whether the write took effect. */
-function onUnavailable(state: State, key: string, now: task.Instant): Step {
-  const found = state.pages[key];
-  if (!found?.batch) return { state, commands: [] };
-  if (found.batch.tries >= MAX_TRIES) return abandon(state, key, now);
-  const again = {
-    ...found,
-    isKnown: false,
-    batch: { ...found.batch, tries: found.batch.tries + 1 },
-  };
-  return { state: withPage(state, key, again), commands: [{ kind: 'read', key }] };
+function onTick(state: State, timer: messages.ClaimsTimer, now: task.Instant): readonly Command[] {
+  switch (timer.kind) {
+    case 'page':
+      return steps.advance(state, batches.pump(states.scopeOf(state, now), timer.key), now);
+    case 'attempt':
+      return onOverdue(state, timer.attemptId, now);
+    case 'probe':
+      return [{ kind: 'read', ticket: steps.PROBE_KEY, key: steps.PROBE_KEY }];
+    default:
+      return results.never(timer);
+  }
 }
 
-function finish(state: State, key: string, tried: Tried, now: task.Instant): Step {
-  const found = state.pages[key];
-  if (!found?.batch) return { state, commands: [] };
-  const sendBeforeMs = found.batch.startedAtMs + SEND_WITHIN_MS;
-  const answers = found.batch.waiting.map((waiting, at) =>
-    replies.reply(waiting, tried.applied[at] ?? { kind: 'overtaken' }, sendBeforeMs),
-  );
-  const next = startBatch(withPage(state, key, { ...found, batch: undefined }), key, now);
-  return { state: next.state, commands: [...answers, ...next.commands] };
+/** A gatherer that is silent is passed over: the own conditional update is as good as its. */
+function onOverdue(state: State, attemptId: string, now: task.Instant): readonly Command[] {
+  const attempt = state.attempts.get(attemptId);
+  if (!attempt) return [];
+  const { phase, place } = attempt;
+  switch (phase.kind) {
+    case 'claiming':
+      if (!phase.isForwarded || state.batches.isSuspended) {
+        return steps.abandon(state, attempt, phase, now);
+      }
+      states.doubtGatherer(state, place, now);
+      Object.assign(attempt, { phase: { ...phase, isForwarded: false } });
+      return [
+        steps.schedule(
+          steps.timerOf(phase.operation),
+          attempts.CLAIM_WITHIN_MS - attempts.GATHERER_WITHIN_MS,
+        ),
+        ...steps.enqueueOwn(state, place, phase.operation, now),
+      ];
+    case 'recording':
+      Object.assign(attempt, { phase: { ...phase, isConfirmed: true } });
+      return [
+        attempts.confirm(phase, false),
+        ...steps.enqueueOwn(state, place, phase.operation, now),
+      ];
+    case 'held':
+    case 'releasing':
+      return [];
+    default:
+      return results.never(phase);
+  }
 }
 
-/** Refuses what waits. Nothing of it was sent, so "not run" is true. */
-function abandon(state: State, key: string, now: task.Instant): Step {
-  const found = state.pages[key];
-  if (!found?.batch) return { state, commands: [] };
-  const answers = found.batch.waiting.map((waiting) => replies.refuse(waiting));
-  const next = startBatch(
-    withPage(state, key, { ...found, isKnown: false, batch: undefined }),
-    key,
-    now,
-  );
-  return { state: next.state, commands: [...answers, ...next.commands] };
+function onPlatform(
+  state: State,
+  { ticket, answer }: messages.PlatformAnswered,
+  now: task.Instant,
+): readonly Command[] {
+  if (ticket !== steps.PROBE_KEY) {
+    return steps.advance(
+      state,
+      batches.onPlatform(states.scopeOf(state, now), ticket, answer),
+      now,
+    );
+  }
+  if (!state.batches.isSuspended) return [];
+  if (answer.kind === 'unavailable') return [steps.schedule({ kind: 'probe' }, steps.PROBE_MS)];
+  const note: Command = { kind: 'note', name: 'claimsResumed', detail: 'the platform answers' };
+  return [note, ...steps.advance(state, batches.resume(states.scopeOf(state, now)), now)];
 }
--- a/packages/core/src/claims/index.ts
+++ b/packages/core/src/claims/index.ts
@@ -1,3 +1,13 @@
 /** The way into claims. */
+export * as attempts from './attempts.js';
+export * as batches from './batches.js';
+export * from './command.js';
 export * from './decide.js';
+export * as digests from './digests.js';
+export * as gatherer from './gatherer.js';
+export * as keys from './keys.js';
+export * as outcomes from './outcomes.js';
+export * as pageState from './page-state.js';
 export * as page from './page.js';
+export * from './state.js';
+export { PROBE_KEY, PROBE_MS } from './steps.js';
--- /dev/null
+++ b/packages/core/src/claims/outcomes.ts
@@ -0,0 +1,61 @@
+/** Outcomes as a page keeps them: plain JSON values, with answers of bounded size. */
+import * as zod from 'zod';
+
+import type * as messages from '../messages/index.js';
+import * as results from '../results/index.js';
+
+/** A larger answer is not kept; a retry is told that the request ran. */
+export const MAX_KEPT_ANSWER_BYTES = 16_384;
+
+const answered = zod.object({
+  kind: zod.literal('answered'),
+  status: zod.number(),
+  headers: zod.record(zod.string(), zod.string()),
+  bodyBase64: zod.string(),
+});
+const notKept = zod.object({ kind: zod.literal('answer-not-kept'), status: zod.number() });
+/** `holder`: the attempt's own word; `lapse`: nothing was heard of the attempt in time. */
+const unknown = zod.object({ kind: zod.literal('unknown'), by: zod.enum(['holder', 'lapse']) });
+
+/** The end of an attempt, as its holder reports it. */
+export const settledSchema = zod.discriminatedUnion('kind', [
+  answered,
+  notKept,
+  unknown,
+  zod.object({ kind: zod.literal('not-run') }),
+]);
+/** What a page says of a claim. */
+export const storedSchema = zod.discriminatedUnion('kind', [
+  zod.object({ kind: zod.literal('claimed') }),
+  answered,
+  notKept,
+  unknown,
+]);
+
+export type Settled = zod.infer<typeof settledSchema>;
+export type Stored = zod.infer<typeof storedSchema>;
+export type StoredAnswer = zod.infer<typeof answered>;
+
+export function toSettled(outcome: messages.RecordedOutcome): Settled {
+  switch (outcome.kind) {
+    case 'answered':
+      return encodeAnswer(outcome.answer);
+    case 'unknown':
+      return { kind: 'unknown', by: 'holder' };
+    case 'not-run':
+      return outcome;
+    default:
+      return results.never(outcome);
+  }
+}
+
+function encodeAnswer({ status, headers, body }: messages.PlainAnswer): Settled {
+  const bytes = body.length + JSON.stringify(headers).length;
+  if (bytes > MAX_KEPT_ANSWER_BYTES) return { kind: 'answer-not-kept', status };
+  const bodyBase64 = Buffer.from(body).toString('base64');
+  return { kind: 'answered', status, headers: { ...headers }, bodyBase64 };
+}
+
+export function decodeAnswer({ status, headers, bodyBase64 }: StoredAnswer): messages.PlainAnswer {
+  return { status, headers, body: Buffer.from(bodyBase64, 'base64') };
+}
--- /dev/null
+++ b/packages/core/src/claims/page-state.ts
@@ -0,0 +1,86 @@
+/** What an instance knows of pages, and what is under way for them. */
+import type * as task from '../kernel/task.js';
+import type * as command from './command.js';
+import type * as digests from './digests.js';
+import * as keys from './keys.js';
+import * as page from './page.js';
+
+/** One operation on its way into a page. */
+export type Item = {
+  place: keys.Place;
+  depth: number;
+  operation: page.Operation;
+  requester: { kind: 'own' } | { kind: 'peer'; name: string };
+  arrivedAtMs: number;
+  /** Writes even if nothing changes, so that no earlier write in doubt can take effect later. */
+  isFence: boolean;
+};
+
+export type Done = { item: Item; result: digests.Result };
+
+type Tried = ReturnType<typeof page.applyAll>;
+export type Batch = {
+  items: readonly Item[];
+  writeId: string;
+  /** The page was read since the batch began. */
+  isFresh: boolean;
+  failures: number;
+  tried: Tried | undefined;
+};
+export type PageState = {
+  version: number;
+  value: page.Page;
+  isKnown: boolean;
+  queue: Item[];
+  batch: Batch | undefined;
+  lastWriteAtMs: number;
+  /** Names the call under way; the answer to an earlier one is late and changes nothing. */
+  ticket: string;
+};
+
+export type Batches = {
+  incarnation: string;
+  nextId: number;
+  isSuspended: boolean;
+  retentionMs: number;
+  pages: Map<string, PageState>;
+};
+/** The state, and what this moment adds to it. */
+export type Scope = {
+  batches: Batches;
+  /** Judges before each try whether an operation is still wanted. */
+  isWanted(item: Item): boolean;
+  now: task.Instant;
+};
+/** `hasFailed`: the platform did not answer twice in a row. */
+export type Progress = {
+  commands: readonly command.Command[];
+  done: readonly Done[];
+  hasFailed: boolean;
+};
+
+export function initial(incarnation: string): Batches {
+  return {
+    incarnation,
+    nextId: 1,
+    isSuspended: false,
+    retentionMs: keys.MAX_RETENTION_MS,
+    pages: new Map(),
+  };
+}
+
+/** The page, marked as the one used last. */
+export function pageState(batches: Batches, key: string): PageState {
+  const found: PageState = batches.pages.get(key) ?? {
+    version: 0,
+    value: page.emptyPage(),
+    isKnown: false,
+    queue: [],
+    batch: undefined,
+    lastWriteAtMs: -Infinity,
+    ticket: '',
+  };
+  batches.pages.delete(key);
+  batches.pages.set(key, found);
+  return found;
+}
--- a/packages/core/src/claims/page.ts
+++ b/packages/core/src/claims/page.ts
@@ -1,40 +1,81 @@
 /**
  * A page of claims: one object of the platform that carries the claims of many keys, so that one
  * conditional update can record many of them. Pure: applies operations and says what came of each.
+ *
+ * A page takes no new claim once it is full, and it never becomes unfull: a key that a full page
+ * lacks belongs to the page behind it. So a key has exactly one home at any time, and nothing is
+ * ever moved between objects.
  */
-import * as crypto from 'node:crypto';
-
 import * as neverthrow from 'neverthrow';
 import * as zod from 'zod';
 
-import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
+import * as outcomes from './outcomes.js';
 
-/** Pages over which the keys are spread. */
-export const PAGE_COUNT = 64;
-export const PAGE_PREFIX = 'claims/';
+/** A page with more than this takes no new claims; the rest of the object is kept for answers. */
+export const FULL_BYTES = 262_144;
+/** Answers that would make a page larger than this are not kept. */
+export const MAX_PAGE_BYTES = 900_000;
 
-const storedClaim = zod.object({
+const entrySchema = zod.object({
   digest: zod.string(),
   attemptId: zod.string(),
+  /** Wall clock of the claimer, in milliseconds since 1970. */
   atMs: zod.number(),
-  outcome: zod.discriminatedUnion('kind', [
-    zod.object({ kind: zod.literal('claimed') }),
-    zod.object({ kind: zod.literal('unknown') }),
-    zod.object({
-      kind: zod.literal('answered'),
-      status: zod.number(),
-      headers: zod.record(zod.string(), zod.string()),
-      bodyBase64: zod.string(),
-    }),
-  ]),
+  /** From then on, an attempt of which nothing was recorded counts as lost. */
+  lapsesAtMs: zod.number(),
+  outcome: outcomes.storedSchema,
 });
-const pageSchema = zod.object({ claims: zod.record(zod.string(), storedClaim) });
-
-type StoredClaim = zod.infer<typeof storedClaim>;
+const pageSchema = zod.object({
+  /** The second whose keys the page holds; 0 on pages chosen by hash. */
+  bucket: zod.number(),
+  isFull: zod.boolean(),
+  /** Size of the claims as JSON. */
+  bytes: zod.number(),
+  claims: zod.record(zod.string(), entrySchema),
+});
+export const operationSchema = zod.discriminatedUnion('kind', [
+  zod.object({
+    kind: zod.literal('claim'),
+    digest: zod.string(),
+    attemptId: zod.string(),
+    atMs: zod.number(),
+    lapsesAtMs: zod.number(),
+  }),
+  zod.object({
+    kind: zod.literal('record'),
+    attemptId: zod.string(),
+    outcome: outcomes.settledSchema,
+  }),
+]);
+export const appliedSchema = zod.discriminatedUnion('kind', [
+  zod.object({ kind: zod.literal('granted') }),
+  zod.object({ kind: zod.literal('found'), outcome: outcomes.storedSchema }),
+  zod.object({ kind: zod.literal('key-reused') }),
+  zod.object({ kind: zod.literal('key-expired') }),
+  zod.object({ kind: zod.literal('noted') }),
+  /** The page does not hold this attempt. */
+  zod.object({ kind: zod.literal('overtaken') }),
+  /** The key belongs to the page behind this full one. */
+  zod.object({ kind: zod.literal('descend') }),
+]);
+
+type Entry = zod.infer<typeof entrySchema>;
 export type Page = zod.infer<typeof pageSchema>;
-
-export const EMPTY_PAGE: Page = { claims: {} };
+/** One operation on the claim of one key. */
+export type Operation = zod.infer<typeof operationSchema>;
+export type Applied = zod.infer<typeof appliedSchema>;
+type Claim = Extract<Operation, { kind: 'claim' }>;
+type Target = { name: string; bucket: number };
+/** What the age of claims is judged by. */
+export type Terms = { wallMs: number; retentionMs: number };
+
+/** Pages chosen by hash forget a claim only after this many times the retention. */
+const FORGET_AFTER_RETENTIONS = 7;
+
+export function emptyPage(bucket = 0): Page {
+  return { bucket, isFull: false, bytes: 0, claims: {} };
+}
 
 export function parsePage(found: unknown): neverthrow.Result<Page, results.Failure> {
   const checked = pageSchema.safeParse(found);
@@ -42,119 +83,132 @@
   return neverthrow.err(results.failure('platformMalformed', checked.error.message));
 }
 
-/** One operation on a page, with the request that waits for it. */
-export type Operation =
-  | { kind: 'claim'; requestId: string; claim: messages.Claim }
-  | { kind: 'record'; requestId: string; claim: messages.Claim; outcome: messages.RecordedOutcome };
-
-export type Applied =
-  | { kind: 'granted' }
-  | { kind: 'recorded'; answer: messages.PlainAnswer }
-  | { kind: 'in-progress' }
-  | { kind: 'outcome-unknown' }
-  | { kind: 'key-reused' }
-  | { kind: 'noted' }
-  /** Another attempt has taken the claim over; the outcome must not be written. */
-  | { kind: 'overtaken' };
-
-/** The name of a claim within its page: no account can make the name of another account's. */
-export function claimName(clientAccount: string, key: string): string {
-  return crypto
-    .createHash('sha256')
-    .update(JSON.stringify([clientAccount, key]))
-    .digest('hex');
+type Operated = { page: Page; applied: Applied; isChanged: boolean };
+
+/** Applies operations in order to a copy of the page. */
+export function applyAll(
+  page: Page,
+  operations: readonly { target: Target; operation: Operation }[],
+  terms: Terms,
+): { page: Page; applied: readonly Applied[]; isChanged: boolean } {
+  let draft: Page = { ...page, claims: { ...page.claims } };
+  let isChanged = false;
+  const applied = operations.map(({ target, operation }) => {
+    const operated = apply(draft, target, operation, terms);
+    draft = operated.page;
+    isChanged ||= operated.isChanged;
+    return operated.applied;
+  });
+  return { page: isChanged ? draft : page, applied, isChanged };
 }
 
-export function pageKey(clientAccount: string, key: string): string {
-  const slot = Number.parseInt(claimName(clientAccount, key).slice(0, 8), 16) % PAGE_COUNT;
-  return `${PAGE_PREFIX}${slot}`;
+/** Updates the draft in place, unless its bucket has passed and an empty page takes its place. */
+function apply(draft: Page, target: Target, operation: Operation, terms: Terms): Operated {
+  if (target.bucket < draft.bucket) return unchanged(draft, { kind: 'key-expired' });
+  const current = target.bucket > draft.bucket ? emptyPage(target.bucket) : draft;
+  const operated = applyTo(current, target.name, operation, terms);
+  return operated.isChanged ? operated : unchanged(draft, operated.applied);
 }
 
-/** Applies one operation. Returns the same page if nothing changes. */
-export function apply(
-  page: Page,
-  operation: Operation,
-  wallMs: number,
-): { page: Page; applied: Applied } {
-  const { claim } = operation;
-  const name = claimName(claim.clientAccount, claim.key);
+function applyTo(page: Page, name: string, operation: Operation, terms: Terms): Operated {
   const found = page.claims[name];
   switch (operation.kind) {
     case 'claim':
       return found
-        ? { page, applied: answerFromStored(found, claim) }
-        : { page: put(page, name, fresh(claim, wallMs)), applied: { kind: 'granted' } };
+        ? revisit(page, name, found, operation, terms)
+        : add(page, name, operation, terms);
     case 'record':
-      return found?.attemptId === claim.attemptId
-        ? { page: settle(page, name, found, operation.outcome), applied: { kind: 'noted' } }
-        : { page, applied: { kind: 'overtaken' } };
+      return found
+        ? settle(page, name, found, operation)
+        : unchanged(page, { kind: page.isFull ? 'descend' : 'overtaken' });
     default:
       return results.never(operation);
   }
 }
 
-function fresh(claim: messages.Claim, wallMs: number): StoredClaim {
-  const { digest, attemptId } = claim;
-  return { digest, attemptId, atMs: wallMs, outcome: { kind: 'claimed' } };
+function unchanged(page: Page, applied: Applied): Operated {
+  return { page, applied, isChanged: false };
+}
+
+function changed(page: Page, applied: Applied): Operated {
+  return { page, applied, isChanged: true };
 }
 
-function answerFromStored(found: StoredClaim, claim: messages.Claim): Applied {
-  if (found.digest !== claim.digest) return { kind: 'key-reused' };
+function add(page: Page, name: string, operation: Claim, terms: Terms): Operated {
+  if (page.isFull) return unchanged(page, { kind: 'descend' });
+  const { digest, attemptId, atMs, lapsesAtMs } = operation;
+  put(page, name, { digest, attemptId, atMs, lapsesAtMs, outcome: { kind: 'claimed' } });
+  if (page.bytes > FULL_BYTES) forgetOldest(page, terms);
+  return changed({ ...page, isFull: page.bytes > FULL_BYTES }, { kind: 'granted' });
+}
+
+/** Pages of a second are reused as a whole; on other pages the oldest claims make room. */
+function forgetOldest(page: Page, { wallMs, retentionMs }: Terms): void {
+  if (page.bucket !== 0) return;
+  const beforeMs = wallMs - FORGET_AFTER_RETENTIONS * retentionMs;
+  Object.entries(page.claims)
+    .filter(([, { atMs }]) => atMs < beforeMs)
+    .forEach(([name]) => remove(page, name));
+}
+
+/** What a claim meets that is there already. A lapsed attempt is resolved here, by whoever asks. */
+function revisit(
+  page: Page,
+  name: string,
+  found: Entry,
+  operation: Claim,
+  { wallMs, retentionMs }: Terms,
+): Operated {
   const { outcome } = found;
-  switch (outcome.kind) {
-    case 'claimed':
-      return found.attemptId === claim.attemptId ? { kind: 'granted' } : { kind: 'in-progress' };
-    case 'unknown':
-      return { kind: 'outcome-unknown' };
-    case 'answered':
-      return { kind: 'recorded', answer: decodeAnswer(outcome) };
-    default:
-      return results.never(outcome);
+  const isOpen = outcome.kind === 'claimed';
+  if (isOpen && found.attemptId === operation.attemptId) {
+    return unchanged(page, { kind: 'granted' });
   }
+  if (found.atMs < wallMs - retentionMs) return unchanged(page, { kind: 'key-expired' });
+  if (found.digest !== operation.digest) return unchanged(page, { kind: 'key-reused' });
+  if (!isOpen || wallMs < found.lapsesAtMs) return unchanged(page, { kind: 'found', outcome });
+  const lapsed: Entry['outcome'] = { kind: 'unknown', by: 'lapse' };
+  put(page, name, { ...found, outcome: lapsed });
+  return changed(page, { kind: 'found', outcome: lapsed });
 }
 
+/** Only the attempt that holds the claim may end it, and only once. */
 function settle(
   page: Page,
   name: string,
-  found: StoredClaim,
-  outcome: messages.RecordedOutcome,
-): Page {
-  switch (outcome.kind) {
-    case 'answered':
-      return put(page, name, { ...found, outcome: encodeAnswer(outcome.answer) });
-    case 'unknown':
-      return put(page, name, { ...found, outcome: { kind: 'unknown' } });
-    case 'not-run':
-      return remove(page, name);
-    default:
-      return results.never(outcome);
+  found: Entry,
+  { attemptId, outcome }: Extract<Operation, { kind: 'record' }>,
+): Operated {
+  if (found.attemptId !== attemptId) return unchanged(page, { kind: 'overtaken' });
+  if (!isUnsettled(found)) return unchanged(page, { kind: 'noted' });
+  if (outcome.kind === 'not-run') {
+    remove(page, name);
+    return changed(page, { kind: 'noted' });
   }
+  put(page, name, { ...found, outcome });
+  if (page.bytes > MAX_PAGE_BYTES && outcome.kind === 'answered') {
+    const { status } = outcome;
+    put(page, name, { ...found, outcome: { kind: 'answer-not-kept', status } });
+  }
+  return changed(page, { kind: 'noted' });
 }
 
-function put(page: Page, name: string, claim: StoredClaim): Page {
-  return { claims: { ...page.claims, [name]: claim } };
+/** The holder may still say what became of an attempt that others took for lost. */
+function isUnsettled({ outcome }: Entry): boolean {
+  return outcome.kind === 'claimed' || (outcome.kind === 'unknown' && outcome.by === 'lapse');
 }
 
-function remove(page: Page, name: string): Page {
-  const rest = Object.entries(page.claims).filter(([other]) => other !== name);
-  return { claims: Object.fromEntries(rest) };
+function put(page: Page, name: string, entry: Entry): void {
+  const before = sizeOf(name, page.claims[name]);
+  Object.assign(page, { bytes: page.bytes - before + sizeOf(name, entry) });
+  Object.assign(page.claims, { [name]: entry });
 }
 
-type StoredAnswer = Extract<StoredClaim['outcome'], { kind: 'answered' }>;
-
-function encodeAnswer(answer: messages.PlainAnswer): StoredAnswer {
-  return {
-    kind: 'answered',
-    status: answer.status,
-    headers: { ...answer.headers },
-    bodyBase64: Buffer.from(answer.body).toString('base64'),
-  };
+function remove(page: Page, name: string): void {
+  Object.assign(page, { bytes: page.bytes - sizeOf(name, page.claims[name]) });
+  Reflect.deleteProperty(page.claims, name);
 }
 
-function decodeAnswer(stored: StoredAnswer): messages.PlainAnswer {
-  return {
-    status: stored.status,
-    headers: stored.headers,
-    body: Buffer.from(stored.bodyBase64, 'base64'),
-  };
+function sizeOf(name: string, entry: Entry | undefined): number {
+  return entry ? name.length + JSON.stringify(entry).length + 4 : 0;
 }
--- /dev/null
+++ b/packages/core/src/claims/steps.ts
@@ -0,0 +1,176 @@
+/** The steps between an operation on a page and what its attempt learns of it. */
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/index.js';
+import * as results from '../results/index.js';
+import * as attempts from './attempts.js';
+import * as batches from './batches.js';
+import * as pageStates from './page-state.js';
+import type * as command from './command.js';
+import type * as digests from './digests.js';
+import * as keys from './keys.js';
+import type * as page from './page.js';
+import * as states from './state.js';
+
+type Command = command.Command;
+type State = states.State;
+
+/** Pause between two questions to a platform that does not answer. */
+export const PROBE_MS = 500;
+export const PROBE_KEY = `${keys.PAGE_PREFIX}probe`;
+
+export function timerOf({ kind, attemptId }: page.Operation): messages.ClaimsTimer {
+  return { kind: 'attempt', operation: kind, attemptId };
+}
+
+export function schedule(timer: messages.ClaimsTimer, delayMs: number): Command {
+  return { kind: 'schedule', timer, delayMs };
+}
+
+/** Hands an operation to the gatherer of its page. */
+export function submit(
+  state: State,
+  chosen: string,
+  place: keys.Place,
+  operation: page.Operation,
+  now: task.Instant,
+): readonly Command[] {
+  if (chosen === state.ownName) return enqueueOwn(state, place, operation, now);
+  return [{ kind: 'notify', to: chosen, digest: { kind: 'ask', asked: { place, operation } } }];
+}
+
+export function enqueueOwn(
+  state: State,
+  place: keys.Place,
+  operation: page.Operation,
+  now: task.Instant,
+  isFence = false,
+): readonly Command[] {
+  const requester = { kind: 'own' } as const;
+  const arrivedAtMs = now.monotonicMs;
+  const item = { place, depth: 0, operation, requester, arrivedAtMs, isFence };
+  return advance(state, batches.enqueue(states.scopeOf(state, now), item), now);
+}
+
+/** Goes on with what the pages' writes brought. */
+export function advance(
+  state: State,
+  progress: pageStates.Progress,
+  now: task.Instant,
+): readonly Command[] {
+  const told = new Map<string, digests.Told[]>();
+  const own = progress.done.flatMap(({ item, result }) => {
+    const { operation, requester } = item;
+    if (requester.kind === 'own') {
+      return onResult(state, operation.kind, operation.attemptId, result, now);
+    }
+    const { attemptId, kind } = operation;
+    const one = { operation: kind, attemptId, place: item.place, result };
+    told.set(requester.name, [...(told.get(requester.name) ?? []), one]);
+    return [];
+  });
+  const tellings = [...told].map<Command>(([to, each]) => ({
+    kind: 'notify',
+    to,
+    digest: { kind: 'tell', told: each },
+  }));
+  const suspension = progress.hasFailed ? suspend(state, now) : [];
+  return [...progress.commands, ...own, ...tellings, ...suspension];
+}
+
+export function onResult(
+  state: State,
+  operation: page.Operation['kind'],
+  attemptId: string,
+  result: digests.Result,
+  now: task.Instant,
+): readonly Command[] {
+  switch (operation) {
+    case 'claim':
+      return onClaimResult(state, attemptId, result, now);
+    case 'record':
+      return onRecordResult(state, attemptId, result, now);
+    default:
+      return results.never(operation);
+  }
+}
+
+function onClaimResult(
+  state: State,
+  attemptId: string,
+  result: digests.Result,
+  now: task.Instant,
+): readonly Command[] {
+  const attempt = state.attempts.get(attemptId);
+  if (attempt?.phase.kind !== 'claiming') return [];
+  const { phase } = attempt;
+  if (result.kind === 'unavailable') return abandon(state, attempt, phase, now);
+  if (result.kind === 'granted') Object.assign(attempt, { phase: { kind: 'held' } });
+  else state.attempts.delete(attemptId);
+  const answer = attempts.answerOf(phase.claim, phase.startedAtMs, result);
+  return [{ kind: 'unschedule', timer: timerOf(phase.operation) }, attempts.answer(phase, answer)];
+}
+
+/** Refuses a claim, and frees the key in case that a write of it took or takes effect. */
+export function abandon(
+  state: State,
+  attempt: attempts.Attempt,
+  phase: attempts.Claiming,
+  now: task.Instant,
+): readonly Command[] {
+  return [
+    { kind: 'unschedule', timer: timerOf(phase.operation) },
+    attempts.answer(phase, attempts.unavailable('the claim was not recorded in time')),
+    ...release(state, attempt.attemptId, attempt.place, now),
+  ];
+}
+
+/** Takes the claim of a request that never left off its page, also if it gets there late. */
+export function release(
+  state: State,
+  attemptId: string,
+  place: keys.Place,
+  now: task.Instant,
+): readonly Command[] {
+  state.attempts.set(attemptId, { attemptId, place, phase: { kind: 'releasing' } });
+  const operation = { kind: 'record', attemptId, outcome: { kind: 'not-run' } } as const;
+  return [
+    { kind: 'note', name: 'claimReleased', detail: attemptId },
+    ...enqueueOwn(state, place, operation, now, true),
+  ];
+}
+
+function onRecordResult(
+  state: State,
+  attemptId: string,
+  result: digests.Result,
+  now: task.Instant,
+): readonly Command[] {
+  const attempt = state.attempts.get(attemptId);
+  if (!attempt) return [];
+  const { phase } = attempt;
+  if (result.kind === 'unavailable' && phase.kind === 'recording') {
+    return enqueueOwn(state, attempt.place, phase.operation, now);
+  }
+  state.attempts.delete(attemptId);
+  if (phase.kind !== 'recording') return [];
+  const timer = timerOf(phase.operation);
+  const confirmed = phase.isConfirmed ? [] : [attempts.confirm(phase, result.kind === 'noted')];
+  return [{ kind: 'unschedule', timer }, ...confirmed];
+}
+
+/** Refuses at once what waits for a platform that does not answer; outcomes go on waiting. */
+function suspend(state: State, now: task.Instant): readonly Command[] {
+  if (state.batches.isSuspended) return [];
+  const done = batches.suspend(state.batches);
+  const refused = [...state.attempts.values()].flatMap((attempt) =>
+    attempt.phase.kind === 'claiming' && !attempt.phase.isForwarded
+      ? abandon(state, attempt, attempt.phase, now)
+      : [],
+  );
+  return [
+    { kind: 'note', name: 'claimsSuspended', detail: 'the platform does not answer' },
+    schedule({ kind: 'probe' }, PROBE_MS),
+    ...refused,
+    ...advance(state, { commands: [], done, hasFailed: false }, now),
+  ];
+}
--- a/packages/core/src/exchange/command.ts
+++ b/packages/core/src/exchange/command.ts
@@ -11,7 +11,7 @@
   | { kind: 'run'; order: messages.RunOrder }
   | { kind: 'resume'; runId: string; upstream: string; offset: number }
   | { kind: 'cancel'; runId: string; upstream: string }
-  | { kind: 'claim'; key: string; digest: string }
+  | { kind: 'claim'; key: string; digest: string; timeoutMs: number }
   | { kind: 'record'; claim: messages.Claim; outcome: messages.RecordedOutcome }
   | { kind: 'call'; call: messages.PlainCall }
   | { kind: 'report'; upstream: string; outcome: messages.Outcome }
--- /dev/null
+++ b/packages/core/src/exchange/plain-state.ts
@@ -0,0 +1,111 @@
+/** The state of one request for a plain service, and the small steps that end it. */
+import * as crypto from 'node:crypto';
+
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/index.js';
+import type * as results from '../results/index.js';
+import type * as command from './command.js';
+
+/** Attempts for a request that may be repeated, the first included. */
+export const MAX_ATTEMPTS = 3;
+
+export type PlainRequest = Extract<messages.Request, { kind: 'plain' }>;
+
+type Phase =
+  | { kind: 'admission' }
+  | { kind: 'claiming' }
+  | { kind: 'planning' }
+  | { kind: 'calling'; upstream: string }
+  /** `answer`: what the caller is told once the key is free again; others are told before. */
+  | { kind: 'recording'; answer: messages.Answer | undefined }
+  | { kind: 'ended' };
+
+export type State = {
+  request: PlainRequest;
+  phase: Phase;
+  claim: messages.Claim | undefined;
+  /** Monotonic time after which a claimed request may not leave any more. */
+  sendBeforeMs: number;
+  attempt: number;
+  excluded: readonly string[];
+  startedAtMs: number;
+  /** The caller has gone: nothing new is begun for it. */
+  isCancelled: boolean;
+};
+
+export type Step = task.Step<State, command.Command>;
+
+export function initial(request: PlainRequest): State {
+  return {
+    request,
+    phase: { kind: 'admission' },
+    claim: undefined,
+    sendBeforeMs: Infinity,
+    attempt: 0,
+    excluded: [],
+    startedAtMs: 0,
+    isCancelled: false,
+  };
+}
+
+/** A safe method may be repeated; nothing else is sent twice. */
+export function isSafe(request: PlainRequest): boolean {
+  return request.service.safeMethods.includes(request.method);
+}
+
+export function digestOf(request: PlainRequest): string {
+  return crypto
+    .createHash('sha256')
+    .update(`${request.service.name}\n${request.method}\n${request.path}\n`)
+    .update(request.body)
+    .digest('hex');
+}
+
+/**
+ * Ends the request and records the outcome of a claimed one. An answer is not held up for that; a
+ * refusal that invites a retry waits until the key is free again.
+ */
+export function settle(
+  state: State,
+  outcome: messages.RecordedOutcome,
+  answer: messages.Answer,
+): Step {
+  if (!state.claim) return end(state, [{ kind: 'answer', answer }]);
+  const record: command.Command = { kind: 'record', claim: state.claim, outcome };
+  if (outcome.kind === 'not-run') {
+    return { state: { ...state, phase: { kind: 'recording', answer } }, commands: [record] };
+  }
+  return {
+    state: { ...state, phase: { kind: 'recording', answer: undefined } },
+    commands: [record, { kind: 'answer', answer }, { kind: 'release-admission' }],
+  };
+}
+
+export function refusal(
+  state: State,
+  failure: results.Failure,
+  runTruth: results.RunTruth,
+  retryAfterMs?: number,
+): messages.Answer {
+  const { requestId } = state.request;
+  return { type: 'answer.refused', requestId, failure, truth: runTruth, retryAfterMs };
+}
+
+export function refuse(
+  state: State,
+  failure: results.Failure,
+  runTruth: results.RunTruth,
+  retryAfterMs?: number,
+): Step {
+  return end(state, [
+    { kind: 'answer', answer: refusal(state, failure, runTruth, retryAfterMs) },
+    { kind: 'count', name: 'requests.refused', by: 1 },
+  ]);
+}
+
+export function end(state: State, commands: readonly command.Command[]): Step {
+  return {
+    state: { ...state, phase: { kind: 'ended' } },
+    commands: [...commands, { kind: 'release-admission' }],
+  };
+}
--- a/packages/core/src/exchange/plain.ts
+++ b/packages/core/src/exchange/plain.ts
@@ -2,51 +2,16 @@
  * The life of one request for a plain service: admission, claim if it has a key, plan, call,
  * record. A request that is not safe is sent once and never again.
  */
-import * as crypto from 'node:crypto';
-
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
 import type * as command from './command.js';
+import * as plainState from './plain-state.js';
 import * as truth from './truth.js';
 
-/** Attempts for a request that may be repeated, the first included. */
-export const MAX_ATTEMPTS = 3;
-
-type PlainRequest = Extract<messages.Request, { kind: 'plain' }>;
-
-type Phase =
-  | { kind: 'admission' }
-  | { kind: 'claiming' }
-  | { kind: 'planning' }
-  | { kind: 'calling'; upstream: string }
-  | { kind: 'recording'; answer: messages.Answer }
-  | { kind: 'ended' };
-
-export type State = {
-  request: PlainRequest;
-  phase: Phase;
-  claim: messages.Claim | undefined;
-  /** Monotonic time after which a claimed request may not leave any more. */
-  sendBeforeMs: number;
-  attempt: number;
-  excluded: readonly string[];
-  startedAtMs: number;
-};
-
-type Step = task.Step<State, command.Command>;
-
-export function initial(request: PlainRequest): State {
-  return {
-    request,
-    phase: { kind: 'admission' },
-    claim: undefined,
-    sendBeforeMs: Infinity,
-    attempt: 0,
-    excluded: [],
-    startedAtMs: 0,
-  };
-}
+export type State = plainState.State;
+type Step = plainState.Step;
+export const { initial } = plainState;
 
 export function decide(state: State, message: messages.ExchangeMessage, now: task.Instant): Step {
   if (state.phase.kind === 'ended') return { state, commands: [] };
@@ -69,6 +34,7 @@
     case 'claim.recorded':
       return onRecorded(state);
     case 'exchange.cancelled':
+      return onCancelled(state);
     case 'exchange.timeout':
     case 'exchange.flow':
     case 'task.leave':
@@ -86,27 +52,14 @@
   }
 }
 
-/** A safe method may be repeated; nothing else is sent twice. */
-function isSafe(request: PlainRequest): boolean {
-  return request.service.safeMethods.includes(request.method);
-}
-
-function digestOf(request: PlainRequest): string {
-  return crypto
-    .createHash('sha256')
-    .update(`${request.service.name}\n${request.method}\n${request.path}\n`)
-    .update(request.body)
-    .digest('hex');
-}
-
 function onAdmission(state: State, answer: messages.AdmissionAnswer): Step {
   switch (answer.kind) {
     case 'granted':
-      return isSafe(state.request) || state.request.idempotencyKey === undefined
+      return plainState.isSafe(state.request) || state.request.idempotencyKey === undefined
         ? plan(state)
         : claim(state, state.request.idempotencyKey);
     case 'refused':
-      return refuse(state, answer.failure, 'not-run', answer.retryAfterMs);
+      return plainState.refuse(state, answer.failure, 'not-run', answer.retryAfterMs);
     default:
       return results.never(answer);
   }
@@ -115,17 +68,26 @@
 function claim(state: State, key: string): Step {
   return {
     state: { ...state, phase: { kind: 'claiming' } },
-    commands: [{ kind: 'claim', key, digest: digestOf(state.request) }],
+    commands: [
+      {
+        kind: 'claim',
+        key,
+        digest: plainState.digestOf(state.request),
+        timeoutMs: state.request.service.timeoutMs,
+      },
+    ],
   };
 }
 
 function onClaim(state: State, answer: messages.ClaimAnswer): Step {
   if (state.phase.kind !== 'claiming') return { state, commands: [] };
   switch (answer.kind) {
-    case 'granted':
-      return plan({ ...state, claim: answer.claim, sendBeforeMs: answer.sendBeforeMs });
+    case 'granted': {
+      const claimed = { ...state, claim: answer.claim, sendBeforeMs: answer.sendBeforeMs };
+      return state.isCancelled ? withdraw(claimed) : plan(claimed);
+    }
     case 'recorded':
-      return end(state, [
+      return plainState.end(state, [
         {
           kind: 'answer',
           answer: {
@@ -137,23 +99,43 @@
         },
       ]);
     case 'in-progress':
-      return refuse(
+      return plainState.refuse(
         state,
         results.failure('inProgress', 'another attempt holds the key'),
         'unknown',
       );
     case 'outcome-unknown':
-      return refuse(
+      return plainState.refuse(
         state,
         results.failure('outcomeUnknown', 'an earlier attempt broke off'),
         'unknown',
       );
     case 'key-reused':
-      return refuse(state, results.failure('keyReused', 'the request differs'), 'not-run');
+      return plainState.refuse(
+        state,
+        results.failure('keyReused', 'the request differs'),
+        'not-run',
+      );
     case 'key-expired':
-      return refuse(state, results.failure('keyExpired', 'the key is too old'), 'not-run');
+      return plainState.refuse(
+        state,
+        results.failure('keyExpired', 'the key is too old'),
+        'not-run',
+      );
+    case 'key-from-future':
+      return plainState.refuse(
+        state,
+        results.failure('keyFromFuture', 'the key carries a later time'),
+        'not-run',
+      );
+    case 'answer-not-kept':
+      return plainState.refuse(
+        state,
+        results.failure('answerNotKept', `status ${answer.status}`),
+        'ran',
+      );
     case 'unavailable':
-      return refuse(state, answer.failure, 'not-run', CLAIM_RETRY_AFTER_MS);
+      return plainState.refuse(state, answer.failure, 'not-run', CLAIM_RETRY_AFTER_MS);
     default:
       return results.never(answer);
   }
@@ -172,25 +154,48 @@
   if (state.phase.kind !== 'planning') return { state, commands: [] };
   switch (made.kind) {
     case 'placed':
-      return call(state, made.placement.upstream, now);
+      return state.isCancelled
+        ? withdraw(state, [cancelledAt(made.placement.upstream)])
+        : call(state, made.placement.upstream, now);
     case 'refused':
-      return settle(
+      return plainState.settle(
         state,
         { kind: 'not-run' },
-        refusal(state, made.failure, 'not-run', made.retryAfterMs),
+        plainState.refusal(state, made.failure, 'not-run', made.retryAfterMs),
       );
     default:
       return results.never(made);
   }
 }
 
+/** A request that was sent is left to end, so that its outcome is known. */
+function onCancelled(state: State): Step {
+  if (state.phase.kind === 'admission') return plainState.end(state, []);
+  return { state: { ...state, isCancelled: true }, commands: [] };
+}
+
+/** Ends a request that has not left, for a caller that has gone. */
+function withdraw(state: State, commands: readonly command.Command[] = []): Step {
+  const failure = results.failure('overloaded', 'the caller went away');
+  const answer = plainState.refusal(state, failure, 'not-run');
+  const settled = plainState.settle(state, { kind: 'not-run' }, answer);
+  return { state: settled.state, commands: [...commands, ...settled.commands] };
+}
+
+function cancelledAt(upstream: string): command.Command {
+  return { kind: 'report', upstream, outcome: { kind: 'cancelled' } };
+}
+
 /** The last moment to notice that this instance was paused past its claim. */
 function call(state: State, upstream: string, now: task.Instant): Step {
   if (now.monotonicMs >= state.sendBeforeMs) {
     const failure = results.failure('claimUnavailable', 'the claim lapsed before sending');
-    const told = settle(state, { kind: 'not-run' }, refusal(state, failure, 'not-run'));
-    const report: command.Command = { kind: 'report', upstream, outcome: { kind: 'cancelled' } };
-    return { state: told.state, commands: [report, ...told.commands] };
+    const told = plainState.settle(
+      state,
+      { kind: 'not-run' },
+      plainState.refusal(state, failure, 'not-run'),
+    );
+    return { state: told.state, commands: [cancelledAt(upstream), ...told.commands] };
   }
   const { request } = state;
   const sent: messages.PlainCall = {
@@ -223,7 +228,7 @@
     answer,
     isReplay: false,
   };
-  const settled = settle(state, { kind: 'answered', answer }, whole);
+  const settled = plainState.settle(state, { kind: 'answered', answer }, whole);
   return { state: settled.state, commands: [report, ...settled.commands] };
 }
 
@@ -232,61 +237,26 @@
   const { upstream } = state.phase;
   const report: command.Command = { kind: 'report', upstream, outcome: { kind: 'failed', reach } };
   const runTruth = truth.truthOf(reach);
-  const mayRepeat = isSafe(state.request) || runTruth === 'not-run';
-  if (mayRepeat && state.attempt < MAX_ATTEMPTS) {
+  const mayRepeat =
+    !state.isCancelled && (plainState.isSafe(state.request) || runTruth === 'not-run');
+  if (mayRepeat && state.attempt < plainState.MAX_ATTEMPTS) {
     const next = plan({ ...state, excluded: [...state.excluded, upstream] });
     return { state: next.state, commands: [report, ...next.commands] };
   }
   const told =
-    runTruth === 'not-run' || isSafe(state.request)
+    runTruth === 'not-run' || plainState.isSafe(state.request)
       ? failure
       : results.failure('outcomeUnknown', results.describe(failure));
   const outcome: messages.RecordedOutcome =
     runTruth === 'not-run' ? { kind: 'not-run' } : { kind: 'unknown' };
-  const settled = settle(state, outcome, refusal(state, told, runTruth));
+  const settled = plainState.settle(state, outcome, plainState.refusal(state, told, runTruth));
   return { state: settled.state, commands: [report, ...settled.commands] };
 }
 
-/** Records the outcome of a claimed request before the caller is told. */
-function settle(state: State, outcome: messages.RecordedOutcome, answer: messages.Answer): Step {
-  if (!state.claim) return end(state, [{ kind: 'answer', answer }]);
-  return {
-    state: { ...state, phase: { kind: 'recording', answer } },
-    commands: [{ kind: 'record', claim: state.claim, outcome }],
-  };
-}
-
-/** The caller gets the answer also when it could not be recorded: it is whole and true. */
+/** The caller is told also when the end could not be recorded: what it is told stays true. */
 function onRecorded(state: State): Step {
   if (state.phase.kind !== 'recording') return { state, commands: [] };
-  return end(state, [{ kind: 'answer', answer: state.phase.answer }]);
-}
-
-function refusal(
-  state: State,
-  failure: results.Failure,
-  runTruth: results.RunTruth,
-  retryAfterMs?: number,
-): messages.Answer {
-  const { requestId } = state.request;
-  return { type: 'answer.refused', requestId, failure, truth: runTruth, retryAfterMs };
-}
-
-function refuse(
-  state: State,
-  failure: results.Failure,
-  runTruth: results.RunTruth,
-  retryAfterMs?: number,
-): Step {
-  return end(state, [
-    { kind: 'answer', answer: refusal(state, failure, runTruth, retryAfterMs) },
-    { kind: 'count', name: 'requests.refused', by: 1 },
-  ]);
-}
-
-function end(state: State, commands: readonly command.Command[]): Step {
-  return {
-    state: { ...state, phase: { kind: 'ended' } },
-    commands: [...commands, { kind: 'release-admission' }],
-  };
+  const { answer } = state.phase;
+  if (answer) return plainState.end(state, [{ kind: 'answer', answer }]);
+  return { state: { ...state, phase: { kind: 'ended' } }, commands: [] };
 }
--- a/packages/core/src/messages/claims.ts
+++ b/packages/core/src/messages/claims.ts
@@ -27,15 +27,24 @@
 export type ClaimAnswer =
   | { kind: 'granted'; claim: Claim; sendBeforeMs: number }
   | { kind: 'recorded'; answer: upstreams.PlainAnswer }
+  /** It ran and was answered, but the answer was too large to be kept. */
+  | { kind: 'answer-not-kept'; status: number }
   | { kind: 'in-progress' }
   | { kind: 'outcome-unknown' }
   | { kind: 'key-reused' }
   | { kind: 'key-expired' }
+  | { kind: 'key-from-future' }
   | { kind: 'unavailable'; failure: results.Failure };
 
 export type ClaimAnswered = { type: 'claim.answered'; requestId: string; answer: ClaimAnswer };
 export type ClaimRecorded = { type: 'claim.recorded'; requestId: string; isDurable: boolean };
 
+/** What has fallen due. */
+export type ClaimsTimer =
+  | { kind: 'page'; key: string }
+  | { kind: 'attempt'; operation: 'claim' | 'record'; attemptId: string }
+  | { kind: 'probe' };
+
 export type ClaimsMessage =
   | life.TaskMessage
   | configuration.ConfigurationAdopted
@@ -48,6 +57,8 @@
       clientAccount: string;
       key: string;
       digest: string;
+      /** The longest that the upstream may take to answer. */
+      timeoutMs: number;
       replyTo: task.Address<ClaimAnswered>;
     }
   | {
@@ -57,4 +68,6 @@
       outcome: RecordedOutcome;
       replyTo: task.Address<ClaimRecorded>;
     }
-  | { type: 'claims.tick' };
+  | { type: 'claims.tick'; timer: ClaimsTimer }
+  /** The last caller has been answered: leave once every outcome is recorded. */
+  | { type: 'claims.drain' };
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -111,6 +111,20 @@
   title: 'key older than the retention',
   hint: 'Not run. Use a new key.',
 };
+/** The key's own time lies ahead of the instance's clock. */
+const keyFromFuture: Code = {
+  number: 3101,
+  status: 422,
+  title: 'key’s time is in the future',
+  hint: 'Not run. Check the clock of the machine that made the key.',
+};
+/** The request ran; its answer was larger than what is kept. */
+const answerNotKept: Code = {
+  number: 3102,
+  status: 409,
+  title: 'ran, but its answer was not kept',
+  hint: 'Do not send it again. Read the service’s records for the result.',
+};
 /** The upstream could not be reached at all. */
 const upstreamUnreachable: Code = {
   number: 4001,
@@ -204,6 +218,8 @@
   keyReused,
   claimUnavailable,
   keyExpired,
+  keyFromFuture,
+  answerNotKept,
   upstreamUnreachable,
   upstreamMalformed,
   upstreamRefused,
--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -189,6 +189,7 @@
       sockets.close();
       return;
     case 'left':
+      surroundings.send('claims', { type: 'claims.drain' });
       surroundings.left();
       return;
     case 'note-listening':
--- a/packages/plugins/claims/src/claims-task.ts
+++ b/packages/plugins/claims/src/claims-task.ts
@@ -8,39 +8,73 @@
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
   name: 'claims',
   create: (surroundings) => ({
-    initial: core.claims.initial(surroundings.incarnation),
+    initial: core.claims.initial(surroundings.incarnation, surroundings.settings.name),
     decide: core.claims.decide,
     perform: (command) => perform(surroundings, command),
-    dump: ({ pages }) =>
-      Object.fromEntries(
-        Object.entries(pages).map(([key, { version, queue, batch }]) => [
-          key,
-          { version, queued: queue.length, underWay: batch?.waiting.length ?? 0 },
-        ]),
-      ),
+    dump,
   }),
 };
 
+function dump({ attempts, batches, instances, doubtedUntilMs }: State): unknown {
+  const phases = [...attempts.values()].map(({ phase }) => phase.kind);
+  return {
+    isSuspended: batches.isSuspended,
+    instances,
+    doubted: [...doubtedUntilMs.keys()],
+    attempts: Object.fromEntries(
+      phases.map((kind) => [kind, phases.filter((other) => other === kind).length]),
+    ),
+    pages: [...batches.pages].map(([key, { version, queue, batch }]) => ({
+      key,
+      version,
+      queued: queue.length,
+      underWay: batch?.items.length ?? 0,
+    })),
+  };
+}
+
 function perform(surroundings: core.kernel.Surroundings<Message>, command: Command): void {
+  const { self, send } = surroundings;
   switch (command.kind) {
     case 'read':
-      surroundings.send('platform', {
+      send('platform', {
         type: 'platform.read',
-        ticket: command.key,
+        ticket: command.ticket,
         key: command.key,
-        replyTo: surroundings.self,
+        replyTo: self,
       });
       return;
     case 'write':
-      surroundings.send('metrics', { type: 'metrics.count', name: 'claims.writes', by: 1 });
-      surroundings.send('platform', {
+      send('metrics', { type: 'metrics.count', name: 'claims.writes', by: 1 });
+      send('platform', {
         type: 'platform.write',
-        ticket: command.key,
+        ticket: command.ticket,
         key: command.key,
         expectedVersion: command.expectedVersion,
         value: command.value,
         writeId: command.writeId,
-        replyTo: surroundings.self,
+        replyTo: self,
+      });
+      return;
+    case 'schedule':
+      surroundings.schedule(timerId(command.timer), command.delayMs, {
+        type: 'claims.tick',
+        timer: command.timer,
+      });
+      return;
+    case 'unschedule':
+      surroundings.unschedule(timerId(command.timer));
+      return;
+    case 'notify':
+      send('peers', {
+        type: 'peers.notify',
+        to: [command.to],
+        note: {
+          kind: 'digest',
+          for: 'claims',
+          from: surroundings.settings.name,
+          digest: command.digest,
+        },
       });
       return;
     case 'answer':
@@ -49,6 +83,9 @@
     case 'confirm':
       command.replyTo.send(command.message);
       return;
+    case 'note':
+      surroundings.record({ name: command.name, details: { reason: command.detail } });
+      return;
     case 'left':
       surroundings.left();
       return;
@@ -56,3 +93,17 @@
       core.results.never(command);
   }
 }
+
+/** One timer for each page and for each operation of an attempt. */
+function timerId(timer: core.messages.ClaimsTimer): string {
+  switch (timer.kind) {
+    case 'page':
+      return `page ${timer.key}`;
+    case 'attempt':
+      return `${timer.operation} ${timer.attemptId}`;
+    case 'probe':
+      return 'probe';
+    default:
+      return core.results.never(timer);
+  }
+}
--- a/packages/plugins/exchange/src/request-task.ts
+++ b/packages/plugins/exchange/src/request-task.ts
@@ -128,6 +128,7 @@
         clientAccount: request.clientAccount.name,
         key: command.key,
         digest: command.digest,
+        timeoutMs: command.timeoutMs,
         replyTo: self,
       });
       return;
