--- a/packages/medlarweir/test/decoders.test.ts
+++ b/packages/medlarweir/test/decoders.test.ts
@@ -54,7 +54,13 @@
   checksum: 'c',
   tier: 'memory',
 };
-const CLAIM = { digest: DIGEST, attemptId: 'a', atMs: 1, outcome: { kind: 'claimed' } };
+const CLAIM = {
+  digest: DIGEST,
+  attemptId: 'a',
+  atMs: 1,
+  lapsesAtMs: 2,
+  outcome: { kind: 'claimed' },
+};
 const CONFIGURATION = fixtures.aConfiguration({
   clientAccounts: [
     fixtures.aClientAccount({ contextSecret: SECRET, credentialDigest: DIGEST }),
@@ -113,7 +119,7 @@
   },
   {
     name: 'page of claims',
-    valid: { claims: { a: CLAIM } },
+    valid: { bucket: 0, isFull: false, bytes: 100, claims: { a: CLAIM } },
     decode: parsed((value) => judge(core.claims.page.parsePage(value))),
   },
   {
