Measure kept context against three baselines and an oracle

Cause: placement, directory and keep decision were never measured against anything; no figure said where they are weak.

--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -1,2 +1,3 @@
 /** The benchmarks: importing one registers it. */
 import './kernel/index.js';
+import './kept-context/index.js';
--- /dev/null
+++ b/benchmark/src/kept-context/routed.ts
@@ -0,0 +1,174 @@
+/** The system's policy: its own routing decision, with the models in the place of sockets. */
+import * as core from '@medlarweir/core';
+
+import * as engineModel from './engine-model.js';
+import * as storeModel from './store-model.js';
+import type * as workload from './workload.js';
+import * as worlds from './world.js';
+
+type Command = core.routing.Command;
+type Message = core.messages.RoutingMessage;
+
+export type Routed = {
+  listener: worlds.Listener;
+  arrive(world: worlds.World, visit: workload.Visit): void;
+};
+
+/** One entry instance's routing state, which decides for all visits. */
+export function create(shape: workload.Shape): Routed {
+  const held = {
+    state: core.routing.initial('instance-1', 'dc-1'),
+    world: undefined as worlds.World | undefined,
+  };
+
+  function send(message: Message): void {
+    const nowMs = held.world?.time.nowMs() ?? 0;
+    const step = core.routing.decide(held.state, message, { monotonicMs: nowMs, wallMs: nowMs });
+    held.state = step.state;
+    step.commands.forEach(perform);
+  }
+
+  function perform(command: Command): void {
+    const { world } = held;
+    if (!world) return;
+    switch (command.kind) {
+      case 'reply':
+        command.replyTo.send(command.message);
+        return;
+      case 'export':
+        storeNamed(world, command.order.store)?.write(
+          command.order.pieces,
+          command.order.tier,
+          (pieces) => send({ type: 'export.finished', exportId: command.order.exportId, pieces }),
+        );
+        return;
+      case 'resynchronize-engine':
+      case 'resynchronize-store':
+      case 'note-exported':
+      case 'broadcast':
+      case 'schedule-tick':
+        return;
+      default:
+        core.results.never(command);
+    }
+  }
+
+  function arrive(world: worlds.World, visit: workload.Visit): void {
+    held.world = world;
+    const outline: core.messages.PromptOutline = {
+      requestId: visit.id,
+      clientAccount: visit.clientAccount,
+      service: visit.service,
+      weightVersion: 'v1',
+      pieces: visit.pieces,
+      promptTokens: visit.promptTokens,
+      maxTokens: 200,
+      excluded: [],
+    };
+    send({
+      type: 'routing.plan-prompt',
+      outline,
+      replyTo: { send: (made) => onPlan(world, visit, made.plan) },
+    });
+  }
+
+  function onPlan(world: worlds.World, visit: workload.Visit, plan: core.messages.Plan): void {
+    if (plan.kind === 'refused') throw new Error(`refused: ${plan.failure.detail}`);
+    const { imports, upstream } = plan.placement;
+    const store = storeNamed(world, imports[0]?.store ?? '');
+    if (!store) serve(world, visit, upstream, []);
+    else {
+      store.read(imports, (seen) =>
+        serve(
+          world,
+          visit,
+          upstream,
+          core.keptContext.safePrefix(imports, seen).map(({ piece }) => piece),
+        ),
+      );
+    }
+  }
+
+  function serve(
+    world: worlds.World,
+    visit: workload.Visit,
+    upstream: string,
+    adopted: readonly string[],
+  ): void {
+    const engine = world.engines.find((_, at) => worlds.engineName(at) === upstream);
+    if (!engine) return;
+    worlds.run(world, visit, engine, adopted, {
+      onEnd: (reused, imported) =>
+        send({
+          type: 'routing.finished',
+          requestId: visit.id,
+          upstream,
+          outcome: {
+            kind: 'completed',
+            reusedTokens: reused * core.keptContext.PIECE_TOKENS,
+            importedTokens: imported * core.keptContext.PIECE_TOKENS,
+            firstTokenMs: 0,
+          },
+        }),
+    });
+  }
+
+  send({ type: 'configuration.adopted', configuration: configurationOf(shape) });
+  return {
+    listener: {
+      onEngine: (upstream, report) => send({ type: 'engine.reported', upstream, report }),
+      onStore: (store, report) => send({ type: 'store.reported', store, report }),
+    },
+    arrive,
+  };
+}
+
+function storeNamed(world: worlds.World, name: string): storeModel.StoreModel | undefined {
+  return world.stores.find((store) => store.name === name);
+}
+
+/** The configuration that the questionnaire would make for the shape. Links have their nominal rate. */
+function configurationOf(shape: workload.Shape): core.configuration.Configuration {
+  const service = {
+    kind: 'model',
+    model: 'model',
+    weightVersion: 'v1',
+    weights: shape.weights,
+  };
+  return core.configuration.configurationSchema.parse({
+    generation: 1,
+    dataCentres: Array.from({ length: shape.dataCentres }, (_, at) => ({
+      name: `dc-${at + 1}`,
+      region: 'region',
+    })),
+    clientAccounts: shape.accounts.map(({ name, share }) => ({
+      name,
+      share,
+      credentialDigest: '0'.repeat(64),
+      contextSecret: name.padEnd(32, '-'),
+    })),
+    services: [
+      { ...service, name: shape.service, priority: shape.priority },
+      { ...service, name: shape.checkService, priority: 'short', weights: CHECK_WEIGHTS },
+    ],
+    upstreams: Array.from({ length: shape.engines }, (_, at) => ({
+      name: worlds.engineName(at),
+      kind: 'engine',
+      address: `127.0.0.1:${7_000 + at}`,
+      dataCentre: `dc-${(at % shape.dataCentres) + 1}`,
+      services: [shape.service, shape.checkService],
+      slots: engineModel.SLOTS,
+      prefillTokensPerS: engineModel.PREFILL_TOKENS_PER_S,
+    })),
+    stores: Array.from({ length: worlds.STORES }, (_, at) => ({
+      name: worlds.storeName(at),
+      address: `127.0.0.1:${7_100 + at}`,
+      dataCentre: `dc-${at + 1}`,
+      memoryBytes: storeModel.MEMORY_PIECES * storeModel.PIECE_BYTES,
+      diskBytes: storeModel.DISK_PIECES * storeModel.PIECE_BYTES,
+      linkBytesPerS: storeModel.LINK_BYTES_PER_S,
+    })),
+  });
+}
+
+const CHECK_WEIGHTS = { firstToken: 1, recompute: 0.2 };
