--- a/packages/medlarctl/src/commands/data-centre.ts
+++ b/packages/medlarctl/src/commands/data-centre.ts
@@ -34,5 +34,5 @@
 }
 
 function fail(detail: string) {
-  return neverthrow.err(core.results.failure('invalidInput', `data-centre: ${detail}`));
+  return neverthrow.err(core.results.failure('wrongUse', `data-centre: ${detail}`));
 }
