--- a/benchmark/src/kept-context/routed.ts
+++ b/benchmark/src/kept-context/routed.ts
@@ -47,6 +47,8 @@
       case 'note-exported':
       case 'broadcast':
       case 'schedule-tick':
+      case 'tell-capacity':
+      case 'want-cold-rights':
         return;
       default:
         core.results.never(command);
