Measure a data centre that leaves and returns; test planned stops against processes

Cause: neither the move of a data centre nor the SIGTERM path had been tried. Change: `npm run bench -- data-centre-move`; `examples/test/leaving.test.ts` stops separate processes with six streams open: SIGTERM, a second SIGTERM, SIGSTOP and SIGCONT during the stop.

--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -1,4 +1,5 @@
 /** The benchmarks: importing one registers it. */
 import './cold-start/index.js';
+import './data-centre-move/index.js';
 import './kernel/index.js';
 import './kept-context/index.js';
--- a/benchmark/src/models/engine.ts
+++ b/benchmark/src/models/engine.ts
@@ -29,6 +29,8 @@
   /** Requests that it could not bear while cold. */
   coldOverloads: number;
   lost: number;
+  /** When the last request arrived. */
+  lastArrivalMs: number;
 };
 
 export type Options = {
@@ -43,7 +45,7 @@
 export function create(timeline: timelines.Timeline, options: Options): Engine {
   const running = new Set<Run>();
   const waiting: Run[] = [];
-  const state = { coldUntilMs: 0, coldPeak: 0, coldOverloads: 0, lost: 0 };
+  const state = { coldUntilMs: 0, coldPeak: 0, coldOverloads: 0, lost: 0, lastArrivalMs: 0 };
   const isCold = () => timeline.nowMs() < state.coldUntilMs;
   const load = () => ({ running: running.size, waiting: waiting.length });
 
@@ -63,6 +65,7 @@
   }
 
   function receive(run: Run): void {
+    state.lastArrivalMs = timeline.nowMs();
     const held = running.size + waiting.length;
     if (isCold()) {
       state.coldPeak = Math.max(state.coldPeak, held + 1);
@@ -100,6 +103,7 @@
       coldPeak: state.coldPeak,
       coldOverloads: state.coldOverloads,
       lost: state.lost,
+      lastArrivalMs: state.lastArrivalMs,
     }),
   };
 }
--- a/benchmark/test/cold-start/cold-start.test.ts
+++ b/benchmark/test/cold-start/cold-start.test.ts
@@ -84,7 +84,7 @@
 }
 
 function coldStats(world: worlds.World) {
-  return world.engines[0]?.stats() ?? { coldPeak: 0, coldOverloads: 0, lost: 0 };
+  return world.engines[0]?.stats() ?? { coldPeak: 0, coldOverloads: 0, lost: 0, lastArrivalMs: 0 };
 }
 
 const FAULT_TABLE: readonly { title: string; faults: readonly Fault[] }[] = [
--- /dev/null
+++ b/examples/test/leaving.test.ts
@@ -0,0 +1,132 @@
+import * as crypto from 'node:crypto';
+
+import * as examples from '@medlarweir/examples';
+import * as undici from 'undici';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('instances that leave, as processes, with streams open');
+
+const STREAMS = 6;
+const MAX_TOKENS = 400;
+const EXIT_STOPPED_AT_ONCE = 3;
+const LEAVING_EVENT = 102;
+const STOPPED_EVENT = 103;
+
+type Stream = { firstToken: Promise<void>; whole: Promise<boolean> };
+
+/** Opens a stream at an instance and follows it to its end. */
+async function aStream(
+  { deployment }: examples.clusters.Cluster,
+  instance: examples.clusters.Instance,
+): Promise<Stream> {
+  const { story } = deployment;
+  const response = await undici.request(`http://${instance.callers}/v1/completions`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${examples.deployments.credentialOf(story.account)}`,
+      'content-type': 'application/json',
+    },
+    body: JSON.stringify({
+      model: story.promptService,
+      prompt: `notes ${crypto.randomUUID()}`,
+      max_tokens: MAX_TOKENS,
+      stream: true,
+    }),
+  });
+  const first = { onToken: () => undefined as void };
+  const firstToken = new Promise<void>((resolve) => {
+    first.onToken = resolve;
+  });
+  return { firstToken, whole: readWhole(response.body, () => first.onToken()) };
+}
+
+/** Whether the stream came to its end with every token. */
+async function readWhole(body: AsyncIterable<Buffer>, onToken: () => void): Promise<boolean> {
+  const chunks: string[] = [];
+  try {
+    for await (const chunk of body) {
+      chunks.push(chunk.toString('utf8'));
+      onToken();
+    }
+  } catch {
+    return false;
+  }
+  const data = chunks
+    .join('')
+    .split('\n')
+    .filter((line) => line.startsWith('data: '));
+  const tokens = data.filter((line) => line.includes('"text"') && !line.includes('"text":""'));
+  return data.at(-1) === 'data: [DONE]' && tokens.length >= MAX_TOKENS;
+}
+
+type Scene = {
+  cluster: examples.clusters.Cluster;
+  instance: examples.clusters.Instance;
+  streams: readonly Stream[];
+};
+
+/** A running example, with streams open at its first instance. */
+async function withStreams(act: (scene: Scene) => Promise<void>): Promise<void> {
+  const deployment = await examples.deployments.load('svjetlopis');
+  const cluster = await examples.clusters.start(deployment);
+  try {
+    const [instance] = cluster.instances;
+    if (!instance) throw new Error('the example has no instance');
+    const streams = await Promise.all(
+      Array.from({ length: STREAMS }, () => aStream(cluster, instance)),
+    );
+    await Promise.all(streams.map(({ firstToken }) => firstToken));
+    await act({ cluster, instance, streams });
+  } finally {
+    await cluster.stop();
+  }
+}
+
+function eventOf(instance: examples.clusters.Instance, number: number) {
+  return instance.process.waitFor((line) => (line.event === number ? line : undefined));
+}
+
+suite('SIGTERM cuts no stream, lets nothing new in afterwards, and exits 0', () =>
+  withStreams(async ({ cluster, instance, streams }) => {
+    instance.process.signal('SIGTERM');
+    await eventOf(instance, LEAVING_EVENT);
+    const whole = await Promise.all(streams.map((stream) => stream.whole));
+    assert.is(whole.filter((isWhole) => isWhole).length, STREAMS);
+    assert.is(await instance.process.exited, 0);
+    await aStream(cluster, instance).then(
+      () => assert.unreachable('a stopped instance took a request'),
+      (error: { code?: string }) => assert.is(error.code, 'ECONNREFUSED'),
+    );
+  }),
+);
+
+suite('a second SIGTERM ends at once and says how many requests it cuts', () =>
+  withStreams(async ({ instance, streams }) => {
+    instance.process.signal('SIGTERM');
+    await eventOf(instance, LEAVING_EVENT);
+    instance.process.signal('SIGTERM');
+    const stopped = await eventOf(instance, STOPPED_EVENT);
+    assert.is(stopped.cutRequests, STREAMS);
+    assert.is(await instance.process.exited, EXIT_STOPPED_AT_ONCE);
+    const whole = await Promise.all(streams.map((stream) => stream.whole));
+    assert.is(whole.filter((isWhole) => isWhole).length, 0);
+  }),
+);
+
+suite('SIGSTOP during a planned stop delays the streams and cuts none', () =>
+  withStreams(async ({ instance, streams }) => {
+    instance.process.signal('SIGTERM');
+    await eventOf(instance, LEAVING_EVENT);
+    instance.process.signal('SIGSTOP');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1_500);
+    });
+    instance.process.signal('SIGCONT');
+    const whole = await Promise.all(streams.map((stream) => stream.whole));
+    assert.is(whole.filter((isWhole) => isWhole).length, STREAMS);
+    assert.is(await instance.process.exited, 0);
+  }),
+);
+
+suite.run();
