Divide free slots by the square root of the number of instances

Cause: an instance got a ninth of the free slots at each routing tick, so a burst waited up to 500 ms for places though the fleet had slots free. Change: the own part is the free slots over the square root of the number of instances.

--- a/packages/core/src/load/view.ts
+++ b/packages/core/src/load/view.ts
@@ -196,13 +196,16 @@
   return Math.max(load.inFlight, reported + load.netSinceReport);
 }
 
-/** The own part of the slots that are free: instances that see the same reports divide them. */
+/**
+ * The own part of the slots that are free. Instances that see the same reports divide them, but by
+ * the square root of their number, since few of them have a burst at the same time.
+ */
 export function freeSlots(view: LoadView, upstream: schema.Upstream): number {
   const free = Math.max(0, upstream.slots - requestsAhead(view, upstream));
   if (upstream.kind === 'plain') return free;
   const load = read(view, upstream.name);
   if (isCold(load)) return rights.unused(load.strangers, load.inFlight, upstream);
-  const part = free / view.contenders.length;
+  const part = free / Math.sqrt(view.contenders.length);
   if (load.ramp.kind === 'full') return part;
   return Math.max(0, ownRampPart(view, upstream.name, load.ramp.total) - load.inFlight);
 }
