Measure the control plane up to 380 instances, and cut what relays send

Change: `bench -- control-plane` runs the real decisions of configuration, membership and watches on simulated time with delay, 1% loss and cuts. The list is read less often the longer it is (40 ms for each instance); relays share a data centre by halves; evidence is judged every third tick and kept in place; receivers are worked out only when members change; the head keeps up to 48 changes. HTTP's own bytes and time are not in it.

--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -1,2 +1,2 @@
 /** The benchmarks: importing one registers it. */
-export {};
+import './control-plane/index.js';
--- a/packages/core/src/configuration/head.ts
+++ b/packages/core/src/configuration/head.ts
@@ -14,7 +14,7 @@
 /** Prefix of the bases; kept apart from the head's key, which is watched as a prefix. */
 export const BASE_PREFIX = 'configuration-base/';
 /** With this many changes a new base is written. */
-export const MAX_HEAD_CHANGES = 32;
+export const MAX_HEAD_CHANGES = 48;
 /** Changes that stay in the head behind a new base, so that few instances have to read the base. */
 export const KEPT_HEAD_CHANGES = 16;
 
--- a/packages/core/src/membership/decide.ts
+++ b/packages/core/src/membership/decide.ts
@@ -7,6 +7,7 @@
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
 import * as evidence from './evidence.js';
+import * as receivers from './receivers.js';
 import * as relays from './relays.js';
 import type * as state from './state.js';
 
@@ -14,12 +15,12 @@
 type Step = task.Step<State, state.Command>;
 
 export const TICK_MS = 1_000;
-/** Instances that do not relay read the platform's list this seldom. */
-export const LIST_PAUSE_MS = 15_000;
+/** The platform's list comes whole with each read, so that longer lists are read less often. */
+export const LIST_PAUSE_PER_INSTANCE_MS = 40;
 /** Longest list of names in a heartbeat. */
 const MAX_NAMES = 64;
-/** Heartbeats to relays, and between data centres, are sent every second tick. */
-const SLOW_TICKS = 2;
+/** Every third tick evidence is judged, and heartbeats are sent that only show life. */
+const SELDOM_TICKS = 3;
 /** A longer gap between two ticks means that this process stood still. */
 const PAUSE_MS = 3 * TICK_MS;
 
@@ -57,20 +58,21 @@
 function onList(given: State, listed: readonly messages.ListedInstance[], now: task.Instant): Step {
   const known = new Set(given.listed.map(({ name }) => name));
   const hasNewcomers = listed.some(({ name }) => !known.has(name));
-  const heard = Object.fromEntries(
-    listed.flatMap(({ name }) => {
-      const found = given.heard[name];
-      return found ? [[name, found] as const] : [];
-    }),
-  );
+  const names = new Set(listed.map(({ name }) => name));
+  [...given.heard.keys()]
+    .filter((name) => !names.has(name))
+    .forEach((name) => given.heard.delete(name));
   const graceUntilMs = hasNewcomers ? graceEnd(now) : given.graceUntilMs;
-  return publishIfChanged({ ...given, listed, heard, graceUntilMs }, now);
+  const step = publishIfChanged({ ...given, listed, graceUntilMs }, now);
+  if (listed.length === given.listed.length) return step;
+  const pauseMs = listed.length * LIST_PAUSE_PER_INSTANCE_MS;
+  return { state: step.state, commands: [...step.commands, { kind: 'watch-instances', pauseMs }] };
 }
 
 function onHeard(given: State, heartbeat: messages.Heartbeat, now: task.Instant): Step {
-  const { from, incarnation, sequence, silent, cut, generation, ageMs } = heartbeat;
-  const isListed = given.listed.some(({ name }) => name === from);
-  const before = given.heard[from];
+  const { from, incarnation, sequence, silent = [], cut = [], generation, ageMs } = heartbeat;
+  const isListed = isKnown(given, from);
+  const before = given.heard.get(from);
   if (!isListed || isOutdated(before, heartbeat)) return { state: given, commands: [] };
   const isRestarted = before !== undefined && before.incarnation !== incarnation;
   const heard: state.Heard = {
@@ -78,15 +80,20 @@
     formerIncarnation: isRestarted ? before.incarnation : (before?.formerIncarnation ?? ''),
     sequence,
     atMs: now.monotonicMs,
-    silent: silent.slice(0, MAX_NAMES),
-    cut: cut.slice(0, MAX_NAMES),
+    silent: new Set(silent.slice(0, MAX_NAMES)),
+    cut: new Set(cut.slice(0, MAX_NAMES)),
   };
+  given.heard.set(from, heard);
   return {
-    state: { ...given, heard: { ...given.heard, [from]: heard } },
+    state: given,
     commands: [{ kind: 'report-confirmed', from, generation, ageMs }],
   };
 }
 
+function isKnown({ heard, listed }: State, from: string): boolean {
+  return heard.has(from) || listed.some(({ name }) => name === from);
+}
+
 /** Delayed or repeated: of a former incarnation, or not later than the last one. */
 function isOutdated(
   before: state.Heard | undefined,
@@ -107,7 +114,8 @@
     tickedAtMs: now.monotonicMs,
     graceUntilMs: wasPaused ? graceEnd(now) : given.graceUntilMs,
   };
-  const published = publishIfChanged(ticked, now);
+  const isJudged = sequence % SELDOM_TICKS === 0;
+  const published = isJudged ? publishIfChanged(ticked, now) : { state: ticked, commands: [] };
   return {
     state: published.state,
     commands: [
@@ -121,16 +129,14 @@
 function publishIfChanged(given: State, now: task.Instant): Step {
   const members = evidence.membersOf(given, now.monotonicMs);
   if (isSame(members, given.members)) return { state: given, commands: [] };
-  const chosen = relays.relaysOf(given.ownDataCentre, [
-    ...relays.liveIn(members, given.ownDataCentre),
-    given.ownName,
-  ]);
-  const isRelay = chosen.includes(given.ownName);
+  const near = relays.liveIn(members, given.ownDataCentre);
+  const own = relays.relaysOf(given.ownDataCentre, [...near, given.ownName]);
+  const isRelay = own.includes(given.ownName);
+  const changed: State = { ...given, members, isRelay };
+  const to = isRelay ? receivers.ofRelay(changed, own) : receivers.ofOther(own);
   const publish: state.Command = { kind: 'publish', members };
-  const state = { ...given, members, isRelay };
-  if (isRelay === given.isRelay) return { state, commands: [publish] };
-  const pauseMs = isRelay ? 0 : LIST_PAUSE_MS;
-  return { state, commands: [publish, { kind: 'watch-instances', pauseMs }] };
+  const next: State = { ...changed, receivers: to };
+  return { state: next, commands: [publish] };
 }
 
 function isSame(a: readonly messages.Member[], b: readonly messages.Member[]): boolean {
@@ -143,69 +149,34 @@
 }
 
 function heartbeats(given: State, now: task.Instant): readonly state.Command[] {
-  const to = receivers(given);
+  const { often, seldom } = given.receivers;
+  const to = given.sequence % SELDOM_TICKS === 0 ? [...often, ...seldom] : often;
   if (to.length === 0) return [];
-  const silent = given.members.filter((each) => each.evidence === 'silent');
-  const cut = given.isRelay ? cutDataCentres(given.members) : [];
+  const { generation, confirmedAtMs } = given;
+  const ageMs =
+    confirmedAtMs === undefined ? undefined : Math.round(now.monotonicMs - confirmedAtMs);
   const heartbeat: messages.Heartbeat = {
     kind: 'heartbeat',
     from: given.ownName,
     incarnation: given.incarnation,
     sequence: given.sequence,
-    generation: given.generation,
-    ...(given.confirmedAtMs === undefined
-      ? {}
-      : { ageMs: Math.round(now.monotonicMs - given.confirmedAtMs) }),
-    silent: given.isRelay
-      ? silent
-          .filter(({ dataCentre }) => !cut.includes(dataCentre))
-          .map(({ name }) => name)
-          .slice(0, MAX_NAMES)
-      : [],
-    cut,
+    generation,
+    ageMs,
+    ...(given.isRelay ? voucher(given.members) : {}),
   };
   return [{ kind: 'heartbeat', to, heartbeat }];
 }
 
-function receivers(given: State): readonly string[] {
-  const near = given.members.filter(
-    ({ dataCentre, state }) => dataCentre === given.ownDataCentre && state === 'live',
+/** Whom a relay does not hear: whole data centres by their name. */
+function voucher(members: readonly messages.Member[]): Pick<messages.Heartbeat, 'silent' | 'cut'> {
+  const silent = members.filter(({ evidence: found }) => found === 'silent');
+  if (silent.length === 0) return {};
+  const heard = new Set(
+    members.filter(({ evidence: found }) => found !== 'silent').map(({ dataCentre }) => dataCentre),
   );
-  const isSlowTick = given.sequence % SLOW_TICKS === 0;
-  if (!given.isRelay) {
-    const chosen = relays.relaysOf(given.ownDataCentre, [
-      ...relays.liveIn(given.members, given.ownDataCentre),
-      given.ownName,
-    ]);
-    return isSlowTick ? chosen : [];
-  }
-  const nearNames = near.map(({ name }) => name);
-  return isSlowTick ? [...nearNames, ...farRelays(given)] : nearNames;
-}
-
-/** One relay of each other data centre: both sides pair theirs by rank. */
-function farRelays(given: State): readonly string[] {
-  const { ownDataCentre, ownName, members } = given;
-  const own = relays.relaysOf(ownDataCentre, [...relays.liveIn(members, ownDataCentre), ownName]);
-  const rank = Math.max(0, own.indexOf(ownName));
-  return otherDataCentres(given).flatMap((dataCentre) => {
-    const all = members.filter((each) => each.dataCentre === dataCentre).map(({ name }) => name);
-    const live = relays.liveIn(members, dataCentre);
-    const ranked = relays.relaysOf(dataCentre, live.length > 0 ? live : all);
-    const paired = ranked[rank % ranked.length];
-    return paired === undefined ? [] : [paired];
-  });
-}
-
-function otherDataCentres({ members, ownDataCentre }: State): readonly string[] {
-  const all = new Set(members.map(({ dataCentre }) => dataCentre));
-  return [...all].filter((name) => name !== ownDataCentre);
-}
-
-/** Data centres of which every instance is silent. */
-function cutDataCentres(members: readonly messages.Member[]): readonly string[] {
-  const all = [...new Set(members.map(({ dataCentre }) => dataCentre))];
-  return all.filter((name) =>
-    members.every((each) => each.dataCentre !== name || each.evidence === 'silent'),
+  const cut = new Set(
+    silent.map(({ dataCentre }) => dataCentre).filter((name) => !heard.has(name)),
   );
+  const single = silent.filter(({ dataCentre }) => !cut.has(dataCentre)).map(({ name }) => name);
+  return { silent: single.slice(0, MAX_NAMES), cut: [...cut].slice(0, MAX_NAMES) };
 }
--- a/packages/core/src/membership/evidence.ts
+++ b/packages/core/src/membership/evidence.ts
@@ -9,50 +9,57 @@
 /** An instance that was heard within this time is alive, whatever the list says. */
 export const HEARD_WITHIN_MS = 6_000;
 
-export function isFresh(heard: state.Heard | undefined, nowMs: number): boolean {
+function isFresh(heard: state.Heard | undefined, nowMs: number): boolean {
   return heard !== undefined && nowMs - heard.atMs <= HEARD_WITHIN_MS;
 }
 
+/** Fresh heartbeats of each data centre. */
+type Vouchers = ReadonlyMap<string, readonly state.Heard[]>;
+
 /** What is known of each listed instance but this one. */
 export function membersOf(given: state.State, nowMs: number): readonly messages.Member[] {
-  const vouchers = given.listed.filter(({ name }) => isFresh(given.heard[name], nowMs));
-  const isNearVoucher = ({ dataCentre }: messages.ListedInstance) =>
-    dataCentre === given.ownDataCentre;
-  const near = vouchers.filter(isNearVoucher);
+  const vouchers = vouchersOf(given, nowMs);
   return given.listed
     .filter(({ name }) => name !== given.ownName)
-    .map((listed) => ({ ...listed, evidence: evidenceOf(given, listed, vouchers, near, nowMs) }));
+    .map((listed) => ({ ...listed, evidence: evidenceOf(given, listed, vouchers, nowMs) }));
+}
+
+function vouchersOf({ listed, heard }: state.State, nowMs: number): Vouchers {
+  const vouchers = new Map<string, state.Heard[]>();
+  listed.forEach(({ name, dataCentre }) => {
+    const found = heard.get(name);
+    if (!found || !isFresh(found, nowMs)) return;
+    const others = vouchers.get(dataCentre);
+    if (others) others.push(found);
+    else vouchers.set(dataCentre, [found]);
+  });
+  return vouchers;
 }
 
 function evidenceOf(
   given: state.State,
   { name, dataCentre }: messages.ListedInstance,
-  vouchers: readonly messages.ListedInstance[],
-  near: readonly messages.ListedInstance[],
+  vouchers: Vouchers,
   nowMs: number,
 ): messages.Evidence {
-  if (isFresh(given.heard[name], nowMs)) return 'heard';
+  const own = given.heard.get(name);
+  if (isFresh(own, nowMs)) return 'heard';
   if (nowMs < given.graceUntilMs) return 'listed';
   const isNear = dataCentre === given.ownDataCentre;
   if (given.isRelay) {
-    if (isNear) return 'silent';
-    const far = vouchers.filter((each) => each.dataCentre === dataCentre);
-    return vouch(far, given, name, dataCentre);
+    return isNear ? 'silent' : vouch(vouchers.get(dataCentre), name, dataCentre);
   }
-  if (near.length === 0) return isNear && given.heard[name] ? 'silent' : 'listed';
-  return vouch(near, given, name, dataCentre);
+  const near = vouchers.get(given.ownDataCentre);
+  if (!near) return isNear && own ? 'silent' : 'listed';
+  return vouch(near, name, dataCentre);
 }
 
 /** One voucher that hears the instance is enough; none at all means that nothing is heard. */
 function vouch(
-  vouchers: readonly messages.ListedInstance[],
-  { heard }: state.State,
+  vouchers: readonly state.Heard[] | undefined,
   name: string,
   dataCentre: string,
 ): messages.Evidence {
-  const isVouched = vouchers.some((voucher) => {
-    const said = heard[voucher.name];
-    return said && !said.silent.includes(name) && !said.cut.includes(dataCentre);
-  });
+  const isVouched = vouchers?.some(({ silent, cut }) => !silent.has(name) && !cut.has(dataCentre));
   return isVouched ? 'heard' : 'silent';
 }
--- /dev/null
+++ b/packages/core/src/membership/receivers.ts
@@ -0,0 +1,50 @@
+/** Who gets the heartbeats of an instance: a number bounded by its data centre and the others. */
+import type * as messages from '../messages/index.js';
+import * as relays from './relays.js';
+import type * as state from './state.js';
+
+/** An instance that does not relay shows its life to the relays of its data centre. */
+export function ofOther(ownRelays: readonly string[]): state.Receivers {
+  return { often: [], seldom: ownRelays };
+}
+
+/**
+ * A relay sends often to its half of the data centre, so that confirmations stay fresh there, and
+ * seldom to the other half and to one relay of each other data centre.
+ */
+export function ofRelay(given: state.State, ownRelays: readonly string[]): state.Receivers {
+  const { members, ownDataCentre, ownName } = given;
+  const rank = Math.max(0, ownRelays.indexOf(ownName));
+  const near = members
+    .filter((each) => each.dataCentre === ownDataCentre && each.state === 'live')
+    .map(({ name }) => name);
+  const isOwnHalf = (at: number) => ownRelays.length < 2 || at % ownRelays.length === rank;
+  return {
+    often: near.filter((name, at) => isOwnHalf(at)),
+    seldom: [...near.filter((name, at) => !isOwnHalf(at)), ...farRelays(given, rank)],
+  };
+}
+
+/** One relay of each other data centre: both sides pair theirs by rank. */
+function farRelays({ members, ownDataCentre }: state.State, rank: number): readonly string[] {
+  return [...byDataCentre(members)].flatMap(([dataCentre, all]) => {
+    if (dataCentre === ownDataCentre) return [];
+    const live = relays.liveIn(all, dataCentre);
+    const candidates = live.length > 0 ? live : all.map(({ name }) => name);
+    const ranked = relays.relaysOf(dataCentre, candidates);
+    const paired = ranked[rank % ranked.length];
+    return paired === undefined ? [] : [paired];
+  });
+}
+
+function byDataCentre(
+  members: readonly messages.Member[],
+): ReadonlyMap<string, readonly messages.Member[]> {
+  const found = new Map<string, messages.Member[]>();
+  members.forEach((member) => {
+    const others = found.get(member.dataCentre);
+    if (others) others.push(member);
+    else found.set(member.dataCentre, [member]);
+  });
+  return found;
+}
--- a/packages/core/src/membership/state.ts
+++ b/packages/core/src/membership/state.ts
@@ -8,8 +8,8 @@
   formerIncarnation: string;
   sequence: number;
   atMs: number;
-  silent: readonly string[];
-  cut: readonly string[];
+  silent: ReadonlySet<string>;
+  cut: ReadonlySet<string>;
 };
 
 export type State = {
@@ -17,7 +17,8 @@
   ownDataCentre: string;
   incarnation: string;
   listed: readonly messages.ListedInstance[];
-  heard: Readonly<Record<string, Heard>>;
+  /** Updated in place by the membership task, which alone owns it. */
+  heard: Map<string, Heard>;
   members: readonly messages.Member[];
   sequence: number;
   generation: number;
@@ -26,8 +27,12 @@
   /** Until then nobody is judged silent: after the start, a pause, or a new list. */
   graceUntilMs: number;
   isRelay: boolean;
+  receivers: Receivers;
 };
 
+/** Who gets this instance's heartbeats: every tick, or every third one. */
+export type Receivers = { often: readonly string[]; seldom: readonly string[] };
+
 export type Command =
   | { kind: 'watch-instances'; pauseMs: number }
   | { kind: 'publish'; members: readonly messages.Member[] }
@@ -41,7 +46,7 @@
     ownDataCentre,
     incarnation,
     listed: [],
-    heard: {},
+    heard: new Map(),
     members: [],
     sequence: 0,
     generation: 0,
@@ -49,5 +54,6 @@
     tickedAtMs: -Infinity,
     graceUntilMs: 0,
     isRelay: true,
+    receivers: { often: [], seldom: [] },
   };
 }
--- a/packages/core/src/messages/peers.ts
+++ b/packages/core/src/messages/peers.ts
@@ -22,10 +22,10 @@
   /** The sender's generation of the configuration, and how long ago the platform confirmed it. */
   generation: number;
   ageMs?: number | undefined;
-  /** Instances that the sender's data centre does not hear. */
-  silent: readonly string[];
-  /** Data centres that the sender does not hear. */
-  cut: readonly string[];
+  /** Instances that the sender's data centre does not hear; left out if there are none. */
+  silent?: readonly string[] | undefined;
+  /** Data centres that the sender does not hear; left out if there are none. */
+  cut?: readonly string[] | undefined;
 };
 
 /** Tasks that exchange digests with the same task of other instances. */
--- a/packages/plugins/peers-trpc/src/router.ts
+++ b/packages/plugins/peers-trpc/src/router.ts
@@ -21,8 +21,8 @@
     sequence: zod.number(),
     generation: zod.number(),
     ageMs: zod.number().nonnegative().optional(),
-    silent: zod.array(zod.string()).readonly(),
-    cut: zod.array(zod.string()).readonly(),
+    silent: zod.array(zod.string()).readonly().optional(),
+    cut: zod.array(zod.string()).readonly().optional(),
   }),
   zod.object({
     kind: zod.literal('digest'),
--- a/packages/plugins/platform-http/src/index.ts
+++ b/packages/plugins/platform-http/src/index.ts
@@ -4,6 +4,7 @@
 import * as platformTask from './platform-task.js';
 
 export * as client from './client.js';
+export * as watches from './watches.js';
 export * as wire from './wire.js';
 
 core.kernel.register({
--- a/packages/plugins/platform-http/src/watches.ts
+++ b/packages/plugins/platform-http/src/watches.ts
@@ -82,7 +82,8 @@
   const known = found?.watch.kind === 'instances' ? found.watch.readers : [];
   if (found && known.includes(reader)) {
     const watch: Watch = { kind: 'instances', pauseMs, readers: known };
-    return begin(state, INSTANCES_ID, watch, found.revision);
+    const watches = { ...state.watches, [INSTANCES_ID]: { ...found, watch } };
+    return { state: { ...state, watches }, commands: [] };
   }
   return begin(state, INSTANCES_ID, { kind: 'instances', pauseMs, readers: [...known, reader] });
 }
