Tell a lost answer truly when another operator's change is on top

Cause: an operator's write could take effect, lose its answer, and be followed by another operator's change before it was repeated. The head then carried the other write id, so medlarctl said "nothing of this change took effect", which was false. Ruled out: the platform; the object is as promised. Change: each change in the head carries an id, and the tool looks for its own among them.

--- a/benchmark/src/control-plane/fleet.ts
+++ b/benchmark/src/control-plane/fleet.ts
@@ -75,7 +75,14 @@
 
 function begin(platform: platforms.Platform, size: Size): Held {
   const configuration = configurationOf(size);
-  const change = { generation: 1, edits: [], by: 'operator', atMs: 0, why: 'start' };
+  const change = {
+    id: 'change-1',
+    generation: 1,
+    edits: [],
+    by: 'operator',
+    atMs: 0,
+    why: 'start',
+  };
   const { head, base } = core.configuration.heads.next(undefined, change, configuration, 'id');
   if (base) platform.put(base.key, base.value);
   platform.put(core.configuration.heads.HEAD_KEY, head);
@@ -93,6 +100,7 @@
   const edits = [{ kind: 'put' as const, list: 'upstreams' as const, entry }];
   const change = {
     generation,
+    id: `change-${generation}`,
     edits,
     by: 'operator-of-the-day',
     atMs,
--- a/packages/core/src/configuration/changes.ts
+++ b/packages/core/src/configuration/changes.ts
@@ -41,6 +41,8 @@
 
 /** One accepted change: from the generation before its own to its own. */
 export const changeSchema = zod.strictObject({
+  /** Chosen by the operator's tool, which recognises its own change by it. */
+  id: zod.string(),
   generation: zod.number().int().positive(),
   edits: zod.array(editSchema),
   /** Who made it. */
--- a/packages/core/test/configuration/adoption.test.ts
+++ b/packages/core/test/configuration/adoption.test.ts
@@ -87,7 +87,7 @@
         clientAccounts: after.map(fixtures.aClientAccount),
       });
       const edits = [...core.configuration.diff(from, to)];
-      const change = { generation: 2, edits, by: '', atMs: 0, why: '' };
+      const change = { id: 'change-2', generation: 2, edits, by: '', atMs: 0, why: '' };
       const applied = core.configuration.applyAll(from, [change]);
       assert.ok(applied.isOk());
       const sorted = (given: core.configuration.Configuration) => ({
--- a/packages/medlarctl/src/change.ts
+++ b/packages/medlarctl/src/change.ts
@@ -113,15 +113,15 @@
   const edits = base.configuration
     ? core.configuration.diff(base.configuration, configuration)
     : [];
-  const change = { generation, edits: [...edits], atMs: Date.now(), ...reason };
   const id = crypto.randomUUID();
+  const change = { id, generation, edits: [...edits], atMs: Date.now(), ...reason };
   const writes = heads.next(base.head, change, configuration, id);
   if (writes.base) {
     const { key, value } = writes.base;
     const written = await write(platform, key, 0, value);
     if (written.isErr()) return neverthrow.err(written.error);
   }
-  const accepted = await write(platform, heads.HEAD_KEY, base.version, writes.head);
+  const accepted = await write(platform, heads.HEAD_KEY, base.version, writes.head, id);
   return accepted.map(() => generation);
 }
 
@@ -131,23 +131,31 @@
   key: string,
   expectedVersion: number,
   value: unknown,
+  changeId = '',
 ): Outcome<void> {
   const writeId = crypto.randomUUID();
   for (let tries = 0; tries < MAX_TRIES; tries += 1) {
     const answer = await platform.write({ key, expectedVersion, value, writeId });
     if (answer.kind === 'written') return neverthrow.ok(undefined);
-    if (answer.kind === 'conflict') return judgeConflict(answer.current, writeId);
+    if (answer.kind === 'conflict') return judgeConflict(answer.current, writeId, changeId);
   }
   const detail = `no answer after ${MAX_TRIES} tries; the change may yet take effect: see \`history\``;
   return neverthrow.err(core.results.failure('changeUnknown', detail));
 }
 
-/** The own write id in the object means that an earlier try succeeded and its answer was lost. */
+/**
+ * The own write id in the object means that an earlier try succeeded and its answer was lost; so
+ * does the own change in the head, when another operator's change stands on top of it already.
+ */
 function judgeConflict(
   current: core.messages.StoredObject | undefined,
   writeId: string,
+  changeId: string,
 ): neverthrow.Result<void, core.results.Failure> {
   if (current?.writeId === writeId) return neverthrow.ok(undefined);
+  const head = heads.headSchema.safeParse(current?.value);
+  const isAccepted = head.success && head.data.changes.some(({ id }) => id === changeId);
+  if (isAccepted) return neverthrow.ok(undefined);
   return neverthrow.err(core.results.failure('conflict', describeWinner(current?.value)));
 }
 
