--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -3,3 +3,4 @@
 import './data-centre-move/index.js';
 import './kernel/index.js';
 import './kept-context/index.js';
+import './control-plane/index.js';
