Add medlarctl upstream out|in

Cause: the configuration had a presence for each upstream, and operators had no command for it; nothing tested that an upstream that is out gets nothing new.

--- a/packages/medlarctl/src/commands/index.ts
+++ b/packages/medlarctl/src/commands/index.ts
@@ -4,3 +4,4 @@
 import './get.js';
 import './data-centre.js';
 import './dump.js';
+import './upstream.js';
