Place by weights and link backlog, share links, keep by hit density

Cause: a placed prompt was not counted as work ahead, so all prompts that share an opening went to the replica that held it (p95 22 s); exports and imports took a link as they came; stores dropped the oldest.

Change: cost = weights over expected first token and prefill; work ahead by priority; a prefix up to a change of tier may be imported; the routing task starts imports by priority and account share, cancels late ones, and lets exports give way; keep and evict by expected hits an hour, chain ends first, a second copy in spare room; a store's silence keeps its index, another incarnation voids it; engine hints are bounded and fetched anew after broken promises.

--- a/benchmark/src/kept-context/baselines.ts
+++ b/benchmark/src/kept-context/baselines.ts
@@ -104,9 +104,10 @@
     (piece) => engine.has(piece) && !world.stores.some((store) => store.manifestOf(piece)),
   );
   const fill = (store: storeModel.StoreModel) => store.piecesIn('memory') + store.piecesIn('disk');
+  const stores = world.stores.filter((store) => !store.isDead());
   const home =
-    world.stores.find((store) => store.manifestOf(visit.pieces[0] ?? '')) ??
-    world.stores.reduce((best, each) => (fill(each) < fill(best) ? each : best));
+    stores.find((store) => store.manifestOf(visit.pieces[0] ?? '')) ??
+    stores.reduce((best, each) => (fill(each) < fill(best) ? each : best));
   const hasRoom = home.piecesIn('memory') + missing.length <= storeModel.MEMORY_PIECES;
   if (missing.length > 0) home.write(missing, hasRoom ? 'memory' : 'disk', () => undefined);
 }
--- a/benchmark/src/kept-context/engine-model.ts
+++ b/benchmark/src/kept-context/engine-model.ts
@@ -32,7 +32,7 @@
 
 export function create(
   time: agenda.Agenda,
-  report: (report: core.messages.EngineReport) => void,
+  report: ((report: core.messages.EngineReport) => void) | undefined,
 ): EngineModel {
   const cache = new Set<string>();
   const waiting: Running[] = [];
@@ -40,12 +40,14 @@
   const state = { sequence: 0, running: 0, order: 0, isBusy: false };
 
   function publish(kind: 'piece-cached' | 'piece-evicted', piece: string): void {
+    if (!report) return;
     state.sequence += 1;
     const { sequence } = state;
     time.after(REPORT_LAG_MS, () => report({ kind, sequence, piece }));
   }
 
   function publishLoad(): void {
+    if (!report) return;
     const { running } = state;
     const load = {
       kind: 'load',
--- a/benchmark/src/kept-context/world.ts
+++ b/benchmark/src/kept-context/world.ts
@@ -35,8 +35,8 @@
   onStore: (store: string, report: Parameters<StoreReporter>[0]) => void;
 };
 
-type EngineReporter = Parameters<typeof engineModel.create>[1];
-type StoreReporter = Parameters<typeof storeModel.create>[3];
+type EngineReporter = NonNullable<Parameters<typeof engineModel.create>[1]>;
+type StoreReporter = NonNullable<Parameters<typeof storeModel.create>[3]>;
 
 export function engineName(at: number): string {
   return `engine-${at + 1}`;
@@ -46,15 +46,22 @@
   return `store-${at + 1}`;
 }
 
-export function create(shape: workload.Shape, variant: Variant, listener: Listener): World {
+export function create(
+  shape: workload.Shape,
+  variant: Variant,
+  listener: Listener | undefined,
+): World {
   const time = agenda.create();
   const linkBytesPerS = storeModel.LINK_BYTES_PER_S * (variant === 'slow-links' ? SLOW_SHARE : 1);
   const engines = Array.from({ length: shape.engines }, (_, at) =>
-    engineModel.create(time, (report) => listener.onEngine(engineName(at), report)),
+    engineModel.create(time, listener && ((report) => listener.onEngine(engineName(at), report))),
   );
   const stores = Array.from({ length: STORES }, (_, at) =>
-    storeModel.create(time, storeName(at), linkBytesPerS, (report) =>
-      listener.onStore(storeName(at), report),
+    storeModel.create(
+      time,
+      storeName(at),
+      linkBytesPerS,
+      listener && ((report) => listener.onStore(storeName(at), report)),
     ),
   );
   if (variant === 'store-dead') time.after(STORE_DEATH_MS, () => stores[0]?.die());
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -20,6 +20,7 @@
   piecesImported: { number: 303, level: 'info', text: 'pieces imported' },
   unsafeRead: { number: 304, level: 'warn', text: 'stored piece failed its checks' },
   hintCorrected: { number: 305, level: 'debug', text: 'cache hint corrected' },
+  importCancelled: { number: 321, level: 'info', text: 'late import cancelled' },
   requestAccepted: { number: 401, level: 'debug', text: 'request accepted' },
   requestEnded: { number: 402, level: 'info', text: 'request ended' },
   requestRefused: { number: 403, level: 'info', text: 'request refused' },
--- a/packages/core/src/exchange/prompt-plan.ts
+++ b/packages/core/src/exchange/prompt-plan.ts
@@ -62,6 +62,9 @@
     upstream: placement.upstream,
     storeAddress: placement.storeAddress,
     manifests: placement.imports,
+    clientAccount: state.request.clientAccount.name,
+    priority: state.request.service.priority,
+    ...(placement.lateAfterMs === undefined ? {} : { lateAfterMs: placement.lateAfterMs }),
   };
   return {
     state: { ...state, phase: { kind: 'importing', placement } },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * as feeds from './feeds/index.js';
 export * as keptContext from './kept-context/index.js';
 export * as kernel from './kernel/index.js';
+export * as links from './links/index.js';
 export * as load from './load/index.js';
 export * as membership from './membership/index.js';
 export * as messages from './messages/index.js';
--- a/packages/core/src/messages/routing.ts
+++ b/packages/core/src/messages/routing.ts
@@ -20,6 +20,8 @@
   /** HOST:PORT of that store, or empty. */
   storeAddress: string;
   expectedFirstTokenMs: number;
+  /** Once an import has taken this long, recomputing is better; absent without an import. */
+  lateAfterMs?: number;
 };
 
 /** One candidate and its cost, for the journal. */
@@ -59,6 +61,15 @@
   | upstreams.EngineReported
   | stores.StoreReported
   | upstreams.ExportReport
+  | upstreams.ImportReport
+  /** Asks for an import, which begins when the store's link has room for it. */
+  | {
+      type: 'routing.import';
+      order: upstreams.ImportOrder;
+      replyTo: task.Address<upstreams.ImportReport>;
+    }
+  /** An import may have become late. */
+  | { type: 'routing.wake-links' }
   | { type: 'routing.plan-prompt'; outline: PromptOutline; replyTo: task.Address<PlanMade> }
   | {
       type: 'routing.plan-call';
--- a/packages/core/src/messages/stores.ts
+++ b/packages/core/src/messages/stores.ts
@@ -23,5 +23,6 @@
 export type StoresMessage =
   | life.TaskMessage
   | configuration.ConfigurationAdopted
-  | { type: 'stores.drop'; store: string; piece: naming.PieceName }
+  /** Drops a piece, unless its slot was given out anew meanwhile. */
+  | { type: 'stores.drop'; manifest: safeRead.Manifest }
   | { type: 'stores.resynchronize'; store: string };
--- a/packages/core/src/messages/upstreams.ts
+++ b/packages/core/src/messages/upstreams.ts
@@ -59,6 +59,11 @@
   upstream: string;
   storeAddress: string;
   manifests: readonly safeRead.Manifest[];
+  /** Whose share of the link it takes, and how urgently. */
+  clientAccount?: string;
+  priority?: schema.Priority;
+  /** Once it has taken this long, recomputing is better. */
+  lateAfterMs?: number;
 };
 
 export type ImportReport =
@@ -153,6 +158,8 @@
       replyTo: task.Address<RunReport>;
     }
   | { type: 'upstreams.cancel'; runId: string; upstream: string }
+  /** Breaks an import off; no report of it follows. */
+  | { type: 'upstreams.cancel-import'; runId: string; upstream: string }
   | { type: 'upstreams.import'; order: ImportOrder; replyTo: task.Address<ImportReport> }
   | { type: 'upstreams.export'; order: ExportOrder; replyTo: task.Address<ExportReport> }
   | { type: 'upstreams.call'; call: PlainCall; replyTo: task.Address<CallReport> }
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -146,6 +146,13 @@
   title: 'stored piece failed its checks',
   hint: 'The piece is recomputed; nothing needs to be done.',
 };
+/** An import was broken off because recomputing had become faster. */
+const importLate: Code = {
+  number: 4101,
+  status: 503,
+  title: 'import would be late',
+  hint: 'The context is recomputed; look at the store’s link if it happens often.',
+};
 /** The platform does not answer; whether a write took effect is not known. */
 const platformUnavailable: Code = {
   number: 5001,
@@ -209,6 +216,7 @@
   upstreamRefused,
   runLost,
   unsafeRead,
+  importLate,
   platformUnavailable,
   platformMalformed,
   conflict,
--- a/packages/core/src/routing/decide.ts
+++ b/packages/core/src/routing/decide.ts
@@ -1,60 +1,29 @@
-/** The decisions of the routing task: placements, the cache directory, and what to export. */
+/** The decisions of the routing task: placements, the cache directory, links, and what to keep. */
 import type * as schema from '../configuration/schema.js';
 import * as keptContext from '../kept-context/index.js';
 import type * as task from '../kernel/task.js';
+import * as links from '../links/index.js';
 import * as load from '../load/index.js';
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
-import type * as eligible from './eligible.js';
+import * as keeping from './keeping.js';
 import * as placement from './placement.js';
+import type * as routing from './state.js';
+import type * as waiting from './waiting.js';
+import * as workAhead from './work-ahead.js';
 
-/** A placed request until it has ended. */
-type Placed = { upstream: string; outline: messages.PromptOutline | undefined };
-
-export type State = {
-  ownDataCentre: string;
-  configuration: schema.Configuration | undefined;
-  isConfirmed: boolean;
-  directory: keptContext.directory.Directory;
-  load: load.LoadView;
-  placed: Map<string, Placed>;
-  nextExport: number;
-};
-
-/** What instances tell each other for routing; each part is checked by the part that reads it. */
-type Digest = { load?: unknown; directory?: unknown };
+type State = routing.State;
+type Command = routing.Command;
+type Step = routing.Step;
 
 /** How often instances tell each other about load and kept context. */
 export const TICK_MS = 500;
 
-export type Command =
-  | { kind: 'reply'; replyTo: task.Address<messages.PlanMade>; message: messages.PlanMade }
-  | { kind: 'export'; order: messages.ExportOrder }
-  | { kind: 'resynchronize-engine'; upstream: string }
-  | { kind: 'resynchronize-store'; store: string }
-  | { kind: 'note-exported'; pieces: number }
-  | { kind: 'broadcast'; digest: Digest }
-  | { kind: 'schedule-tick' };
-
-type Step = task.Step<State, Command>;
-
-export function initial(ownName: string, ownDataCentre: string): State {
-  return {
-    ownDataCentre,
-    configuration: undefined,
-    isConfirmed: true,
-    directory: keptContext.directory.create(),
-    load: load.create(ownName),
-    placed: new Map(),
-    nextExport: 1,
-  };
-}
-
 export function decide(state: State, message: messages.RoutingMessage, now: task.Instant): Step {
+  const { monotonicMs } = now;
   switch (message.type) {
     case 'configuration.adopted':
-      load.applyConfiguration(state.load, message.configuration, now);
-      return { state: { ...state, configuration: message.configuration }, commands: [] };
+      return onConfiguration(state, message.configuration, now);
     case 'configuration.confidence':
       return {
         state: { ...state, isConfirmed: message.confidence === 'confirmed' },
@@ -64,17 +33,25 @@
       return planPrompt(state, message, now);
     case 'routing.plan-call':
       return planCall(state, message, now);
+    case 'routing.import':
+      return {
+        state,
+        commands: links.onImport(state.links, message.order, message.replyTo, monotonicMs),
+      };
+    case 'import.finished':
+    case 'import.failed':
+      return { state, commands: links.onImportReport(state.links, message, monotonicMs) };
+    case 'routing.wake-links':
+      return { state, commands: links.onWake(state.links, monotonicMs) };
     case 'routing.finished':
       return onFinished(state, message, now);
     case 'engine.reported':
       return onEngineReport(state, message, now);
     case 'store.reported':
-      return onStoreReport(state, message);
+      return onStoreReport(state, message, now);
     case 'export.finished':
-      return {
-        state,
-        commands: [{ kind: 'note-exported', pieces: message.pieces.length }],
-      };
+    case 'export.failed':
+      return onExportReport(state, message, now);
     case 'membership.changed':
       load.applyMembership(state.load, message.members, now);
       return { state, commands: [] };
@@ -84,7 +61,6 @@
       return { state, commands: [{ kind: 'schedule-tick' }] };
     case 'routing.tick':
       return onTick(state, now);
-    case 'export.failed':
     case 'task.leave':
     case 'task.stop':
       return { state, commands: [] };
@@ -93,8 +69,37 @@
   }
 }
 
+function onConfiguration(
+  state: State,
+  configuration: schema.Configuration,
+  now: task.Instant,
+): Step {
+  load.applyConfiguration(state.load, configuration, now);
+  const pieceBytes = keptContext.PIECE_TOKENS * configuration.limits.contextBytesPerToken;
+  links.applyConfiguration(state.links, configuration, pieceBytes);
+  const upstreams = new Set(configuration.upstreams.map(({ name }) => name));
+  const stores = new Set(configuration.stores.map(({ name }) => name));
+  workAhead.retain(state.work, upstreams);
+  keptContext.directory.retain(state.directory, upstreams, stores);
+  return { state: { ...state, configuration }, commands: [] };
+}
+
+function onExportReport(state: State, message: messages.ExportReport, now: task.Instant): Step {
+  const commands = links.onExportReport(state.links, message, now.monotonicMs);
+  switch (message.type) {
+    case 'export.finished': {
+      const note: Command = { kind: 'note-exported', pieces: message.pieces.length };
+      return { state, commands: [note, ...commands] };
+    }
+    case 'export.failed':
+      return { state, commands };
+    default:
+      return results.never(message);
+  }
+}
+
 function onDigest(state: State, message: messages.DigestReceived, now: task.Instant): Step {
-  const found = (message.digest ?? {}) as Digest;
+  const found = (message.digest ?? {}) as routing.Digest;
   load.applyDigest(state.load, message.from, found.load, now);
   return { state, commands: [] };
 }
@@ -106,11 +111,20 @@
   return { state, commands: [next, { kind: 'broadcast', digest: { load: loadDigest } }] };
 }
 
-function viewsOf(state: State, now: task.Instant): eligible.Views | undefined {
-  const { configuration, directory, ownDataCentre, isConfirmed } = state;
-  return (
-    configuration && { configuration, directory, load: state.load, ownDataCentre, now, isConfirmed }
-  );
+function viewsOf(state: State, now: task.Instant): waiting.Views | undefined {
+  const { configuration, directory, ownDataCentre, isConfirmed, links: linksNow, work } = state;
+  if (!configuration) return undefined;
+  const { load: loadNow } = state;
+  return {
+    configuration,
+    directory,
+    load: loadNow,
+    ownDataCentre,
+    now,
+    isConfirmed,
+    links: linksNow,
+    work,
+  };
 }
 
 const NOT_CONFIGURED: messages.Plan = {
@@ -125,6 +139,9 @@
   now: task.Instant,
 ): Step {
   const { outline, replyTo } = message;
+  if (outline.excluded.length === 0) {
+    keptContext.returns.noteVisit(state.returns, outline, now.monotonicMs);
+  }
   const views = viewsOf(state, now);
   const plan = views ? placement.placePrompt(views, outline) : NOT_CONFIGURED;
   return answerPlan(state, outline.requestId, plan, outline, replyTo, now);
@@ -150,14 +167,32 @@
   now: task.Instant,
 ): Step {
   if (plan.kind === 'placed') {
-    const { upstream } = plan.placement;
+    const { upstream, reusePieces } = plan.placement;
     load.begin(state.load, upstream, now);
-    state.placed.set(requestId, { upstream, outline });
+    state.placed.set(requestId, { upstream, outline, reusePieces });
+    if (outline) addWork(state, plan.placement, outline, now);
   }
   const message: messages.PlanMade = { type: 'plan.made', requestId, plan };
   return { state, commands: [{ kind: 'reply', replyTo, message }] };
 }
 
+/** Later prompts at the same upstream wait for this one's prefill. */
+function addWork(
+  state: State,
+  placed: messages.Placement,
+  outline: messages.PromptOutline,
+  now: task.Instant,
+): void {
+  const { configuration } = state;
+  const upstream = configuration?.upstreams.find(({ name }) => name === placed.upstream);
+  const service = configuration?.services.find(({ name }) => name === outline.service);
+  if (!upstream || !service) return;
+  const held = (placed.reusePieces + placed.imports.length) * keptContext.PIECE_TOKENS;
+  const prefillMs = placement.prefillMsOf(upstream, outline.promptTokens - held);
+  const startsAtMs = now.monotonicMs + placed.expectedFirstTokenMs - prefillMs;
+  workAhead.add(state.work, upstream.name, service.priority, prefillMs, startsAtMs);
+}
+
 function onFinished(
   state: State,
   message: Extract<messages.RoutingMessage, { type: 'routing.finished' }>,
@@ -168,38 +203,9 @@
   state.placed.delete(message.requestId);
   load.end(state.load, message.upstream, message.outcome, now);
   if (message.outcome.kind !== 'completed' || !placed.outline) return { state, commands: [] };
-  const { pieces } = placed.outline;
-  keptContext.directory.correct(state.directory, message.upstream, pieces, pieces.length);
-  return exportPieces(state, message.upstream, pieces);
-}
-
-/** Sends what no store holds to a store near the engine. */
-function exportPieces(
-  state: State,
-  upstream: string,
-  pieces: readonly keptContext.PieceName[],
-): Step {
-  const missing = pieces.filter((p) => !keptContext.directory.isStored(state.directory, p));
-  const store = chooseStore(state, upstream);
-  if (missing.length === 0 || !store) return { state, commands: [] };
-  const order: messages.ExportOrder = {
-    exportId: String(state.nextExport),
-    upstream,
-    store: store.name,
-    storeAddress: store.address,
-    pieces: missing,
-    tier: 'memory',
-  };
-  return {
-    state: { ...state, nextExport: state.nextExport + 1 },
-    commands: [{ kind: 'export', order }],
-  };
-}
-
-function chooseStore(state: State, upstream: string): schema.Store | undefined {
-  const stores = state.configuration?.stores.filter(({ presence }) => presence === 'in') ?? [];
-  const home = state.configuration?.upstreams.find(({ name }) => name === upstream)?.dataCentre;
-  return stores.find(({ dataCentre }) => dataCentre === home) ?? stores[0];
+  const { reusedTokens } = message.outcome;
+  const commands = keeping.onCompleted(state, placed, placed.outline, reusedTokens, now);
+  return { state, commands };
 }
 
 function onEngineReport(state: State, message: messages.EngineReported, now: task.Instant): Step {
@@ -212,9 +218,11 @@
   return { state, commands: [{ kind: 'resynchronize-engine', upstream }] };
 }
 
-function onStoreReport(state: State, message: messages.StoreReported): Step {
+function onStoreReport(state: State, message: messages.StoreReported, now: task.Instant): Step {
   const { store, report } = message;
   const applied = keptContext.directory.applyStoreReport(state.directory, store, report);
-  if (applied !== 'gap') return { state, commands: [] };
-  return { state, commands: [{ kind: 'resynchronize-store', store }] };
+  const commands =
+    report.kind === 'silent' ? links.onSilent(state.links, store, now.monotonicMs) : [];
+  if (applied !== 'gap') return { state, commands };
+  return { state, commands: [...commands, { kind: 'resynchronize-store', store }] };
 }
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -1,115 +1,200 @@
 /**
- * Where a prompt goes: to the replica where queue, import and prefill together take least time,
- * not to the one with the most cache.
+ * Where a prompt goes and what happens with its context there: the replica and the plan (reuse,
+ * import of a prefix, recompute of the rest) with the least cost, which weighs expected time to
+ * first token and recomputed context as the service's configuration says.
  */
 import type * as schema from '../configuration/schema.js';
 import * as keptContext from '../kept-context/index.js';
+import * as links from '../links/index.js';
 import * as load from '../load/index.js';
 import type * as messages from '../messages/index.js';
+import * as candidates from './candidates.js';
 import * as eligible from './eligible.js';
+import * as waiting from './waiting.js';
 
-/** Expected time that a request ahead in the queue takes, until it has been measured. */
-export const REQUEST_AHEAD_MS = 400;
 /** One-way delay between data centres, doubled for the way back. */
 export const CROSS_CENTRE_MS = 3;
+/** What a disk tier reads, beside the link's own rate. */
+const DISK_BYTES_PER_S = 3_000_000_000;
+/** The longest that an import may take, as a multiple of the recomputation that it saves. */
+const MAX_PATIENCE = 1.5;
 
-/** The cheapest way to serve the prompt at one upstream. */
-export function placeAt(
-  views: eligible.Views,
-  upstream: schema.Upstream,
-  outline: messages.PromptOutline,
-): messages.Placement {
-  const ahead = load.requestsAhead(views.load, upstream);
-  const waitMs = Math.max(0, ahead + 1 - upstream.slots) * (REQUEST_AHEAD_MS / upstream.slots);
-  const distanceMs = upstream.dataCentre === views.ownDataCentre ? 0 : CROSS_CENTRE_MS;
-  const reuse = keptContext.directory.cachedPieces(views.directory, upstream.name, outline.pieces);
-  const baseMs = waitMs + distanceMs;
-  const recomputeMs = prefillMs(upstream, outline.promptTokens - reuse * keptContext.PIECE_TOKENS);
-  const recompute: messages.Placement = {
-    upstream: upstream.name,
-    reusePieces: reuse,
-    imports: [],
-    storeAddress: '',
-    expectedFirstTokenMs: baseMs + recomputeMs,
-  };
-  const imports = views.configuration.stores
+/** One prompt, and what every candidate needs to know of it. */
+type Prompt = {
+  outline: messages.PromptOutline;
+  priority: schema.Priority;
+  weights: schema.ModelService['weights'];
+  stored: readonly Stored[];
+};
+
+/** The manifests that one store has of the prompt, by position, and where runs of them end. */
+type Stored = {
+  store: schema.Store;
+  manifests: readonly (keptContext.Manifest | undefined)[];
+  /** Expected time until the link is free for this prompt. */
+  backlogMs: number;
+  pieceMs: number;
+};
+
+type Costed = { placement: messages.Placement; cost: number };
+
+/** Places a prompt, over the candidates that can win. */
+export function placePrompt(views: waiting.Views, outline: messages.PromptOutline): messages.Plan {
+  const prompt = describe(views, outline);
+  const chosen = candidates.choose(views, outline, prompt.priority);
+  const costed = chosen.map((upstream) => placeAt(views, upstream, prompt));
+  const best = costed.reduce<Costed | undefined>(
+    (least, each) => (least && least.cost <= each.cost ? least : each),
+    undefined,
+  );
+  if (!best) return noUpstream(outline.service);
+  const shown = costed
+    .map(({ placement: { upstream, expectedFirstTokenMs } }) => ({
+      upstream,
+      expectedFirstTokenMs,
+    }))
+    .sort((a, b) => a.expectedFirstTokenMs - b.expectedFirstTokenMs)
+    .slice(0, MAX_CANDIDATES_SHOWN);
+  return { kind: 'placed', placement: best.placement, candidates: shown };
+}
+
+const MAX_CANDIDATES_SHOWN = 4;
+
+const EVEN_WEIGHTS = { firstToken: 1, recompute: 1 };
+
+function describe(views: waiting.Views, outline: messages.PromptOutline): Prompt {
+  const { configuration } = views;
+  const service = configuration.services.find(({ name }) => name === outline.service);
+  const weights = service?.kind === 'model' ? service.weights : EVEN_WEIGHTS;
+  const priority = service?.priority ?? 'normal';
+  const stored = configuration.stores
     .filter(({ presence }) => presence === 'in')
-    .map((store) => importFrom(views, store, upstream, outline, reuse, baseMs));
-  return cheapest([recompute, ...imports]) ?? recompute;
+    .map((store) => findStored(views, store, outline, priority))
+    .filter(({ manifests }) => manifests.some((manifest) => manifest !== undefined));
+  return { outline, priority, weights, stored };
 }
 
-function importFrom(
-  views: eligible.Views,
+function findStored(
+  views: waiting.Views,
   store: schema.Store,
-  upstream: schema.Upstream,
   outline: messages.PromptOutline,
-  reuse: number,
-  baseMs: number,
-): messages.Placement {
-  const { directory, configuration } = views;
-  const imports = keptContext.directory.storedPieces(directory, store.name, outline.pieces, reuse);
-  const held = (reuse + imports.length) * keptContext.PIECE_TOKENS;
-  const tokens = imports.length * keptContext.PIECE_TOKENS;
-  const bytes = tokens * configuration.limits.contextBytesPerToken;
-  const importMs = (bytes / store.linkBytesPerS) * 1_000;
-  const restMs = prefillMs(upstream, outline.promptTokens - held);
+  priority: schema.Priority,
+): Stored {
+  const index = views.directory.stores.get(store.name);
+  const usable = index && !index.isSilent ? index.manifests : undefined;
+  const pieceBytes = keptContext.PIECE_TOKENS * views.configuration.limits.contextBytesPerToken;
+  const { monotonicMs } = views.now;
+  const expected = (bytes: number) =>
+    links.expectedMs(views.links, store.name, priority, bytes, monotonicMs);
+  const backlogMs = expected(0);
   return {
-    upstream: upstream.name,
-    reusePieces: reuse,
-    imports,
-    storeAddress: store.address,
-    expectedFirstTokenMs: baseMs + importMs + restMs,
+    store,
+    manifests: outline.pieces.map((piece) => usable?.get(piece)),
+    backlogMs,
+    pieceMs: expected(pieceBytes) - backlogMs,
   };
 }
 
-function prefillMs(upstream: schema.Upstream, tokens: number): number {
-  return (Math.max(0, tokens) / upstream.prefillTokensPerS) * 1_000;
+/** The cheapest way to serve the prompt at one upstream. */
+function placeAt(views: waiting.Views, upstream: schema.Upstream, prompt: Prompt): Costed {
+  const { outline } = prompt;
+  const reuse = keptContext.directory.cachedPieces(views.directory, upstream.name, outline.pieces);
+  const recompute = costOf(views, upstream, prompt, reuse, { importMs: 0, imports: [] });
+  return prompt.stored
+    .flatMap((stored) => prefixesOf(views, stored, reuse))
+    .map((prefix) => costOf(views, upstream, prompt, reuse, prefix))
+    .reduce((least, each) => (least.cost <= each.cost ? least : each), recompute);
 }
 
-export function cheapest(
-  placements: readonly messages.Placement[],
-): messages.Placement | undefined {
-  return placements.reduce<messages.Placement | undefined>(
-    (best, each) => (best && best.expectedFirstTokenMs <= each.expectedFirstTokenMs ? best : each),
-    undefined,
-  );
+/** Pieces to import from one store, and the expected time of that. */
+type Prefix = { importMs: number; imports: readonly keptContext.Manifest[]; storeAddress?: string };
+
+/**
+ * The prefixes that can be best: all pieces up to a change of tier, where the time for a piece
+ * changes, and all that the store has.
+ */
+function prefixesOf(views: waiting.Views, stored: Stored, reuse: number): readonly Prefix[] {
+  const found: Prefix[] = [];
+  const imports: keptContext.Manifest[] = [];
+  let importMs = stored.backlogMs;
+  for (let at = reuse; at < stored.manifests.length; at += 1) {
+    const { [at]: manifest } = stored.manifests;
+    if (!manifest) break;
+    imports.push(manifest);
+    importMs += stored.pieceMs + tierMs(views, manifest.tier);
+    const next = stored.manifests[at + 1];
+    if (next?.tier !== manifest.tier) {
+      found.push({ importMs, imports: [...imports], storeAddress: stored.store.address });
+    }
+  }
+  return found;
 }
 
-/** Places a prompt over all eligible upstreams. */
-export function placePrompt(views: eligible.Views, outline: messages.PromptOutline): messages.Plan {
-  const upstreams = eligible.upstreamsOf(views, outline.service, outline.excluded);
-  const placements = upstreams.map((upstream) => placeAt(views, upstream, outline));
-  const best = cheapest(placements);
-  if (!best) return noUpstream(outline.service);
-  const candidates = placements
-    .map(({ upstream, expectedFirstTokenMs }) => ({ upstream, expectedFirstTokenMs }))
-    .sort((a, b) => a.expectedFirstTokenMs - b.expectedFirstTokenMs)
-    .slice(0, MAX_CANDIDATES_SHOWN);
-  return { kind: 'placed', placement: best, candidates };
+function tierMs(views: waiting.Views, tier: keptContext.Tier): number {
+  const bytes = keptContext.PIECE_TOKENS * views.configuration.limits.contextBytesPerToken;
+  return tier === 'disk' ? (bytes / DISK_BYTES_PER_S) * 1_000 : 0;
 }
 
-const MAX_CANDIDATES_SHOWN = 4;
-const RETRY_AFTER_MS = 1_000;
+function costOf(
+  views: waiting.Views,
+  upstream: schema.Upstream,
+  prompt: Prompt,
+  reuse: number,
+  prefix: Prefix,
+): Costed {
+  const { outline, weights } = prompt;
+  const held = (reuse + prefix.imports.length) * keptContext.PIECE_TOKENS;
+  const prefillMs = prefillMsOf(upstream, outline.promptTokens - held);
+  const queueMs = waiting.waitMs(views, upstream, prompt.priority);
+  const distanceMs = upstream.dataCentre === views.ownDataCentre ? 0 : CROSS_CENTRE_MS;
+  // The queue moves on while the import is under way.
+  const expectedFirstTokenMs = distanceMs + Math.max(queueMs, prefix.importMs) + prefillMs;
+  const savedMs = prefillMsOf(upstream, prefix.imports.length * keptContext.PIECE_TOKENS);
+  const placement: messages.Placement = {
+    upstream: upstream.name,
+    reusePieces: reuse,
+    imports: prefix.imports,
+    storeAddress: prefix.storeAddress ?? '',
+    expectedFirstTokenMs,
+    lateAfterMs: queueMs + savedMs * patienceOf(weights),
+  };
+  const cost = weights.firstToken * expectedFirstTokenMs + weights.recompute * prefillMs;
+  return { placement, cost };
+}
+
+/** Later than this multiple of recomputing, an import costs more than it saves. */
+function patienceOf({ firstToken, recompute }: schema.ModelService['weights']): number {
+  return Math.min(MAX_PATIENCE, 1 + recompute / Math.max(firstToken, Number.EPSILON));
+}
+
+export function prefillMsOf(upstream: schema.Upstream, tokens: number): number {
+  return (Math.max(0, tokens) / upstream.prefillTokensPerS) * 1_000;
+}
 
 /** Places a call of a plain service: least work ahead for each slot, own data centre first. */
 export function placeCall(
-  views: eligible.Views,
+  views: waiting.Views,
   service: string,
   excluded: readonly string[],
 ): messages.Plan {
   const costed = eligible.upstreamsOf(views, service, excluded).map((upstream) => ({
     upstream: upstream.name,
     expectedFirstTokenMs:
-      (load.requestsAhead(views.load, upstream) / upstream.slots) * REQUEST_AHEAD_MS +
+      (load.requestsAhead(views.load, upstream) / upstream.slots) * waiting.REQUEST_AHEAD_MS +
       (upstream.dataCentre === views.ownDataCentre ? 0 : CROSS_CENTRE_MS),
   }));
-  const placement = cheapest(
-    costed.map((each) => ({ ...each, reusePieces: 0, imports: [], storeAddress: '' })),
+  const best = costed.reduce<messages.Candidate | undefined>(
+    (least, each) =>
+      least && least.expectedFirstTokenMs <= each.expectedFirstTokenMs ? least : each,
+    undefined,
   );
-  if (!placement) return noUpstream(service);
+  if (!best) return noUpstream(service);
+  const placement = { ...best, reusePieces: 0, imports: [], storeAddress: '' };
   return { kind: 'placed', placement, candidates: costed.slice(0, MAX_CANDIDATES_SHOWN) };
 }
 
+const RETRY_AFTER_MS = 1_000;
+
 function noUpstream(service: string): messages.Plan {
   return {
     kind: 'refused',
--- a/packages/plugins/exchange/src/request-task.ts
+++ b/packages/plugins/exchange/src/request-task.ts
@@ -100,7 +100,7 @@
       });
       return;
     case 'import':
-      send('upstreams', { type: 'upstreams.import', order: command.order, replyTo: self });
+      send('routing', { type: 'routing.import', order: command.order, replyTo: self });
       return;
     case 'run':
       send('upstreams', { type: 'upstreams.run', order: command.order, replyTo: self });
--- a/packages/plugins/routing/src/routing-task.ts
+++ b/packages/plugins/routing/src/routing-task.ts
@@ -41,6 +41,30 @@
         replyTo: surroundings.self,
       });
       return;
+    case 'start-import':
+      surroundings.send('upstreams', {
+        type: 'upstreams.import',
+        order: command.order,
+        replyTo: surroundings.self,
+      });
+      return;
+    case 'cancel-import':
+      surroundings.send('upstreams', {
+        type: 'upstreams.cancel-import',
+        runId: command.runId,
+        upstream: command.upstream,
+      });
+      surroundings.record({ name: 'importCancelled', details: { runId: command.runId } });
+      return;
+    case 'reply-import':
+      command.replyTo.send(command.message);
+      return;
+    case 'wake-links':
+      surroundings.schedule('links', command.delayMs, { type: 'routing.wake-links' });
+      return;
+    case 'drop':
+      surroundings.send('stores', { type: 'stores.drop', manifest: command.manifest });
+      return;
     case 'resynchronize-engine':
       surroundings.send('upstreams', {
         type: 'upstreams.resynchronize',
--- a/packages/plugins/stores-http/src/stores-task.ts
+++ b/packages/plugins/stores-http/src/stores-task.ts
@@ -1,6 +1,7 @@
 /** The task that owns the connections to the stores' report streams. */
 import * as core from '@medlarweir/core';
 import * as lineFeed from '@medlarweir/line-feed';
+import * as undici from 'undici';
 
 import * as wire from './wire.js';
 
@@ -9,7 +10,7 @@
   | { type: 'feed.ended'; source: string; address: string }
   | { type: 'feed.retry'; source: string };
 type State = core.feeds.State;
-type Command = core.feeds.Command;
+type Command = core.feeds.Command | { kind: 'drop'; url: string };
 type Step = core.kernel.Step<State, Command>;
 type Surroundings = core.kernel.Surroundings<Message>;
 
@@ -43,6 +44,7 @@
     case 'task.stop':
       return core.feeds.decide(state, { kind: 'stop' });
     case 'stores.drop':
+      return drop(state, message.manifest);
     case 'task.start':
     case 'task.leave':
       return { state, commands: [] };
@@ -69,6 +71,15 @@
   };
 }
 
+/** The incarnation keeps a slot that was given out anew from being dropped. */
+function drop(state: State, manifest: core.keptContext.Manifest): Step {
+  const address = state.addresses[manifest.store];
+  if (address === undefined) return { state, commands: [] };
+  const incarnation = encodeURIComponent(manifest.slotIncarnation);
+  const url = `http://${address}/slots/${manifest.slot}?incarnation=${incarnation}`;
+  return { state, commands: [{ kind: 'drop', url }] };
+}
+
 function perform(
   surroundings: Surroundings,
   open: Map<string, lineFeed.Feed>,
@@ -91,11 +102,27 @@
         source: command.source,
       });
       return;
+    case 'drop':
+      void dropSlot(command.url);
+      return;
     default:
       core.results.never(command);
   }
 }
 
+const DROP_TIMEOUT_MS = 5_000;
+
+/** A lost order leaves the piece in its slot until the store itself needs the room. */
+async function dropSlot(url: string): Promise<void> {
+  try {
+    const signal = AbortSignal.timeout(DROP_TIMEOUT_MS);
+    const response = await undici.request(url, { method: 'DELETE', signal });
+    await response.body.dump();
+  } catch {
+    // The store makes room by itself.
+  }
+}
+
 function openFeed(surroundings: Surroundings, source: string, address: string): lineFeed.Feed {
   return lineFeed.open({
     url: `http://${address}/events`,
--- a/packages/plugins/upstreams-http/src/calls.ts
+++ b/packages/plugins/upstreams-http/src/calls.ts
@@ -16,11 +16,13 @@
   url: string,
   body: unknown,
   timeoutMs: number,
+  broken?: AbortSignal,
 ): Promise<Reply> {
+  const late = AbortSignal.timeout(timeoutMs);
   const response = await undici.request(url, {
     method: 'POST',
     dispatcher,
-    signal: AbortSignal.timeout(timeoutMs),
+    signal: broken ? AbortSignal.any([late, broken]) : late,
     headers: { 'content-type': 'application/json' },
     body: JSON.stringify(body),
   });
@@ -31,6 +33,7 @@
   dispatcher: undici.Dispatcher,
   address: string,
   order: core.messages.ImportOrder,
+  broken: AbortSignal,
 ): Promise<core.messages.ImportReport> {
   const { runId, storeAddress, manifests } = order;
   const failed = (detail: string): core.messages.ImportReport => ({
@@ -41,7 +44,7 @@
   try {
     const body = { importId: runId, storeAddress, manifests };
     const url = `http://${address}/v1/kv/import`;
-    const reply = await post(dispatcher, url, body, MOVE_TIMEOUT_MS);
+    const reply = await post(dispatcher, url, body, MOVE_TIMEOUT_MS, broken);
     const decoded = reply.status === 200 ? wire.decodeImported(reply.text) : undefined;
     if (!decoded) return failed(`status ${reply.status}`);
     return { type: 'import.finished', runId, seen: decoded.seen };
--- a/packages/plugins/upstreams-http/src/upstreams-task.ts
+++ b/packages/plugins/upstreams-http/src/upstreams-task.ts
@@ -20,6 +20,7 @@
       | 'upstreams.run'
       | 'upstreams.resume'
       | 'upstreams.cancel'
+      | 'upstreams.cancel-import'
       | 'upstreams.import'
       | 'upstreams.export'
       | 'upstreams.call'
@@ -40,6 +41,8 @@
   dispatcher: undici.Agent;
   feeds: Map<string, lineFeed.Feed>;
   runs: Map<string, lineFeed.Feed>;
+  /** Imports under way, which can be broken off. */
+  imports: Map<string, AbortController>;
 };
 
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
@@ -49,6 +52,7 @@
       dispatcher: new undici.Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } }),
       feeds: new Map(),
       runs: new Map(),
+      imports: new Map(),
     };
     return {
       initial: { addresses: {}, feeds: core.feeds.initial },
@@ -72,6 +76,7 @@
       return work(state, message, message.call.upstream);
     case 'upstreams.resume':
     case 'upstreams.cancel':
+    case 'upstreams.cancel-import':
       return work(state, message, message.upstream);
     case 'upstreams.resynchronize':
       return resynchronize(state, message.upstream);
@@ -151,7 +156,8 @@
   }
 }
 
-function carryOut({ dispatcher, runs: open }: Sockets, message: Work, address: string): void {
+function carryOut(sockets: Sockets, message: Work, address: string): void {
+  const { dispatcher, runs: open, imports } = sockets;
   switch (message.type) {
     case 'upstreams.run': {
       const { runId } = message.order;
@@ -172,9 +178,11 @@
       void calls.cancelRun(dispatcher, address, message.runId);
       return;
     case 'upstreams.import':
-      void calls
-        .importPieces(dispatcher, address, message.order)
-        .then((found) => message.replyTo.send(found));
+      startImport(sockets, message, address);
+      return;
+    case 'upstreams.cancel-import':
+      imports.get(message.runId)?.abort();
+      imports.delete(message.runId);
       return;
     case 'upstreams.export':
       void calls
@@ -196,6 +204,20 @@
   }
 }
 
+/** A cancelled import reports nothing. */
+function startImport(
+  { dispatcher, imports }: Sockets,
+  { order, replyTo }: Extract<Work, { type: 'upstreams.import' }>,
+  address: string,
+): void {
+  const broken = new AbortController();
+  imports.set(order.runId, broken);
+  void calls.importPieces(dispatcher, address, order, broken.signal).then((found) => {
+    imports.delete(order.runId);
+    if (!broken.signal.aborted) replyTo.send(found);
+  });
+}
+
 /** Forgets a run's connection once its last report has been passed on. */
 function untilEnd(
   open: Map<string, lineFeed.Feed>,
--- a/packages/stand-ins/src/store/store.ts
+++ b/packages/stand-ins/src/store/store.ts
@@ -84,6 +84,15 @@
     publish({ kind: 'dropped', piece: slot.piece });
   }
 
+  function free(number: number, request: serve.Request): serve.Reply {
+    const wanted = request.query.get('incarnation');
+    if (wanted !== null && slots.get(number)?.incarnation !== wanted) {
+      return serve.json(409, { error: 'slot was given out anew' });
+    }
+    drop(number);
+    return serve.json(200, {});
+  }
+
   function reserve(body: Buffer): serve.Reply {
     if (state.isFull) return serve.json(507, { error: 'full' });
     const wish = JSON.parse(body.toString('utf8')) as {
@@ -177,8 +186,7 @@
       case 'GET slots':
         return read(number);
       case 'DELETE slots':
-        drop(number);
-        return serve.json(200, {});
+        return free(number, request);
       case 'POST manifests':
         return commit(body);
       case 'GET events':
