--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -111,6 +111,20 @@
   title: 'key older than the retention',
   hint: 'Not run. Use a new key.',
 };
+/** The key's own time lies ahead of the instance's clock. */
+const keyFromFuture: Code = {
+  number: 3101,
+  status: 422,
+  title: 'key’s time is in the future',
+  hint: 'Not run. Check the clock of the machine that made the key.',
+};
+/** The request ran; its answer was larger than what is kept. */
+const answerNotKept: Code = {
+  number: 3102,
+  status: 409,
+  title: 'ran, but its answer was not kept',
+  hint: 'Do not send it again. Read the service’s records for the result.',
+};
 /** The upstream could not be reached at all. */
 const upstreamUnreachable: Code = {
   number: 4001,
@@ -174,6 +188,13 @@
   title: 'changed by another writer',
   hint: 'Look at both versions and apply the change again.',
 };
+/** A change was sent, and no answer tells whether it took effect. */
+const changeUnknown: Code = {
+  number: 5101,
+  status: 503,
+  title: 'change may have taken effect',
+  hint: 'Look at `medlarctl history` once the platform answers; do not assume either end.',
+};
 /** A setting, an answer or a configuration field is wrong. */
 const invalidInput: Code = {
   number: 6001,
@@ -196,6 +217,35 @@
   hint: 'See `medlarctl --help`.',
 };
 
+/** The operator did not agree to a change, or could not be asked. */
+const declined: Code = {
+  number: 6141,
+  status: 409,
+  title: 'declined',
+  hint: 'Nothing was changed. Answer yes, or agree beforehand with `--yes`.',
+};
+/** A command of the operator's tool lacks a word or a flag. */
+const wrongUse: Code = {
+  number: 6142,
+  status: 400,
+  title: 'wrong use',
+  hint: 'See `medlarctl --help`.',
+};
+/** The platform's list has no instance of this name. */
+const unknownInstance: Code = {
+  number: 6143,
+  status: 404,
+  title: 'unknown instance',
+  hint: 'The platform’s list lags; look at `medlarctl status`.',
+};
+/** An instance does not answer, or refuses the deployment's key. */
+const instanceUnreachable: Code = {
+  number: 6144,
+  status: 502,
+  title: 'instance does not answer',
+  hint: 'Look at the instance’s journal, and at the deployment key.',
+};
+
 export const table = {
   unauthorized,
   unknownService,
@@ -211,6 +261,8 @@
   keyReused,
   claimUnavailable,
   keyExpired,
+  keyFromFuture,
+  answerNotKept,
   upstreamUnreachable,
   upstreamMalformed,
   upstreamRefused,
@@ -220,9 +272,14 @@
   platformUnavailable,
   platformMalformed,
   conflict,
+  changeUnknown,
   invalidInput,
   notConfigured,
   unknownCommand,
+  declined,
+  wrongUse,
+  unknownInstance,
+  instanceUnreachable,
 } as const satisfies Record<string, Code>;
 
 export type CodeName = keyof typeof table;
