--- a/benchmark/src/models/choice.ts
+++ b/benchmark/src/models/choice.ts
@@ -81,7 +81,7 @@
     return;
   }
   core.load.begin(state.load, upstream.name, now);
-  state.placed.set(requestId, { upstream: upstream.name, outline });
+  state.placed.set(requestId, { upstream: upstream.name, outline, reusePieces: 0 });
   const placement: core.messages.Placement = {
     upstream: upstream.name,
     reusePieces: 0,
