--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -1,2 +1,4 @@
 /** The benchmarks: importing one registers it. */
 import './control-plane/index.js';
+import './kernel/index.js';
+import './kept-context/index.js';
