--- /dev/null
+++ b/packages/medlarctl/test/change.test.ts
@@ -0,0 +1,60 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as medlarctl from 'medlarctl';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('changes of the configuration');
+
+const { HEAD_KEY } = core.configuration.heads;
+
+type Platform = Parameters<typeof medlarctl.change.apply>[0];
+type WriteRequest = Parameters<Platform['write']>[0];
+
+/** A platform on which something happens after each write of the head. */
+function aPlatform(afterHeadWrite: (objects: fixtures.Objects, count: number) => boolean) {
+  const objects = fixtures.theObjects();
+  const counter = { headWrites: 0 };
+  const write = (request: WriteRequest) => {
+    const { key, expectedVersion, value, writeId } = request;
+    const answer = objects.write(key, expectedVersion, value, writeId);
+    if (key !== HEAD_KEY) return Promise.resolve(answer);
+    counter.headWrites += 1;
+    const isLost = afterHeadWrite(objects, counter.headWrites);
+    return Promise.resolve(isLost ? fixtures.noAnswer() : answer);
+  };
+  const read = (key: string) => Promise.resolve(objects.read(key));
+  return { objects, platform: { read, write } as unknown as Platform };
+}
+
+/** Another operator's change on top of what the head says. */
+function changeOnTop(objects: fixtures.Objects): void {
+  const found = objects.read(HEAD_KEY);
+  if (found.kind !== 'object') throw new Error('no head');
+  const head = core.configuration.heads.headSchema.parse(found.object.value);
+  const generation = head.generation + 1;
+  const change = { id: 'other', generation, edits: [], by: 'other', atMs: 0, why: '' };
+  const value = { ...head, generation, changes: [...head.changes, change] };
+  objects.write(HEAD_KEY, found.object.version, value, 'other-write');
+}
+
+suite('a lost answer is told as accepted, also when another operator was next', async () => {
+  const { platform } = aPlatform((objects, count) => {
+    if (count === 1) changeOnTop(objects);
+    return count === 1;
+  });
+  const base = { version: 0, configuration: undefined };
+  const applied = await medlarctl.change.apply(platform, base, fixtures.aConfiguration());
+  assert.equal(applied.isOk() && applied.value, 1);
+});
+
+suite('the one who was second is told so, and that nothing took effect', async () => {
+  const { platform } = aPlatform(() => false);
+  const base = { version: 0, configuration: undefined };
+  const first = await medlarctl.change.apply(platform, base, fixtures.aConfiguration());
+  const second = await medlarctl.change.apply(platform, base, fixtures.aConfiguration());
+  assert.ok(first.isOk());
+  assert.is(second.isErr() && second.error.code, 'conflict');
+});
+
+suite.run();
