--- /dev/null
+++ b/packages/medlarctl/src/commands/diff.ts
@@ -0,0 +1,40 @@
+/** `medlarctl diff`: what differs between two generations of the configuration. */
+import * as core from '@medlarweir/core';
+import * as neverthrow from 'neverthrow';
+
+import * as change from '../change.js';
+import * as history from '../history.js';
+import * as registry from '../registry.js';
+
+registry.register({
+  name: 'diff',
+  usage: 'FROM [TO]',
+  summary: 'shows what differs between two generations',
+  run: showDiff,
+});
+
+async function showDiff({ platform, words }: registry.Input): registry.Outcome {
+  const base = await change.readInForce(platform);
+  if (base.isErr()) return neverthrow.err(base.error);
+  const { head } = base.value;
+  const from = Number(words[0]);
+  const to = Number(words[1] ?? head?.generation);
+  if (!head || !Number.isInteger(from) || !Number.isInteger(to)) {
+    const detail = 'diff: expected FROM [TO], two generations of the history';
+    return neverthrow.err(core.results.failure('invalidInput', detail));
+  }
+  const found = await history.readBackTo(platform, head, Math.min(from, to));
+  return found.andThen((all) =>
+    history
+      .at(all, from)
+      .andThen((before) => history.at(all, to).map((after) => report(before, after))),
+  );
+}
+
+function report(
+  before: core.configuration.Configuration,
+  after: core.configuration.Configuration,
+): registry.Report {
+  const edits = core.configuration.diff(before, after).map(core.configuration.describeEdit);
+  return { text: edits.join('\n') || 'nothing differs', data: { edits } };
+}
--- a/packages/medlarctl/src/commands/index.ts
+++ b/packages/medlarctl/src/commands/index.ts
@@ -4,3 +4,6 @@
 import './get.js';
 import './data-centre.js';
 import './dump.js';
+import './history.js';
+import './diff.js';
+import './revert.js';
--- /dev/null
+++ b/packages/medlarctl/src/commands/revert.ts
@@ -0,0 +1,37 @@
+/** `medlarctl revert`: puts an earlier configuration in force again, as a new generation. */
+import * as core from '@medlarweir/core';
+import * as neverthrow from 'neverthrow';
+
+import * as change from '../change.js';
+import * as confirm from '../confirm.js';
+import * as history from '../history.js';
+import * as registry from '../registry.js';
+
+registry.register({
+  name: 'revert',
+  usage: 'GENERATION [--by NAME] [--why TEXT]',
+  summary: 'puts an earlier configuration in force again, as a new generation',
+  flags: { by: { type: 'string' }, why: { type: 'string' } },
+  run: revert,
+});
+
+async function revert(input: registry.Input): registry.Outcome {
+  const { platform, words, flags } = input;
+  const base = await change.readInForce(platform);
+  if (base.isErr()) return neverthrow.err(base.error);
+  const { head } = base.value;
+  const generation = Number(words[0]);
+  if (!head || !Number.isInteger(generation)) {
+    const detail = 'revert: expected GENERATION, one of the history';
+    return neverthrow.err(core.results.failure('invalidInput', detail));
+  }
+  const found = await history.readBackTo(platform, head, generation);
+  const earlier = found.andThen((all) => history.at(all, generation));
+  if (earlier.isErr()) return neverthrow.err(earlier.error);
+  const { by, why } = change.reasonOf(flags);
+  const reason = { by, why: why || `revert to generation ${generation}` };
+  const next = { ...earlier.value, generation: head.generation + 1 };
+  const agreed = await confirm.confirm(input, base.value.configuration, next);
+  if (agreed.isErr()) return neverthrow.err(agreed.error);
+  return change.accept(platform, base.value, next, reason);
+}
--- /dev/null
+++ b/packages/medlarctl/src/history.ts
@@ -0,0 +1,51 @@
+/** The history of the configuration: the head's changes, then the chain of bases behind it. */
+import * as core from '@medlarweir/core';
+import type * as platformHttp from '@medlarweir/plugin-platform-http';
+import * as neverthrow from 'neverthrow';
+
+import * as change from './change.js';
+
+type Change = core.configuration.Change;
+type Configuration = core.configuration.Configuration;
+type Client = platformHttp.client.Client;
+type Outcome<Value> = Promise<neverthrow.Result<Value, core.results.Failure>>;
+
+/** Changes from the newest back, and the base that the oldest of them follows on. */
+export type History = { changes: readonly Change[]; base: Configuration };
+
+/** Reads back to the last base that is not newer than the generation. */
+export async function readBackTo(
+  platform: Client,
+  head: core.configuration.heads.Head,
+  generation: number,
+): Outcome<History> {
+  const known = new Map(head.changes.map((each) => [each.generation, each]));
+  let { key } = head.base;
+  for (;;) {
+    const base = await change.readBase(platform, key);
+    if (base.isErr()) return neverthrow.err(base.error);
+    const { configuration, changes, previous } = base.value;
+    if (configuration.generation <= generation || previous === '') {
+      return neverthrow.ok({ changes: newestFirst(known), base: configuration });
+    }
+    changes.forEach((each) => known.set(each.generation, each));
+    key = previous;
+  }
+}
+
+function newestFirst(known: ReadonlyMap<number, Change>): readonly Change[] {
+  return [...known.values()].sort((a, b) => b.generation - a.generation);
+}
+
+/** The configuration as it was in force at a generation. */
+export function at(
+  { changes, base }: History,
+  generation: number,
+): neverthrow.Result<Configuration, core.results.Failure> {
+  const upTo = changes.filter((each) => each.generation <= generation);
+  const later = core.configuration.following(upTo, base.generation) ?? [];
+  const isKnown = base.generation + later.length === generation;
+  if (isKnown) return core.configuration.applyAll(base, later);
+  const detail = `generation: expected one of the history; found ${generation}`;
+  return neverthrow.err(core.results.failure('invalidInput', detail));
+}
