--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -21,6 +21,7 @@
   piecesImported: { number: 303, level: 'info', text: 'pieces imported' },
   unsafeRead: { number: 304, level: 'warn', text: 'stored piece failed its checks' },
   hintCorrected: { number: 305, level: 'debug', text: 'cache hint corrected' },
+  importCancelled: { number: 321, level: 'info', text: 'late import cancelled' },
   requestAccepted: { number: 401, level: 'debug', text: 'request accepted' },
   requestEnded: { number: 402, level: 'info', text: 'request ended' },
   requestRefused: { number: 403, level: 'info', text: 'request refused' },
@@ -31,6 +32,7 @@
   claimsSuspended: { number: 422, level: 'warn', text: 'keyed requests are refused' },
   claimsResumed: { number: 423, level: 'info', text: 'keyed requests are taken again' },
   upstreamSilent: { number: 501, level: 'warn', text: 'upstream does not report' },
+  coldRightGained: { number: 521, level: 'info', text: 'may send to a cold upstream' },
   platformUnavailable: { number: 701, level: 'warn', text: 'platform unavailable' },
   platformBack: { number: 702, level: 'info', text: 'platform is back' },
 } as const satisfies Record<string, Entry>;
--- a/packages/plugins/upstreams-http/src/upstreams-task.ts
+++ b/packages/plugins/upstreams-http/src/upstreams-task.ts
@@ -20,6 +20,7 @@
       | 'upstreams.run'
       | 'upstreams.resume'
       | 'upstreams.cancel'
+      | 'upstreams.cancel-import'
       | 'upstreams.import'
       | 'upstreams.export'
       | 'upstreams.call'
@@ -27,7 +28,10 @@
   }
 >;
 type State = { addresses: Readonly<Record<string, string>>; feeds: core.feeds.State };
-type Command = core.feeds.Command | { kind: 'work'; work: Work; address: string };
+type Command =
+  | core.feeds.Command
+  | { kind: 'work'; work: Work; address: string }
+  | { kind: 'refuse-late'; runId: string; replyTo: core.kernel.Address<core.messages.RunReport> };
 type Step = core.kernel.Step<State, Command>;
 type Surroundings = core.kernel.Surroundings<Message>;
 
@@ -40,6 +44,8 @@
   dispatcher: undici.Agent;
   feeds: Map<string, lineFeed.Feed>;
   runs: Map<string, lineFeed.Feed>;
+  /** Imports under way, which can be broken off. */
+  imports: Map<string, AbortController>;
 };
 
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
@@ -49,6 +55,7 @@
       dispatcher: new undici.Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } }),
       feeds: new Map(),
       runs: new Map(),
+      imports: new Map(),
     };
     return {
       initial: { addresses: {}, feeds: core.feeds.initial },
@@ -59,11 +66,12 @@
   },
 };
 
-function decide(state: State, message: Message): Step {
+function decide(state: State, message: Message, now: core.kernel.Instant): Step {
   switch (message.type) {
     case 'configuration.adopted':
       return onConfiguration(state, message.configuration);
     case 'upstreams.run':
+      return beginRun(state, message, now);
     case 'upstreams.import':
     case 'upstreams.export':
     case 'upstreams.order':
@@ -72,6 +80,7 @@
       return work(state, message, message.call.upstream);
     case 'upstreams.resume':
     case 'upstreams.cancel':
+    case 'upstreams.cancel-import':
       return work(state, message, message.upstream);
     case 'upstreams.resynchronize':
       return resynchronize(state, message.upstream);
@@ -119,6 +128,17 @@
   };
 }
 
+/** The last check before the send: a process that was paused may have outlived its right. */
+function beginRun(
+  state: State,
+  message: Extract<Work, { type: 'upstreams.run' }>,
+  now: core.kernel.Instant,
+): Step {
+  const { runId, upstream, sendBeforeMs = Infinity } = message.order;
+  if (now.monotonicMs < sendBeforeMs) return work(state, message, upstream);
+  return { state, commands: [{ kind: 'refuse-late', runId, replyTo: message.replyTo }] };
+}
+
 function work(state: State, message: Work, upstream: string): Step {
   const address = state.addresses[upstream] ?? NO_ADDRESS;
   return { state, commands: [{ kind: 'work', work: message, address }] };
@@ -129,6 +149,14 @@
     case 'work':
       carryOut(sockets, command.work, command.address);
       return;
+    case 'refuse-late':
+      command.replyTo.send({
+        type: 'run.failed',
+        runId: command.runId,
+        reach: { kind: 'not-connected' },
+        failure: core.results.failure('coldRightLapsed', 'the send came too late'),
+      });
+      return;
     case 'open':
       sockets.feeds.set(command.source, openFeed(surroundings, command.source, command.address));
       return;
@@ -151,7 +179,8 @@
   }
 }
 
-function carryOut({ dispatcher, runs: open }: Sockets, message: Work, address: string): void {
+function carryOut(sockets: Sockets, message: Work, address: string): void {
+  const { dispatcher, runs: open, imports } = sockets;
   switch (message.type) {
     case 'upstreams.run': {
       const { runId } = message.order;
@@ -172,9 +201,11 @@
       void calls.cancelRun(dispatcher, address, message.runId);
       return;
     case 'upstreams.import':
-      void calls
-        .importPieces(dispatcher, address, message.order)
-        .then((found) => message.replyTo.send(found));
+      startImport(sockets, message, address);
+      return;
+    case 'upstreams.cancel-import':
+      imports.get(message.runId)?.abort();
+      imports.delete(message.runId);
       return;
     case 'upstreams.export':
       void calls
@@ -196,6 +227,20 @@
   }
 }
 
+/** A cancelled import reports nothing. */
+function startImport(
+  { dispatcher, imports }: Sockets,
+  { order, replyTo }: Extract<Work, { type: 'upstreams.import' }>,
+  address: string,
+): void {
+  const broken = new AbortController();
+  imports.set(order.runId, broken);
+  void calls.importPieces(dispatcher, address, order, broken.signal).then((found) => {
+    imports.delete(order.runId);
+    if (!broken.signal.aborted) replyTo.send(found);
+  });
+}
+
 /** Forgets a run's connection once its last report has been passed on. */
 function untilEnd(
   open: Map<string, lineFeed.Feed>,
