--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -1,6 +1,6 @@
 /** The benchmarks: importing one registers it. */
+import './control-plane/index.js';
 import './cold-start/index.js';
 import './data-centre-move/index.js';
 import './kernel/index.js';
 import './kept-context/index.js';
-import './control-plane/index.js';
--- a/benchmark/src/index.ts
+++ b/benchmark/src/index.ts
@@ -2,3 +2,4 @@
 export * as choices from './models/choice.js';
 export * as worlds from './models/world.js';
 export * from './registry.js';
+export * as controlPlane from './control-plane/fleet.js';
--- a/packages/medlarctl/src/commands/index.ts
+++ b/packages/medlarctl/src/commands/index.ts
@@ -5,3 +5,6 @@
 import './data-centre.js';
 import './dump.js';
 import './upstream.js';
+import './history.js';
+import './diff.js';
+import './revert.js';
