Tell the truth of a prompt over all its attempts; number malformed HTTP

Cause: a prompt whose run had broken off after the engine was sent it was refused as "not run" when the next plan found no upstream, when the deadline passed, or when the last attempt did not connect: only the last step was looked at. What is no HTTP got Node's bare 400. The peers' port sent a stack trace with file names to strangers. Found by a live test with an engine that answers broken JSON; the mapping of each reach to its truth was ruled out.

Change: the worst truth of all attempts is kept with the prompt; a prompt that may have run is refused as lost (4004). Malformed HTTP is answered with code 1003. tRPC errors carry no stack. A live instance gets bad requests, malformed HTTP, an oversized body, broken configuration, a babbling upstream and platform; dump is tested beside it.

--- a/examples/src/processes.ts
+++ b/examples/src/processes.ts
@@ -20,6 +20,8 @@
   /** Resolves with the first line of output, parsed, for which `pick` returns a value. */
   waitFor<Value>(pick: (line: Record<string, unknown>) => Value | undefined): Promise<Value>;
   signal(signal: NodeJS.Signals): void;
+  /** Everything that it has printed so far, line by line. */
+  printed(): readonly Record<string, unknown>[];
   /** The exit code, or the signal's name. */
   exited: Promise<number | string>;
 };
@@ -43,6 +45,7 @@
     pid: child.pid ?? -1,
     exited,
     signal: (signal) => child.kill(signal),
+    printed: () => [...lines],
     waitFor: (pick) => pickFrom(lines, arrivals, pick),
   };
 }
--- /dev/null
+++ b/examples/test/bad-input.test.ts
@@ -0,0 +1,183 @@
+import * as core from '@medlarweir/core';
+import * as undici from 'undici';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as exposed from './fixtures/exposed.js';
+import * as serving from './fixtures/serving.js';
+
+const suite = uvu.suite('bad input to a running instance', {} as exposed.Exposed);
+
+suite.before(async (context) => {
+  Object.assign(context, await exposed.anExposedInstance());
+});
+
+suite.after((context) => context.end());
+
+type ErrorBody = { error: { code: number; message: string; run: string; request_id: string } };
+
+/** A good request is served whole: the process lives on and does its work. */
+async function expectService(context: exposed.Exposed): Promise<void> {
+  const { status, text } = await exposed.send(context, {
+    body: JSON.stringify(exposed.COMPLETION),
+  });
+  assert.is(status, 200, text);
+}
+
+const completion = (given: object) => JSON.stringify({ ...exposed.COMPLETION, ...given });
+
+const CASES: readonly { fault: string; sent: exposed.Sent; status: number; code: number }[] = [
+  { fault: 'no credential', sent: { headers: {}, body: '{}' }, status: 401, code: 1001 },
+  {
+    fault: 'a wrong credential',
+    sent: { headers: { authorization: 'Bearer of-nobody' }, body: '{}' },
+    status: 401,
+    code: 1001,
+  },
+  { fault: 'an unknown path', sent: { path: '/v9', body: '{}' }, status: 404, code: 1002 },
+  {
+    fault: 'an unknown model service',
+    sent: { body: completion({ model: 'nobody' }) },
+    status: 404,
+    code: 1002,
+  },
+  {
+    fault: 'a plain service as a model',
+    sent: { body: completion({ model: 'dispatch' }) },
+    status: 404,
+    code: 1002,
+  },
+  {
+    fault: 'an unknown plain service',
+    sent: { path: '/services/nobody/log', method: 'GET' },
+    status: 404,
+    code: 1002,
+  },
+  { fault: 'a body that is no JSON', sent: { body: '{"model":' }, status: 400, code: 1003 },
+  { fault: 'an empty body', sent: { body: '' }, status: 400, code: 1003 },
+  { fault: 'a wrong method', sent: { method: 'GET' }, status: 400, code: 1003 },
+  {
+    fault: 'a prompt that is no text',
+    sent: { body: completion({ prompt: [exposed.PROMPT] }) },
+    status: 400,
+    code: 1003,
+  },
+  {
+    fault: 'too many tokens',
+    sent: { body: completion({ max_tokens: 1e9 }) },
+    status: 400,
+    code: 1003,
+  },
+  {
+    fault: 'a key that is too long',
+    sent: {
+      path: '/services/dispatch/bookings',
+      headers: { ...exposed.AUTHORIZED, 'idempotency-key': 'k'.repeat(300) },
+      body: '{}',
+    },
+    status: 400,
+    code: 1003,
+  },
+  {
+    fault: 'a service without upstreams',
+    sent: { path: '/services/lonely/log', method: 'GET' },
+    status: 503,
+    code: 2002,
+  },
+];
+
+CASES.forEach(({ fault, sent, status, code }) => {
+  suite(`${fault} is answered with ${status} and code ${code}`, async (context) => {
+    const reply = await exposed.send(context, sent);
+    assert.is(reply.status, status, reply.text);
+    const { error } = JSON.parse(reply.text) as ErrorBody;
+    assert.is(error.code, code);
+    assert.is(error.run, 'not-run');
+    assert.ok(error.message.length > 0 && error.request_id.length > 0);
+    assert.not.match(reply.text, 'beta');
+    exposed.expectNoSecrets(reply.text);
+  });
+});
+
+suite('an oversized body is refused before it has been read whole', async (context) => {
+  const reply = await exposed.sendRaw(
+    context.instance.callers,
+    'POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999\r\n\r\n'.concat(
+      'x'.repeat(exposed.MAX_BODY_BYTES * 2),
+    ),
+  );
+  assert.match(reply, 'HTTP/1.1 413');
+  assert.match(reply, '"code":1004');
+  await expectService(context);
+});
+
+const MALFORMED: readonly { fault: string; bytes: string }[] = [
+  { fault: 'no HTTP at all', bytes: 'so this is no HTTP\r\n\r\n' },
+  { fault: 'a header without a name', bytes: 'GET / HTTP/1.1\r\n: x\r\n\r\n' },
+  { fault: 'a wrong length', bytes: 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n' },
+  {
+    fault: 'a wrong chunk',
+    bytes: 'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n',
+  },
+  { fault: 'bytes of another protocol', bytes: '\u0016\u0003\u0001\u0002\u0000\u0001' },
+];
+
+MALFORMED.forEach(({ fault, bytes }) => {
+  suite(`malformed HTTP (${fault}) is answered with code 1003`, async (context) => {
+    const reply = await exposed.sendRaw(context.instance.callers, bytes);
+    assert.match(reply, 'HTTP/1.1 400');
+    assert.match(reply, '"code":1003');
+    await expectService(context);
+  });
+});
+
+suite('broken JSON from an upstream ends in a numbered error', async (context) => {
+  const { status, text } = await exposed.send(context, { body: completion({ model: 'babble' }) });
+  assert.is(status, 502, text);
+  const { error } = JSON.parse(text) as ErrorBody;
+  assert.ok([4002, 4004].includes(error.code), text);
+  assert.is(error.run, 'unknown', 'the engine was sent the prompt: "not run" would be untrue');
+  exposed.expectNoSecrets(text);
+  await expectService(context);
+});
+
+const REFUSED_EVENT = 202;
+const ADOPTED_EVENT = 201;
+
+suite('a broken configuration is refused and the last good one stays', async (context) => {
+  const { apply, configuration, overwrite, process, restore } = context.instance;
+  const [first, ...rest] = configuration.clientAccounts;
+  const spoilt = { ...first, stranger: 'x' };
+  await overwrite({ ...configuration, generation: 99, clientAccounts: [spoilt, ...rest] });
+  await serving.waitForEvent(process, REFUSED_EVENT);
+  await expectService(context);
+  await restore();
+  await apply(configuration);
+  await process.waitFor(({ event, generation }) =>
+    event === ADOPTED_EVENT && generation === 2 ? true : undefined,
+  );
+});
+
+suite(
+  'an instance whose platform babbles lives on and says that it is not configured',
+  async () => {
+    const babbler = await serving.aBabbler();
+    const started = serving.startInstance(babbler.address);
+    const callers = await serving.listeningAt(started, 'callers');
+    await serving.waitForEvent(started, core.events.catalogue.platformUnavailable.number);
+    const response = await undici.request(`http://${callers}/v1/completions`, { method: 'POST' });
+    assert.is(response.statusCode, 503);
+    assert.match(await response.body.text(), '"code":6002');
+    started.signal('SIGTERM');
+    assert.is(await started.exited, 0);
+    await babbler.close();
+  },
+);
+
+suite('the journal of all this shows no secret and no prompt', ({ instance }) => {
+  const journal = JSON.stringify(instance.process.printed());
+  assert.match(journal, '"event":104');
+  exposed.expectNoSecrets(journal);
+});
+
+suite.run();
--- /dev/null
+++ b/examples/test/dump.test.ts
@@ -0,0 +1,79 @@
+import * as examples from '@medlarweir/examples';
+import * as undici from 'undici';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as exposed from './fixtures/exposed.js';
+import * as serving from './fixtures/serving.js';
+
+const suite = uvu.suite('dump of a running instance', {} as exposed.Exposed);
+
+suite.before(async (context) => {
+  Object.assign(context, await exposed.anExposedInstance());
+});
+
+suite.after((context) => context.end());
+
+suite('a dump shows every task and no secret, while a prompt is running', async (context) => {
+  const { platform, peers } = context.instance;
+  await examples.clusters.control(platform.address, {
+    instances: [{ name: serving.INSTANCE, dataCentre: 'dc-1', peers, state: 'live' }],
+  });
+  const running = exposed.send(context, {
+    body: JSON.stringify({ ...exposed.COMPLETION, max_tokens: 100 }),
+  });
+  const key = ['--deployment-key', serving.DEPLOYMENT_KEY];
+  const dump = await operate(context, ['dump', serving.INSTANCE, ...key]);
+  assert.is(dump.code, 0, dump.stderr);
+  ['callers', 'exchange', 'configuration', 'routing', 'peers'].forEach((task) =>
+    assert.match(dump.stdout, task),
+  );
+  exposed.expectNoSecrets(dump.stdout);
+  assert.is((await running).status, 200);
+});
+
+const DUMP_FAULTS: readonly { fault: string; words: readonly string[]; said: string }[] = [
+  {
+    fault: 'an unknown instance',
+    words: ['dump', 'nobody', '--deployment-key', serving.DEPLOYMENT_KEY],
+    said: '6143 unknown instance',
+  },
+  {
+    fault: 'a wrong deployment key',
+    words: ['dump', serving.INSTANCE, '--deployment-key', 'the-key-of-another-deployment'],
+    said: '6144 instance does not answer',
+  },
+];
+
+DUMP_FAULTS.forEach(({ fault, words, said }) => {
+  suite(`dump of ${fault} fails with exit code 1`, async (context) => {
+    const { code, stdout, stderr } = await operate(context, words);
+    assert.is(code, 1);
+    assert.is(stdout, '');
+    assert.match(stderr, said);
+    exposed.expectNoSecrets(stderr);
+  });
+});
+
+function operate({ instance }: exposed.Exposed, words: readonly string[]) {
+  return examples.processes.run(examples.processes.BINARIES.medlarctl, [
+    ...words,
+    '--platform',
+    instance.platform.address,
+  ]);
+}
+
+suite('the peers’ port refuses strangers without showing anything', async ({ instance }) => {
+  const requests = ['/dump', '/notify', '/nothing'].map((path) =>
+    undici.request(`http://${instance.peers}${path}`, { method: 'POST', body: '{"a":' }),
+  );
+  const replies = await Promise.all(requests);
+  const texts = await Promise.all(replies.map(({ body }) => body.text()));
+  assert.ok(replies.every(({ statusCode }) => statusCode >= 400));
+  texts.forEach((text) => {
+    assert.not.match(text, 'node_modules');
+    exposed.expectNoSecrets(text);
+  });
+});
+
+suite.run();
--- a/packages/core/src/exchange/prompt-plan.ts
+++ b/packages/core/src/exchange/prompt-plan.ts
@@ -32,12 +32,22 @@
     case 'placed':
       return place(state, made);
     case 'refused':
-      return promptState.refuse(state, made.failure, 'not-run', made.retryAfterMs);
+      return refuse(state, made);
     default:
       return results.never(made);
   }
 }
 
+/** A prompt that an engine may have run is lost, not merely without an upstream. */
+function refuse(state: State, made: Extract<messages.Plan, { kind: 'refused' }>): Step {
+  const { failure, retryAfterMs } = made;
+  if (state.runTruth === 'not-run') {
+    return promptState.refuse(state, failure, state.runTruth, retryAfterMs);
+  }
+  const lost = results.failure('runLost', results.describe(failure));
+  return promptState.refuse(state, lost, state.runTruth, retryAfterMs);
+}
+
 function place(state: State, made: Extract<messages.Plan, { kind: 'placed' }>): Step {
   const { placement } = made;
   const note: command.Command = {
--- a/packages/core/src/exchange/prompt-state.ts
+++ b/packages/core/src/exchange/prompt-state.ts
@@ -30,6 +30,8 @@
   answered: string;
   usage: messages.Usage;
   importedTokens: number;
+  /** What may be told of the attempts so far. */
+  runTruth: results.RunTruth;
 };
 
 export type Step = task.Step<State, command.Command>;
@@ -48,6 +50,7 @@
     answered: '',
     usage: { promptTokens: 0, completionTokens: 0, cachedTokens: 0 },
     importedTokens: 0,
+    runTruth: 'not-run',
   };
 }
 
--- a/packages/core/src/exchange/prompt.ts
+++ b/packages/core/src/exchange/prompt.ts
@@ -168,13 +168,18 @@
     upstream,
     outcome: { kind: 'failed', reach },
   };
+  const own = state.offset > state.request.offset ? 'ran' : truth.truthOf(reach);
+  const runTruth = truth.truthOfBoth(state.runTruth, own);
   if (state.attempt >= promptState.MAX_ATTEMPTS) {
     const failure = results.failure('runLost', reason);
-    const truthOfRun = state.offset > 0 ? 'ran' : truth.truthOf(reach);
-    const refused = promptState.refuse(state, failure, truthOfRun, undefined);
+    const refused = promptState.refuse(state, failure, runTruth, undefined);
     return { state: refused.state, commands: [report, ...refused.commands] };
   }
-  const next = promptPlan.plan({ ...state, excluded: [...state.excluded, upstream] });
+  const next = promptPlan.plan({
+    ...state,
+    runTruth,
+    excluded: [...state.excluded, upstream],
+  });
   return {
     state: next.state,
     commands: [
@@ -213,11 +218,8 @@
   if (state.offset > state.request.offset) return { state, commands: [] };
   const failure = results.failure('deadlineUnreachable', 'no first token before the deadline');
   const cancelled = onCancelled(state);
-  const refused = promptState.refuse(
-    state,
-    failure,
-    state.phase.kind === 'running' ? 'unknown' : 'not-run',
-  );
+  const own = state.phase.kind === 'running' ? 'unknown' : 'not-run';
+  const refused = promptState.refuse(state, failure, truth.truthOfBoth(state.runTruth, own));
   const cleanUp = cancelled.commands.filter(({ kind }) => kind === 'cancel' || kind === 'report');
   return { state: refused.state, commands: [...cleanUp, ...refused.commands] };
 }
--- a/packages/core/src/exchange/truth.ts
+++ b/packages/core/src/exchange/truth.ts
@@ -16,3 +16,10 @@
       return results.never(reach);
   }
 }
+
+const RANKS: Readonly<Record<results.RunTruth, number>> = { 'not-run': 0, unknown: 1, ran: 2 };
+
+/** What may be told of two attempts of one request together. */
+export function truthOfBoth(one: results.RunTruth, other: results.RunTruth): results.RunTruth {
+  return RANKS[one] >= RANKS[other] ? one : other;
+}
--- a/packages/plugins/callers-http/src/encode.ts
+++ b/packages/plugins/callers-http/src/encode.ts
@@ -60,6 +60,19 @@
   };
 }
 
+/** The answer to what is no HTTP request, and therefore has no id. */
+export function malformedBody(): string {
+  const failure = core.results.failure('malformedRequest', 'expected an HTTP/1.1 request');
+  const refused: Refused = {
+    type: 'answer.refused',
+    requestId: '',
+    failure,
+    truth: 'not-run',
+    retryAfterMs: undefined,
+  };
+  return JSON.stringify(errorBody(refused));
+}
+
 /** `Retry-After` counts whole seconds. */
 export function refusalHeaders({ retryAfterMs }: Refused): Record<string, string> {
   if (retryAfterMs === undefined) return {};
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 
 import type * as decode from './decode.js';
+import * as encode from './encode.js';
 
 /** The longest that a caller may take to send a request. */
 const REQUEST_TIMEOUT_MS = 60_000;
@@ -28,6 +29,7 @@
       if (arrival) handlers.onArrival(arrival);
     });
   });
+  server.on('clientError', (_error, socket) => refuseMalformed(socket as net.Socket));
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.keepAliveTimeout = KEEP_ALIVE_MS;
@@ -38,6 +40,22 @@
   return server;
 }
 
+/** What cannot be read as HTTP gets a numbered answer too, and its connection is closed. */
+function refuseMalformed(socket: net.Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const body = encode.malformedBody();
+  const head = [
+    'HTTP/1.1 400 Bad Request',
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
 /** Nothing if the caller went away while sending. */
 async function readArrival(
   request: http.IncomingMessage,
--- a/packages/plugins/peers-trpc/src/router.ts
+++ b/packages/plugins/peers-trpc/src/router.ts
@@ -27,7 +27,8 @@
   dump(): Record<string, unknown>;
 };
 
-const trpc = trpcServer.initTRPC.context<Context>().create();
+/** Errors carry no stack: it would show strangers how the instance is built. */
+const trpc = trpcServer.initTRPC.context<Context>().create({ isDev: false });
 
 /** Refuses callers that do not hold the deployment's key. */
 const guarded = trpc.procedure.use(({ ctx, next }) => {
