--- a/packages/medlarctl/src/commands/apply.ts
+++ b/packages/medlarctl/src/commands/apply.ts
@@ -15,7 +15,7 @@
 });
 
 async function applyFile(input: registry.Input): registry.Outcome {
-  const { platform, words } = input;
+  const { platform, words, flags } = input;
   const [file] = words;
   if (file === undefined) {
     const detail = 'apply: expected FILE; found nothing';
@@ -31,7 +31,7 @@
   if (checked.isErr()) return neverthrow.err(checked.error);
   const confirmed = await confirm.confirm(input, current, checked.value);
   if (confirmed.isErr()) return neverthrow.err(confirmed.error);
-  return change.accept(platform, base.value, checked.value);
+  return change.accept(platform, base.value, checked.value, change.reasonOf(flags));
 }
 
 /** What is no object stays as it is, so that the check can say what was found. */
--- a/packages/medlarctl/src/commands/questionnaire.ts
+++ b/packages/medlarctl/src/commands/questionnaire.ts
@@ -33,7 +33,7 @@
   const { configuration, newCredentials } = generated.value;
   const confirmed = await confirm.confirm(input, current, configuration);
   if (confirmed.isErr()) return neverthrow.err(confirmed.error);
-  const applied = await change.apply(platform, base.value, configuration);
+  const applied = await change.apply(platform, base.value, configuration, change.reasonOf(flags));
   return applied.map((generation) => ({
     text: describe(generation, newCredentials),
     data: { generation, newCredentials },
