Hold each stand-in to a contract that a real adapter can pass

Cause: the stand-ins took the outside systems' place without a check that they keep what the adapters rely on, so that a test against them proved little about the real systems.

A later adapter passes its own start function.

--- /dev/null
+++ b/packages/stand-ins/test/contracts/store.ts
@@ -0,0 +1,139 @@
+/** What a kept-cache store promises: commit after the bytes, slots that are reused, and reports. */
+import * as crypto from 'node:crypto';
+
+import * as undici from 'undici';
+import type * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as wire from './wire.js';
+
+export type Wish = { memorySlots: number };
+
+export type Subject = {
+  address: string;
+  /** From now on the store has no room at all. */
+  fill(): Promise<void>;
+  /** Starts anew without memory of anything, at the address that it returns. */
+  restart(): Promise<string>;
+  end(): Promise<void>;
+};
+
+type Reserved = { slot: number; slotIncarnation: string };
+type Manifest = Reserved & { piece: string; storeIncarnation: string; lengthBytes: number };
+
+const CONTENT = Buffer.from('the bytes of a piece');
+
+export function describeStore(suite: uvu.Test, start: (wish: Wish) => Promise<Subject>): void {
+  const test = (name: string, act: (subject: Subject) => Promise<void>) =>
+    suite(name, async () => {
+      const subject = await start({ memorySlots: 2 });
+      try {
+        await act(subject);
+      } finally {
+        await subject.end();
+      }
+    });
+
+  test('a committed piece is read with what identifies it', async ({ address }) => {
+    const manifest = await put(address, 'piece-1');
+    const found = await read(address, manifest.slot);
+    assert.is(found.status, 200);
+    assert.equal(found.content, CONTENT);
+    assert.is(found.piece, 'piece-1');
+    assert.is(found.slotIncarnation, manifest.slotIncarnation);
+    assert.is(found.storeIncarnation, manifest.storeIncarnation);
+  });
+
+  test('a piece without all its bytes is not committed and not reported', async ({ address }) => {
+    const reserved = await reserve(address, 'piece-1');
+    await fill(address, reserved, CONTENT.subarray(0, 4));
+    assert.is((await commit(address, reserved)).status, 409);
+    assert.equal((await snapshot(address)).manifests, []);
+  });
+
+  test('a slot that was given out anew takes neither bytes nor a commit of the old one', async (subject) => {
+    const { address } = subject;
+    const old = await reserve(address, 'piece-1');
+    await put(address, 'piece-2');
+    const reused = await reserve(address, 'piece-3');
+    assert.is(reused.slot, old.slot);
+    assert.is.not(reused.slotIncarnation, old.slotIncarnation);
+    assert.is((await fill(address, old, CONTENT)).status, 409);
+    assert.is((await commit(address, old)).status, 409);
+  });
+
+  test('the oldest piece leaves a full tier, and this is reported', async ({ address }) => {
+    const reports = await wire.follow(address, 'GET', '/events');
+    await put(address, 'piece-1');
+    await put(address, 'piece-2');
+    await put(address, 'piece-3');
+    const isLast = ({ manifest }: wire.Line) => (manifest as Manifest)?.piece === 'piece-3';
+    const lines = await reports.until(isLast);
+    assert.equal(
+      lines.map(({ kind, sequence }) => [kind, sequence]),
+      [
+        ['snapshot', 0],
+        ['committed', 1],
+        ['committed', 2],
+        ['dropped', 3],
+        ['committed', 4],
+      ],
+    );
+  });
+
+  test('a restarted store has another incarnation and holds nothing', async (subject) => {
+    const manifest = await put(subject.address, 'piece-1');
+    const address = await subject.restart();
+    const fresh = await snapshot(address);
+    assert.equal(fresh.manifests, []);
+    assert.is.not(fresh.storeIncarnation, manifest.storeIncarnation);
+    assert.is((await read(address, manifest.slot)).status, 404);
+  });
+
+  test('a full store refuses new pieces and still gives the old ones', async (subject) => {
+    const manifest = await put(subject.address, 'piece-1');
+    await subject.fill();
+    const wish = { piece: 'piece-2', lengthBytes: 1, tier: 'memory' };
+    assert.is((await wire.call(subject.address, 'POST', '/slots', wish)).status, 507);
+    assert.is((await read(subject.address, manifest.slot)).status, 200);
+  });
+}
+
+async function reserve(address: string, piece: string): Promise<Reserved> {
+  const wish = { piece, lengthBytes: CONTENT.length, tier: 'memory' };
+  return (await wire.call(address, 'POST', '/slots', wish)).body as Reserved;
+}
+
+function fill(address: string, { slot, slotIncarnation }: Reserved, content: Uint8Array) {
+  return wire.call(address, 'PUT', `/slots/${slot}?incarnation=${slotIncarnation}`, content);
+}
+
+function commit(address: string, reserved: Reserved): Promise<wire.Reply> {
+  const checksum = crypto.createHash('sha256').update(CONTENT).digest('hex');
+  return wire.call(address, 'POST', '/manifests', { ...reserved, checksum });
+}
+
+async function put(address: string, piece: string): Promise<Manifest> {
+  const reserved = await reserve(address, piece);
+  await fill(address, reserved, CONTENT);
+  return (await commit(address, reserved)).body as Manifest;
+}
+
+async function read(address: string, slot: number) {
+  const response = await undici.request(`http://${address}/slots/${slot}`);
+  const content = Buffer.from(await response.body.arrayBuffer());
+  const { headers, statusCode: status } = response;
+  return {
+    status,
+    content,
+    piece: headers['x-piece'],
+    slotIncarnation: headers['x-slot-incarnation'],
+    storeIncarnation: headers['x-store-incarnation'],
+  };
+}
+
+async function snapshot(address: string) {
+  const reports = await wire.follow(address, 'GET', '/events');
+  const [first] = await reports.until(() => true);
+  return first as unknown as { manifests: readonly Manifest[]; storeIncarnation: string };
+}
--- /dev/null
+++ b/packages/stand-ins/test/contracts/wire.ts
@@ -0,0 +1,63 @@
+/** What the contract tests send and read: the published protocols, without any adapter. */
+import * as readline from 'node:readline';
+
+import * as undici from 'undici';
+
+export type Reply = { status: number; body: unknown };
+export type Line = Readonly<Record<string, unknown>>;
+
+export async function call(
+  address: string,
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+  path: string,
+  body?: unknown,
+): Promise<Reply> {
+  const raw = body instanceof Uint8Array ? body : JSON.stringify(body);
+  const response = await undici.request(`http://${address}${path}`, {
+    method,
+    ...(body === undefined ? {} : { body: raw }),
+  });
+  const text = await response.body.text();
+  return { status: response.statusCode, body: parse(text) };
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
+
+/** Follows a stream of lines; `until` resolves with all lines once one of them is the last. */
+export type Following = { until(isLast: (line: Line) => boolean): Promise<readonly Line[]> };
+
+export async function follow(
+  address: string,
+  method: 'GET' | 'POST',
+  path: string,
+  body?: unknown,
+): Promise<Following> {
+  const response = await undici.request(`http://${address}${path}`, {
+    method,
+    ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+  });
+  const reader = readline.createInterface({ input: response.body });
+  const lines: Line[] = [];
+  const iterator = reader[Symbol.asyncIterator]();
+  return {
+    async until(isLast) {
+      for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
+        const line = JSON.parse(next.value) as Line;
+        lines.push(line);
+        if (isLast(line)) break;
+      }
+      return lines;
+    },
+  };
+}
+
+/** A stream that ends by itself, read whole. */
+export async function readAll(...given: Parameters<typeof follow>): Promise<readonly Line[]> {
+  return (await follow(...given)).until(() => false);
+}
--- /dev/null
+++ b/packages/stand-ins/test/platform.test.ts
@@ -0,0 +1,27 @@
+import * as standIns from '@medlarweir/stand-ins';
+import * as uvu from 'uvu';
+
+import * as contract from './contracts/platform.js';
+import * as wire from './contracts/wire.js';
+
+const suite = uvu.suite('contract of the platform: stand-in');
+
+async function aPlatform(): Promise<contract.Subject> {
+  const { address, calls, close } = await standIns.platform.start();
+  const control = async (body: unknown) => {
+    await wire.call(address, 'POST', '/control', body);
+  };
+  return {
+    address,
+    setFault: (fault) => control({ fault }),
+    list: (instances) => control({ instances }),
+    countCalls: () => {
+      const { reads, writes, watches } = calls();
+      return Promise.resolve(reads + writes + watches);
+    },
+    end: close,
+  };
+}
+
+contract.describePlatform(suite, aPlatform);
+suite.run();
