Measure what an entry instance adds to its engine

Cause: there was no figure for what the way through an instance costs a caller.

Change: a benchmark calls the same stand-in engine directly and through one instance over real sockets, in interleaved rounds whose order swaps; ratios are taken within a round. Prompts differ from their first byte, so no cache helps.

--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -1,3 +1,4 @@
 /** The benchmarks: importing one registers it. */
 import './kernel/index.js';
 import './kept-context/index.js';
+import './overhead/index.js';
