--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -7,31 +7,47 @@
 const hostAndPort = zod.string().regex(/^[^\s:]+:\d{1,5}$/, 'expected HOST:PORT');
 
 export const settingsSchema = zod.strictObject({
-  /** Name of the instance, unique in the deployment. */
-  name: zod.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits, -'),
-  /** Data centre in which the instance stands. */
-  dataCentre: zod.string().min(1),
-  /** Where callers connect. Port 0 asks the system for a free one. */
-  callers: hostAndPort.default('127.0.0.1:8080'),
-  /** Where other instances and operators connect. */
-  peers: hostAndPort.default('127.0.0.1:8081'),
-  /** The platform's object API. */
-  platform: hostAndPort,
-  /** HOST:PORT of a few peers, parted by commas: asked at a start while the platform is down. */
+  name: zod
+    .string()
+    .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits, -')
+    .describe('name of the instance, unique in the deployment'),
+  dataCentre: zod.string().min(1).describe('data centre in which the instance stands'),
+  callers: hostAndPort
+    .default('127.0.0.1:8080')
+    .describe('where callers connect (HOST:PORT); port 0 asks the system for a free one'),
+  peers: hostAndPort
+    .default('127.0.0.1:8081')
+    .describe('where other instances and operators connect (HOST:PORT)'),
+  platform: hostAndPort.describe('the platform’s object API (HOST:PORT)'),
   seeds: zod
     .string()
     .transform((text) => text.split(',').filter((each) => each !== ''))
     .pipe(zod.array(hostAndPort))
-    .optional(),
-  /** Shared by all instances of the deployment: authenticates them to each other. */
-  deploymentKey: zod.string().min(16),
-  /** A second key that is accepted from others while keys are rotated; never sent. */
-  otherDeploymentKey: zod.string().min(16).optional(),
-  /** Where metrics go (StatsD over UDP); none are sent without it. */
-  statsd: hostAndPort.optional(),
-  logLevel: zod.enum(['debug', 'info', 'warn', 'error']).default('info'),
-  /** How long a leaving instance still accepts connections: the balancer's lag. */
-  balancerLagMs: zod.coerce.number().int().min(0).max(60_000).default(1_000),
+    .optional()
+    .describe('a few peers (HOST:PORT, parted by commas), asked at a start without the platform'),
+  deploymentKey: zod
+    .string()
+    .min(16)
+    .describe('secret of at least 16 characters that all instances of the deployment share'),
+  otherDeploymentKey: zod
+    .string()
+    .min(16)
+    .optional()
+    .describe('second key, accepted from others while keys are rotated and never sent'),
+  statsd: hostAndPort
+    .optional()
+    .describe('where metrics go (StatsD over UDP, HOST:PORT); none are sent without it'),
+  logLevel: zod
+    .enum(['debug', 'info', 'warn', 'error'])
+    .default('info')
+    .describe('least level of the journal: debug, info, warn or error'),
+  balancerLagMs: zod.coerce
+    .number()
+    .int()
+    .min(0)
+    .max(60_000)
+    .default(1_000)
+    .describe('how long a leaving instance still accepts connections (the balancer’s lag), in ms'),
 });
 
 export type Settings = zod.infer<typeof settingsSchema>;
@@ -52,6 +68,21 @@
 
 export const settingNames = Object.keys(settingsSchema.shape) as readonly SettingName[];
 
+/** What a setting is for, and what stands in for it if it is left out. */
+export type Description = {
+  text: string;
+  fallback: { kind: 'required' } | { kind: 'none' } | { kind: 'value'; value: string };
+};
+
+export function describe(name: SettingName): Description {
+  const field: zod.ZodType = settingsSchema.shape[name];
+  const text = field.description ?? '';
+  const left = field.safeParse(undefined);
+  if (!left.success) return { text, fallback: { kind: 'required' } };
+  if (left.data === undefined) return { text, fallback: { kind: 'none' } };
+  return { text, fallback: { kind: 'value', value: String(left.data) } };
+}
+
 /** Merges flags over the environment and checks the result. */
 export function parse(
   flags: Readonly<Record<string, string | undefined>>,
--- a/packages/medlarweir/src/flags.ts
+++ b/packages/medlarweir/src/flags.ts
@@ -48,22 +48,46 @@
   return 'expected flags and their values only; found a word that belongs to no flag';
 }
 
+/** The exit codes of `medlarweir`; `docs/OPERATING.md` shows this table. */
+export const EXIT_CODES: readonly { code: number; meaning: string }[] = [
+  { code: 0, meaning: 'stopped as planned, or the settings are valid' },
+  { code: 1, meaning: 'defect' },
+  { code: 2, meaning: 'bad setting; the text names it, what was expected and what was found' },
+  { code: 3, meaning: 'stopped at once by a second signal; open requests were cut' },
+];
+
 export function helpText(): string {
-  const lines = core.settings.settingNames.map(
-    (name) =>
-      `  --${core.settings.flagName(name).padEnd(18)} ${core.settings.environmentName(name)}`,
-  );
+  const lines = core.settings.settingNames.flatMap((name) => {
+    const { text, fallback } = core.settings.describe(name);
+    const flag = `--${core.settings.flagName(name)}`;
+    return [`  ${flag.padEnd(24)} ${text}`, `  ${' '.repeat(24)} ${describeFallback(fallback)}`];
+  });
   return [
     'medlarweir: an entry instance.',
     '',
     'Usage: medlarweir [settings] [--check] [--help] [--version]',
     '',
-    'Settings, as flags or in the environment (a flag goes first):',
+    'Settings, as flags or in the environment (a flag goes first; --log-level is',
+    'MEDLARWEIR_LOG_LEVEL there):',
     ...lines,
     '',
     '  --check              checks the settings and exits',
     '',
     'SIGTERM stops as planned: every stream is finished. A second one stops at once.',
-    'Exit codes: 0 stopped as planned; 1 defect; 2 bad setting; 3 stopped at once.',
+    'Exit codes:',
+    ...EXIT_CODES.map(({ code, meaning }) => `  ${code}  ${meaning}`),
   ].join('\n');
 }
+
+function describeFallback(fallback: core.settings.Description['fallback']): string {
+  switch (fallback.kind) {
+    case 'required':
+      return 'must be given';
+    case 'none':
+      return 'may be left out';
+    case 'value':
+      return `default ${fallback.value}`;
+    default:
+      return core.results.never(fallback);
+  }
+}
