--- a/packages/core/src/exchange/prompt-plan.ts
+++ b/packages/core/src/exchange/prompt-plan.ts
@@ -72,6 +72,9 @@
     upstream: placement.upstream,
     storeAddress: placement.storeAddress,
     manifests: placement.imports,
+    clientAccount: state.request.clientAccount.name,
+    priority: state.request.service.priority,
+    ...(placement.lateAfterMs === undefined ? {} : { lateAfterMs: placement.lateAfterMs }),
   };
   return {
     state: { ...state, phase: { kind: 'importing', placement } },
@@ -118,6 +121,7 @@
     priority: request.service.priority,
     offset: state.offset,
     answered: state.answered,
+    ...(placement.sendBeforeMs === undefined ? {} : { sendBeforeMs: placement.sendBeforeMs }),
   };
   return {
     state: { ...state, phase: { kind: 'running', placement } },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * as accounts from './accounts/index.js';
 export * as admission from './admission/index.js';
 export * as claims from './claims/index.js';
+export * as coldStarts from './cold-starts/index.js';
 export * as configuration from './configuration/index.js';
 export * as events from './events/index.js';
 export * as exchange from './exchange/index.js';
@@ -9,6 +10,7 @@
 export * as keptContext from './kept-context/index.js';
 export * as kernel from './kernel/index.js';
 export * as leases from './leases/index.js';
+export * as links from './links/index.js';
 export * as load from './load/index.js';
 export * as membership from './membership/index.js';
 export * as messages from './messages/index.js';
--- a/packages/core/src/messages/routing.ts
+++ b/packages/core/src/messages/routing.ts
@@ -3,6 +3,7 @@
 import type * as safeRead from '../kept-context/safe-read.js';
 import type * as task from '../kernel/task.js';
 import type * as results from '../results/index.js';
+import type * as coldStarts from './cold-starts.js';
 import type * as configuration from './configuration.js';
 import type * as life from './life.js';
 import type * as membership from './membership.js';
@@ -20,6 +21,10 @@
   /** HOST:PORT of that store, or empty. */
   storeAddress: string;
   expectedFirstTokenMs: number;
+  /** Monotonic time after which it must not be sent any more: the right to send has lapsed. */
+  sendBeforeMs?: number;
+  /** Once an import has taken this long, recomputing is better; absent without an import. */
+  lateAfterMs?: number;
 };
 
 /** One candidate and its cost, for the journal. */
@@ -56,9 +61,19 @@
   | configuration.ConfigurationConfidence
   | membership.MembershipChanged
   | peers.DigestReceived
+  | coldStarts.ColdRightChanged
   | upstreams.EngineReported
   | stores.StoreReported
   | upstreams.ExportReport
+  | upstreams.ImportReport
+  /** Asks for an import, which begins when the store's link has room for it. */
+  | {
+      type: 'routing.import';
+      order: upstreams.ImportOrder;
+      replyTo: task.Address<upstreams.ImportReport>;
+    }
+  /** An import may have become late. */
+  | { type: 'routing.wake-links' }
   | { type: 'routing.plan-prompt'; outline: PromptOutline; replyTo: task.Address<PlanMade> }
   | {
       type: 'routing.plan-call';
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -76,6 +76,13 @@
   title: 'instance is leaving',
   hint: 'Not run. Connect again; the balancer chooses another instance.',
 };
+/** The right to send to a cold upstream lapsed before the send. */
+const coldRightLapsed: Code = {
+  number: 2101,
+  status: 503,
+  title: 'right to a cold upstream lapsed',
+  hint: 'Not run there. The prompt is placed again; nothing needs to be done.',
+};
 /** A request with the same key is running now. */
 const inProgress: Code = {
   number: 3001,
@@ -160,6 +167,13 @@
   title: 'stored piece failed its checks',
   hint: 'The piece is recomputed; nothing needs to be done.',
 };
+/** An import was broken off because recomputing had become faster. */
+const importLate: Code = {
+  number: 4101,
+  status: 503,
+  title: 'import would be late',
+  hint: 'The context is recomputed; look at the store’s link if it happens often.',
+};
 /** The platform does not answer; whether a write took effect is not known. */
 const platformUnavailable: Code = {
   number: 5001,
@@ -249,6 +263,7 @@
   noUpstream,
   deadlineUnreachable,
   leaving,
+  coldRightLapsed,
   inProgress,
   outcomeUnknown,
   keyReused,
@@ -261,6 +276,7 @@
   upstreamRefused,
   runLost,
   unsafeRead,
+  importLate,
   platformUnavailable,
   platformMalformed,
   conflict,
--- a/packages/core/src/routing/eligible.ts
+++ b/packages/core/src/routing/eligible.ts
@@ -18,7 +18,7 @@
  * Upstreams of a service that may be given new work. An instance whose configuration was not
  * confirmed lately sends no work to other data centres: one of them may have been taken out.
  */
-export function upstreamsOf(
+export function available(
   views: Views,
   service: string,
   excluded: readonly string[],
@@ -38,3 +38,12 @@
       load.canTake(views.load, upstream, views.now),
   );
 }
+
+/** The same for one request, in the order in which upstreams of equal cost are to be preferred. */
+export function upstreamsOf(
+  views: Views,
+  service: string,
+  excluded: readonly string[],
+): readonly schema.Upstream[] {
+  return load.spread(views.load, available(views, service, excluded));
+}
