--- a/packages/core/src/kept-context/keep.ts
+++ b/packages/core/src/kept-context/keep.ts
@@ -49,8 +49,9 @@
   const copies = stores
     .filter((store) => store !== home)
     .slice(0, 1)
-    .flatMap((store) => place(views, store, withoutStored(views, store, pieces), COPY_WORTH));
-  return [...place(views, home, missing, 1), ...copies];
+    .flatMap((store) => place(views, store, pieces, COPY_WORTH));
+  const first = missing.length === 0 ? [] : place(views, home, pieces, 1);
+  return [...first, ...copies];
 }
 
 function indexOf(views: Views, store: string): storeIndexes.StoreIndex {
@@ -94,9 +95,10 @@
 function place(
   views: Views,
   store: schema.Store,
-  pieces: readonly naming.PieceName[],
+  own: readonly naming.PieceName[],
   worth: number,
 ): readonly Keeping[] {
+  const pieces = withoutStored(views, store, own);
   if (pieces.length === 0) return [];
   const needed = pieces.length * views.pieceBytes;
   const { bytes } = indexOf(views, store.name);
@@ -109,7 +111,7 @@
   const densities = pieces.map(
     (piece) => worth * returns.densityOf(views.returns, piece, views.nowMs),
   );
-  return replace(store, pieces, chooseVictims(views, store, densities));
+  return replace(store, pieces, chooseVictims(views, store, densities, new Set(own)));
 }
 
 /** Each tier takes as many pieces as leave it, the start of the chain in memory. */
@@ -128,20 +130,24 @@
   return keepings.filter((each) => each.pieces.length > 0);
 }
 
-/** Stored pieces worth less than those that come, one for each, ends of chains first. */
+/**
+ * Stored pieces worth less than those that come, one for each, ends of chains first. None of the
+ * prompt's `own`: its start must stay.
+ */
 function chooseVictims(
   views: Views,
   store: schema.Store,
   densities: readonly number[],
+  own: ReadonlySet<naming.PieceName>,
 ): readonly safeRead.Manifest[] {
   const index = indexOf(views, store.name);
   const victims: safeRead.Manifest[] = [];
   while (victims.length < densities.length) {
-    const end = leastValuableEnd(views, store.name, index);
+    const end = leastValuableEnd(views, store.name, index, own);
     const taken =
       end === undefined
         ? []
-        : takeFromEnd(views, store.name, index, end, densities.slice(victims.length));
+        : takeFromEnd(views, store.name, index, end, densities.slice(victims.length), own);
     if (taken.length === 0) return victims;
     victims.push(...taken);
   }
@@ -153,11 +159,13 @@
   views: Views,
   store: string,
   index: storeIndexes.StoreIndex,
+  own: ReadonlySet<naming.PieceName>,
 ): naming.PieceName | undefined {
   const ends = new Set(
     storeIndexes.sample(index, CANDIDATES, STRIDE).map((piece) => endOf(views, index, piece)),
   );
   return [...ends]
+    .filter((piece) => !own.has(piece))
     .map((piece) => ({ piece, worth: worthOf(views, store, piece) }))
     .reduce<{ piece: naming.PieceName; worth: number } | undefined>(
       (best, each) => (best && best.worth <= each.worth ? best : each),
@@ -173,12 +181,21 @@
 ): naming.PieceName {
   let end = piece;
   for (;;) {
-    const child = views.returns.uses.get(end)?.child ?? '';
-    if (child === '' || !index.manifests.has(child)) return end;
+    const child = storedChild(views, index, end);
+    if (child === undefined) return end;
     end = child;
   }
 }
 
+/** A stored piece that follows this one: as long as there is one, this one is no end. */
+function storedChild(
+  views: Views,
+  index: storeIndexes.StoreIndex,
+  piece: naming.PieceName,
+): naming.PieceName | undefined {
+  return views.returns.uses.get(piece)?.children.find((child) => index.manifests.has(child));
+}
+
 function worthOf(views: Views, store: string, piece: naming.PieceName): number {
   const density = returns.densityOf(views.returns, piece, views.nowMs);
   return hasCopy(views, store, piece) ? density * COPY_WORTH : density;
@@ -198,18 +215,18 @@
   index: storeIndexes.StoreIndex,
   end: naming.PieceName,
   densities: readonly number[],
+  own: ReadonlySet<naming.PieceName>,
 ): readonly safeRead.Manifest[] {
   const taken: safeRead.Manifest[] = [];
   let piece = end;
   for (const density of densities) {
     const manifest = index.manifests.get(piece);
-    if (!manifest || worthOf(views, store, piece) >= density) return taken;
+    if (!manifest || own.has(piece) || worthOf(views, store, piece) >= density) return taken;
     taken.push(manifest);
     storeIndexes.removeManifest(index, piece);
-    const use = views.returns.uses.get(piece);
-    const parent = views.returns.uses.get(use?.parent ?? '');
-    if (!use || parent?.child !== piece) return taken;
-    piece = use.parent;
+    const parent = views.returns.uses.get(piece)?.parent ?? '';
+    if (parent === '' || storedChild(views, index, parent) !== undefined) return taken;
+    piece = parent;
   }
   return taken;
 }
--- a/packages/core/src/kept-context/returns.ts
+++ b/packages/core/src/kept-context/returns.ts
@@ -12,8 +12,8 @@
   /** Pieces of one client account and service, and of like many uses, are expected to behave alike. */
   group: string;
   parent: naming.PieceName;
-  /** The piece that last followed it, or empty. */
-  child: naming.PieceName;
+  /** The pieces that followed it lately. */
+  children: readonly naming.PieceName[];
 };
 
 /** Gaps of one group: `starts` of gaps, and how many ended by a return in each bucket. */
@@ -24,6 +24,7 @@
 /** Bounds; what has not been used for longest leaves first. */
 export const MAX_USES = 65_536;
 const MAX_GROUPS = 8_192;
+const MAX_CHILDREN = 4;
 /** Gaps beyond this are not waited for. */
 export const HORIZON_MS = 4 * 24 * 60 * 60_000;
 const FIRST_BUCKET_MS = 15_000;
@@ -53,13 +54,23 @@
       uses,
       group,
       parent: visit.pieces[at - 1] ?? '',
-      child: visit.pieces[at + 1] ?? before?.child ?? '',
+      children: childrenOf(before, visit.pieces[at + 1]),
     });
     gapsOf(returns, group).starts += 1;
   });
   forgetOldest(returns);
 }
 
+/** The latest is last. */
+function childrenOf(
+  before: Use | undefined,
+  child: naming.PieceName | undefined,
+): readonly naming.PieceName[] {
+  const children = before?.children ?? [];
+  if (child === undefined || children.at(-1) === child) return children;
+  return [...children.filter((each) => each !== child), child].slice(-MAX_CHILDREN);
+}
+
 /** 1, 2, 3 to 4, 5 to 8, … uses. */
 function usesClass(uses: number): number {
   return Math.min(4, Math.ceil(Math.log2(uses)));
--- a/packages/core/src/links/decide.ts
+++ b/packages/core/src/links/decide.ts
@@ -174,6 +174,23 @@
   return startNext(state, link, nowMs);
 }
 
+/** The request has ended: its import is of no use to anybody. Nobody is told. */
+export function withdraw(state: Links, requestId: string, nowMs: number): readonly Command[] {
+  const isOwn = ({ order }: Import) => order.runId.startsWith(`${requestId}.`);
+  return [...state.links.values()].flatMap((link) => {
+    const active = [...link.active.values()].filter(isOwn);
+    const waiting = link.waiting.filter((each) => !isOwn(each));
+    if (active.length === 0 && waiting.length === link.waiting.length) return [];
+    Object.assign(link, { waiting });
+    active.forEach(({ order }) => link.active.delete(order.runId));
+    const cancelled = active.map(({ order }): Command => {
+      const { runId, upstream } = order;
+      return { kind: 'cancel-import', runId, upstream };
+    });
+    return [...cancelled, ...startNext(state, link, nowMs)];
+  });
+}
+
 /** A store does not answer: what waits for it is told at once, what it was to keep is given up. */
 export function onSilent(state: Links, store: string, nowMs: number): readonly Command[] {
   const link = linkOf(state, store);
--- a/packages/core/src/routing/decide.ts
+++ b/packages/core/src/routing/decide.ts
@@ -202,10 +202,13 @@
   if (placed?.upstream !== message.upstream) return { state, commands: [] };
   state.placed.delete(message.requestId);
   load.end(state.load, message.upstream, message.outcome, now);
-  if (message.outcome.kind !== 'completed' || !placed.outline) return { state, commands: [] };
+  const withdrawn = links.withdraw(state.links, message.requestId, now.monotonicMs);
+  if (message.outcome.kind !== 'completed' || !placed.outline) {
+    return { state, commands: withdrawn };
+  }
   const { reusedTokens } = message.outcome;
   const commands = keeping.onCompleted(state, placed, placed.outline, reusedTokens, now);
-  return { state, commands };
+  return { state, commands: [...withdrawn, ...commands] };
 }
 
 function onEngineReport(state: State, message: messages.EngineReported, now: task.Instant): Step {
--- /dev/null
+++ b/packages/core/test/links/links.test.ts
@@ -0,0 +1,195 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const { links } = core;
+const suite = uvu.suite('links');
+
+type Command = core.links.Command;
+type Order = core.messages.ImportOrder;
+
+const PIECE_BYTES = 1_000_000;
+
+function someLinks(): core.links.Links {
+  const state = links.create();
+  const configuration = fixtures.aConfiguration({
+    stores: [fixtures.aStore({ linkBytesPerS: 10_000_000 })],
+  });
+  links.applyConfiguration(state, configuration, PIECE_BYTES);
+  return state;
+}
+
+function askFor(state: core.links.Links, given: Partial<Order>, nowMs = 0): readonly Command[] {
+  const replyTo = fixtures.aMailbox<core.messages.ImportReport>();
+  return links.onImport(state, fixtures.anImportOrder(given), replyTo, nowMs);
+}
+
+function anExport(exportId: string): core.messages.ExportOrder {
+  return {
+    exportId,
+    upstream: 'engine-1',
+    store: 'store-1',
+    storeAddress: '127.0.0.1:7101',
+    pieces: ['x'],
+    tier: 'memory',
+  };
+}
+
+function startedOf(commands: readonly Command[]): readonly string[] {
+  return commands.flatMap((each) => (each.kind === 'start-import' ? [each.order.runId] : []));
+}
+
+/** Takes all places of the link. */
+function fill(state: core.links.Links): readonly string[] {
+  const runIds = Array.from({ length: links.MAX_ACTIVE_IMPORTS }, (_, at) => `full-${at}.1`);
+  runIds.forEach((runId) => askFor(state, { runId, lateAfterMs: 60_000 }));
+  return runIds;
+}
+
+function finish(state: core.links.Links, runId: string, nowMs = 10): readonly Command[] {
+  return links.onImportReport(state, { type: 'import.finished', runId, seen: [] }, nowMs);
+}
+
+suite('short work goes before long', () => {
+  const state = someLinks();
+  const [first = ''] = fill(state);
+  askFor(state, { runId: 'long.1', priority: 'long' });
+  askFor(state, { runId: 'short.1', priority: 'short' });
+  assert.equal(startedOf(finish(state, first)), ['short.1']);
+});
+
+suite('among equals, the account that has had least goes first', () => {
+  const state = someLinks();
+  const [first = ''] = fill(state);
+  askFor(state, { runId: 'greedy.1', clientAccount: 'alpha' });
+  askFor(state, { runId: 'modest.1', clientAccount: 'beta' });
+  askFor(state, { runId: 'greedy.2', clientAccount: 'alpha' });
+  assert.equal(startedOf(finish(state, first)), ['greedy.1']);
+  assert.equal(startedOf(finish(state, 'greedy.1')), ['modest.1']);
+});
+
+suite('an import that is later than recomputing is cancelled and its prompt told', () => {
+  const state = someLinks();
+  askFor(state, { runId: 'slow.1', lateAfterMs: 500 });
+  const commands = links.onWake(state, 500);
+  assert.ok(commands.some((each) => each.kind === 'cancel-import' && each.runId === 'slow.1'));
+  const reply = commands.find((each) => each.kind === 'reply-import');
+  assert.is(reply?.message.type === 'import.failed' && reply.message.failure.code, 'importLate');
+  assert.equal(finish(state, 'slow.1'), []);
+});
+
+suite('a link that carries a tenth of its rate is expected to do so', () => {
+  const state = someLinks();
+  const before = links.expectedMs(state, 'store-1', 'normal', PIECE_BYTES, 0);
+  for (let at = 0; at < 20; at += 1) {
+    askFor(state, { runId: `slow-${at}.1`, lateAfterMs: 60_000 }, at * 1_000);
+    finish(state, `slow-${at}.1`, at * 1_000 + 1_000);
+  }
+  const after = links.expectedMs(state, 'store-1', 'normal', PIECE_BYTES, 20_000);
+  assert.is(Math.round(after / before), 10);
+});
+
+suite('a link is tried again some time after it was found slow', () => {
+  const state = someLinks();
+  askFor(state, { runId: 'slow.1', lateAfterMs: 60_000 });
+  finish(state, 'slow.1', 10_000);
+  const hourMs = 3_600_000;
+  const expected = links.expectedMs(state, 'store-1', 'normal', PIECE_BYTES, 3 * hourMs);
+  assert.ok(expected < 110, `expected ${expected} ms`);
+});
+
+suite('exports give way to imports', () => {
+  const state = someLinks();
+  askFor(state, { runId: 'first.1' });
+  assert.equal(links.onExport(state, anExport('e'), 0), []);
+  const after = finish(state, 'first.1').map(({ kind }) => kind);
+  assert.equal(after, ['reply-import', 'export']);
+});
+
+suite('a store that falls silent: waiting imports are told at once', () => {
+  const state = someLinks();
+  fill(state);
+  askFor(state, { runId: 'waits.1' });
+  const told = links
+    .onSilent(state, 'store-1', 5)
+    .filter((each) => each.kind === 'reply-import')
+    .map(({ message }) => message.runId);
+  assert.equal(told, ['waits.1']);
+});
+
+suite('the import of a request that has ended is withdrawn, and nobody is told', () => {
+  const state = someLinks();
+  askFor(state, { runId: 'request-7.1' });
+  const kinds = links.withdraw(state, 'request-7', 5).map(({ kind }) => kind);
+  assert.equal(kinds, ['cancel-import']);
+});
+
+const step = fastCheck.record({
+  kind: fastCheck.constantFrom('ask', 'finish', 'fail', 'export', 'exported', 'wake', 'silent'),
+  pick: fastCheck.nat(20),
+  lateAfterMs: fastCheck.nat(300),
+});
+type Given = { kind: string; pick: number; lateAfterMs: number };
+
+/** One step of a random life of a link, as the outside sees it. */
+function play(state: core.links.Links, given: Given, at: number, active: readonly string[]) {
+  const nowMs = at * 50;
+  const runId = active[given.pick % Math.max(1, active.length)] ?? 'none';
+  switch (given.kind) {
+    case 'ask':
+      return askFor(state, { runId: `r${at}.1`, lateAfterMs: given.lateAfterMs }, nowMs);
+    case 'finish':
+      return finish(state, runId, nowMs);
+    case 'fail': {
+      const failure = core.results.failure('unsafeRead', 'fault');
+      return links.onImportReport(state, { type: 'import.failed', runId, failure }, nowMs);
+    }
+    case 'export':
+      return links.onExport(state, anExport(`e${at}`), nowMs);
+    case 'exported': {
+      const exportId = state.links.get('store-1')?.activeExport?.exportId ?? '';
+      return links.onExportReport(
+        state,
+        { type: 'export.finished', exportId, pieces: ['x'] },
+        nowMs,
+      );
+    }
+    case 'silent':
+      return links.onSilent(state, 'store-1', nowMs);
+    default:
+      return links.onWake(state, nowMs);
+  }
+}
+
+suite('every import is answered once, and no export begins while an import wants the link', () => {
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(step, { maxLength: 60 }), (steps) => {
+      const state = someLinks();
+      const asked = new Set<string>();
+      const answered: string[] = [];
+      const note = (commands: readonly Command[]) => {
+        const link = state.links.get('store-1');
+        assert.ok((link?.active.size ?? 0) <= links.MAX_ACTIVE_IMPORTS);
+        commands.forEach((command) => {
+          if (command.kind === 'reply-import') answered.push(command.message.runId);
+          if (command.kind === 'export') {
+            assert.is((link?.active.size ?? 0) + (link?.waiting.length ?? 0), 0);
+          }
+        });
+      };
+      steps.forEach((given, at) => {
+        if (given.kind === 'ask') asked.add(`r${at}.1`);
+        note(play(state, given, at, [...(state.links.get('store-1')?.active.keys() ?? [])]));
+      });
+      note(links.onWake(state, Number.MAX_SAFE_INTEGER));
+      note(links.onWake(state, Number.MAX_SAFE_INTEGER));
+      assert.is(answered.length, new Set(answered).size);
+      assert.equal(new Set(answered), asked);
+    }),
+    fixtures.seeded(500),
+  );
+});
+
+suite.run();
