--- a/benchmark/src/kept-context/routed.ts
+++ b/benchmark/src/kept-context/routed.ts
@@ -59,7 +59,11 @@
       case 'resynchronize-store':
       case 'note-exported':
       case 'broadcast':
+      case 'tell-capacity':
+      case 'want-cold-rights':
       case 'schedule-tick':
+      case 'tell-capacity':
+      case 'want-cold-rights':
         return;
       default:
         core.results.never(command);
--- a/packages/core/src/routing/candidates.ts
+++ b/packages/core/src/routing/candidates.ts
@@ -4,6 +4,7 @@
  */
 import type * as schema from '../configuration/schema.js';
 import * as keptContext from '../kept-context/index.js';
+import * as load from '../load/index.js';
 import type * as messages from '../messages/index.js';
 import * as eligible from './eligible.js';
 import * as waiting from './waiting.js';
@@ -20,15 +21,16 @@
   outline: messages.PromptOutline,
   priority: schema.Priority,
 ): readonly schema.Upstream[] {
-  const able = eligible.upstreamsOf(views, outline.service, outline.excluded);
-  if (able.length <= LEAST_BUSY) return able;
+  const able = eligible.available(views, outline.service, outline.excluded);
+  if (able.length <= LEAST_BUSY) return load.spread(views.load, able);
   const holders = keptContext.directory.longestHolders(
     views.directory,
     outline.pieces,
     MAX_HOLDERS,
   );
   const holding = able.filter(({ name }) => holders.has(name));
-  const waits = sampleOf(able, outline.requestId)
+  const waits = load
+    .spread(views.load, sampleOf(able, outline.requestId))
     .filter(({ name }) => !holders.has(name))
     .map((upstream) => ({
       upstream,
--- a/packages/core/src/routing/decide.ts
+++ b/packages/core/src/routing/decide.ts
@@ -6,6 +6,7 @@
 import * as load from '../load/index.js';
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
+import * as capacity from './capacity.js';
 import * as keeping from './keeping.js';
 import * as placement from './placement.js';
 import type * as routing from './state.js';
@@ -55,6 +56,9 @@
     case 'membership.changed':
       load.applyMembership(state.load, message.members, now);
       return { state, commands: [] };
+    case 'cold-starts.changed':
+      load.applyRight(state.load, message.upstream, message.right);
+      return { state, commands: [] };
     case 'peers.digest-received':
       return onDigest(state, message, now);
     case 'task.start':
@@ -105,10 +109,15 @@
 }
 
 function onTick(state: State, now: task.Instant): Step {
-  const next: Command = { kind: 'schedule-tick' };
+  const views = viewsOf(state, now);
+  const commands: Command[] = [
+    { kind: 'schedule-tick' },
+    { kind: 'tell-capacity', services: views ? capacity.ofServices(views) : [] },
+    { kind: 'want-cold-rights', upstreams: load.coldUpstreams(state.load) },
+  ];
   const loadDigest = load.digest(state.load, now);
-  if (loadDigest === undefined) return { state, commands: [next] };
-  return { state, commands: [next, { kind: 'broadcast', digest: { load: loadDigest } }] };
+  if (loadDigest === undefined) return { state, commands };
+  return { state, commands: [...commands, { kind: 'broadcast', digest: { load: loadDigest } }] };
 }
 
 function viewsOf(state: State, now: task.Instant): waiting.Views | undefined {
@@ -166,13 +175,17 @@
   replyTo: task.Address<messages.PlanMade>,
   now: task.Instant,
 ): Step {
+  const message: messages.PlanMade = { type: 'plan.made', requestId, plan };
   if (plan.kind === 'placed') {
     const { upstream, reusePieces } = plan.placement;
+    const sendBeforeMs = load.sendBeforeMs(state.load, upstream);
+    if (sendBeforeMs !== undefined) {
+      message.plan = { ...plan, placement: { ...plan.placement, sendBeforeMs } };
+    }
     load.begin(state.load, upstream, now);
     state.placed.set(requestId, { upstream, outline, reusePieces });
     if (outline) addWork(state, plan.placement, outline, now);
   }
-  const message: messages.PlanMade = { type: 'plan.made', requestId, plan };
   return { state, commands: [{ kind: 'reply', replyTo, message }] };
 }
 
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -5,6 +5,7 @@
 import * as links from '../links/index.js';
 import * as load from '../load/index.js';
 import type * as messages from '../messages/index.js';
+import type * as capacity from './capacity.js';
 import * as workAhead from './work-ahead.js';
 
 /** A placed request until it has ended. */
@@ -39,6 +40,8 @@
   | { kind: 'resynchronize-store'; store: string }
   | { kind: 'note-exported'; pieces: number }
   | { kind: 'broadcast'; digest: Digest }
+  | { kind: 'tell-capacity'; services: readonly capacity.ServiceCapacity[] }
+  | { kind: 'want-cold-rights'; upstreams: readonly string[] }
   | { kind: 'schedule-tick' };
 
 export type Step = task.Step<State, Command>;
