--- a/benchmark/src/kept-context/routed.ts
+++ b/benchmark/src/kept-context/routed.ts
@@ -59,9 +59,9 @@
       case 'resynchronize-store':
       case 'note-exported':
       case 'broadcast':
-      case 'schedule-tick':
       case 'tell-capacity':
       case 'want-cold-rights':
+      case 'schedule-tick':
         return;
       default:
         core.results.never(command);
--- a/benchmark/src/models/entry.ts
+++ b/benchmark/src/models/entry.ts
@@ -120,6 +120,11 @@
         command.services.forEach((each) => gate.tell({ type: 'admission.capacity', ...each }));
         return;
       case 'broadcast':
+      case 'start-import':
+      case 'cancel-import':
+      case 'reply-import':
+      case 'wake-links':
+      case 'drop':
       case 'export':
       case 'start-import':
       case 'cancel-import':
--- a/packages/core/src/messages/routing.ts
+++ b/packages/core/src/messages/routing.ts
@@ -21,10 +21,10 @@
   /** HOST:PORT of that store, or empty. */
   storeAddress: string;
   expectedFirstTokenMs: number;
-  /** Monotonic time after which it must not be sent any more: the right to send has lapsed. */
-  sendBeforeMs?: number;
   /** Once an import has taken this long, recomputing is better; absent without an import. */
   lateAfterMs?: number;
+  /** Monotonic time after which it must not be sent any more: the right to send has lapsed. */
+  sendBeforeMs?: number;
 };
 
 /** One candidate and its cost, for the journal. */
