--- a/benchmark/src/models/entry.ts
+++ b/benchmark/src/models/entry.ts
@@ -126,11 +126,6 @@
       case 'wake-links':
       case 'drop':
       case 'export':
-      case 'start-import':
-      case 'cancel-import':
-      case 'reply-import':
-      case 'wake-links':
-      case 'drop':
       case 'note-exported':
       case 'resynchronize-engine':
       case 'resynchronize-store':
