Measure what claims cost the platform, grouped and not

Cause: nothing showed whether gathering across instances reaches 0.25 writes for each keyed request. Ruled out as a model: real sockets (figures that do not repeat). The fleet model with the real decisions, simulated time, platform calls of 2 to 6 ms and 1.5 ms between instances, is the one of the claims tests.

Change: `npm run bench -- dispatch`: 1, 10, 100 and 350 keyed requests a second over 9 instances for one gatherer a page, each instance for itself, and one write for each claim and outcome; keys without a time; an outage of 60 s.

--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -1,2 +1,3 @@
 /** The benchmarks: importing one registers it. */
+import './dispatch/index.js';
 import './kernel/index.js';
