--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -181,6 +181,13 @@
   title: 'changed by another writer',
   hint: 'Look at both versions and apply the change again.',
 };
+/** A change was sent, and no answer tells whether it took effect. */
+const changeUnknown: Code = {
+  number: 5101,
+  status: 503,
+  title: 'change may have taken effect',
+  hint: 'Look at `medlarctl history` once the platform answers; do not assume either end.',
+};
 /** A setting, an answer or a configuration field is wrong. */
 const invalidInput: Code = {
   number: 6001,
@@ -203,6 +210,35 @@
   hint: 'See `medlarctl --help`.',
 };
 
+/** The operator did not agree to a change, or could not be asked. */
+const declined: Code = {
+  number: 6141,
+  status: 409,
+  title: 'declined',
+  hint: 'Nothing was changed. Answer yes, or agree beforehand with `--yes`.',
+};
+/** A command of the operator's tool lacks a word or a flag. */
+const wrongUse: Code = {
+  number: 6142,
+  status: 400,
+  title: 'wrong use',
+  hint: 'See `medlarctl --help`.',
+};
+/** The platform's list has no instance of this name. */
+const unknownInstance: Code = {
+  number: 6143,
+  status: 404,
+  title: 'unknown instance',
+  hint: 'The platform’s list lags; look at `medlarctl status`.',
+};
+/** An instance does not answer, or refuses the deployment's key. */
+const instanceUnreachable: Code = {
+  number: 6144,
+  status: 502,
+  title: 'instance does not answer',
+  hint: 'Look at the instance’s journal, and at the deployment key.',
+};
+
 export const table = {
   unauthorized,
   unknownService,
@@ -228,9 +264,14 @@
   platformUnavailable,
   platformMalformed,
   conflict,
+  changeUnknown,
   invalidInput,
   notConfigured,
   unknownCommand,
+  declined,
+  wrongUse,
+  unknownInstance,
+  instanceUnreachable,
 } as const satisfies Record<string, Code>;
 
 export type CodeName = keyof typeof table;
