Give the decoders' test the present form of a page, and the digest of claims

Cause: the test landed with the earlier form of a page as its valid input; pages have a bucket, a size and lapses now.

Change: the valid input is a present page; the digest that instances send each other is a further case, as strict.

--- a/packages/medlarweir/test/decoders.test.ts
+++ b/packages/medlarweir/test/decoders.test.ts
@@ -54,7 +54,13 @@
   checksum: 'c',
   tier: 'memory',
 };
-const CLAIM = { digest: DIGEST, attemptId: 'a', atMs: 1, outcome: { kind: 'claimed' } };
+const CLAIM = {
+  digest: DIGEST,
+  attemptId: 'a',
+  atMs: 1,
+  lapsesAtMs: 2,
+  outcome: { kind: 'claimed' },
+};
 const CONFIGURATION = fixtures.aConfiguration({
   clientAccounts: [
     fixtures.aClientAccount({ contextSecret: SECRET, credentialDigest: DIGEST }),
@@ -113,9 +119,20 @@
   },
   {
     name: 'page of claims',
-    valid: { claims: { a: CLAIM } },
+    valid: { bucket: 0, isFull: false, bytes: 0, claims: { a: CLAIM } },
     decode: parsed((value) => judge(core.claims.page.parsePage(value))),
   },
+  {
+    name: 'digest of claims',
+    valid: {
+      kind: 'ask',
+      asked: {
+        place: { page: 'claims/hashed/1', name: DIGEST, bucket: 0 },
+        operation: { kind: 'claim', digest: DIGEST, attemptId: 'a', atMs: 1, lapsesAtMs: 2 },
+      },
+    },
+    decode: parsed((value) => judge(core.claims.digests.parseDigest(value))),
+  },
   {
     name: 'configuration',
     valid: CONFIGURATION,
