--- a/packages/medlarweir/test/decoders.test.ts
+++ b/packages/medlarweir/test/decoders.test.ts
@@ -119,7 +119,7 @@
   },
   {
     name: 'page of claims',
-    valid: { bucket: 0, isFull: false, bytes: 0, claims: { a: CLAIM } },
+    valid: { bucket: 0, isFull: false, bytes: 100, claims: { a: CLAIM } },
     decode: parsed((value) => judge(core.claims.page.parsePage(value))),
   },
   {
