Resume runs where they stand, budget retries, pause streams, keep the truth over attempts

Cause: a broken run went to another replica at once; a refusal of the second attempt's placement said "not run" although the first attempt may have run (the plain life did the same for reads); a caller that left while its prompt was placed left the placement counted in routing for ever; a paused caller filled a buffer; retries were bounded only by attempts; an unrepeatable request could meet a kept connection that had died; a lost end after the last token threw a whole answer away.

Change: one function adds an attempt's reach to what holds of all attempts, and every refusal of a life uses it. Flow travels to the reader of the engine's stream. A placement on its way to a finished request is given back. Unsafe calls go on connections of their own. `Last-Event-ID` gives the offset at any instance (the engine must regenerate alike; the text is not sent again).

Not run: hedging, which is not built.

--- a/packages/core/src/exchange/command.ts
+++ b/packages/core/src/exchange/command.ts
@@ -11,6 +11,10 @@
   | { kind: 'run'; order: messages.RunOrder }
   | { kind: 'resume'; runId: string; upstream: string; offset: number }
   | { kind: 'cancel'; runId: string; upstream: string }
+  | { kind: 'flow'; runId: string; upstream: string; flow: messages.Flow }
+  /** Replaces the idle connections to an upstream: one of them went silent. */
+  | { kind: 'doubt'; upstream: string }
+  | { kind: 'ask-retry' }
   | { kind: 'claim'; key: string; digest: string; timeoutMs: number }
   | { kind: 'record'; claim: messages.Claim; outcome: messages.RecordedOutcome }
   | { kind: 'call'; call: messages.PlainCall }
--- a/packages/core/src/exchange/plain-state.ts
+++ b/packages/core/src/exchange/plain-state.ts
@@ -16,6 +16,8 @@
   | { kind: 'claiming' }
   | { kind: 'planning' }
   | { kind: 'calling'; upstream: string }
+  /** Waits for the budget of retries. */
+  | { kind: 'retrying'; failure: results.Failure }
   /** `answer`: what the caller is told once the key is free again; others are told before. */
   | { kind: 'recording'; answer: messages.Answer | undefined }
   | { kind: 'ended' };
@@ -29,6 +31,8 @@
   attempt: number;
   excluded: readonly string[];
   startedAtMs: number;
+  /** What holds of all attempts so far. */
+  truth: results.RunTruth;
   /** The caller has gone: nothing new is begun for it. */
   isCancelled: boolean;
 };
@@ -44,6 +48,7 @@
     attempt: 0,
     excluded: [],
     startedAtMs: 0,
+    truth: 'not-run',
     isCancelled: false,
   };
 }
--- a/packages/core/src/exchange/plain.ts
+++ b/packages/core/src/exchange/plain.ts
@@ -33,6 +33,8 @@
       return onFailed(state, message.reach, message.failure);
     case 'claim.recorded':
       return onRecorded(state);
+    case 'retry.answered':
+      return onRetryAnswered(state, message.answer);
     case 'exchange.cancelled':
       return onCancelled(state);
     case 'exchange.timeout':
@@ -158,11 +160,7 @@
         ? withdraw(state, [cancelledAt(made.placement.upstream)])
         : call(state, made.placement.upstream, now);
     case 'refused':
-      return plainState.settle(
-        state,
-        { kind: 'not-run' },
-        plainState.refusal(state, made.failure, 'not-run', made.retryAfterMs),
-      );
+      return giveUp(state, made.failure, made.retryAfterMs);
     default:
       return results.never(made);
   }
@@ -206,6 +204,7 @@
     headers: request.headers,
     body: request.body,
     timeoutMs: request.service.timeoutMs,
+    connection: plainState.isSafe(request) ? 'pooled' : 'new',
   };
   return {
     state: { ...state, phase: { kind: 'calling', upstream } },
@@ -236,21 +235,36 @@
   if (state.phase.kind !== 'calling') return { state, commands: [] };
   const { upstream } = state.phase;
   const report: command.Command = { kind: 'report', upstream, outcome: { kind: 'failed', reach } };
-  const runTruth = truth.truthOf(reach);
+  const left: State = {
+    ...state,
+    truth: truth.truthAfter(state.truth, reach),
+    excluded: [...state.excluded, upstream],
+    phase: { kind: 'retrying', failure },
+  };
   const mayRepeat =
-    !state.isCancelled && (plainState.isSafe(state.request) || runTruth === 'not-run');
+    !state.isCancelled && (plainState.isSafe(state.request) || left.truth === 'not-run');
   if (mayRepeat && state.attempt < plainState.MAX_ATTEMPTS) {
-    const next = plan({ ...state, excluded: [...state.excluded, upstream] });
-    return { state: next.state, commands: [report, ...next.commands] };
+    return { state: left, commands: [report, { kind: 'ask-retry' }] };
   }
+  const refused = giveUp(left, failure);
+  return { state: refused.state, commands: [report, ...refused.commands] };
+}
+
+function onRetryAnswered(state: State, answer: messages.RetryAnswer): Step {
+  if (state.phase.kind !== 'retrying') return { state, commands: [] };
+  return answer === 'granted' ? plan(state) : giveUp(state, state.phase.failure);
+}
+
+/** Ends a request after its last attempt; the record says the same as the refusal. */
+function giveUp(state: State, failure: results.Failure, retryAfterMs?: number): Step {
+  const isRun = state.truth !== 'not-run';
   const told =
-    runTruth === 'not-run' || plainState.isSafe(state.request)
-      ? failure
-      : results.failure('outcomeUnknown', results.describe(failure));
-  const outcome: messages.RecordedOutcome =
-    runTruth === 'not-run' ? { kind: 'not-run' } : { kind: 'unknown' };
-  const settled = plainState.settle(state, outcome, plainState.refusal(state, told, runTruth));
-  return { state: settled.state, commands: [report, ...settled.commands] };
+    isRun && !plainState.isSafe(state.request)
+      ? results.failure('outcomeUnknown', results.describe(failure))
+      : failure;
+  const outcome: messages.RecordedOutcome = { kind: isRun ? 'unknown' : 'not-run' };
+  const refusal = plainState.refusal(state, told, state.truth, retryAfterMs);
+  return plainState.settle(state, outcome, refusal);
 }
 
 /** The caller is told also when the end could not be recorded: what it is told stays true. */
--- a/packages/core/src/exchange/prompt-plan.ts
+++ b/packages/core/src/exchange/prompt-plan.ts
@@ -27,17 +27,33 @@
 }
 
 export function onPlan(state: State, made: messages.Plan): Step {
+  if (state.phase.kind === 'withdrawing') return giveBack(state, made);
   if (state.phase.kind !== 'planning') return promptState.drop(state, 'plan.made');
   switch (made.kind) {
     case 'placed':
       return place(state, made);
     case 'refused':
-      return promptState.refuse(state, made.failure, 'not-run', made.retryAfterMs);
+      return promptState.refuse(
+        { ...state, phase: { kind: 'ended' } },
+        made.failure,
+        made.retryAfterMs,
+      );
     default:
       return results.never(made);
   }
 }
 
+/** Routing counts each placement until it hears of its end. */
+function giveBack(state: State, made: messages.Plan): Step {
+  const ended: State = { ...state, phase: { kind: 'ended' } };
+  if (made.kind === 'refused') return { state: ended, commands: [] };
+  const { upstream } = made.placement;
+  return {
+    state: ended,
+    commands: [{ kind: 'report', upstream, outcome: { kind: 'cancelled' } }],
+  };
+}
+
 function place(state: State, made: Extract<messages.Plan, { kind: 'placed' }>): Step {
   const { placement } = made;
   const note: command.Command = {
@@ -110,10 +126,7 @@
     answered: state.answered,
   };
   return {
-    state: { ...state, phase: { kind: 'running', placement } },
-    commands: [
-      { kind: 'run', order },
-      { kind: 'schedule', timer: 'progress', delayMs: request.service.progressTimeoutMs },
-    ],
+    state: { ...state, phase: { kind: 'running', placement, resumes: 0 } },
+    commands: [{ kind: 'run', order }, ...promptState.flowCommands(state, placement.upstream)],
   };
 }
--- /dev/null
+++ b/packages/core/src/exchange/prompt-retry.ts
@@ -0,0 +1,93 @@
+/**
+ * What becomes of a run that breaks off or shows no progress: first a new connection to the same
+ * engine, which still has the run, then another replica, within the budget of retries.
+ */
+import type * as messages from '../messages/index.js';
+import * as results from '../results/index.js';
+import type * as command from './command.js';
+import * as promptPlan from './prompt-plan.js';
+import * as promptState from './prompt-state.js';
+import * as truth from './truth.js';
+
+type State = promptState.State;
+type Step = promptState.Step;
+
+/** New connections to one engine without a token in between. */
+const MAX_RESUMES = 1;
+
+/** A silent connection says something about all older connections to that upstream. */
+export function onSilent(state: State): Step {
+  if (state.phase.kind !== 'running') return { state, commands: [] };
+  const { upstream } = state.phase.placement;
+  const step = onBroken(state, 'no progress in time', { kind: 'sent' });
+  return { state: step.state, commands: [{ kind: 'doubt', upstream }, ...step.commands] };
+}
+
+export function onBroken(
+  state: State,
+  reason: string,
+  reach: messages.Reach = { kind: 'answering' },
+): Step {
+  const { phase } = state;
+  if (phase.kind !== 'running') return promptState.drop(state, 'run.failed');
+  const { upstream } = phase.placement;
+  const hasAllTokens = state.offset >= state.request.maxTokens;
+  if (hasAllTokens) return promptState.complete(state, upstream, 'length');
+  const reached: State = { ...state, truth: truth.truthAfter(state.truth, reach) };
+  const isKnownToEngine = reach.kind === 'answering' || reach.kind === 'sent';
+  return isKnownToEngine && phase.resumes < MAX_RESUMES
+    ? resume(reached, phase, reason)
+    : leave(reached, phase, reason, reach);
+}
+
+type Running = Extract<State['phase'], { kind: 'running' }>;
+
+function resume(state: State, phase: Running, reason: string): Step {
+  const { upstream } = phase.placement;
+  const runId = promptState.runId(state);
+  return {
+    state: { ...state, phase: { ...phase, resumes: phase.resumes + 1 } },
+    commands: [
+      { kind: 'resume', runId, upstream, offset: state.offset },
+      ...promptState.flowCommands(state, upstream),
+      { kind: 'note', name: 'runResumed', details: { offset: state.offset, reason, upstream } },
+    ],
+  };
+}
+
+/** Gives the engine up, and asks whether the request may be tried at another one. */
+function leave(state: State, phase: Running, reason: string, reach: messages.Reach): Step {
+  const { upstream } = phase.placement;
+  const commands: readonly command.Command[] = [
+    { kind: 'report', upstream, outcome: { kind: 'failed', reach } },
+    { kind: 'cancel', runId: promptState.runId(state), upstream },
+    { kind: 'unschedule', timer: 'progress' },
+  ];
+  const excluded = [...state.excluded, upstream];
+  const left: State = { ...state, excluded, phase: { kind: 'retrying', reason } };
+  if (state.attempt < promptState.MAX_ATTEMPTS) {
+    return { state: left, commands: [...commands, { kind: 'ask-retry' }] };
+  }
+  const refused = promptState.refuse(left, results.failure('runLost', reason));
+  return { state: refused.state, commands: [...commands, ...refused.commands] };
+}
+
+export function onAnswered(state: State, answer: messages.RetryAnswer): Step {
+  if (state.phase.kind !== 'retrying') return { state, commands: [] };
+  const { reason } = state.phase;
+  if (answer === 'refused') {
+    return promptState.refuse(state, results.failure('retriesExhausted', reason));
+  }
+  const next = promptPlan.plan(state);
+  const note: command.Command = {
+    kind: 'note',
+    name: 'runResumed',
+    details: { offset: state.offset, reason },
+  };
+  return { state: next.state, commands: [note, ...next.commands] };
+}
+
+/** The order has gone out, and nothing has come back yet. */
+export function truthIfSent(state: State): results.RunTruth {
+  return truth.truthAfter(state.truth, { kind: 'sent' });
+}
--- a/packages/core/src/exchange/prompt-state.ts
+++ b/packages/core/src/exchange/prompt-state.ts
@@ -14,7 +14,12 @@
   | { kind: 'admission' }
   | { kind: 'planning' }
   | { kind: 'importing'; placement: messages.Placement }
-  | { kind: 'running'; placement: messages.Placement }
+  /** `resumes`: connections that were replaced since the last token. */
+  | { kind: 'running'; placement: messages.Placement; resumes: number }
+  /** Waits for the budget of retries. */
+  | { kind: 'retrying'; reason: string }
+  /** The caller is done; a placement that is still on its way has to be given back. */
+  | { kind: 'withdrawing' }
   | { kind: 'ended' };
 
 export type State = {
@@ -30,6 +35,10 @@
   answered: string;
   usage: messages.Usage;
   importedTokens: number;
+  /** What holds of all attempts so far. */
+  truth: results.RunTruth;
+  /** Whether the caller's connection takes more. */
+  flow: messages.Flow;
 };
 
 export type Step = task.Step<State, command.Command>;
@@ -48,6 +57,8 @@
     answered: '',
     usage: { promptTokens: 0, completionTokens: 0, cachedTokens: 0 },
     importedTokens: 0,
+    truth: 'not-run',
+    flow: 'open',
   };
 }
 
@@ -56,30 +67,28 @@
   return `${state.request.requestId}.${state.attempt}`;
 }
 
-export function refuse(
-  state: State,
-  failure: results.Failure,
-  truthOfRun: results.RunTruth,
-  retryAfterMs?: number,
-): Step {
+export function refuse(state: State, failure: results.Failure, retryAfterMs?: number): Step {
   const { requestId } = state.request;
+  const { truth } = state;
   return end(state, [
     {
       kind: 'answer',
-      answer: { type: 'answer.refused', requestId, failure, truth: truthOfRun, retryAfterMs },
+      answer: { type: 'answer.refused', requestId, failure, truth, retryAfterMs },
     },
     { kind: 'count', name: 'requests.refused', by: 1 },
     {
       kind: 'note',
       name: 'requestRefused',
-      details: { failure: results.describe(failure), truth: truthOfRun },
+      details: { failure: results.describe(failure), truth },
     },
   ]);
 }
 
 export function end(state: State, commands: readonly command.Command[]): Step {
+  const phase: Phase =
+    state.phase.kind === 'planning' ? { kind: 'withdrawing' } : { kind: 'ended' };
   return {
-    state: { ...state, phase: { kind: 'ended' } },
+    state: { ...state, phase },
     commands: [
       ...commands,
       { kind: 'release-admission' },
@@ -99,3 +108,33 @@
     ],
   };
 }
+
+/** Lets a run's stream flow as the caller's connection does; progress is expected while it does. */
+export function flowCommands(state: State, upstream: string): readonly command.Command[] {
+  const { flow, request } = state;
+  const delayMs = request.service.progressTimeoutMs;
+  return [
+    { kind: 'flow', runId: runId(state), upstream, flow },
+    flow === 'open'
+      ? { kind: 'schedule', timer: 'progress', delayMs }
+      : { kind: 'unschedule', timer: 'progress' },
+  ];
+}
+
+/** The caller has every token. */
+export function complete(state: State, upstream: string, finish: messages.Finish): Step {
+  const usage = { ...state.usage, completionTokens: state.offset };
+  const outcome: messages.Outcome = {
+    kind: 'completed',
+    reusedTokens: usage.cachedTokens - state.importedTokens,
+    importedTokens: state.importedTokens,
+    firstTokenMs: (state.firstTokenAtMs ?? state.startedAtMs) - state.startedAtMs,
+  };
+  const { requestId } = state.request;
+  return end({ ...state, usage }, [
+    { kind: 'report', upstream, outcome },
+    { kind: 'answer', answer: { type: 'answer.ended', requestId, finish, usage } },
+    { kind: 'count', name: 'requests.ended', by: 1 },
+    { kind: 'note', name: 'requestEnded', details: { tokens: state.offset, ...usage } },
+  ]);
+}
--- a/packages/core/src/exchange/prompt.ts
+++ b/packages/core/src/exchange/prompt.ts
@@ -7,14 +7,17 @@
 import * as results from '../results/index.js';
 import type * as command from './command.js';
 import * as promptPlan from './prompt-plan.js';
+import * as promptRetry from './prompt-retry.js';
 import * as promptState from './prompt-state.js';
-import * as truth from './truth.js';
 
 export type State = promptState.State;
 type Step = promptState.Step;
 
 export function decide(state: State, message: messages.ExchangeMessage, now: task.Instant): Step {
   if (state.phase.kind === 'ended') return { state, commands: [] };
+  if (state.phase.kind === 'withdrawing' && message.type !== 'plan.made') {
+    return { state, commands: [] };
+  }
   switch (message.type) {
     case 'task.start':
       return begin(state, now);
@@ -33,16 +36,19 @@
     case 'run.token':
       return onToken(state, message, now);
     case 'run.ended':
-      return onEnded(state, message, now);
+      return onEnded(state, message);
     case 'run.failed':
       return message.runId === promptState.runId(state)
-        ? onBroken(state, message)
+        ? promptRetry.onBroken(state, results.describe(message.failure), message.reach)
         : promptState.drop(state, message.type);
     case 'exchange.cancelled':
       return onCancelled(state);
     case 'exchange.timeout':
       return onTimeout(state, message.timer);
     case 'exchange.flow':
+      return onFlow(state, message.flow);
+    case 'retry.answered':
+      return promptRetry.onAnswered(state, message.answer);
     case 'task.leave':
     case 'task.stop':
       return { state, commands: [] };
@@ -71,7 +77,7 @@
     case 'granted':
       return promptPlan.plan(state);
     case 'refused':
-      return promptState.refuse(state, answer.failure, 'not-run', answer.retryAfterMs);
+      return promptState.refuse(state, answer.failure, answer.retryAfterMs);
     default:
       return results.never(answer);
   }
@@ -103,12 +109,15 @@
   message: Extract<messages.RunReport, { type: 'run.token' }>,
   now: task.Instant,
 ): Step {
+  const { phase } = state;
   const isNext = message.runId === promptState.runId(state) && message.offset === state.offset;
-  if (!isNext) return promptState.drop(state, message.type);
+  if (!isNext || phase.kind !== 'running') return promptState.drop(state, message.type);
   const { requestId, service } = state.request;
   return {
     state: {
       ...state,
+      phase: { ...phase, resumes: 0 },
+      truth: 'ran',
       offset: state.offset + 1,
       answered: state.answered + message.text,
       firstTokenAtMs: state.firstTokenAtMs ?? now.monotonicMs,
@@ -118,87 +127,51 @@
         kind: 'answer',
         answer: { type: 'answer.token', requestId, offset: message.offset, text: message.text },
       },
-      { kind: 'schedule', timer: 'progress', delayMs: service.progressTimeoutMs },
+      state.flow === 'open'
+        ? { kind: 'schedule', timer: 'progress', delayMs: service.progressTimeoutMs }
+        : { kind: 'unschedule', timer: 'progress' },
       { kind: 'unschedule', timer: 'deadline' },
     ],
   };
 }
 
-function onEnded(
-  state: State,
-  message: Extract<messages.RunReport, { type: 'run.ended' }>,
-  now: task.Instant,
-): Step {
+function onEnded(state: State, message: Extract<messages.RunReport, { type: 'run.ended' }>): Step {
   if (state.phase.kind !== 'running' || message.runId !== promptState.runId(state)) {
     return promptState.drop(state, message.type);
   }
-  if (message.tokens !== state.offset) return replan(state, 'the end came before the last token');
-  const usage = { ...state.usage, completionTokens: state.offset };
-  const outcome: messages.Outcome = {
-    kind: 'completed',
-    reusedTokens: usage.cachedTokens - state.importedTokens,
-    importedTokens: state.importedTokens,
-    firstTokenMs: (state.firstTokenAtMs ?? now.monotonicMs) - state.startedAtMs,
-  };
-  const { requestId } = state.request;
-  return promptState.end({ ...state, usage }, [
-    { kind: 'report', upstream: state.phase.placement.upstream, outcome },
-    {
-      kind: 'answer',
-      answer: { type: 'answer.ended', requestId, finish: message.finish, usage },
-    },
-    { kind: 'count', name: 'requests.ended', by: 1 },
-    { kind: 'note', name: 'requestEnded', details: { tokens: state.offset, ...usage } },
-  ]);
-}
-
-/** A broken run goes on where it stood if the engine still has it, or else at another replica. */
-function onBroken(
-  state: State,
-  message: Extract<messages.RunReport, { type: 'run.failed' }>,
-): Step {
-  return replan(state, results.describe(message.failure), message.reach);
+  if (message.tokens !== state.offset) {
+    return promptRetry.onBroken(state, 'the end came before the last token');
+  }
+  return promptState.complete(state, state.phase.placement.upstream, message.finish);
 }
 
-function replan(state: State, reason: string, reach: messages.Reach = { kind: 'answering' }): Step {
-  if (state.phase.kind !== 'running') return promptState.drop(state, 'run.failed');
+/** A caller that does not read holds its engine's stream up, and no buffer grows here. */
+function onFlow(state: State, flow: messages.Flow): Step {
+  const changed = { ...state, flow };
+  if (state.phase.kind !== 'running') return { state: changed, commands: [] };
   const { upstream } = state.phase.placement;
-  const report: command.Command = {
-    kind: 'report',
-    upstream,
-    outcome: { kind: 'failed', reach },
-  };
-  if (state.attempt >= promptState.MAX_ATTEMPTS) {
-    const failure = results.failure('runLost', reason);
-    const truthOfRun = state.offset > 0 ? 'ran' : truth.truthOf(reach);
-    const refused = promptState.refuse(state, failure, truthOfRun, undefined);
-    return { state: refused.state, commands: [report, ...refused.commands] };
-  }
-  const next = promptPlan.plan({ ...state, excluded: [...state.excluded, upstream] });
-  return {
-    state: next.state,
-    commands: [
-      report,
-      { kind: 'cancel', runId: promptState.runId(state), upstream },
-      { kind: 'note', name: 'runResumed', details: { offset: state.offset, reason } },
-      ...next.commands,
-    ],
-  };
+  return { state: changed, commands: promptState.flowCommands(changed, upstream) };
 }
 
 function onCancelled(state: State): Step {
-  if (state.phase.kind !== 'running') return promptState.end(state, []);
-  const { upstream } = state.phase.placement;
-  return promptState.end(state, [
+  return promptState.end(state, cleanUp(state));
+}
+
+/** Frees the engine, and gives the placement back to routing. */
+function cleanUp(state: State): readonly command.Command[] {
+  const { phase } = state;
+  if (phase.kind !== 'running' && phase.kind !== 'importing') return [];
+  const { upstream } = phase.placement;
+  return [
     { kind: 'cancel', runId: promptState.runId(state), upstream },
     { kind: 'report', upstream, outcome: { kind: 'cancelled' } },
-  ]);
+  ];
 }
 
 function onTimeout(state: State, timer: messages.ExchangeTimer): Step {
   switch (timer) {
     case 'progress':
-      return replan(state, 'no progress in time');
+      return promptRetry.onSilent(state);
     case 'deadline':
       return onDeadline(state);
     case 'hedge':
@@ -212,12 +185,8 @@
 function onDeadline(state: State): Step {
   if (state.offset > state.request.offset) return { state, commands: [] };
   const failure = results.failure('deadlineUnreachable', 'no first token before the deadline');
-  const cancelled = onCancelled(state);
-  const refused = promptState.refuse(
-    state,
-    failure,
-    state.phase.kind === 'running' ? 'unknown' : 'not-run',
-  );
-  const cleanUp = cancelled.commands.filter(({ kind }) => kind === 'cancel' || kind === 'report');
-  return { state: refused.state, commands: [...cleanUp, ...refused.commands] };
+  const isSent = state.phase.kind === 'running';
+  const told: State = isSent ? { ...state, truth: promptRetry.truthIfSent(state) } : state;
+  const refused = promptState.refuse(told, failure);
+  return { state: refused.state, commands: [...cleanUp(state), ...refused.commands] };
 }
--- a/packages/core/src/exchange/truth.ts
+++ b/packages/core/src/exchange/truth.ts
@@ -2,6 +2,11 @@
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
 
+/** What holds after one more attempt: a request may have run once any attempt of it may have. */
+export function truthAfter(soFar: results.RunTruth, reach: messages.Reach): results.RunTruth {
+  return soFar === 'not-run' ? truthOf(reach) : soFar;
+}
+
 /** What may be told to a caller about a request that came this far on the wire. */
 export function truthOf(reach: messages.Reach): results.RunTruth {
   switch (reach.kind) {
--- a/packages/core/src/messages/exchange.ts
+++ b/packages/core/src/messages/exchange.ts
@@ -61,9 +61,16 @@
   /** The caller went away. */
   | { type: 'exchange.cancelled' }
   /** The caller's connection takes more (or, after `paused`, nothing for now). */
-  | { type: 'exchange.flow'; flow: 'open' | 'paused' }
+  | { type: 'exchange.flow'; flow: Flow }
+  | { type: 'retry.answered'; answer: RetryAnswer }
   | { type: 'exchange.timeout'; timer: ExchangeTimer };
 
+/** `paused`: the caller's connection takes nothing for now. */
+export type Flow = 'open' | 'paused';
+
+/** Whether the instance's budget of retries allows one more. */
+export type RetryAnswer = 'granted' | 'refused';
+
 export type ExchangeTimer = 'progress' | 'deadline' | 'hedge' | 'retry';
 
 /** Sent to the exchange task that keeps the lives of requests, to begin one. */
@@ -83,4 +90,7 @@
 };
 
 export type ExchangesMessage =
-  life.TaskMessage | configuration.ConfigurationAdopted | ExchangeBegin;
+  | life.TaskMessage
+  | configuration.ConfigurationAdopted
+  | ExchangeBegin
+  | { type: 'exchange.ask-retry'; replyTo: task.Address<ExchangeMessage> };
--- a/packages/core/src/messages/upstreams.ts
+++ b/packages/core/src/messages/upstreams.ts
@@ -88,6 +88,8 @@
   headers: Readonly<Record<string, string>>;
   body: Uint8Array;
   timeoutMs: number;
+  /** `new`: no byte travels on a connection that may have died unnoticed. */
+  connection: 'new' | 'pooled';
 };
 
 /** A whole answer of a plain service. */
@@ -153,6 +155,10 @@
       replyTo: task.Address<RunReport>;
     }
   | { type: 'upstreams.cancel'; runId: string; upstream: string }
+  /** Stops reading a run's stream, or goes on with it. */
+  | { type: 'upstreams.flow'; runId: string; flow: 'open' | 'paused' }
+  /** Replaces the pooled connections to an upstream: one of them went silent. */
+  | { type: 'upstreams.doubt'; upstream: string }
   | { type: 'upstreams.import'; order: ImportOrder; replyTo: task.Address<ImportReport> }
   | { type: 'upstreams.export'; order: ExportOrder; replyTo: task.Address<ExportReport> }
   | { type: 'upstreams.call'; call: PlainCall; replyTo: task.Address<CallReport> }
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -132,6 +132,13 @@
   title: 'upstream unreachable',
   hint: 'Not run. Retry.',
 };
+/** The budget of retries is used up. */
+const retriesExhausted: Code = {
+  number: 4151,
+  status: 503,
+  title: 'too many retries',
+  hint: 'Many requests fail at the moment. Retry later; `run` says whether this one ran.',
+};
 /** The upstream answered with something that cannot be decoded. */
 const upstreamMalformed: Code = {
   number: 4002,
@@ -257,6 +264,7 @@
   keyFromFuture,
   answerNotKept,
   upstreamUnreachable,
+  retriesExhausted,
   upstreamMalformed,
   upstreamRefused,
   runLost,
--- a/packages/line-feed/src/line-feed.ts
+++ b/packages/line-feed/src/line-feed.ts
@@ -24,7 +24,11 @@
   | { kind: 'not-connected'; detail: string }
   | { kind: 'broken'; detail: string; hasStatus: boolean };
 
-export type Feed = { close(): void };
+export type Feed = {
+  close(): void;
+  /** While paused, at most the chunk that has arrived is still handed on. */
+  setFlow(flow: 'open' | 'paused'): void;
+};
 
 /** Opens one stream on a connection of its own, so that no other stream can hold it up. */
 export function open(order: Order): Feed {
@@ -34,17 +38,25 @@
     bodyTimeout: order.silenceMs ?? 0,
     headersTimeout: order.silenceMs ?? 0,
   });
-  void follow(order, dispatcher, abort.signal).then((end) => {
+  const gate = createGate();
+  void follow(order, dispatcher, abort.signal, gate).then((end) => {
     void dispatcher.destroy();
     if (!abort.signal.aborted) order.onEnd(end);
   });
-  return { close: () => abort.abort() };
+  return {
+    close() {
+      gate.setFlow('open');
+      abort.abort();
+    },
+    setFlow: gate.setFlow,
+  };
 }
 
 async function follow(
   order: Order,
   dispatcher: undici.Dispatcher,
   signal: AbortSignal,
+  gate: Gate,
 ): Promise<End> {
   let hasStatus = false;
   try {
@@ -57,7 +69,7 @@
     });
     hasStatus = true;
     order.onStatus?.(response.statusCode);
-    await readLines(response.body, order.onLine);
+    await readLines(response.body, order.onLine, gate);
     return { kind: 'finished' };
   } catch (error) {
     const detail = String(error);
@@ -75,7 +87,29 @@
   return typeof code === 'string' && CONNECT_FAILURES.includes(code);
 }
 
-async function readLines(body: AsyncIterable<Uint8Array>, onLine: (line: string) => void) {
+/** Lets the reader of a stream through while it is open. */
+type Gate = { setFlow(flow: 'open' | 'paused'): void; passed(): Promise<void> };
+
+function createGate(): Gate {
+  const state = { isOpen: true, waiting: [] as (() => void)[] };
+  return {
+    setFlow(flow) {
+      state.isOpen = flow === 'open';
+      if (state.isOpen) state.waiting.splice(0).forEach((go) => go());
+    },
+    passed: () =>
+      new Promise((resolve) => {
+        if (state.isOpen) resolve();
+        else state.waiting.push(resolve);
+      }),
+  };
+}
+
+async function readLines(
+  body: AsyncIterable<Uint8Array>,
+  onLine: (line: string) => void,
+  gate: Gate,
+): Promise<void> {
   const decoder = new TextDecoder();
   let rest = '';
   for await (const chunk of body) {
@@ -83,5 +117,6 @@
     rest = parts.pop() ?? '';
     if (rest.length > MAX_LINE_BYTES) throw new Error('line too long');
     parts.filter((line) => line !== '').forEach(onLine);
+    await gate.passed();
   }
 }
--- a/packages/plugins/callers-http/src/decode.ts
+++ b/packages/plugins/callers-http/src/decode.ts
@@ -68,16 +68,28 @@
   const checked = completion.safeParse(json.value);
   if (!checked.success) return fail('malformedRequest', explain(checked.error));
   const { model, prompt, max_tokens: maxTokens, stream } = checked.data;
+  const offset = offsetOf(received.headers['last-event-id'], maxTokens);
+  if (offset.isErr()) return neverthrow.err(offset.error);
   return neverthrow.ok({
     kind: 'prompt',
     service: model,
     prompt,
     maxTokens,
     isStream: stream,
-    offset: 0,
+    offset: offset.value,
   });
 }
 
+const EVENT_ID = /^[\w.-]{1,100}:(\d{1,6})$/;
+
+/** The tokens that a caller already has from an earlier connection, to any instance. */
+function offsetOf(lastEventId: string | undefined, maxTokens: number): Decoded<number> {
+  if (lastEventId === undefined) return neverthrow.ok(0);
+  const offset = Number(EVENT_ID.exec(lastEventId)?.[1] ?? Number.NaN);
+  if (offset <= maxTokens) return neverthrow.ok(offset);
+  return fail('malformedRequest', 'Last-Event-ID: expected REQUEST:TOKENS up to `max_tokens`');
+}
+
 const parseJson = neverthrow.Result.fromThrowable(
   (text: string): unknown => JSON.parse(text),
   () => 'not JSON' as const,
--- a/packages/plugins/exchange/src/exchange-task.ts
+++ b/packages/plugins/exchange/src/exchange-task.ts
@@ -4,22 +4,23 @@
 import * as requestTask from './request-task.js';
 
 type Message = core.messages.ExchangesMessage;
-type State = { begun: number };
-type Command = { kind: 'spawn'; begin: core.messages.ExchangeBegin };
+type State = { begun: number; budget: core.exchange.retryBudget.RetryBudget };
+type Command =
+  | { kind: 'spawn'; begin: core.messages.ExchangeBegin }
+  | {
+      kind: 'answer-retry';
+      replyTo: core.kernel.Address<core.messages.ExchangeMessage>;
+      answer: core.messages.RetryAnswer;
+    };
+
+const { retryBudget } = core.exchange;
 
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
   name: 'exchange',
   create: (surroundings) => ({
-    initial: { begun: 0 },
+    initial: { begun: 0, budget: retryBudget.fullBudget },
     decide,
-    perform: ({ begin }) => {
-      const exchange = surroundings.spawn(requestTask.definition(begin.request, begin.caller));
-      begin.onBegun.send({
-        type: 'exchange.begun',
-        requestId: begin.request.requestId,
-        exchange,
-      });
-    },
+    perform: (command) => perform(surroundings, command),
     dump: (state) => state,
   }),
 };
@@ -27,7 +28,15 @@
 function decide(state: State, message: Message): core.kernel.Step<State, Command> {
   switch (message.type) {
     case 'exchange.begin':
-      return { state: { begun: state.begun + 1 }, commands: [{ kind: 'spawn', begin: message }] };
+      return {
+        state: { begun: state.begun + 1, budget: retryBudget.onRequest(state.budget) },
+        commands: [{ kind: 'spawn', begin: message }],
+      };
+    case 'exchange.ask-retry': {
+      const { budget, answer } = retryBudget.onRetry(state.budget);
+      const { replyTo } = message;
+      return { state: { ...state, budget }, commands: [{ kind: 'answer-retry', replyTo, answer }] };
+    }
     case 'configuration.adopted':
     case 'task.start':
     case 'task.leave':
@@ -37,3 +46,19 @@
       return core.results.never(message);
   }
 }
+
+function perform(surroundings: core.kernel.Surroundings<Message>, command: Command): void {
+  switch (command.kind) {
+    case 'spawn': {
+      const { request, caller, onBegun } = command.begin;
+      const exchange = surroundings.spawn(requestTask.definition(request, caller));
+      onBegun.send({ type: 'exchange.begun', requestId: request.requestId, exchange });
+      return;
+    }
+    case 'answer-retry':
+      command.replyTo.send({ type: 'retry.answered', answer: command.answer });
+      return;
+    default:
+      core.results.never(command);
+  }
+}
--- a/packages/plugins/exchange/src/request-task.ts
+++ b/packages/plugins/exchange/src/request-task.ts
@@ -121,6 +121,19 @@
         upstream: command.upstream,
       });
       return;
+    case 'flow':
+      send('upstreams', {
+        type: 'upstreams.flow',
+        runId: command.runId,
+        flow: command.flow,
+      });
+      return;
+    case 'doubt':
+      send('upstreams', { type: 'upstreams.doubt', upstream: command.upstream });
+      return;
+    case 'ask-retry':
+      send('exchange', { type: 'exchange.ask-retry', replyTo: self });
+      return;
     case 'claim':
       send('claims', {
         type: 'claims.claim',
--- a/packages/plugins/upstreams-http/src/calls.ts
+++ b/packages/plugins/upstreams-http/src/calls.ts
@@ -3,6 +3,7 @@
 import * as lineFeed from '@medlarweir/line-feed';
 import * as undici from 'undici';
 
+import type * as pools from './pools.js';
 import * as wire from './wire.js';
 
 /** The longest that a move of pieces may take. */
@@ -73,12 +74,29 @@
 }
 
 /** Sends one request to a plain service, once. */
-export async function callService(
+export function callService(
+  kept: pools.Pools,
+  address: string,
+  call: core.messages.PlainCall,
+): Promise<core.messages.CallReport> {
+  switch (call.connection) {
+    case 'new':
+      return kept.withNewConnection(address, (own) => callOver(own, kept, address, call));
+    case 'pooled':
+      return callOver(kept.poolFor(address), kept, address, call);
+    default:
+      return core.results.never(call.connection);
+  }
+}
+
+async function callOver(
   dispatcher: undici.Dispatcher,
+  kept: pools.Pools,
   address: string,
   call: core.messages.PlainCall,
 ): Promise<core.messages.CallReport> {
   const { requestId } = call;
+  const progress = { hasStatus: false };
   try {
     const response = await undici.request(`http://${address}${call.path}`, {
       method: call.method,
@@ -87,6 +105,7 @@
       headers: { ...call.headers, 'x-request-id': requestId },
       ...(call.body.length === 0 ? {} : { body: call.body }),
     });
+    progress.hasStatus = true;
     const body = new Uint8Array(await response.body.arrayBuffer());
     const headers = answerHeaders(response.headers);
     return {
@@ -95,19 +114,24 @@
       answer: { status: response.statusCode, headers, body },
     };
   } catch (error) {
-    const isUnreached = lineFeed.isConnectFailure(error);
-    return {
-      type: 'call.failed',
-      requestId,
-      reach: isUnreached ? { kind: 'not-connected' } : { kind: 'sending' },
-      failure: core.results.failure(
-        isUnreached ? 'upstreamUnreachable' : 'outcomeUnknown',
-        String(error),
-      ),
-    };
+    if (isTimeout(error)) kept.replace(address);
+    const reach = reachOf(error, progress.hasStatus);
+    const code = reach.kind === 'not-connected' ? 'upstreamUnreachable' : 'outcomeUnknown';
+    const failure = core.results.failure(code, String(error));
+    return { type: 'call.failed', requestId, reach, failure };
   }
 }
 
+function isTimeout(error: unknown): boolean {
+  return (error as { name?: unknown }).name === 'TimeoutError';
+}
+
+/** Only a connection that was never made proves that no byte was sent. */
+function reachOf(error: unknown, hasStatus: boolean): core.messages.Reach {
+  if (lineFeed.isConnectFailure(error)) return { kind: 'not-connected' };
+  return hasStatus ? { kind: 'answering' } : { kind: 'sending' };
+}
+
 /** Headers of an answer that are passed on to callers. */
 const PASSED_HEADERS = ['content-type', 'location', 'cache-control', 'etag'];
 
--- a/packages/plugins/upstreams-http/src/upstreams-task.ts
+++ b/packages/plugins/upstreams-http/src/upstreams-task.ts
@@ -1,9 +1,9 @@
 /** The task that owns the connections to upstreams: runs, calls and report streams. */
 import * as core from '@medlarweir/core';
 import * as lineFeed from '@medlarweir/line-feed';
-import * as undici from 'undici';
 
 import * as calls from './calls.js';
+import * as pools from './pools.js';
 import * as runs from './runs.js';
 import * as wire from './wire.js';
 
@@ -27,17 +27,20 @@
   }
 >;
 type State = { addresses: Readonly<Record<string, string>>; feeds: core.feeds.State };
-type Command = core.feeds.Command | { kind: 'work'; work: Work; address: string };
+type Command =
+  | core.feeds.Command
+  | { kind: 'work'; work: Work; address: string }
+  | { kind: 'flow'; runId: string; flow: core.messages.Flow }
+  | { kind: 'doubt'; address: string };
 type Step = core.kernel.Step<State, Command>;
 type Surroundings = core.kernel.Surroundings<Message>;
 
 /** A port that refuses connections: work for an upstream that has left fails as "not connected". */
 const NO_ADDRESS = '127.0.0.1:9';
-const CONNECT_TIMEOUT_MS = 1_000;
 
 /** The sockets that the task owns. */
 type Sockets = {
-  dispatcher: undici.Agent;
+  pools: pools.Pools;
   feeds: Map<string, lineFeed.Feed>;
   runs: Map<string, lineFeed.Feed>;
 };
@@ -46,7 +49,7 @@
   name: 'upstreams',
   create: (surroundings) => {
     const sockets: Sockets = {
-      dispatcher: new undici.Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } }),
+      pools: pools.create(),
       feeds: new Map(),
       runs: new Map(),
     };
@@ -73,6 +76,12 @@
     case 'upstreams.resume':
     case 'upstreams.cancel':
       return work(state, message, message.upstream);
+    case 'upstreams.flow':
+      return { state, commands: [{ kind: 'flow', runId: message.runId, flow: message.flow }] };
+    case 'upstreams.doubt': {
+      const address = state.addresses[message.upstream] ?? NO_ADDRESS;
+      return { state, commands: [{ kind: 'doubt', address }] };
+    }
     case 'upstreams.resynchronize':
       return resynchronize(state, message.upstream);
     case 'feed.ended':
@@ -129,6 +138,12 @@
     case 'work':
       carryOut(sockets, command.work, command.address);
       return;
+    case 'flow':
+      sockets.runs.get(command.runId)?.setFlow(command.flow);
+      return;
+    case 'doubt':
+      sockets.pools.replace(command.address);
+      return;
     case 'open':
       sockets.feeds.set(command.source, openFeed(surroundings, command.source, command.address));
       return;
@@ -151,7 +166,8 @@
   }
 }
 
-function carryOut({ dispatcher, runs: open }: Sockets, message: Work, address: string): void {
+function carryOut({ pools: kept, runs: open }: Sockets, message: Work, address: string): void {
+  const dispatcher = kept.poolFor(address);
   switch (message.type) {
     case 'upstreams.run': {
       const { runId } = message.order;
@@ -183,7 +199,7 @@
       return;
     case 'upstreams.call':
       void calls
-        .callService(dispatcher, address, message.call)
+        .callService(kept, address, message.call)
         .then((found) => message.replyTo.send(found));
       return;
     case 'upstreams.order':
