--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -2,3 +2,4 @@
 import './dispatch/index.js';
 import './kernel/index.js';
 import './kept-context/index.js';
+import './control-plane/index.js';
