Prove pause, silence and kill against separate processes

Cause: the claims' and streams' faults were shown on models only. Ruled out: cutting sockets inside one process, which tests the stand-in's own cut.

Change: two instances, three engines, a plain service, a store and the platform as processes; an instance is stopped (SIGSTOP) between claim and send for 6 s while an engine is stopped in the middle of a stream; an instance is killed after its booking ran. The cluster of the examples hands out its engines' processes.

The paused instance told "not run" (3004) and the retry ran once; the stream was whole and equal to an undisturbed one; after the kill a retry at the other instance was told 3001 and the service counted one run.

--- a/examples/src/cluster.ts
+++ b/examples/src/cluster.ts
@@ -26,6 +26,8 @@
   deployment: deployments.Deployment;
   platform: string;
   addresses: deployments.Addresses;
+  /** The processes of the engines, in the order of their addresses. */
+  engines: readonly processes.Process[];
   /** An engine that the system does not know, to compare answers with. */
   referenceEngine: string;
   instances: readonly Instance[];
@@ -74,6 +76,7 @@
     deployment,
     platform,
     addresses,
+    engines: engines.map((each) => each.process),
     referenceEngine: references[0]?.address ?? '',
     instances,
     generation,
--- /dev/null
+++ b/examples/test/dispatch.test.ts
@@ -0,0 +1,134 @@
+/** Effect once and whole answers against separate processes: pause, silence and kill. */
+import * as timers from 'node:timers/promises';
+
+import type * as standIns from '@medlarweir/stand-ins';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as callers from '../src/callers.js';
+import * as clusters from '../src/cluster.js';
+import * as deployments from '../src/deployment.js';
+
+type Context = { cluster: clusters.Cluster };
+
+const suite = uvu.suite<Context>('separate processes');
+const ACCOUNT = 'serra-roads';
+const POLL_MS = 50;
+const MAX_POLLS = 200;
+/** Longer than a claimed request may wait before it leaves. */
+const PAUSE_MS = 6_000;
+const BEFORE_PAUSE_MS = 300;
+const WISH = { model: 'briefing', prompt: 'road notes of the season', max_tokens: 600 };
+const CLAIM_UNAVAILABLE = 3004;
+const IN_PROGRESS = 3001;
+
+suite.before(async (context) => {
+  const deployment = await deployments.load('balizas');
+  context.cluster = await clusters.start({
+    ...deployment,
+    engines: { ...deployment.engines, count: 3 },
+    plain: { ...deployment.plain, count: 1 },
+    stores: 1,
+  });
+});
+
+suite.after(async ({ cluster }) => {
+  cluster.engines.forEach((engine) => engine.signal('SIGCONT'));
+  await cluster.stop();
+});
+
+function instanceAt({ instances }: clusters.Cluster, at: number): clusters.Instance {
+  const found = instances[at];
+  if (!found) throw new Error(`no instance ${at}`);
+  return found;
+}
+
+function book(cluster: clusters.Cluster, at: number, key: string): Promise<callers.Call> {
+  const { callers: address } = instanceAt(cluster, at);
+  return callers.callService(address, ACCOUNT, 'dispatch/bookings', key, { reference: key });
+}
+
+async function runsOf({ addresses }: clusters.Cluster, reference: string): Promise<number> {
+  const [plain = ''] = addresses.plain;
+  const stats = await clusters.readStats<standIns.plain.Stats>(plain);
+  return stats.runs[reference] ?? 0;
+}
+
+async function until(what: string, check: () => Promise<boolean>): Promise<void> {
+  for (let polls = 0; polls < MAX_POLLS; polls += 1) {
+    if (await check()) return;
+    await timers.setTimeout(POLL_MS);
+  }
+  throw new Error(`waited too long until ${what}`);
+}
+
+function codeOf({ text }: callers.Call): number {
+  return (JSON.parse(text) as { error: { code: number } }).error.code;
+}
+
+/** Pauses the instance between the claim and the send of a booking; resolves with what it told. */
+async function bookAcrossPause(cluster: clusters.Cluster): Promise<callers.Call> {
+  const { process: paused } = instanceAt(cluster, 0);
+  await clusters.control(cluster.platform, { fault: 'slow' });
+  const first = book(cluster, 0, 'paused');
+  await timers.setTimeout(BEFORE_PAUSE_MS);
+  paused.signal('SIGSTOP');
+  await clusters.control(cluster.platform, { fault: 'none' });
+  await timers.setTimeout(PAUSE_MS);
+  paused.signal('SIGCONT');
+  return first;
+}
+
+/** Streams a prompt whose engine stops in the middle of it. */
+async function streamAcrossSilence(cluster: clusters.Cluster): Promise<callers.Completion> {
+  const streaming = callers.complete(instanceAt(cluster, 1).callers, ACCOUNT, WISH);
+  const running = async () => {
+    const stats = cluster.addresses.engines.map((address) =>
+      clusters.readStats<standIns.engine.Stats>(address),
+    );
+    return (await Promise.all(stats)).findIndex(({ records }) => records.length > 0);
+  };
+  await until('an engine ran the prompt', async () => (await running()) >= 0);
+  const silent = cluster.engines[await running()];
+  silent?.signal('SIGSTOP');
+  const answer = await streaming;
+  silent?.signal('SIGCONT');
+  return answer;
+}
+
+suite(
+  'a paused instance sends nothing late, and a silent engine leaves no gap',
+  async (context) => {
+    const { cluster } = context;
+    const [told, streamed] = await Promise.all([
+      bookAcrossPause(cluster),
+      streamAcrossSilence(cluster),
+    ]);
+    const whole = await callers.complete(instanceAt(cluster, 1).callers, ACCOUNT, WISH);
+    assert.ok(streamed.isWhole && whole.isWhole);
+    assert.is(streamed.text, whole.text);
+
+    const again = await book(cluster, 1, 'paused');
+    assert.is(again.status, 201, `${told.text} then ${again.text}`);
+    assert.is(await runsOf(cluster, 'paused'), 1);
+    assert.ok(told.text === again.text || codeOf(told) === CLAIM_UNAVAILABLE);
+  },
+);
+
+suite('a booking whose instance was killed after sending does not run again', async (context) => {
+  const { cluster } = context;
+  const [plain = ''] = cluster.addresses.plain;
+  await clusters.control(plain, { fault: 'silent-after-run' });
+  const first = book(cluster, 0, 'killed').catch(() => 'cut' as const);
+  await until('the booking ran', async () => (await runsOf(cluster, 'killed')) === 1);
+  instanceAt(cluster, 0).process.signal('SIGKILL');
+  assert.is(await first, 'cut');
+  await clusters.control(plain, { fault: 'none' });
+  const again = await book(cluster, 1, 'killed');
+  assert.is(codeOf(again), IN_PROGRESS);
+  assert.is(await runsOf(cluster, 'killed'), 1);
+  const other = await book(cluster, 1, 'after-the-kill');
+  assert.is(other.status, 201);
+});
+
+suite.run();
