--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -31,6 +31,7 @@
   claimsSuspended: { number: 422, level: 'warn', text: 'keyed requests are refused' },
   claimsResumed: { number: 423, level: 'info', text: 'keyed requests are taken again' },
   upstreamSilent: { number: 501, level: 'warn', text: 'upstream does not report' },
+  coldRightGained: { number: 521, level: 'info', text: 'may send to a cold upstream' },
   platformUnavailable: { number: 701, level: 'warn', text: 'platform unavailable' },
   platformBack: { number: 702, level: 'info', text: 'platform is back' },
 } as const satisfies Record<string, Entry>;
