--- a/examples/test/dispatch.test.ts
+++ b/examples/test/dispatch.test.ts
@@ -120,7 +120,8 @@
       streamAcrossSilence(cluster),
     ]);
     const whole = await callers.complete(instanceAt(cluster, 1).callers, ACCOUNT, WISH);
-    assert.ok(streamed.isWhole && whole.isWhole);
+    const seen = [streamed, whole].map(({ status, text }) => `${status}, ${text.length} characters`);
+  assert.ok(streamed.isWhole && whole.isWhole, seen.join('; '));
     assert.is(streamed.text, whole.text);
 
     const again = await bookUntilSettled(cluster, 1, 'paused');
