Report cut prompts in the dispatch benchmark

Cause: the benchmark's last line lacked false "not run" and incomplete answers.

Change: seven cuts of a prompt's connection, with the engine keeping or losing the run, four replicas or one.

Cuts of plain calls are not in this table.

--- /dev/null
+++ b/benchmark/src/dispatch/cuts.ts
@@ -0,0 +1,55 @@
+/** Prompts whose connections are cut: what callers were given, and whether what they were told is true. */
+import * as fixtures from '@medlarweir/core/fixtures';
+
+export type CutFigures = {
+  cut: fixtures.Cut;
+  /** Share of prompts answered whole, over engines that keep the run and engines that lost it. */
+  answeredWhole: number;
+  incompleteAnswers: number;
+  falseNotRun: number;
+};
+
+const CUTS: readonly fixtures.Cut[] = [
+  'before-connect',
+  'vouched-not-run',
+  'while-sending',
+  'after-sending',
+  'within-answer',
+  'lost-last-token',
+  'silent',
+];
+const ENGINES: readonly fixtures.EngineAfterCut[] = ['keeps-run', 'lost-run'];
+const NOT_RUN: readonly fixtures.Cut[] = ['before-connect', 'vouched-not-run'];
+/** A single replica leaves nowhere to go, so that the refusal is seen too. */
+const REPLICAS: readonly (readonly string[])[] = [['a', 'b', 'c', 'd'], ['a']];
+const WHOLE = Array.from({ length: fixtures.PROMPT_TOKENS }, (_, at) => `<${at}>`).join('');
+
+export function measure(): readonly CutFigures[] {
+  return CUTS.map((cut) => {
+    const ends = REPLICAS.flatMap((replicas) =>
+      ENGINES.map((engine) => endOf(fixtures.runPrompt([cut], engine, [...replicas]), cut)),
+    );
+    const share = ends.filter(({ isWhole }) => isWhole).length / ends.length;
+    return {
+      cut,
+      answeredWhole: share,
+      incompleteAnswers: ends.filter(({ isIncomplete }) => isIncomplete).length,
+      falseNotRun: ends.filter(({ isFalse }) => isFalse).length,
+    };
+  });
+}
+
+function endOf({ commands }: fixtures.PromptStory, cut: fixtures.Cut) {
+  const answers = commands.flatMap((each) => (each.kind === 'answer' ? [each.answer] : []));
+  const text = answers
+    .flatMap((each) => (each.type === 'answer.token' ? [each.text] : []))
+    .join('');
+  const last = answers.at(-1);
+  const isEnded = last?.type === 'answer.ended';
+  const isToldNotRun = last?.type === 'answer.refused' && last.truth === 'not-run';
+  return {
+    isWhole: isEnded && text === WHOLE,
+    isIncomplete: (isEnded && text !== WHOLE) || !WHOLE.startsWith(text),
+    isFalse: isToldNotRun && !NOT_RUN.includes(cut),
+  };
+}
--- a/benchmark/src/dispatch/index.ts
+++ b/benchmark/src/dispatch/index.ts
@@ -1,5 +1,6 @@
 /** `dispatch`: what requests that take effect once cost, grouped and not, and during an outage. */
 import * as registry from '../registry.js';
+import * as cuts from './cuts.js';
 import * as load from './load.js';
 
 const RATES_PER_S: readonly number[] = [1, 10, 100, 350];
@@ -26,8 +27,11 @@
   const outage = measure({ perS: 35, lastsS: 180, outageS: OUTAGE_S });
   const all = [...rates, hashed, outage];
   const target = rates.find(({ policy, perS }) => policy === 'grouped' && perS === 350);
+  const cutPrompts = cuts.measure();
   const data = {
-    doubleRuns: all.reduce((sum, { doubleGrants }) => sum + doubleGrants, 0),
+    doubleRuns: sum(all, ({ doubleGrants }) => doubleGrants),
+    falseNotRun: sum(cutPrompts, ({ falseNotRun }) => falseNotRun),
+    incompleteAnswers: sum(cutPrompts, ({ incompleteAnswers }) => incompleteAnswers),
     writesPerClaim: target?.writesPerClaim,
     addedDelayP95Ms: target?.addedDelayP95Ms,
     outage: {
@@ -39,8 +43,17 @@
     },
     rates,
     hashed,
+    cutPrompts,
   };
-  return Promise.resolve({ lines: [HEADING, ...all.map(line)], data });
+  return Promise.resolve({ lines: [HEADING, ...all.map(line), ...cutPrompts.map(cutLine)], data });
+}
+
+function sum<Each>(all: readonly Each[], pick: (each: Each) => number): number {
+  return all.reduce((so, each) => so + pick(each), 0);
+}
+
+function cutLine({ cut, answeredWhole, falseNotRun }: cuts.CutFigures): string {
+  return `prompts cut ${cut}: ${answeredWhole} answered whole, ${falseNotRun} false "not run"`;
 }
 
 const HEADING =
