--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -3,7 +3,6 @@
  * 1xxx: the request; 2xxx: capacity; 3xxx: effect-once; 4xxx: upstreams and stores;
  * 5xxx: the platform and configuration; 6xxx: operators and settings.
  */
-
 /** What a code means to callers and operators. */
 export type Code = {
   number: number;
@@ -174,6 +173,13 @@
   title: 'stored piece failed its checks',
   hint: 'The piece is recomputed; nothing needs to be done.',
 };
+/** An import was broken off because recomputing had become faster. */
+const importLate: Code = {
+  number: 4101,
+  status: 503,
+  title: 'import would be late',
+  hint: 'The context is recomputed; look at the store’s link if it happens often.',
+};
 /** The platform does not answer; whether a write took effect is not known. */
 const platformUnavailable: Code = {
   number: 5001,
@@ -277,6 +283,7 @@
   upstreamRefused,
   runLost,
   unsafeRead,
+  importLate,
   platformUnavailable,
   platformMalformed,
   conflict,
--- a/packages/plugins/upstreams-http/src/upstreams-task.ts
+++ b/packages/plugins/upstreams-http/src/upstreams-task.ts
@@ -20,6 +20,7 @@
       | 'upstreams.run'
       | 'upstreams.resume'
       | 'upstreams.cancel'
+      | 'upstreams.cancel-import'
       | 'upstreams.import'
       | 'upstreams.export'
       | 'upstreams.call'
@@ -44,6 +45,8 @@
   pools: pools.Pools;
   feeds: Map<string, lineFeed.Feed>;
   runs: Map<string, lineFeed.Feed>;
+  /** Imports under way, which can be broken off. */
+  imports: Map<string, AbortController>;
 };
 
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
@@ -53,6 +56,7 @@
       pools: pools.create(),
       feeds: new Map(),
       runs: new Map(),
+      imports: new Map(),
     };
     return {
       initial: { addresses: {}, feeds: core.feeds.initial },
@@ -77,6 +81,7 @@
       return work(state, message, message.call.upstream);
     case 'upstreams.resume':
     case 'upstreams.cancel':
+    case 'upstreams.cancel-import':
       return work(state, message, message.upstream);
     case 'upstreams.flow':
       return { state, commands: [{ kind: 'flow', runId: message.runId, flow: message.flow }] };
@@ -187,7 +192,8 @@
   }
 }
 
-function carryOut({ pools: kept, runs: open }: Sockets, message: Work, address: string): void {
+function carryOut(sockets: Sockets, message: Work, address: string): void {
+  const { pools: kept, runs: open, imports } = sockets;
   const dispatcher = kept.poolFor(address);
   switch (message.type) {
     case 'upstreams.run': {
@@ -209,9 +215,11 @@
       void calls.cancelRun(dispatcher, address, message.runId);
       return;
     case 'upstreams.import':
-      void calls
-        .importPieces(dispatcher, address, message.order)
-        .then((found) => message.replyTo.send(found));
+      startImport(sockets, message, address);
+      return;
+    case 'upstreams.cancel-import':
+      imports.get(message.runId)?.abort();
+      imports.delete(message.runId);
       return;
     case 'upstreams.export':
       void calls
@@ -233,6 +241,20 @@
   }
 }
 
+/** A cancelled import reports nothing. */
+function startImport(
+  { pools: kept, imports }: Sockets,
+  { order, replyTo }: Extract<Work, { type: 'upstreams.import' }>,
+  address: string,
+): void {
+  const broken = new AbortController();
+  imports.set(order.runId, broken);
+  void calls.importPieces(kept.poolFor(address), address, order, broken.signal).then((found) => {
+    imports.delete(order.runId);
+    if (!broken.signal.aborted) replyTo.send(found);
+  });
+}
+
 /** Forgets a run's connection once its last report has been passed on. */
 function untilEnd(
   open: Map<string, lineFeed.Feed>,
