--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -5,4 +5,4 @@
 import './kernel/index.js';
 import './kept-context/index.js';
 import './overhead/index.js';
-import './control-plane/index.js';
+import './dispatch/index.js';
--- a/packages/core/src/exchange/prompt-plan.ts
+++ b/packages/core/src/exchange/prompt-plan.ts
@@ -27,6 +27,7 @@
 }
 
 export function onPlan(state: State, made: messages.Plan): Step {
+  if (state.phase.kind === 'withdrawing') return giveBack(state, made);
   if (state.phase.kind !== 'planning') return promptState.drop(state, 'plan.made');
   switch (made.kind) {
     case 'placed':
@@ -41,11 +42,21 @@
 /** A prompt that an engine may have run is lost, not merely without an upstream. */
 function refuse(state: State, made: Extract<messages.Plan, { kind: 'refused' }>): Step {
   const { failure, retryAfterMs } = made;
-  if (state.runTruth === 'not-run') {
-    return promptState.refuse(state, failure, state.runTruth, retryAfterMs);
-  }
+  const ended: State = { ...state, phase: { kind: 'ended' } };
+  if (state.truth === 'not-run') return promptState.refuse(ended, failure, retryAfterMs);
   const lost = results.failure('runLost', results.describe(failure));
-  return promptState.refuse(state, lost, state.runTruth, retryAfterMs);
+  return promptState.refuse(ended, lost, retryAfterMs);
+}
+
+/** Routing counts each placement until it hears of its end. */
+function giveBack(state: State, made: messages.Plan): Step {
+  const ended: State = { ...state, phase: { kind: 'ended' } };
+  if (made.kind === 'refused') return { state: ended, commands: [] };
+  const { upstream } = made.placement;
+  return {
+    state: ended,
+    commands: [{ kind: 'report', upstream, outcome: { kind: 'cancelled' } }],
+  };
 }
 
 function place(state: State, made: Extract<messages.Plan, { kind: 'placed' }>): Step {
@@ -124,10 +135,7 @@
     ...(placement.sendBeforeMs === undefined ? {} : { sendBeforeMs: placement.sendBeforeMs }),
   };
   return {
-    state: { ...state, phase: { kind: 'running', placement } },
-    commands: [
-      { kind: 'run', order },
-      { kind: 'schedule', timer: 'progress', delayMs: request.service.progressTimeoutMs },
-    ],
+    state: { ...state, phase: { kind: 'running', placement, resumes: 0 } },
+    commands: [{ kind: 'run', order }, ...promptState.flowCommands(state, placement.upstream)],
   };
 }
--- a/packages/core/src/exchange/truth.ts
+++ b/packages/core/src/exchange/truth.ts
@@ -2,6 +2,11 @@
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
 
+/** What holds after one more attempt: a request may have run once any attempt of it may have. */
+export function truthAfter(soFar: results.RunTruth, reach: messages.Reach): results.RunTruth {
+  return soFar === 'not-run' ? truthOf(reach) : soFar;
+}
+
 /** What may be told to a caller about a request that came this far on the wire. */
 export function truthOf(reach: messages.Reach): results.RunTruth {
   switch (reach.kind) {
@@ -16,10 +21,3 @@
       return results.never(reach);
   }
 }
-
-const RANKS: Readonly<Record<results.RunTruth, number>> = { 'not-run': 0, unknown: 1, ran: 2 };
-
-/** What may be told of two attempts of one request together. */
-export function truthOfBoth(one: results.RunTruth, other: results.RunTruth): results.RunTruth {
-  return RANKS[one] >= RANKS[other] ? one : other;
-}
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -3,7 +3,6 @@
  * 1xxx: the request; 2xxx: capacity; 3xxx: effect-once; 4xxx: upstreams and stores;
  * 5xxx: the platform and configuration; 6xxx: operators and settings.
  */
-
 /** What a code means to callers and operators. */
 export type Code = {
   number: number;
@@ -139,6 +138,13 @@
   title: 'upstream unreachable',
   hint: 'Not run. Retry.',
 };
+/** The budget of retries is used up. */
+const retriesExhausted: Code = {
+  number: 4151,
+  status: 503,
+  title: 'too many retries',
+  hint: 'Many requests fail at the moment. Retry later; `run` says whether this one ran.',
+};
 /** The upstream answered with something that cannot be decoded. */
 const upstreamMalformed: Code = {
   number: 4002,
@@ -272,6 +278,7 @@
   keyFromFuture,
   answerNotKept,
   upstreamUnreachable,
+  retriesExhausted,
   upstreamMalformed,
   upstreamRefused,
   runLost,
--- a/packages/core/test/exchange/prompt-truth.test.ts
+++ b/packages/core/test/exchange/prompt-truth.test.ts
@@ -30,6 +30,20 @@
   };
 }
 
+/** One attempt that breaks off; where the engine may know the run, its resumption breaks off too. */
+function aBrokenAttempt(reach: core.messages.Reach, at: number): readonly Message[] {
+  const failed: Message = {
+    type: 'run.failed',
+    runId: `request-1.${at + 1}`,
+    reach,
+    failure: core.results.failure('runLost', 'broken off'),
+  };
+  const isResumed = reach.kind === 'answering' || reach.kind === 'sent';
+  const failures = isResumed ? [failed, failed] : [failed];
+  const granted: Message = { type: 'retry.answered', answer: 'granted' };
+  return [aPlacedPlan(`engine-${at}`), ...failures, granted];
+}
+
 /** A prompt whose runs broke off, each as far as its reach says. */
 function aPromptAfter(reaches: readonly core.messages.Reach[]): State {
   const request = {
@@ -46,15 +60,7 @@
     requestId: 'request-1',
     answer: { kind: 'granted' },
   };
-  const broken = reaches.flatMap((reach, at): readonly Message[] => [
-    aPlacedPlan(`engine-${at}`),
-    {
-      type: 'run.failed',
-      runId: `request-1.${at + 1}`,
-      reach,
-      failure: core.results.failure('runLost', 'broken off'),
-    },
-  ]);
+  const broken = reaches.flatMap((reach, at) => aBrokenAttempt(reach, at));
   return [granted, ...broken].reduce(
     (state, message) => core.exchange.prompt.decide(state, message, fixtures.anInstant()).state,
     core.exchange.promptState.initial(request),
--- a/packages/medlarweir/test/decoders.test.ts
+++ b/packages/medlarweir/test/decoders.test.ts
@@ -122,6 +122,17 @@
     valid: { bucket: 0, isFull: false, bytes: 100, claims: { a: CLAIM } },
     decode: parsed((value) => judge(core.claims.page.parsePage(value))),
   },
+  {
+    name: 'digest of claims',
+    valid: {
+      kind: 'ask',
+      asked: {
+        place: { page: 'claims/hashed/1', name: DIGEST, bucket: 0 },
+        operation: { kind: 'claim', digest: DIGEST, attemptId: 'a', atMs: 1, lapsesAtMs: 2 },
+      },
+    },
+    decode: parsed((value) => judge(core.claims.digests.parseDigest(value))),
+  },
   {
     name: 'configuration',
     valid: CONFIGURATION,
--- a/packages/plugins/upstreams-http/src/upstreams-task.ts
+++ b/packages/plugins/upstreams-http/src/upstreams-task.ts
@@ -1,9 +1,9 @@
 /** The task that owns the connections to upstreams: runs, calls and report streams. */
 import * as core from '@medlarweir/core';
 import * as lineFeed from '@medlarweir/line-feed';
-import * as undici from 'undici';
 
 import * as calls from './calls.js';
+import * as pools from './pools.js';
 import * as runs from './runs.js';
 import * as wire from './wire.js';
 
@@ -31,17 +31,18 @@
 type Command =
   | core.feeds.Command
   | { kind: 'work'; work: Work; address: string }
+  | { kind: 'flow'; runId: string; flow: core.messages.Flow }
+  | { kind: 'doubt'; address: string }
   | { kind: 'refuse-late'; runId: string; replyTo: core.kernel.Address<core.messages.RunReport> };
 type Step = core.kernel.Step<State, Command>;
 type Surroundings = core.kernel.Surroundings<Message>;
 
 /** A port that refuses connections: work for an upstream that has left fails as "not connected". */
 const NO_ADDRESS = '127.0.0.1:9';
-const CONNECT_TIMEOUT_MS = 1_000;
 
 /** The sockets that the task owns. */
 type Sockets = {
-  dispatcher: undici.Agent;
+  pools: pools.Pools;
   feeds: Map<string, lineFeed.Feed>;
   runs: Map<string, lineFeed.Feed>;
   /** Imports under way, which can be broken off. */
@@ -52,7 +53,7 @@
   name: 'upstreams',
   create: (surroundings) => {
     const sockets: Sockets = {
-      dispatcher: new undici.Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } }),
+      pools: pools.create(),
       feeds: new Map(),
       runs: new Map(),
       imports: new Map(),
@@ -82,6 +83,12 @@
     case 'upstreams.cancel':
     case 'upstreams.cancel-import':
       return work(state, message, message.upstream);
+    case 'upstreams.flow':
+      return { state, commands: [{ kind: 'flow', runId: message.runId, flow: message.flow }] };
+    case 'upstreams.doubt': {
+      const address = state.addresses[message.upstream] ?? NO_ADDRESS;
+      return { state, commands: [{ kind: 'doubt', address }] };
+    }
     case 'upstreams.resynchronize':
       return resynchronize(state, message.upstream);
     case 'feed.ended':
@@ -149,6 +156,12 @@
     case 'work':
       carryOut(sockets, command.work, command.address);
       return;
+    case 'flow':
+      sockets.runs.get(command.runId)?.setFlow(command.flow);
+      return;
+    case 'doubt':
+      sockets.pools.replace(command.address);
+      return;
     case 'refuse-late':
       command.replyTo.send({
         type: 'run.failed',
@@ -180,7 +193,8 @@
 }
 
 function carryOut(sockets: Sockets, message: Work, address: string): void {
-  const { dispatcher, runs: open, imports } = sockets;
+  const { pools: kept, runs: open, imports } = sockets;
+  const dispatcher = kept.poolFor(address);
   switch (message.type) {
     case 'upstreams.run': {
       const { runId } = message.order;
@@ -214,7 +228,7 @@
       return;
     case 'upstreams.call':
       void calls
-        .callService(dispatcher, address, message.call)
+        .callService(kept, address, message.call)
         .then((found) => message.replyTo.send(found));
       return;
     case 'upstreams.order':
@@ -229,13 +243,13 @@
 
 /** A cancelled import reports nothing. */
 function startImport(
-  { dispatcher, imports }: Sockets,
+  { pools: kept, imports }: Sockets,
   { order, replyTo }: Extract<Work, { type: 'upstreams.import' }>,
   address: string,
 ): void {
   const broken = new AbortController();
   imports.set(order.runId, broken);
-  void calls.importPieces(dispatcher, address, order, broken.signal).then((found) => {
+  void calls.importPieces(kept.poolFor(address), address, order, broken.signal).then((found) => {
     imports.delete(order.runId);
     if (!broken.signal.aborted) replyTo.send(found);
   });
