Serve on when nobody reads the log any more

Cause: a process whose standard output was closed by its reader ended with an unhandled EPIPE, seen when a test's process was ended while its instances ran on. Ruled out: bunyan, which hands the stream's error on to nobody.

--- a/packages/plugins/journal-bunyan/src/journal-task.ts
+++ b/packages/plugins/journal-bunyan/src/journal-task.ts
@@ -15,6 +15,8 @@
       instance: settings.name,
       dataCentre: settings.dataCentre,
     });
+    // A log that nobody reads any more must not end the instance.
+    process.stdout.on('error', () => undefined);
     return {
       initial: { recorded: 0 },
       decide,
