Split the table of result codes by job

Change: the codes of requests and those of the system stand in files of their own; the table joins them.

--- a/packages/core/src/results/index.ts
+++ b/packages/core/src/results/index.ts
@@ -1,4 +1,5 @@
 /** The way into result codes and failures. */
+export type * from './code.js';
 export * from './codes.js';
 export * from './failure.js';
 export * from './never.js';
--- /dev/null
+++ b/packages/core/src/results/system-codes.ts
@@ -0,0 +1,151 @@
+/** Result codes of the system: 4xxx upstreams and stores, 5xxx platform and configuration, 6xxx operators. */
+import type * as code from './code.js';
+
+/** The upstream could not be reached at all. */
+const upstreamUnreachable: code.Code = {
+  number: 4001,
+  status: 502,
+  title: 'upstream unreachable',
+  hint: 'Not run. Retry.',
+};
+/** The budget of retries is used up. */
+const retriesExhausted: code.Code = {
+  number: 4151,
+  status: 503,
+  title: 'too many retries',
+  hint: 'Many requests fail at the moment. Retry later; `run` says whether this one ran.',
+};
+/** The upstream answered with something that cannot be decoded. */
+const upstreamMalformed: code.Code = {
+  number: 4002,
+  status: 502,
+  title: 'upstream’s answer is malformed',
+  hint: 'Look at the upstream’s log.',
+};
+/** The upstream refused and vouches that it did not run the request. */
+const upstreamRefused: code.Code = {
+  number: 4003,
+  status: 503,
+  title: 'upstream refused',
+  hint: 'Not run. Retry later.',
+};
+/** The run broke off and could not be resumed. */
+const runLost: code.Code = {
+  number: 4004,
+  status: 502,
+  title: 'run lost',
+  hint: 'Send the prompt again.',
+};
+/** A store's answer did not pass the checks of a safe read. */
+const unsafeRead: code.Code = {
+  number: 4005,
+  status: 502,
+  title: 'stored piece failed its checks',
+  hint: 'The piece is recomputed; nothing needs to be done.',
+};
+/** An import was broken off because recomputing had become faster. */
+const importLate: code.Code = {
+  number: 4101,
+  status: 503,
+  title: 'import would be late',
+  hint: 'The context is recomputed; look at the store’s link if it happens often.',
+};
+/** The platform does not answer; whether a write took effect is not known. */
+const platformUnavailable: code.Code = {
+  number: 5001,
+  status: 503,
+  title: 'platform unavailable',
+  hint: 'Requests that need no claim go on; keyed requests are refused until it is back.',
+};
+/** The platform answered with something that cannot be decoded. */
+const platformMalformed: code.Code = {
+  number: 5002,
+  status: 502,
+  title: 'platform’s object is malformed',
+  hint: 'The message names the key and the field; the last good state stays in force.',
+};
+/** Another writer was first. */
+const conflict: code.Code = {
+  number: 5003,
+  status: 409,
+  title: 'changed by another writer',
+  hint: 'Look at both versions and apply the change again.',
+};
+/** A change was sent, and no answer tells whether it took effect. */
+const changeUnknown: code.Code = {
+  number: 5101,
+  status: 503,
+  title: 'change may have taken effect',
+  hint: 'Look at `medlarctl history` once the platform answers; do not assume either end.',
+};
+/** A setting, an answer or a configuration field is wrong. */
+const invalidInput: code.Code = {
+  number: 6001,
+  status: 400,
+  title: 'invalid input',
+  hint: 'The message names the field, what was expected and what was found.',
+};
+/** The instance has no configuration yet. */
+const notConfigured: code.Code = {
+  number: 6002,
+  status: 503,
+  title: 'no configuration yet',
+  hint: 'Not run. Apply a configuration, or wait until the instance has learned it.',
+};
+/** The operator's tool does not know the command. */
+const unknownCommand: code.Code = {
+  number: 6003,
+  status: 400,
+  title: 'unknown command',
+  hint: 'See `medlarctl --help`.',
+};
+
+/** The operator did not agree to a change, or could not be asked. */
+const declined: code.Code = {
+  number: 6141,
+  status: 409,
+  title: 'declined',
+  hint: 'Nothing was changed. Answer yes, or agree beforehand with `--yes`.',
+};
+/** A command of the operator's tool lacks a word or a flag. */
+const wrongUse: code.Code = {
+  number: 6142,
+  status: 400,
+  title: 'wrong use',
+  hint: 'See `medlarctl --help`.',
+};
+/** The platform's list has no instance of this name. */
+const unknownInstance: code.Code = {
+  number: 6143,
+  status: 404,
+  title: 'unknown instance',
+  hint: 'The platform’s list lags; look at `medlarctl status`.',
+};
+/** An instance does not answer, or refuses the deployment's key. */
+const instanceUnreachable: code.Code = {
+  number: 6144,
+  status: 502,
+  title: 'instance does not answer',
+  hint: 'Look at the instance’s journal, and at the deployment key.',
+};
+
+export const systemCodes = {
+  upstreamUnreachable,
+  retriesExhausted,
+  upstreamMalformed,
+  upstreamRefused,
+  runLost,
+  unsafeRead,
+  importLate,
+  platformUnavailable,
+  platformMalformed,
+  conflict,
+  changeUnknown,
+  invalidInput,
+  notConfigured,
+  unknownCommand,
+  declined,
+  wrongUse,
+  unknownInstance,
+  instanceUnreachable,
+} as const satisfies Record<string, code.Code>;
