Join what stood twice in benchmarks and fixtures

Cause: two benchmarks compared policies with the same lines, two fixtures kept simulated time, and the safe-read test built the manifest that a fixture builds. Change: `benchmark/src/models/comparison.ts`, one agenda, one manifest.

--- a/benchmark/src/cold-start/measure.ts
+++ b/benchmark/src/cold-start/measure.ts
@@ -2,7 +2,8 @@
  * Cold starts under load, for each policy on the same seeds: replicas that restart, and one that
  * turns cold under load and says so only in its next reports.
  */
-import * as choices from '../models/choice.js';
+import type * as choices from '../models/choice.js';
+import * as comparison from '../models/comparison.js';
 import * as worlds from '../models/world.js';
 import type * as registry from '../registry.js';
 import * as examples from '../models/examples.js';
@@ -34,12 +35,7 @@
 const RESTARTED = 2;
 
 export function run(): registry.Report {
-  const data = Object.fromEntries(
-    examples.ALL.map((example) => [
-      example.name,
-      Object.fromEntries(choices.POLICIES.map((policy) => [policy, measure(example, policy)])),
-    ]),
-  );
+  const data = comparison.measureAll(measure);
   return { lines: describe(data), data: { seed: SEED, ...data } };
 }
 
--- a/benchmark/src/data-centre-move/measure.ts
+++ b/benchmark/src/data-centre-move/measure.ts
@@ -4,8 +4,9 @@
  */
 import type * as core from '@medlarweir/core';
 
-import * as choices from '../models/choice.js';
+import type * as choices from '../models/choice.js';
 import * as examples from '../models/examples.js';
+import * as comparison from '../models/comparison.js';
 import * as worlds from '../models/world.js';
 import type * as registry from '../registry.js';
 
@@ -30,12 +31,7 @@
 const LONGEST_ADOPTION_MS = 2_000;
 
 export function run(): registry.Report {
-  const data = Object.fromEntries(
-    examples.ALL.map((example) => [
-      example.name,
-      Object.fromEntries(choices.POLICIES.map((policy) => [policy, measure(example, policy)])),
-    ]),
-  );
+  const data = comparison.measureAll(measure);
   return { lines: describe(data), data: { seed: SEED, ...data } };
 }
 
--- a/packages/core/test/kept-context/safe-read.test.ts
+++ b/packages/core/test/kept-context/safe-read.test.ts
@@ -1,4 +1,5 @@
 import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -7,20 +8,6 @@
 
 const suite = uvu.suite('safe reads');
 
-function aManifest(given: Partial<Manifest> = {}): Manifest {
-  return {
-    piece: 'piece-1',
-    store: 'store-1',
-    slot: 4,
-    slotIncarnation: 'slot-a',
-    storeIncarnation: 'store-a',
-    lengthBytes: 64,
-    checksum: 'c0ffee',
-    tier: 'memory',
-    ...given,
-  };
-}
-
 function seen(manifest: Manifest, given: Partial<Observation> = {}): Observation {
   const { piece, slotIncarnation, storeIncarnation, lengthBytes, checksum } = manifest;
   return { piece, slotIncarnation, storeIncarnation, lengthBytes, checksum, ...given };
@@ -36,19 +23,19 @@
 
 FAULTS.forEach(({ fault, found, reason }) => {
   suite(`is unsafe if ${fault}`, () => {
-    const manifest = aManifest();
+    const manifest = fixtures.aManifest();
     const verdict = core.keptContext.judgeRead(manifest, seen(manifest, found));
     assert.equal(verdict, { kind: 'unsafe', reason });
   });
 });
 
 suite('is safe if all that was seen matches the manifest', () => {
-  const manifest = aManifest();
+  const manifest = fixtures.aManifest();
   assert.equal(core.keptContext.judgeRead(manifest, seen(manifest)), { kind: 'safe' });
 });
 
 suite('uses the pieces before the first unsafe one and none behind it', () => {
-  const manifests = ['a', 'b', 'c'].map((piece) => aManifest({ piece }));
+  const manifests = ['a', 'b', 'c'].map((piece) => fixtures.aManifest({ piece }));
   const found = manifests.map((each) => seen(each, each.piece === 'b' ? { checksum: 'bad' } : {}));
   const safe = core.keptContext.safePrefix(manifests, found);
   assert.equal(
--- a/packages/core/test/leases/leases.test.ts
+++ b/packages/core/test/leases/leases.test.ts
@@ -43,7 +43,7 @@
     fastCheck.assert(
       fastCheck.property(faults, delays, (given, used) => {
         const world = fixtures.aLeaseWorld(given, used, { maxDeliveryMs });
-        world.timeline.runUntil(RUN_MS);
+        world.timeline.advance(RUN_MS);
         const numbers = world.acquired.map(({ fencing }) => fencing);
         assert.is(new Set(numbers).size, numbers.length, 'a fencing number was given twice');
         const accepted = world.accepted.map(({ fencing }) => fencing);
@@ -60,7 +60,7 @@
   fastCheck.assert(
     fastCheck.property(faults, delays, (given, used) => {
       const world = fixtures.aLeaseWorld(given, used);
-      world.timeline.runUntil(RUN_MS);
+      world.timeline.advance(RUN_MS);
       assert.ok(world.unchecked.some(({ sentAtMs }) => sentAtMs > LAST_FAULT_MS + 30_000));
     }),
     fixtures.seeded(100),
@@ -69,7 +69,7 @@
 
 suite('a release that is sent lets the next holder act at once', () => {
   const world = fixtures.aLeaseWorld([{ kind: 'release', atMs: 5_000, who: 0 }], [0.5]);
-  world.timeline.runUntil(16_000);
+  world.timeline.advance(16_000);
   assert.is(world.acquired[0]?.who, 0);
   assert.is.not(world.acquired[1]?.who, undefined);
 });
@@ -77,7 +77,7 @@
 suite('a holder that is woken after the next one acted sends nothing', () => {
   const pause: fixtures.LeaseFault = { kind: 'pause', atMs: 4_000, forMs: 40_000, who: 0 };
   const world = fixtures.aLeaseWorld([pause], [0.5]);
-  world.timeline.runUntil(60_000);
+  world.timeline.advance(60_000);
   const holders = [...new Set(world.unchecked.map(({ who: sender }) => sender))];
   assert.is(holders.length, 2, 'the next holder acted');
   assert.ok(world.unchecked.every((each) => each.who !== 0 || each.sentAtMs < 4_000));
