--- a/packages/core/src/exchange/plain.ts
+++ b/packages/core/src/exchange/plain.ts
@@ -5,6 +5,7 @@
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
+import * as claimRefusal from './claim-refusal.js';
 import type * as command from './command.js';
 import * as plainState from './plain-state.js';
 import * as truth from './truth.js';
@@ -101,50 +102,20 @@
         },
       ]);
     case 'in-progress':
-      return plainState.refuse(
-        state,
-        results.failure('inProgress', 'another attempt holds the key'),
-        'unknown',
-      );
     case 'outcome-unknown':
-      return plainState.refuse(
-        state,
-        results.failure('outcomeUnknown', 'an earlier attempt broke off'),
-        'unknown',
-      );
     case 'key-reused':
-      return plainState.refuse(
-        state,
-        results.failure('keyReused', 'the request differs'),
-        'not-run',
-      );
     case 'key-expired':
-      return plainState.refuse(
-        state,
-        results.failure('keyExpired', 'the key is too old'),
-        'not-run',
-      );
     case 'key-from-future':
-      return plainState.refuse(
-        state,
-        results.failure('keyFromFuture', 'the key carries a later time'),
-        'not-run',
-      );
     case 'answer-not-kept':
-      return plainState.refuse(
-        state,
-        results.failure('answerNotKept', `status ${answer.status}`),
-        'ran',
-      );
-    case 'unavailable':
-      return plainState.refuse(state, answer.failure, 'not-run', CLAIM_RETRY_AFTER_MS);
+    case 'unavailable': {
+      const { failure, truth: runTruth, retryAfterMs } = claimRefusal.refusalOf(answer);
+      return plainState.refuse(state, failure, runTruth, retryAfterMs);
+    }
     default:
       return results.never(answer);
   }
 }
 
-const CLAIM_RETRY_AFTER_MS = 2_000;
-
 function plan(state: State): Step {
   return {
     state: { ...state, phase: { kind: 'planning' }, attempt: state.attempt + 1 },
