--- a/packages/core/src/kernel/kernel.ts
+++ b/packages/core/src/kernel/kernel.ts
@@ -67,14 +67,20 @@
     });
 }
 
-type AnyDefinition = plugin.TaskDefinition<unknown, xstate.EventObject, unknown>;
+type AnyDefinition = plugin.TaskDefinition<unknown, xstate.EventObject, unknown, never>;
+
+/** What the kernel itself reads of the settings. */
+export type Named = { name: string };
 
 /** Tasks that hold callers' work and therefore delay a planned stop until they have finished. */
-export type Leaver = 'callers' | 'claims' | 'orders';
-const LEAVERS: readonly Leaver[] = ['callers', 'claims', 'orders'];
+export type Leaver = 'callers' | 'claims' | 'front' | 'orders';
+const LEAVERS: readonly Leaver[] = ['callers', 'claims', 'front', 'orders'];
 
 /** Sets up an instance from the registered plug-ins and starts its tasks. */
-export function start(given: settings.Settings, plugins: readonly plugin.Plugin[]): Kernel {
+export function start<Given extends Named = settings.Settings>(
+  given: Given,
+  plugins: readonly plugin.Plugin<Given>[],
+): Kernel {
   const definitions = collectTasks(given, plugins);
   const incarnation = crypto.randomUUID();
   const actors = new Map<string, xstate.AnyActorRef>();
@@ -97,7 +103,7 @@
     const logic = task.actorLogic<unknown, xstate.EventObject, unknown>((self) => {
       const behaviour = definition.create({
         self,
-        settings: given,
+        settings: given as never,
         incarnation,
         send,
         spawn: ((child: AnyDefinition) =>
@@ -146,12 +152,12 @@
   };
 }
 
-function collectTasks(
-  given: settings.Settings,
-  plugins: readonly plugin.Plugin[],
+function collectTasks<Given>(
+  given: Given,
+  plugins: readonly plugin.Plugin<Given>[],
 ): readonly AnyDefinition[] {
   const definitions: AnyDefinition[] = [];
-  const setup: plugin.Setup = {
+  const setup: plugin.Setup<Given> = {
     settings: given,
     addTask: (definition) => definitions.push(definition as unknown as AnyDefinition),
   };
--- a/packages/core/src/kernel/plugin.ts
+++ b/packages/core/src/kernel/plugin.ts
@@ -10,17 +10,17 @@
 import type * as task from './task.js';
 
 /** What the kernel lends a task. It outlives the task and holds none of the task's state. */
-export type Surroundings<Message> = {
+export type Surroundings<Message, Given = settings.Settings> = {
   /** Where other tasks reach this one. */
   self: task.Address<Message>;
-  settings: settings.Settings;
+  settings: Given;
   /** Random and new at each start of the process; the prefix of every id that it makes. */
   incarnation: string;
   /** Sends a message to a task by name; a message to a task that is not there is dropped. */
   send<Name extends mailboxes.TaskName>(name: Name, message: mailboxes.Mailboxes[Name]): void;
   /** Starts a short-lived task, such as the life of one request. */
   spawn<State, Incoming extends xstate.EventObject, Command>(
-    created: TaskDefinition<State, Incoming, Command>,
+    created: TaskDefinition<State, Incoming, Command, Given>,
   ): task.Address<Incoming>;
   /** Leaves a numbered event in the journal. */
   record(event: events.Event): void;
@@ -34,23 +34,29 @@
 };
 
 /** A named task and how it is created. */
-export type TaskDefinition<State, Message extends xstate.EventObject, Command> = {
+export type TaskDefinition<
+  State,
+  Message extends xstate.EventObject,
+  Command,
+  Given = settings.Settings,
+> = {
   name: string;
-  create(surroundings: Surroundings<Message>): task.Behaviour<State, Message, Command>;
+  create(surroundings: Surroundings<Message, Given>): task.Behaviour<State, Message, Command>;
 };
 
 /** What a plug-in's hooks may do while an instance is set up. */
-export type Setup = {
-  settings: settings.Settings;
+export type Setup<Given = settings.Settings> = {
+  settings: Given;
   addTask<State, Message extends xstate.EventObject, Command>(
-    definition: TaskDefinition<State, Message, Command>,
+    definition: TaskDefinition<State, Message, Command, Given>,
   ): void;
 };
 
 /** All hooks, typed in one place. */
-export type Hooks = {
+export type Hooks<Given = settings.Settings> = {
   /** Called once, before any task has started: adds the plug-in's tasks. */
-  'instance:setup'(setup: Setup): void;
+  'instance:setup'(setup: Setup<Given>): void;
 };
 
-export type Plugin = { name: string; hooks: Partial<Hooks> };
+/** A plug-in may be written for one kind of settings; the binary starts those that fit its own. */
+export type Plugin<Given = settings.Settings> = { name: string; hooks: Partial<Hooks<Given>> };
