--- /dev/null
+++ b/packages/core/src/binary/command-line.ts
@@ -0,0 +1,105 @@
+/** The command line of a binary: every setting is a flag, made from the schema. */
+import * as util from 'node:util';
+
+import * as neverthrow from 'neverthrow';
+
+import * as results from '../results/index.js';
+import * as settings from '../settings/flags.js';
+
+export type Wish<Settings> =
+  | { kind: 'run'; settings: Settings }
+  | { kind: 'check'; settings: Settings }
+  | { kind: 'help' }
+  | { kind: 'version' };
+
+/** What a command line is made from. */
+export type Program<Settings> = {
+  name: string;
+  summary: string;
+  flags: settings.Flags<Settings>;
+  /** What a stop signal does, for the help text. */
+  signals: string;
+};
+
+type Values = Record<string, string | boolean | undefined>;
+
+export function parse<Settings>(
+  { flags }: Program<Settings>,
+  argv: readonly string[],
+  environment: Readonly<Record<string, string | undefined>>,
+): neverthrow.Result<Wish<Settings>, results.Failure> {
+  return parseFlags(flags.names, argv).andThen((values) => {
+    if (values.help === true) return neverthrow.ok<Wish<Settings>>({ kind: 'help' });
+    if (values.version === true) return neverthrow.ok<Wish<Settings>>({ kind: 'version' });
+    return flags
+      .parse(values as Record<string, string | undefined>, environment)
+      .map((given): Wish<Settings> => ({
+        kind: values.check === true ? 'check' : 'run',
+        settings: given,
+      }));
+  });
+}
+
+const parseFlags = neverthrow.Result.fromThrowable(
+  (names: readonly string[], argv: readonly string[]): Values => {
+    const strings = names.map((name) => [settings.flagName(name), { type: 'string' as const }]);
+    const options: util.ParseArgsConfig['options'] = {
+      ...(Object.fromEntries(strings) as Record<string, { type: 'string' }>),
+      help: { type: 'boolean', short: 'h' },
+      version: { type: 'boolean', short: 'v' },
+      check: { type: 'boolean' },
+    };
+    return util.parseArgs({ args: [...argv], options, strict: true }).values as Values;
+  },
+  (error) => results.failure('invalidInput', explainFlags(error as NodeJS.ErrnoException)),
+);
+
+/** A word that stands alone is not shown: it may be a secret whose flag was forgotten. */
+function explainFlags({ code, message }: NodeJS.ErrnoException): string {
+  if (code !== 'ERR_PARSE_ARGS_UNEXPECTED_POSITIONAL') return message;
+  return 'expected flags and their values only; found a word that belongs to no flag';
+}
+
+/** The exit codes of the binaries that serve; `docs/OPERATING.md` shows this table. */
+export const EXIT_CODES: readonly { code: number; meaning: string }[] = [
+  { code: 0, meaning: 'stopped as planned, or the settings are valid' },
+  { code: 1, meaning: 'defect' },
+  { code: 2, meaning: 'bad setting; the text names it, what was expected and what was found' },
+  { code: 3, meaning: 'stopped at once by a second signal; open requests were cut' },
+];
+
+export function helpText<Settings>({ name, summary, flags, signals }: Program<Settings>): string {
+  const lines = flags.names.flatMap((each) => {
+    const { text, fallback } = flags.describe(each);
+    const flag = `--${settings.flagName(each)}`;
+    return [`  ${flag.padEnd(24)} ${text}`, `  ${' '.repeat(24)} ${describeFallback(fallback)}`];
+  });
+  return [
+    `${name}: ${summary}.`,
+    '',
+    `Usage: ${name} [settings] [--check] [--help] [--version]`,
+    '',
+    'Settings, as flags or in the environment (a flag goes first; --log-level is',
+    'MEDLARWEIR_LOG_LEVEL there):',
+    ...lines,
+    '',
+    '  --check              checks the settings and exits',
+    '',
+    signals,
+    'Exit codes:',
+    ...EXIT_CODES.map(({ code, meaning }) => `  ${code}  ${meaning}`),
+  ].join('\n');
+}
+
+function describeFallback(fallback: settings.Description['fallback']): string {
+  switch (fallback.kind) {
+    case 'required':
+      return 'must be given';
+    case 'none':
+      return 'may be left out';
+    case 'value':
+      return `default ${fallback.value}`;
+    default:
+      return results.never(fallback);
+  }
+}
--- /dev/null
+++ b/packages/core/src/binary/index.ts
@@ -0,0 +1,3 @@
+/** The way into what binaries share. */
+export * from './command-line.js';
+export * from './run.js';
--- /dev/null
+++ b/packages/core/src/fleet/decide.ts
@@ -0,0 +1,242 @@
+/** The decisions of the fleet's task. State is updated in place: no other task sees it. */
+import type * as routes from '../gateway/routes.js';
+import type * as task from '../kernel/task.js';
+import type * as fleetMessages from '../messages/fleet.js';
+import type * as gatewayMessages from '../messages/gateway.js';
+import * as results from '../results/index.js';
+import type * as view from '../rollouts/view.js';
+import * as sharedContext from '../shared-context/index.js';
+import * as evidence from './evidence.js';
+import * as listing from './listing.js';
+import * as placement from './placement.js';
+import type * as fleet from './state.js';
+import type * as upstreams from './upstream.js';
+import * as views from './views.js';
+
+export type Command =
+  | { kind: 'reply'; replyTo: gatewayMessages.RequestAddress; message: gatewayMessages.RequestMessage }
+  | { kind: 'probe'; probe: gatewayMessages.Probe }
+  | { kind: 'tell-rollouts'; upstreams: readonly view.RolledUpstream[] }
+  | {
+      kind: 'tell-replaced';
+      stores: readonly routes.ContextStore[];
+      held: readonly view.Held[];
+    }
+  | { kind: 'limit-connections'; connectionsPerUpstream: Readonly<Record<string, number>> }
+  | { kind: 'schedule-tick' }
+  | { kind: 'note-placed'; wish: placement.Wish; placed: placement.Placed }
+  | { kind: 'note-upstream'; id: string; text: string; ageMs: number }
+  | { kind: 'note-named'; versions: Readonly<Record<string, number>> }
+  | { kind: 'note-evacuated'; dataCentres: readonly string[] };
+
+export type Step = task.Step<fleet.State, Command>;
+
+/** Probes of silent upstreams, removals of lapsed entries and reports to the rollout's task. */
+export const TICK_MS = 500;
+/** Instances beyond those known that may hold connections: restarts and replacements. */
+const SPARE_INSTANCES = 2;
+/** Share of an upstream's connections that is divided among the instances. */
+const CONNECTION_SHARE = 0.8;
+
+export function decide(
+  state: fleet.State,
+  message: fleetMessages.FleetMessage,
+  now: task.Instant,
+): Step {
+  switch (message.type) {
+    case 'fleet.place':
+      return onPlace(state, message, now);
+    case 'fleet.outcome':
+      return onOutcome(state, message, now);
+    case 'fleet.heard':
+      return onHeard(state, message, now);
+    case 'fleet.ask-liveness':
+      return onAskLiveness(state, message, now);
+    case 'fleet.probed':
+      return onProbed(state, message, now);
+    case 'fleet.listed':
+      return onListed(state, message.news, now);
+    case 'fleet.list-unavailable':
+      listing.disturbed(state.listing, now);
+      return { state, commands: [] };
+    case 'fleet.table':
+      return onTable(state, message.table);
+    case 'fleet.members':
+      return withLimits({ ...state, members: message.names });
+    case 'fleet.evacuated':
+      return onEvacuated(state, message.dataCentres);
+    case 'fleet.named':
+      return onNamed(state, message.versions);
+    case 'fleet.store-news':
+      sharedContext.holdings.take(state.holdings, message.store, message.news, now);
+      return { state, commands: [] };
+    case 'fleet.tick':
+      return onTick(state, now);
+    case 'task.start':
+      return { state, commands: [{ kind: 'schedule-tick' }] };
+    case 'task.leave':
+    case 'task.stop':
+      return { state, commands: [] };
+    default:
+      return results.never(message);
+  }
+}
+
+type Of<Type extends fleetMessages.FleetMessage['type']> = Extract<
+  fleetMessages.FleetMessage,
+  { type: Type }
+>;
+
+function onPlace(state: fleet.State, { wish, replyTo }: Of<'fleet.place'>, now: task.Instant): Step {
+  const placed = placement.place(state, wish, now);
+  const message: gatewayMessages.RequestMessage =
+    placed.kind === 'placed'
+      ? { type: 'fleet.placed', placement: placed.placement }
+      : { type: 'fleet.none', reason: placed.reason };
+  return {
+    state,
+    commands: [
+      { kind: 'note-placed', wish, placed },
+      { kind: 'reply', replyTo, message },
+    ],
+  };
+}
+
+function onOutcome(
+  state: fleet.State,
+  { requestId, upstream: id, outcome }: Of<'fleet.outcome'>,
+  now: task.Instant,
+): Step {
+  const upstream = state.listing.upstreams.get(id);
+  if (!upstream) return { state, commands: [] };
+  const before = upstream.reach.kind;
+  evidence.onOutcome(upstream, requestId, outcome, now);
+  if (before === upstream.reach.kind) return { state, commands: [] };
+  const text = `does not answer: ${outcome}`;
+  const ageMs = now.monotonicMs - upstream.heardAtMs;
+  return { state, commands: [{ kind: 'note-upstream', id, text, ageMs }] };
+}
+
+function onHeard(
+  state: fleet.State,
+  { upstream: id, requestId, sign }: Of<'fleet.heard'>,
+  now: task.Instant,
+): Step {
+  const upstream = state.listing.upstreams.get(id);
+  if (!upstream) return { state, commands: [] };
+  const versions = [...upstream.versions.values()].join();
+  evidence.onHeard(upstream, requestId, sign, now);
+  const hasChanged = versions !== [...upstream.versions.values()].join();
+  return { state, commands: hasChanged ? [views.toRollouts(state)] : [] };
+}
+
+/** A silent upstream is asked for a sign of life; the request asks again after the answer is due. */
+function onAskLiveness(
+  state: fleet.State,
+  { attempt, upstream: id, replyTo }: Of<'fleet.ask-liveness'>,
+  now: task.Instant,
+): Step {
+  const upstream = state.listing.upstreams.get(id);
+  const isSilent = !upstream || upstream.reach.kind === 'silent';
+  const reply: Command = {
+    kind: 'reply',
+    replyTo,
+    message: { type: 'fleet.liveness', attempt, isSilent },
+  };
+  if (!upstream || isSilent || !evidence.isSilent(upstream, now)) return { state, commands: [reply] };
+  const { address } = upstream.listed;
+  return { state, commands: [reply, { kind: 'probe', probe: { kind: 'life', upstream: id, address } }] };
+}
+
+function onProbed(state: fleet.State, { probe, result }: Of<'fleet.probed'>, now: task.Instant): Step {
+  const upstream = state.listing.upstreams.get(probe.upstream);
+  if (!upstream) return { state, commands: [] };
+  const { reach, listed } = upstream;
+  const ageMs = now.monotonicMs - upstream.heardAtMs;
+  const id = probe.upstream;
+  switch (result.kind) {
+    case 'no-answer':
+      if (reach.kind === 'silent') return { state, commands: [] };
+      Object.assign(upstream, { reach: { kind: 'silent', sinceMs: now.monotonicMs, failures: 1 } });
+      return { state, commands: [{ kind: 'note-upstream', id, text: 'a probe got no answer', ageMs }] };
+    case 'unfit':
+      return { state, commands: [] };
+    case 'healthy': {
+      if (probe.kind === 'life') Object.assign(upstream, { heardAtMs: now.monotonicMs });
+      if (probe.kind === 'life' || reach.kind !== 'silent') return { state, commands: [] };
+      const coldStartMs = state.services.get(listed.service)?.coldStartMs ?? 0;
+      evidence.onBack(upstream, result.coldMs ?? coldStartMs, now);
+      return { state, commands: [{ kind: 'note-upstream', id, text: 'answers again', ageMs }] };
+    }
+    default:
+      return results.never(result);
+  }
+}
+
+function onListed(state: fleet.State, news: listing.News, now: task.Instant): Step {
+  const changed = listing.take(state.listing, news, now);
+  return { state, commands: [...describe(state, changed), ...afterChange(state, changed)] };
+}
+
+function describe(state: fleet.State, changed: readonly string[]): readonly Command[] {
+  return changed.flatMap((id): readonly Command[] => {
+    const upstream = state.listing.upstreams.get(id);
+    if (!upstream) return [];
+    return [{ kind: 'note-upstream', id, text: `now ${describeStanding(upstream)}`, ageMs: 0 }];
+  });
+}
+
+function describeStanding({ standing, versions }: upstreams.Upstream): string {
+  return [standing.kind, ...[...versions].map(([model, version]) => `${model}@${version}`)].join(' ');
+}
+
+function afterChange(state: fleet.State, changed: readonly string[]): readonly Command[] {
+  return changed.length === 0 ? [] : [views.toRollouts(state)];
+}
+
+function onTable(state: fleet.State, table: routes.RoutingTable): Step {
+  const services = new Map(table.services.map((service) => [service.name, service]));
+  return withLimits({ ...state, services, contextStores: table.contextStores });
+}
+
+function withLimits(state: fleet.State): Step {
+  const instances = Math.max(1, state.members.length) + SPARE_INSTANCES;
+  const limits = [...state.services.values()].map(({ name, maxConnections }) => [
+    name,
+    Math.max(1, Math.floor((maxConnections * CONNECTION_SHARE) / instances)),
+  ]);
+  const connectionsPerUpstream = Object.fromEntries(limits) as Record<string, number>;
+  return { state, commands: [{ kind: 'limit-connections', connectionsPerUpstream }] };
+}
+
+function onEvacuated(state: fleet.State, dataCentres: readonly string[]): Step {
+  return {
+    state: { ...state, evacuated: new Set(dataCentres) },
+    commands: [{ kind: 'note-evacuated', dataCentres }],
+  };
+}
+
+function onNamed(state: fleet.State, versions: Readonly<Record<string, number>>): Step {
+  return {
+    state: { ...state, named: new Map(Object.entries(versions)) },
+    commands: [{ kind: 'note-named', versions }],
+  };
+}
+
+/** Silent upstreams are probed, since no request will show that they are back. */
+function onTick(state: fleet.State, now: task.Instant): Step {
+  const expired = listing.expire(state.listing, now);
+  const all = [...state.listing.upstreams.values()];
+  all.forEach((upstream) => evidence.fade(upstream, now.monotonicMs));
+  const probes = all.flatMap((upstream) => views.probeFor(state, upstream));
+  return {
+    state,
+    commands: [
+      { kind: 'schedule-tick' },
+      ...describe(state, expired),
+      ...probes.map((probe): Command => ({ kind: 'probe', probe })),
+      views.toRollouts(state),
+      { kind: 'tell-replaced', stores: state.contextStores, held: views.replaced(state) },
+    ],
+  };
+}
--- /dev/null
+++ b/packages/core/src/fleet/index.ts
@@ -0,0 +1,8 @@
+/** The way into the fleet's decisions. */
+export * from './decide.js';
+export * as coldShare from './cold-share.js';
+export * as evidence from './evidence.js';
+export * as listing from './listing.js';
+export * as placement from './placement.js';
+export * as state from './state.js';
+export * as upstream from './upstream.js';
--- /dev/null
+++ b/packages/core/src/fleet/placement.ts
@@ -0,0 +1,216 @@
+/** Where a request goes: the upstream with the least expected time to the first byte. */
+import type * as request from '../gateway/request.js';
+import type * as routes from '../gateway/routes.js';
+import type * as task from '../kernel/task.js';
+import * as rendezvous from '../membership/rendezvous.js';
+import type * as messages from '../messages/gateway.js';
+import * as wave from '../rollouts/wave.js';
+import * as sharedContext from '../shared-context/index.js';
+import * as coldShare from './cold-share.js';
+import type * as fleet from './state.js';
+import * as upstreams from './upstream.js';
+
+export type Wish = {
+  requestId: string;
+  service: string;
+  prompt: request.Prompt | undefined;
+  /** The client account's name if it shares no context. */
+  isolatedAccount: string | undefined;
+  excluded: readonly string[];
+};
+
+export type Placed =
+  | { kind: 'placed'; placement: messages.Destination; costMs: number; candidates: number }
+  | { kind: 'none'; reason: messages.NoPlacement };
+
+/** What an engine of the kind in use reads: tokens for each millisecond. Source: the users' sheet. */
+const PREFILL_TOKENS_PER_MS = 68;
+/** The way to another data centre and back, with the price of the bytes between them. */
+const OTHER_CENTRE_MS = 10;
+/** Keeps requests with the same context together where all else is equal. */
+const RANK_STEP_MS = 3;
+/** Weights that were replaced: the answer is worth less, and soon nothing. */
+const OLD_WEIGHTS_MS = 1_500;
+/** About to load weights: new work would have to wait for that. */
+const IN_WAVE_MS = 4_000;
+/** Each recent fault, as a wait. */
+const FAULT_MS = 80;
+/** Rejected work a moment ago. */
+const BUSY_MS = 300;
+/** Each request that waits at an engine or at a plain upstream. */
+const WAITING_MS = 25;
+/** A cold upstream is slower. */
+const COLD_MS = 40;
+/** Parts that were sent this recently are likely to be in the upstream's memory still. */
+const RECENT_MS = 15_000;
+/** Of the smoothed latency, what counts: the rest is explained by the terms above. */
+const LATENCY_SHARE = 0.5;
+
+type View = { state: fleet.State; service: routes.Service; wish: Wish; now: task.Instant };
+
+export function place(state: fleet.State, wish: Wish, now: task.Instant): Placed {
+  const service = state.services.get(wish.service);
+  if (!service) return { kind: 'none', reason: 'unknown-service' };
+  const view: View = { state, service, wish, now };
+  const usable = [...state.listing.upstreams.values()].filter((each) => isUsable(view, each));
+  if (usable.length === 0) return { kind: 'none', reason: 'none-usable' };
+  const open = usable.filter((each) => isOpen(view, each));
+  if (open.length === 0) return { kind: 'none', reason: 'cold' };
+  const inWave = waveOf(view, usable);
+  const ranks = rankOf(view, open);
+  const costed = open
+    .map((each) => ({ each, costMs: cost(view, each, inWave) + (ranks.get(each.listed.id) ?? 0) }))
+    .sort((a, b) => a.costMs - b.costMs);
+  const best = costed[0];
+  if (!best) return { kind: 'none', reason: 'full' };
+  return {
+    kind: 'placed',
+    placement: book(view, best.each),
+    costMs: Math.round(best.costMs),
+    candidates: open.length,
+  };
+}
+
+/** Whether new work may go there at all. */
+export function isUsable({ state, wish }: View, { listed, standing, reach }: upstreams.Upstream) {
+  const isStanding = standing.kind === 'listed' || standing.kind === 'missing';
+  return (
+    isStanding &&
+    reach.kind === 'answers' &&
+    listed.service === wish.service &&
+    !state.evacuated.has(listed.dataCentre) &&
+    !wish.excluded.includes(listed.id) &&
+    servesModel(wish, listed)
+  );
+}
+
+function servesModel({ prompt }: Wish, { models }: upstreams.Listed): boolean {
+  return !prompt || models.some(({ model }) => model === prompt.model);
+}
+
+function isOpen({ state, service, now }: View, upstream: upstreams.Upstream): boolean {
+  if (!coldShare.isCold(upstream, now.monotonicMs) || service.coldPerS <= 0) return true;
+  return coldShare.maySend(state, service, upstream, now.monotonicMs);
+}
+
+function waveOf({ state, wish }: View, usable: readonly upstreams.Upstream[]): ReadonlySet<string> {
+  const model = wish.prompt?.model;
+  const version = model === undefined ? undefined : state.named.get(model);
+  if (model === undefined || version === undefined) return new Set();
+  const candidates = usable.map((each) => ({
+    id: each.listed.id,
+    version: each.versions.get(model) ?? 0,
+  }));
+  return new Set(wave.wave(model, version, candidates));
+}
+
+/** Small costs in the order of rendezvous hashing of the last part that requests share. */
+function rankOf({ wish }: View, open: readonly upstreams.Upstream[]): ReadonlyMap<string, number> {
+  const key = wish.prompt?.parts.at(-2)?.id ?? wish.requestId;
+  const ranked = rendezvous.rank(
+    key,
+    open.map(({ listed }) => listed.id),
+  );
+  return new Map(ranked.map((id, at) => [id, at * RANK_STEP_MS]));
+}
+
+function cost(view: View, upstream: upstreams.Upstream, inWave: ReadonlySet<string>): number {
+  const { state, wish, now } = view;
+  const { listed, load, latencyMs = 0 } = upstream;
+  const isElsewhere = listed.dataCentre !== state.dataCentre;
+  return (
+    queueMs(view, upstream) +
+    readMs(view, upstream) +
+    (load?.waiting ?? 0) * WAITING_MS +
+    latencyMs * LATENCY_SHARE +
+    upstreams.faultsNow(upstream, now.monotonicMs) * FAULT_MS +
+    (isElsewhere ? OTHER_CENTRE_MS : 0) +
+    (upstream.busyUntilMs > now.monotonicMs ? BUSY_MS : 0) +
+    (coldShare.isCold(upstream, now.monotonicMs) ? COLD_MS : 0) +
+    (isBehind(state, wish, upstream) ? OLD_WEIGHTS_MS : 0) +
+    (inWave.has(listed.id) ? IN_WAVE_MS : 0)
+  );
+}
+
+function isBehind({ named }: fleet.State, { prompt }: Wish, { versions }: upstreams.Upstream) {
+  if (!prompt) return false;
+  return (versions.get(prompt.model) ?? 0) < (named.get(prompt.model) ?? 0);
+}
+
+/** Work ahead: own tokens that are still to be read, and for plain services the slots in use. */
+function queueMs({ service }: View, { underWay, load, listed, latencyMs }: upstreams.Upstream) {
+  const own = [...underWay.values()];
+  if (service.engine) {
+    const tokens = own.reduce((sum, each) => sum + (each.isAnswered ? 0 : each.tokens), 0);
+    return tokens / PREFILL_TOKENS_PER_MS + own.length;
+  }
+  const running = Math.max(own.length, load?.running ?? 0);
+  const perRequestMs = latencyMs ?? WAITING_MS;
+  return (running / Math.max(1, listed.slots)) * perRequestMs;
+}
+
+/** Time to get the prompt's parts there: nothing, a fetch, or reading. */
+function readMs({ state, wish, now }: View, upstream: upstreams.Upstream): number {
+  if (!wish.prompt) return 0;
+  const salt = saltFor(wish, wish.prompt, upstream);
+  return wish.prompt.parts.reduce(
+    (sum, part) => sum + partMs(state, salt, part, upstream, now),
+    0,
+  );
+}
+
+const FETCH_SHARE = 0.5;
+
+function partMs(
+  state: fleet.State,
+  salt: string,
+  part: request.Part,
+  { recentParts }: upstreams.Upstream,
+  now: task.Instant,
+): number {
+  const key = sharedContext.holdings.partKey(salt, part.id);
+  const sentAtMs = recentParts.get(key);
+  if (sentAtMs !== undefined && now.monotonicMs - sentAtMs < RECENT_MS) return 0;
+  const readingMs = part.tokens / PREFILL_TOKENS_PER_MS;
+  const situation = { holdings: state.holdings, stores: state.contextStores, now };
+  const isStored = sharedContext.plan.findStore(situation, salt, part.id) !== undefined;
+  return isStored ? readingMs * FETCH_SHARE : readingMs;
+}
+
+function saltOf({ isolatedAccount }: Wish, prompt: request.Prompt, upstream: upstreams.Upstream) {
+  const version = upstream.versions.get(prompt.model) ?? 0;
+  return { model: prompt.model, version, isolatedAccount };
+}
+
+function saltFor(wish: Wish, prompt: request.Prompt, upstream: upstreams.Upstream): string {
+  return sharedContext.salt.format(saltOf(wish, prompt, upstream));
+}
+
+/** Notes the work at the upstream and says what the attempt names of kept context. */
+function book(view: View, upstream: upstreams.Upstream): messages.Destination {
+  const { state, service, wish, now } = view;
+  const { id, address } = upstream.listed;
+  if (service.coldPerS > 0 && coldShare.isCold(upstream, now.monotonicMs)) {
+    coldShare.book(state, service, upstream, now.monotonicMs);
+  }
+  const tokens = readMs(view, upstream) * PREFILL_TOKENS_PER_MS;
+  upstream.underWay.set(wish.requestId, {
+    startedAtMs: now.monotonicMs,
+    tokens,
+    isAnswered: false,
+  });
+  return { upstream: id, address, service: service.name, context: contextFor(view, upstream) };
+}
+
+function contextFor({ state, service, wish, now }: View, upstream: upstreams.Upstream) {
+  if (!wish.prompt || !service.engine) return undefined;
+  const { prompt } = wish;
+  const situation = { holdings: state.holdings, stores: state.contextStores, now };
+  const context = sharedContext.plan.plan(situation, prompt, saltOf(wish, prompt, upstream));
+  prompt.parts.slice(0, -1).forEach((part) => {
+    const key = sharedContext.holdings.partKey(context.salt, part.id);
+    upstream.recentParts.delete(key);
+    upstream.recentParts.set(key, now.monotonicMs);
+  });
+  return context;
+}
--- /dev/null
+++ b/packages/core/src/fleet/state.ts
@@ -0,0 +1,41 @@
+/** The state of the fleet's task: every upstream, and what decides where requests go. */
+import type * as routes from '../gateway/routes.js';
+import * as holdings from '../shared-context/holdings.js';
+import * as listing from './listing.js';
+
+export type Bounds = {
+  /** Factor and allowance on the rate that a cold upstream bears, over all instances. */
+  coldOverrun: number;
+  coldSlack: number;
+};
+
+export type State = {
+  instance: string;
+  dataCentre: string;
+  bounds: Bounds;
+  listing: listing.Listing;
+  services: ReadonlyMap<string, routes.Service>;
+  contextStores: readonly routes.ContextStore[];
+  holdings: holdings.Holdings;
+  /** Data centres that get no new work. */
+  evacuated: ReadonlySet<string>;
+  /** The newest weights of each model. */
+  named: ReadonlyMap<string, number>;
+  /** Names of the instances that may send, this one included; empty while unknown. */
+  members: readonly string[];
+};
+
+export function initial(instance: string, dataCentre: string, bounds: Bounds): State {
+  return {
+    instance,
+    dataCentre,
+    bounds,
+    listing: listing.create(),
+    services: new Map(),
+    contextStores: [],
+    holdings: holdings.create(),
+    evacuated: new Set(),
+    named: new Map(),
+    members: [],
+  };
+}
--- /dev/null
+++ b/packages/core/src/gateway/confirmation.ts
@@ -0,0 +1,36 @@
+/**
+ * How old the knowledge of the configuration is. The monotonic clock stands still while a machine is
+ * suspended and the wall clock may be set, so the larger of both ages counts.
+ */
+import type * as task from '../kernel/task.js';
+
+/** The larger of the two ages, in milliseconds; a wall clock that was set back does not lower it. */
+export function ageMs(since: task.Instant, now: task.Instant): number {
+  return Math.max(now.monotonicMs - since.monotonicMs, now.wallMs - since.wallMs);
+}
+
+/** How much earlier than its bound a credential's confirmation ends: the way to the upstream. */
+export const REVOCATION_MARGIN_MS = 600;
+/** An instance that has not heard for this share of the bound does not call a route unknown. */
+const DENIAL_SHARE = 0.9;
+
+export type Bounds = {
+  /** A removed credential must not be served for longer than this, connected or not. */
+  revocationMs: number;
+  /** A change is in force after this on an instance that is connected. */
+  adoptionMs: number;
+};
+
+/** `fresh`: unknown routes may be denied. `usable`: known ones may be served. */
+export type Confidence = 'fresh' | 'usable' | 'unsure';
+
+export function confidence(
+  confirmedAt: task.Instant | undefined,
+  { revocationMs, adoptionMs }: Bounds,
+  now: task.Instant,
+): Confidence {
+  if (!confirmedAt) return 'unsure';
+  const age = ageMs(confirmedAt, now);
+  if (age <= adoptionMs * DENIAL_SHARE) return 'fresh';
+  return age <= revocationMs - REVOCATION_MARGIN_MS ? 'usable' : 'unsure';
+}
--- /dev/null
+++ b/packages/core/src/gateway/decide.ts
@@ -0,0 +1,222 @@
+/** The decisions of the gateway's task: which table is in force, who may enter, who may retry. */
+import type * as task from '../kernel/task.js';
+import * as rendezvous from '../membership/rendezvous.js';
+import type * as messages from '../messages/gateway.js';
+import type * as codes from '../results/codes.js';
+import * as results from '../results/index.js';
+import * as access from './access.js';
+import * as confirmation from './confirmation.js';
+import type * as lifecycle from './lifecycle-state.js';
+import type * as request from './request.js';
+import * as retryShare from './retry-share.js';
+import * as routes from './routes.js';
+
+export type Bounds = confirmation.Bounds & {
+  retryWindowMs: number;
+  retryRatio: number;
+  retryExtra: number;
+};
+
+export type State = {
+  bounds: Bounds;
+  table: access.Table;
+  areUpstreamsKnown: boolean;
+  isReady: boolean;
+  instances: number;
+  startedAtMs: number;
+  retries: ReadonlyMap<string, retryShare.RetryShare>;
+  isLeaving: boolean;
+};
+
+export type Command =
+  | {
+      kind: 'spawn';
+      given: lifecycle.Given;
+      caller: messages.ReplyAddress;
+      onBegun: (begun: messages.RequestAddress) => void;
+    }
+  | { kind: 'refuse'; caller: messages.ReplyAddress; reply: request.Reply }
+  | { kind: 'note-refused'; request: request.Request; code: codes.CodeName; ageMs: number }
+  | { kind: 'answer-retry'; replyTo: messages.RequestAddress; isGranted: boolean }
+  | { kind: 'adopt'; table: routes.RoutingTable; previous: number | undefined }
+  | { kind: 'readiness'; isReady: boolean; reason: string }
+  | { kind: 'schedule-tick' };
+
+export type Step = task.Step<State, Command>;
+
+/** How often readiness is looked at: well within the balancer's second. */
+export const TICK_MS = 250;
+/** When a caller that met an unsure instance may come back: time for the balancer to look elsewhere. */
+const UNSURE_RETRY_MS = 400;
+/** Instances that may come up beside those known. */
+const SPARE_INSTANCES = 1;
+
+export function initial(bounds: Bounds, now: task.Instant): State {
+  return {
+    bounds,
+    table: { index: undefined, confirmedAt: undefined },
+    areUpstreamsKnown: false,
+    isReady: false,
+    instances: 1,
+    startedAtMs: now.monotonicMs,
+    retries: new Map(),
+    isLeaving: false,
+  };
+}
+
+export function decide(state: State, message: messages.GatewayMessage, now: task.Instant): Step {
+  switch (message.type) {
+    case 'gateway.begin':
+      return onBegin(state, message, now);
+    case 'gateway.ask-retry':
+      return onAskRetry(state, message, now);
+    case 'gateway.table':
+      return onTable(state, message.table, message.askedAt, now);
+    case 'gateway.confirmed':
+      return withReadiness(confirmed(state, message.askedAt), now);
+    case 'gateway.members':
+      return { state: { ...state, instances: message.instances + SPARE_INSTANCES }, commands: [] };
+    case 'gateway.upstreams-known':
+      return withReadiness({ ...state, areUpstreamsKnown: true }, now);
+    case 'gateway.tick':
+      return onTick(state, now);
+    case 'task.start':
+      return { state, commands: [{ kind: 'schedule-tick' }] };
+    case 'task.leave':
+      return withReadiness({ ...state, isLeaving: true }, now);
+    case 'task.stop':
+      return { state, commands: [] };
+    default:
+      return results.never(message);
+  }
+}
+
+function onTick(state: State, now: task.Instant): Step {
+  const step = withReadiness(state, now);
+  return { state: step.state, commands: [{ kind: 'schedule-tick' }, ...step.commands] };
+}
+
+function onBegin(
+  state: State,
+  { request: asked, caller, onBegun }: Extract<messages.GatewayMessage, { type: 'gateway.begin' }>,
+  now: task.Instant,
+): Step {
+  const found = access.check(state.table, asked, state.bounds, now);
+  switch (found.kind) {
+    case 'denied':
+      return { state, commands: refuse(state, asked, caller, found, now) };
+    case 'allowed': {
+      const { route, clientAccount } = found;
+      const draw = rendezvous.fraction(asked.requestId, route.name);
+      const service = routes.chooseService(route, draw);
+      const given = {
+        request: asked,
+        route,
+        service,
+        clientAccount,
+        tableVersion: state.table.index?.table.version ?? 0,
+        tableAgeMs: tableAgeMs(state, now),
+      };
+      return {
+        state: countRequest(state, service, now),
+        commands: [{ kind: 'spawn', given, caller, onBegun }],
+      };
+    }
+    default:
+      return results.never(found);
+  }
+}
+
+function refuse(
+  state: State,
+  asked: request.Request,
+  caller: messages.ReplyAddress,
+  { code, detail }: Extract<access.Access, { kind: 'denied' }>,
+  now: task.Instant,
+): readonly Command[] {
+  const { status } = results.table[code];
+  const retryAfterMs = status === 503 ? UNSURE_RETRY_MS : undefined;
+  const text = results.describe(results.failure(code, detail));
+  return [
+    { kind: 'refuse', caller, reply: { type: 'reply.refuse', status, detail: text, retryAfterMs } },
+    { kind: 'note-refused', request: asked, code, ageMs: tableAgeMs(state, now) },
+  ];
+}
+
+/** -1 stands for a table that was never confirmed. */
+export function tableAgeMs({ table: { confirmedAt } }: State, now: task.Instant): number {
+  return confirmedAt ? Math.round(confirmation.ageMs(confirmedAt, now)) : -1;
+}
+
+function retryBounds({ bounds, instances, startedAtMs }: State): retryShare.RetryBounds {
+  return {
+    windowMs: bounds.retryWindowMs,
+    ratio: bounds.retryRatio,
+    extra: bounds.retryExtra,
+    instances,
+    startedAtMs,
+  };
+}
+
+function countRequest(state: State, service: string, now: task.Instant): State {
+  const share = state.retries.get(service) ?? retryShare.none;
+  const counted = retryShare.onRequest(share, now.monotonicMs, retryBounds(state));
+  return { ...state, retries: new Map(state.retries).set(service, counted) };
+}
+
+function onAskRetry(
+  state: State,
+  { service, replyTo }: Extract<messages.GatewayMessage, { type: 'gateway.ask-retry' }>,
+  now: task.Instant,
+): Step {
+  const share = state.retries.get(service) ?? retryShare.none;
+  const granted = retryShare.onRetry(share, now.monotonicMs, retryBounds(state));
+  const retries = granted ? new Map(state.retries).set(service, granted) : state.retries;
+  return {
+    state: { ...state, retries },
+    commands: [{ kind: 'answer-retry', replyTo, isGranted: granted !== undefined }],
+  };
+}
+
+/** Adopts a newer table; an older one, which a stale answer may bring, changes nothing. */
+function onTable(
+  state: State,
+  table: routes.RoutingTable,
+  askedAt: task.Instant,
+  now: task.Instant,
+): Step {
+  const known = state.table.index?.table.version;
+  if (known !== undefined && table.version < known) return { state, commands: [] };
+  if (known === table.version) return withReadiness(confirmed(state, askedAt), now);
+  const adopted = confirmed(
+    { ...state, table: { ...state.table, index: routes.index(table) } },
+    askedAt,
+  );
+  const step = withReadiness(adopted, now);
+  return {
+    state: step.state,
+    commands: [{ kind: 'adopt', table, previous: known }, ...step.commands],
+  };
+}
+
+function confirmed(state: State, askedAt: task.Instant): State {
+  const { confirmedAt } = state.table;
+  if (confirmedAt && confirmedAt.monotonicMs >= askedAt.monotonicMs) return state;
+  return { ...state, table: { ...state.table, confirmedAt: askedAt } };
+}
+
+/** Ready while requests with a credential can be served. */
+function withReadiness(state: State, now: task.Instant): Step {
+  const { isReady, reason } = readiness(state, now);
+  if (isReady === state.isReady) return { state, commands: [] };
+  return { state: { ...state, isReady }, commands: [{ kind: 'readiness', isReady, reason }] };
+}
+
+function readiness(state: State, now: task.Instant): { isReady: boolean; reason: string } {
+  const confidence = confirmation.confidence(state.table.confirmedAt, state.bounds, now);
+  if (state.isLeaving) return { isReady: false, reason: 'leaving' };
+  if (!state.table.index) return { isReady: false, reason: 'no configuration' };
+  if (!state.areUpstreamsKnown) return { isReady: false, reason: 'no list of upstreams' };
+  if (confidence === 'unsure') return { isReady: false, reason: 'configuration not confirmed' };
+  return { isReady: true, reason: 'configuration confirmed' };
+}
--- /dev/null
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -0,0 +1,96 @@
+/** The state of one request between its arrival and its last byte. */
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/gateway.js';
+import type * as codes from '../results/codes.js';
+import type * as answers from './answers.js';
+import type * as request from './request.js';
+import type * as routes from './routes.js';
+
+/** Fixed for the life of the request. */
+export type Given = {
+  request: request.Request;
+  route: routes.Route;
+  service: string;
+  clientAccount: routes.ClientAccount | undefined;
+  /** The routing table that let the request in, and how old its confirmation was. */
+  tableVersion: number;
+  tableAgeMs: number;
+};
+
+export type Attempt = {
+  id: string;
+  placement: messages.Destination;
+  startedAtMs: number;
+};
+
+export type Phase =
+  | { kind: 'placing' }
+  /** The budget is asked whether the request may be sent again; the attempt, if any, goes on. */
+  | { kind: 'asking'; attempt: Attempt | undefined }
+  | { kind: 'attempting'; attempt: Attempt }
+  | { kind: 'ended' };
+
+export type State = {
+  given: Given;
+  phase: Phase;
+  /** Attempts that left this instance. */
+  sends: number;
+  /** Attempts that may have run: bounded by the route. */
+  runs: number;
+  /** Upstreams that are not asked again. */
+  excluded: readonly string[];
+  isHeadSent: boolean;
+  lastEventId: string | undefined;
+  /** An upstream's own failure, handed on if no other upstream answers. */
+  failure: Extract<answers.AttemptEnd, { kind: 'answered' }> | undefined;
+  /** Why the last attempt did not end well, for the journal. */
+  lastReason: string;
+};
+
+export type Command =
+  | { kind: 'place'; excluded: readonly string[] }
+  | { kind: 'send'; attempt: Attempt; lastEventId: string | undefined; deadlineMs: number }
+  | { kind: 'abort'; attempt: string }
+  | { kind: 'ask-retry' }
+  | { kind: 'ask-liveness'; attempt: Attempt }
+  | { kind: 'reply'; reply: request.Reply }
+  | { kind: 'schedule'; timer: messages.RequestTimer; delayMs: number }
+  | { kind: 'unschedule'; timer: messages.RequestTimer }
+  | { kind: 'report'; attempt: Attempt; outcome: Outcome }
+  | { kind: 'note-attempt'; upstream: string; reason: string }
+  | { kind: 'note-end'; outcome: EndOutcome };
+
+/** What the fleet learns from an attempt. */
+export type Outcome =
+  | 'answered'
+  | 'failed'
+  | 'rejected'
+  | 'unreachable'
+  | 'no-connection'
+  | 'broken'
+  | 'silent'
+  | 'cancelled';
+
+/** How the request ended, for journal and metrics. */
+export type EndOutcome = { result: 'answered' | 'cut' | 'left' | codes.CodeName; status: number };
+
+export type Step = task.Step<State, Command>;
+
+export function initial(given: Given): State {
+  return {
+    given,
+    phase: { kind: 'placing' },
+    sends: 0,
+    runs: 0,
+    excluded: [],
+    isHeadSent: false,
+    lastEventId: given.request.lastEventId,
+    failure: undefined,
+    lastReason: '',
+  };
+}
+
+/** When the request has to be answered, by the monotonic clock. */
+export function deadlineMs({ request: { receivedAt, patienceMs }, route }: Given): number {
+  return receivedAt.monotonicMs + Math.min(route.timeoutMs, patienceMs ?? Infinity);
+}
--- /dev/null
+++ b/packages/core/src/gateway/request.ts
@@ -0,0 +1,48 @@
+/** A caller's request, as the front decoded it, and what it may be told. */
+import type * as task from '../kernel/task.js';
+
+/** One part of a prompt; parts with the same id hold the same tokens. */
+export type Part = { id: string; tokens: number };
+
+export type Prompt = {
+  model: string;
+  /** In order; the last part belongs to this request alone. */
+  parts: readonly Part[];
+  maxOutputTokens: number;
+};
+
+/** End-to-end headers as they came, names and values in turn. */
+export type RawHeaders = readonly string[];
+
+export type Request = {
+  /** Chosen by the caller, new for each attempt. */
+  requestId: string;
+  method: string;
+  /** With the query, byte for byte. */
+  path: string;
+  host: string;
+  headers: RawHeaders;
+  body: Buffer;
+  credential: string | undefined;
+  /** How long the caller waits, counted from `receivedAt`. */
+  patienceMs: number | undefined;
+  prompt: Prompt | undefined;
+  /** Where a broken stream is to go on. */
+  lastEventId: string | undefined;
+  receivedAt: task.Instant;
+};
+
+/** The head of an answer. */
+export type Head = { status: number; headers: RawHeaders };
+
+/** What the front is told about a request; `reply.refuse` and `reply.cut` end it, as does `end`. */
+export type Reply =
+  /** A whole answer. */
+  | { type: 'reply.whole'; head: Head; body: Buffer }
+  | { type: 'reply.head'; head: Head }
+  | { type: 'reply.events'; bytes: Buffer }
+  | { type: 'reply.end' }
+  /** The answer broke off: the connection is closed so that it cannot look whole. */
+  | { type: 'reply.cut' }
+  /** An answer of the system's own. */
+  | { type: 'reply.refuse'; status: number; detail: string; retryAfterMs: number | undefined };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,12 +1,15 @@
 /** The core of medlarweir: kernel, core types, and decisions by capability. */
 export * as accounts from './accounts/index.js';
 export * as admission from './admission/index.js';
+export * as binary from './binary/index.js';
 export * as claims from './claims/index.js';
 export * as coldStarts from './cold-starts/index.js';
 export * as configuration from './configuration/index.js';
 export * as events from './events/index.js';
 export * as exchange from './exchange/index.js';
 export * as feeds from './feeds/index.js';
+export * as fleet from './fleet/index.js';
+export * as gateway from './gateway/index.js';
 export * as keptContext from './kept-context/index.js';
 export * as kernel from './kernel/index.js';
 export * as leases from './leases/index.js';
@@ -15,5 +18,7 @@
 export * as membership from './membership/index.js';
 export * as messages from './messages/index.js';
 export * as results from './results/index.js';
+export * as rollouts from './rollouts/index.js';
 export * as routing from './routing/index.js';
 export * as settings from './settings/index.js';
+export * as sharedContext from './shared-context/index.js';
--- a/packages/core/src/leases/decide.ts
+++ b/packages/core/src/leases/decide.ts
@@ -217,3 +217,8 @@
   const { state, write } = calls.newWrite(given, grip.version, now);
   return calls.send({ ...state, phase: { kind: 'held', grip, renewal: write } }, write, 'held');
 }
+
+/** Gives the lease up without a word to the platform: an upstream has seen a later holder. */
+export function abandon(given: lease.Lease, now: task.Instant): lease.Step {
+  return calls.read(given, undefined, now);
+}
--- a/packages/core/src/membership/rendezvous.ts
+++ b/packages/core/src/membership/rendezvous.ts
@@ -22,3 +22,8 @@
 export function choose(key: string, names: readonly string[], count: number): readonly string[] {
   return rank(key, names).slice(0, count);
 }
+
+/** The weight as a number above 0 and below 1, for rankings weighted by size. */
+export function fraction(key: string, name: string): number {
+  return (weigh(key, name) + 1) / (2 ** (8 * HASH_BYTES) + 1);
+}
--- /dev/null
+++ b/packages/core/src/messages/gateway.ts
@@ -0,0 +1,91 @@
+/** Messages of the path from a caller's request to an upstream and back. */
+import type * as answers from '../gateway/answers.js';
+import type * as request from '../gateway/request.js';
+import type * as routes from '../gateway/routes.js';
+import type * as task from '../kernel/task.js';
+import type * as context from '../shared-context/plan.js';
+import type * as life from './life.js';
+
+export type ReplyAddress = task.Address<request.Reply>;
+
+/** Where an attempt goes and what it names of kept context there. */
+export type Destination = {
+  upstream: string;
+  address: string;
+  service: string;
+  context: context.ContextPlan | undefined;
+};
+
+/** `cold`: only upstreams are left that bear no more at the moment. */
+export type NoPlacement = 'unknown-service' | 'none-usable' | 'cold' | 'full';
+
+export type RequestTimer = 'total' | 'silence' | 'place';
+
+/** To the task of one request. */
+export type RequestMessage =
+  | life.TaskMessage
+  | { type: 'fleet.placed'; placement: Destination }
+  | { type: 'fleet.none'; reason: NoPlacement }
+  | { type: 'fleet.liveness'; attempt: string; isSilent: boolean }
+  | { type: 'retry.decided'; isGranted: boolean }
+  | { type: 'attempt.head'; attempt: string; head: request.Head }
+  | { type: 'attempt.events'; attempt: string; bytes: Buffer; lastEventId: string | undefined }
+  | { type: 'attempt.ended'; attempt: string; end: answers.AttemptEnd }
+  | { type: 'caller.left' }
+  | { type: 'request.due'; timer: RequestTimer };
+
+export type RequestAddress = task.Address<RequestMessage>;
+
+/** To the task that decides on access and spawns the tasks of requests. */
+export type GatewayMessage =
+  | life.TaskMessage
+  | {
+      type: 'gateway.begin';
+      request: request.Request;
+      caller: ReplyAddress;
+      /** Told where the request's task is reached, unless the request was refused at once. */
+      onBegun: (begun: RequestAddress) => void;
+    }
+  | { type: 'gateway.table'; table: routes.RoutingTable; askedAt: task.Instant }
+  | { type: 'gateway.confirmed'; askedAt: task.Instant }
+  | { type: 'gateway.members'; instances: number }
+  /** The list of upstreams has been read for the first time. */
+  | { type: 'gateway.upstreams-known' }
+  | { type: 'gateway.ask-retry'; service: string; replyTo: RequestAddress }
+  | { type: 'gateway.tick' };
+
+/** What the front needs to know beside single requests. */
+export type FrontMessage =
+  | life.TaskMessage
+  | { type: 'front.limits'; limits: routes.Limits }
+  | { type: 'front.readiness'; isReady: boolean; reason: string }
+  | { type: 'front.due'; step: 'close-idle' | 'give-up' };
+
+/** What an attempt needs beside the request itself. */
+export type Send = {
+  attempt: string;
+  request: request.Request;
+  placement: Destination;
+  clientAccount: string | undefined;
+  priority: number;
+  delivery: routes.Delivery;
+  /** Whether a second send could do no harm. */
+  mayRepeat: boolean;
+  /** Of the monotonic clock: the upstream stops work then. */
+  deadlineMs: number;
+  lastEventId: string | undefined;
+  replyTo: RequestAddress;
+};
+
+/** `health`: whether it takes work, which uses one of its slots. `life`: whether it answers at all. */
+export type Probe =
+  | { kind: 'health'; upstream: string; address: string; path: string }
+  | { kind: 'life'; upstream: string; address: string };
+
+/** To the task that owns the connections to upstreams. */
+export type TransportMessage =
+  | life.TaskMessage
+  | { type: 'transport.send'; send: Send }
+  | { type: 'transport.abort'; attempt: string }
+  | { type: 'transport.limits'; connectionsPerUpstream: Readonly<Record<string, number>> }
+  | { type: 'transport.probe'; probe: Probe };
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -6,7 +6,7 @@
 
 export type MetricsMessage =
   | life.TaskMessage
-  | { type: 'metrics.count'; name: MetricName; by: number }
+  | { type: 'metrics.count'; name: MetricName; by: number; label?: string }
   | { type: 'metrics.timing'; name: MetricName; ms: number }
   | { type: 'metrics.gauge'; name: MetricName; value: number };
 
@@ -22,4 +22,11 @@
   | 'first_token'
   | 'claims.writes'
   | 'answers.dropped'
-  | 'platform.calls';
+  | 'platform.calls'
+  | 'gateway.requests'
+  | 'gateway.denied'
+  | 'gateway.whole'
+  | 'gateway.first_event'
+  | 'gateway.open'
+  | 'transport.connections'
+  | 'platform.call';
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -42,8 +42,20 @@
   type: 'platform.changed';
   prefix: string;
   objects: readonly StoredObject[];
+  /** Keys of objects that do not exist any more. */
+  removed: readonly string[];
+  /** Whether `objects` are all there are. */
+  isSnapshot: boolean;
+  /** When the question was sent: the news is at least as new as that. */
+  askedAt: task.Instant;
 };
 
+/** A watch could not be answered. */
+export type PlatformAway = { type: 'platform.away'; prefix: string; reason: string };
+
+/** How a watch is asked: how long the platform may hold it, and the pause after news. */
+export type Pace = { waitMs: number; pauseMs: number };
+
 export type PlatformInstances = {
   type: 'platform.instances-changed';
   instances: readonly ListedInstance[];
@@ -75,7 +87,14 @@
       writeId: string;
       replyTo: task.Address<PlatformAnswered>;
     }
-  | { type: 'platform.watch'; prefix: string; replyTo: task.Address<PlatformChanged> }
+  | {
+      type: 'platform.watch';
+      prefix: string;
+      pace?: Pace;
+      replyTo: task.Address<PlatformChanged>;
+      /** Told of failures, if the reader has to know. */
+      awayTo?: task.Address<PlatformAway>;
+    }
   /** Ends the watch of this prefix for this reader. */
   | { type: 'platform.unwatch'; prefix: string; replyTo: task.Address<PlatformChanged> }
   /** Sent again, it only changes the pause after each answer. */
--- a/packages/core/src/results/request-codes.ts
+++ b/packages/core/src/results/request-codes.ts
@@ -36,6 +36,20 @@
   title: 'unknown run',
   hint: 'The run has ended too long ago to be resumed; send the prompt again.',
 };
+/** No route matches the host and path, and the routing table is known to be the newest. */
+const unknownRoute: code.Code = {
+  number: 1006,
+  status: 404,
+  title: 'unknown route',
+  hint: 'Check host and path with the operators.',
+};
+/** The header block is larger than the configured limit. */
+const headersTooLarge: code.Code = {
+  number: 1007,
+  status: 431,
+  title: 'headers too large',
+  hint: 'Send less, or ask the operators to raise the limit.',
+};
 /** Too much work is waiting or running. */
 const overloaded: code.Code = {
   number: 2001,
@@ -50,6 +64,20 @@
   title: 'no upstream available',
   hint: 'Not run. Retry after the time in `Retry-After`.',
 };
+/** No answer came within the route's or the caller's time; the request may have run. */
+const outOfTime: code.Code = {
+  number: 2005,
+  status: 504,
+  title: 'no answer in time',
+  hint: 'The request may have run. Look up its id in the journal before sending it again.',
+};
+/** No upstream took the request within the route's or the caller's time. */
+const notStartedInTime: code.Code = {
+  number: 2006,
+  status: 503,
+  title: 'not started in time',
+  hint: 'Not run. Retry after the time in `Retry-After`.',
+};
 /** The caller's deadline cannot be met. */
 const deadlineUnreachable: code.Code = {
   number: 2003,
@@ -127,8 +155,12 @@
   malformedRequest,
   bodyTooLarge,
   unknownRun,
+  unknownRoute,
+  headersTooLarge,
   overloaded,
   noUpstream,
+  outOfTime,
+  notStartedInTime,
   deadlineUnreachable,
   leaving,
   coldRightLapsed,
--- a/packages/core/src/results/system-codes.ts
+++ b/packages/core/src/results/system-codes.ts
@@ -36,6 +36,13 @@
   title: 'run lost',
   hint: 'Send the prompt again.',
 };
+/** The request was sent, and no answer that can be handed on came back. */
+const answerLost: code.Code = {
+  number: 4006,
+  status: 502,
+  title: 'answer lost',
+  hint: 'The request may have run. Look up its id in the journal before sending it again.',
+};
 /** A store's answer did not pass the checks of a safe read. */
 const unsafeRead: code.Code = {
   number: 4005,
@@ -121,6 +128,13 @@
   title: 'unknown instance',
   hint: 'The platform’s list lags; look at `medlarctl status`.',
 };
+/** The routing table was not confirmed recently enough to decide on the request. */
+const configurationUnsure: code.Code = {
+  number: 5004,
+  status: 503,
+  title: 'configuration not confirmed',
+  hint: 'Not run. Retry after the time in `Retry-After`; another instance may be better connected.',
+};
 /** An instance does not answer, or refuses the deployment's key. */
 const instanceUnreachable: code.Code = {
   number: 6144,
@@ -135,6 +149,8 @@
   upstreamMalformed,
   upstreamRefused,
   runLost,
+  answerLost,
+  configurationUnsure,
   unsafeRead,
   importLate,
   platformUnavailable,
--- /dev/null
+++ b/packages/core/src/settings/flags.ts
@@ -0,0 +1,74 @@
+/** Settings as flags and environment variables, for any schema. */
+import * as neverthrow from 'neverthrow';
+import type * as zod from 'zod';
+
+import * as results from '../results/index.js';
+
+type Given = Readonly<Record<string, string | undefined>>;
+
+/** What a setting is for, and what stands in for it if it is left out. */
+export type Description = {
+  text: string;
+  fallback: { kind: 'required' } | { kind: 'none' } | { kind: 'value'; value: string };
+};
+
+export type Flags<Settings> = {
+  names: readonly string[];
+  describe(name: string): Description;
+  /** Merges flags over the environment and checks the result. */
+  parse(flags: Given, environment: Given): neverthrow.Result<Settings, results.Failure>;
+};
+
+/** `balancerLagMs` is `--balancer-lag-ms` as a flag. */
+export function flagName(name: string): string {
+  return name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+}
+
+/** `balancerLagMs` is `MEDLARWEIR_BALANCER_LAG_MS` in the environment. */
+export function environmentName(name: string): string {
+  return `MEDLARWEIR_${flagName(name).replaceAll('-', '_').toUpperCase()}`;
+}
+
+export function create<Shape extends zod.ZodRawShape>(
+  schema: zod.ZodObject<Shape>,
+  secrets: readonly string[],
+): Flags<zod.infer<zod.ZodObject<Shape>>> {
+  const names = Object.keys(schema.shape);
+  return {
+    names,
+    describe: (name) => describe((schema.shape as unknown as Readonly<Record<string, zod.ZodType>>)[name]),
+    parse(flags, environment) {
+      const given = names.flatMap((name) => {
+        const value = flags[flagName(name)] ?? environment[environmentName(name)];
+        return value === undefined ? [] : [[name, value] as const];
+      });
+      const found = Object.fromEntries(given);
+      const checked = schema.safeParse(found);
+      if (checked.success) return neverthrow.ok(checked.data);
+      const detail = explainIssues(checked.error, found, secrets);
+      return neverthrow.err(results.failure('invalidInput', detail));
+    },
+  };
+}
+
+function describe(field: zod.ZodType | undefined): Description {
+  const text = field?.description ?? '';
+  const left = field?.safeParse(undefined);
+  if (!left?.success) return { text, fallback: { kind: 'required' } };
+  if (left.data === undefined) return { text, fallback: { kind: 'none' } };
+  return { text, fallback: { kind: 'value', value: String(left.data) } };
+}
+
+function explainIssues(
+  error: zod.ZodError,
+  found: Record<string, string>,
+  secrets: readonly string[],
+): string {
+  const lines = error.issues.map((issue) => {
+    const name = String(issue.path[0]);
+    const shown = secrets.includes(name) ? 'a secret' : JSON.stringify(found[name]);
+    const actual = found[name] === undefined ? 'nothing' : shown;
+    return `--${flagName(name)} (${environmentName(name)}): ${issue.message}; found ${actual}`;
+  });
+  return lines.join('\n');
+}
--- a/packages/core/src/settings/index.ts
+++ b/packages/core/src/settings/index.ts
@@ -1,2 +1,4 @@
 /** The way into settings. */
+export * from './flags.js';
+export * as gateway from './gateway.js';
 export * from './schema.js';
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -1,8 +1,7 @@
 /** The settings of an entry instance: one schema with defaults; flags go before the environment. */
-import * as neverthrow from 'neverthrow';
 import * as zod from 'zod';
 
-import * as results from '../results/index.js';
+import * as flags from './flags.js';
 
 const hostAndPort = zod.string().regex(/^[^\s:]+:\d{1,5}$/, 'expected HOST:PORT');
 
@@ -56,54 +55,7 @@
 /** Settings whose values never appear in a dump or a log. */
 export const SECRET_SETTINGS: readonly SettingName[] = ['deploymentKey', 'otherDeploymentKey'];
 
-/** `balancerLagMs` is `--balancer-lag-ms` as a flag. */
-export function flagName(name: SettingName): string {
-  return name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
-}
+export const ownFlags = flags.create(settingsSchema, SECRET_SETTINGS);
 
-/** `balancerLagMs` is `MEDLARWEIR_BALANCER_LAG_MS` in the environment. */
-export function environmentName(name: SettingName): string {
-  return `MEDLARWEIR_${flagName(name).replaceAll('-', '_').toUpperCase()}`;
-}
-
-export const settingNames = Object.keys(settingsSchema.shape) as readonly SettingName[];
-
-/** What a setting is for, and what stands in for it if it is left out. */
-export type Description = {
-  text: string;
-  fallback: { kind: 'required' } | { kind: 'none' } | { kind: 'value'; value: string };
-};
-
-export function describe(name: SettingName): Description {
-  const field: zod.ZodType = settingsSchema.shape[name];
-  const text = field.description ?? '';
-  const left = field.safeParse(undefined);
-  if (!left.success) return { text, fallback: { kind: 'required' } };
-  if (left.data === undefined) return { text, fallback: { kind: 'none' } };
-  return { text, fallback: { kind: 'value', value: String(left.data) } };
-}
-
-/** Merges flags over the environment and checks the result. */
-export function parse(
-  flags: Readonly<Record<string, string | undefined>>,
-  environment: Readonly<Record<string, string | undefined>>,
-): neverthrow.Result<Settings, results.Failure> {
-  const given = settingNames.flatMap((name) => {
-    const value = flags[flagName(name)] ?? environment[environmentName(name)];
-    return value === undefined ? [] : [[name, value] as const];
-  });
-  const found = Object.fromEntries(given);
-  const checked = settingsSchema.safeParse(found);
-  if (checked.success) return neverthrow.ok(checked.data);
-  return neverthrow.err(results.failure('invalidInput', explainIssues(checked.error, found)));
-}
-
-function explainIssues(error: zod.ZodError, found: Record<string, string>): string {
-  const lines = error.issues.map((issue) => {
-    const name = issue.path[0] as SettingName;
-    const shown = SECRET_SETTINGS.includes(name) ? 'a secret' : JSON.stringify(found[name]);
-    const actual = found[name] === undefined ? 'nothing' : shown;
-    return `--${flagName(name)} (${environmentName(name)}): ${issue.message}; found ${actual}`;
-  });
-  return lines.join('\n');
-}
+export const { describe, parse } = ownFlags;
+export const settingNames = ownFlags.names as readonly SettingName[];
--- /dev/null
+++ b/packages/core/src/shared-context/plan.ts
@@ -0,0 +1,97 @@
+/** Which parts of a prompt an upstream fetches from a store, and which it saves there. */
+import type * as request from '../gateway/request.js';
+import type * as routes from '../gateway/routes.js';
+import type * as task from '../kernel/task.js';
+import * as rendezvous from '../membership/rendezvous.js';
+import * as holdings from './holdings.js';
+import * as salts from './salt.js';
+
+/** What a request names of kept context at its upstream. */
+export type ContextPlan = {
+  salt: string;
+  /** An upstream with other weights does not run the request. */
+  expectedVersion: number;
+  /** For each part of the prompt, the store that it is fetched from. */
+  fetch: readonly (string | undefined)[];
+  /** For each part of the prompt, the store that it is saved to. */
+  save: readonly (string | undefined)[];
+  /** By the upstreams' clock: a fetch that takes longer is given up. */
+  fetchUntilMs: number | undefined;
+};
+
+/** A fetch that takes longer than reading the part anew is worth little to a caller who waits. */
+export const FETCH_TIMEOUT_MS = 1_000;
+/** Share of a store that is filled: reservations that are under way need the rest. */
+const FILL_SHARE = 0.96;
+/** Stores that are tried in the order of their rank, if the first is full. */
+const HOME_CANDIDATES = 3;
+
+export type Situation = {
+  holdings: holdings.Holdings;
+  stores: readonly routes.ContextStore[];
+  now: task.Instant;
+};
+
+export function plan(situation: Situation, prompt: request.Prompt, salt: salts.Salt): ContextPlan {
+  const text = salts.format(salt);
+  const shared = prompt.parts.slice(0, -1);
+  const own = prompt.parts.length > 0 ? [undefined] : [];
+  const found = shared.map((part) => findStore(situation, text, part.id));
+  const homes = shared.map((part, at) => (found[at] ? undefined : chooseHome(situation, text, part)));
+  const remoteNow = holdings.remoteNow(situation.holdings, situation.now);
+  const mayFetch = remoteNow !== undefined;
+  return {
+    salt: text,
+    expectedVersion: salt.version,
+    fetch: [...found.map((store) => (mayFetch ? store?.address : undefined)), ...own],
+    save: [...homes.map((store) => store?.address), ...own],
+    fetchUntilMs: remoteNow === undefined ? undefined : remoteNow + FETCH_TIMEOUT_MS,
+  };
+}
+
+/** The store that holds the whole part. */
+export function findStore(
+  { holdings: held, stores }: Situation,
+  salt: string,
+  id: string,
+): routes.ContextStore | undefined {
+  const key = holdings.partKey(salt, id);
+  return stores.find(({ name }) => {
+    const holding = held.stores.get(name);
+    return holding?.isReachable === true && holding.parts.has(key);
+  });
+}
+
+/** Every instance ranks the stores alike, so a part is saved at one place without any message. */
+function chooseHome(
+  { holdings: held, stores, now }: Situation,
+  salt: string,
+  part: request.Part,
+): routes.ContextStore | undefined {
+  const key = holdings.partKey(salt, part.id);
+  const ranked = rankByCapacity(key, stores).slice(0, HOME_CANDIDATES);
+  const home = ranked.find((store) => {
+    const holding = held.stores.get(store.name);
+    if (!holding?.isReachable) return false;
+    const taken = holdings.takenTokens(holding, now.monotonicMs);
+    return taken + part.tokens <= store.capacityTokens * FILL_SHARE;
+  });
+  const holding = home && held.stores.get(home.name);
+  if (!home || !holding || holding.pending.has(key)) return undefined;
+  holding.pending.set(key, { tokens: part.tokens, atMs: now.monotonicMs });
+  return home;
+}
+
+/** Weighted rendezvous hashing: a store's chance to come first follows its capacity. */
+function rankByCapacity(
+  key: string,
+  stores: readonly routes.ContextStore[],
+): readonly routes.ContextStore[] {
+  return stores
+    .map((store) => ({
+      store,
+      score: -store.capacityTokens / Math.log(rendezvous.fraction(key, store.name)),
+    }))
+    .sort((a, b) => b.score - a.score)
+    .map(({ store }) => store);
+}
--- a/packages/core/test/configuration/adoption.test.ts
+++ b/packages/core/test/configuration/adoption.test.ts
@@ -102,7 +102,14 @@
 
 type Row = { name: string; messages: readonly (readonly [number, Message])[]; expected: string };
 
-const CONFIRMED: Message = { type: 'platform.changed', prefix: 'x', objects: [] };
+const CONFIRMED: Message = {
+  type: 'platform.changed',
+  prefix: 'x',
+  objects: [],
+  removed: [],
+  isSnapshot: false,
+  askedAt: fixtures.anInstant(),
+};
 const TICK: Message = { type: 'configuration.tick' };
 
 function peerConfirmed(generation: number, ageMs: number): Message {
--- a/packages/medlarweir/src/flags.ts
+++ b/packages/medlarweir/src/flags.ts
@@ -1,93 +1,20 @@
-/** The command line of `medlarweir`: every setting is a flag, made from the schema. */
-import * as util from 'node:util';
-
+/** The command line of `medlarweir`. */
 import * as core from '@medlarweir/core';
-import * as neverthrow from 'neverthrow';
+import type * as neverthrow from 'neverthrow';
 
-export type Wish =
-  | { kind: 'run'; settings: core.settings.Settings }
-  | { kind: 'check'; settings: core.settings.Settings }
-  | { kind: 'help' }
-  | { kind: 'version' };
+export type Wish = core.binary.Wish<core.settings.Settings>;
 
-type Flags = Record<string, string | boolean | undefined>;
+export const program: core.binary.Binary<core.settings.Settings> = {
+  name: 'medlarweir',
+  summary: 'an entry instance',
+  flags: core.settings.ownFlags,
+  signals: 'SIGTERM stops as planned: every stream is finished. A second one stops at once.',
+  repeatedSignal: 'stops-at-once',
+};
 
 export function parse(
   argv: readonly string[],
   environment: Readonly<Record<string, string | undefined>>,
 ): neverthrow.Result<Wish, core.results.Failure> {
-  return parseFlags(argv).andThen((flags) => {
-    if (flags.help === true) return neverthrow.ok<Wish>({ kind: 'help' });
-    if (flags.version === true) return neverthrow.ok<Wish>({ kind: 'version' });
-    return core.settings
-      .parse(flags as Record<string, string | undefined>, environment)
-      .map((settings): Wish => ({ kind: flags.check === true ? 'check' : 'run', settings }));
-  });
-}
-
-const parseFlags = neverthrow.Result.fromThrowable(
-  (argv: readonly string[]): Flags => {
-    const strings = core.settings.settingNames.map((name) => [
-      core.settings.flagName(name),
-      { type: 'string' as const },
-    ]);
-    const options: util.ParseArgsConfig['options'] = {
-      ...(Object.fromEntries(strings) as Record<string, { type: 'string' }>),
-      help: { type: 'boolean', short: 'h' },
-      version: { type: 'boolean', short: 'v' },
-      check: { type: 'boolean' },
-    };
-    return util.parseArgs({ args: [...argv], options, strict: true }).values as Flags;
-  },
-  (error) => core.results.failure('invalidInput', explainFlags(error as NodeJS.ErrnoException)),
-);
-
-/** A word that stands alone is not shown: it may be a secret whose flag was forgotten. */
-function explainFlags({ code, message }: NodeJS.ErrnoException): string {
-  if (code !== 'ERR_PARSE_ARGS_UNEXPECTED_POSITIONAL') return message;
-  return 'expected flags and their values only; found a word that belongs to no flag';
-}
-
-/** The exit codes of `medlarweir`; `docs/OPERATING.md` shows this table. */
-export const EXIT_CODES: readonly { code: number; meaning: string }[] = [
-  { code: 0, meaning: 'stopped as planned, or the settings are valid' },
-  { code: 1, meaning: 'defect' },
-  { code: 2, meaning: 'bad setting; the text names it, what was expected and what was found' },
-  { code: 3, meaning: 'stopped at once by a second signal; open requests were cut' },
-];
-
-export function helpText(): string {
-  const lines = core.settings.settingNames.flatMap((name) => {
-    const { text, fallback } = core.settings.describe(name);
-    const flag = `--${core.settings.flagName(name)}`;
-    return [`  ${flag.padEnd(24)} ${text}`, `  ${' '.repeat(24)} ${describeFallback(fallback)}`];
-  });
-  return [
-    'medlarweir: an entry instance.',
-    '',
-    'Usage: medlarweir [settings] [--check] [--help] [--version]',
-    '',
-    'Settings, as flags or in the environment (a flag goes first; --log-level is',
-    'MEDLARWEIR_LOG_LEVEL there):',
-    ...lines,
-    '',
-    '  --check              checks the settings and exits',
-    '',
-    'SIGTERM stops as planned: every stream is finished. A second one stops at once.',
-    'Exit codes:',
-    ...EXIT_CODES.map(({ code, meaning }) => `  ${code}  ${meaning}`),
-  ].join('\n');
-}
-
-function describeFallback(fallback: core.settings.Description['fallback']): string {
-  switch (fallback.kind) {
-    case 'required':
-      return 'must be given';
-    case 'none':
-      return 'may be left out';
-    case 'value':
-      return `default ${fallback.value}`;
-    default:
-      return core.results.never(fallback);
-  }
+  return core.binary.parse(program, argv, environment);
 }
--- /dev/null
+++ b/packages/plugins/gateway/src/gateway-task.ts
@@ -0,0 +1,79 @@
+/** The task that holds the routing table and starts one short-lived task for each request. */
+import * as core from '@medlarweir/core';
+
+import * as requestTask from './request-task.js';
+
+type Message = core.messages.GatewayMessage;
+type State = core.gateway.decide.State;
+type Command = core.gateway.decide.Command;
+type Settings = core.settings.gateway.GatewaySettings;
+type Surroundings = core.kernel.Surroundings<Message, Settings>;
+
+export const definition: core.kernel.TaskDefinition<State, Message, Command, Settings> = {
+  name: 'gateway',
+  create: (surroundings) => ({
+    initial: core.gateway.decide.initial(surroundings.settings, core.kernel.readClock()),
+    decide: core.gateway.decide.decide,
+    perform: (command) => perform(surroundings, command),
+    dump,
+  }),
+};
+
+function dump({ table, isReady, instances, isLeaving }: State): unknown {
+  return {
+    tableVersion: table.index?.table.version,
+    confirmedAt: table.confirmedAt,
+    isReady,
+    instances,
+    isLeaving,
+  };
+}
+
+function perform(surroundings: Surroundings, command: Command): void {
+  const { send, record } = surroundings;
+  switch (command.kind) {
+    case 'spawn':
+      command.onBegun(surroundings.spawn(requestTask.definition(command.given, command.caller)));
+      return;
+    case 'refuse':
+      command.caller.send(command.reply);
+      return;
+    case 'note-refused': {
+      const { requestId, host, path } = command.request;
+      const { ageMs, code } = command;
+      record({ name: 'requestDenied', requestId, details: { code, host, path, tableAgeMs: ageMs } });
+      send('metrics', { type: 'metrics.count', name: 'gateway.denied', by: 1, label: code });
+      return;
+    }
+    case 'answer-retry':
+      command.replyTo.send({ type: 'retry.decided', isGranted: command.isGranted });
+      return;
+    case 'adopt':
+      adopt(surroundings, command);
+      return;
+    case 'readiness': {
+      const { isReady, reason } = command;
+      send('front', { type: 'front.readiness', isReady, reason });
+      record({ name: 'readinessChanged', details: { isReady, reason } });
+      return;
+    }
+    case 'schedule-tick':
+      surroundings.schedule('tick', core.gateway.decide.TICK_MS, { type: 'gateway.tick' });
+      return;
+    default:
+      core.results.never(command);
+  }
+}
+
+function adopt(
+  { send, record }: Surroundings,
+  { table, previous = -1 }: Extract<Command, { kind: 'adopt' }>,
+): void {
+  send('fleet', { type: 'fleet.table', table });
+  send('front', { type: 'front.limits', limits: table.limits });
+  send('contextStores', { type: 'context-stores.table', stores: table.contextStores });
+  record({
+    name: 'tableAdopted',
+    details: { version: table.version, previous, routes: table.routes.length },
+  });
+}
--- /dev/null
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -0,0 +1,171 @@
+/** The task of one request: carries out what the decisions about it ask for. */
+import * as core from '@medlarweir/core';
+
+type Message = core.messages.RequestMessage;
+type State = core.gateway.lifecycleState.State;
+type Command = core.gateway.lifecycleState.Command;
+type Given = core.gateway.lifecycleState.Given;
+type Settings = core.settings.gateway.GatewaySettings;
+
+type Scope = {
+  given: Given;
+  caller: core.messages.ReplyAddress;
+  surroundings: core.kernel.Surroundings<Message, Settings>;
+  history: History;
+};
+
+/** What the journal's line about the request says of its attempts; written by the shell only. */
+type History = { upstreams: string[]; outcomes: string[] };
+
+/** The most urgent and the least urgent value that upstreams know. */
+const MAX_PRIORITY = 9;
+
+export function definition(
+  given: Given,
+  caller: core.messages.ReplyAddress,
+): core.kernel.TaskDefinition<State, Message, Command, Settings> {
+  return {
+    name: 'request',
+    create: (surroundings) => {
+      const scope = { given, caller, surroundings, history: { upstreams: [], outcomes: [] } };
+      return {
+        initial: core.gateway.lifecycleState.initial(given),
+        decide: core.gateway.lifecycle.decide,
+        perform: (command) => perform(scope, command),
+        dump,
+        isDone: ({ phase }) => phase.kind === 'ended',
+      };
+    },
+  };
+}
+
+function dump({ given, phase, sends, runs }: State): unknown {
+  const { request, route, service } = given;
+  return { requestId: request.requestId, route: route.name, service, phase: phase.kind, sends, runs };
+}
+
+function perform(scope: Scope, command: Command): void {
+  const { given, surroundings } = scope;
+  const { self, send } = surroundings;
+  const { requestId } = given.request;
+  switch (command.kind) {
+    case 'place':
+      place(scope, command.excluded);
+      return;
+    case 'send':
+      sendAttempt(scope, command);
+      return;
+    case 'abort':
+      send('transport', { type: 'transport.abort', attempt: command.attempt });
+      return;
+    case 'ask-retry':
+      send('gateway', { type: 'gateway.ask-retry', service: given.service, replyTo: self });
+      return;
+    case 'ask-liveness': {
+      const { id, placement } = command.attempt;
+      const { upstream } = placement;
+      send('fleet', { type: 'fleet.ask-liveness', attempt: id, upstream, replyTo: self });
+      return;
+    }
+    case 'reply':
+      scope.caller.send(command.reply);
+      return;
+    case 'schedule':
+      surroundings.schedule(command.timer, command.delayMs, {
+        type: 'request.due',
+        timer: command.timer,
+      });
+      return;
+    case 'unschedule':
+      surroundings.unschedule(command.timer);
+      return;
+    case 'report':
+      report(scope, command);
+      return;
+    case 'note-attempt':
+      surroundings.record({
+        name: 'attemptFailed',
+        requestId,
+        details: { upstream: command.upstream, reason: command.reason },
+      });
+      return;
+    case 'note-end':
+      noteEnd(scope, command.outcome);
+      return;
+    default:
+      core.results.never(command);
+  }
+}
+
+function place({ given, surroundings }: Scope, excluded: readonly string[]): void {
+  const { request, service, clientAccount } = given;
+  const isolatedAccount = clientAccount?.isIsolated ? clientAccount.name : undefined;
+  const { requestId, prompt } = request;
+  surroundings.send('fleet', {
+    type: 'fleet.place',
+    wish: { requestId, service, prompt, isolatedAccount, excluded },
+    replyTo: surroundings.self,
+  });
+}
+
+function sendAttempt(
+  { given, surroundings, history }: Scope,
+  { attempt, lastEventId, deadlineMs }: Extract<Command, { kind: 'send' }>,
+): void {
+  const { request, route, clientAccount } = given;
+  const priority = clientAccount?.priority ?? route.priority;
+  history.upstreams.push(attempt.placement.upstream);
+  surroundings.send('transport', {
+    type: 'transport.send',
+    send: {
+      attempt: attempt.id,
+      request,
+      placement: attempt.placement,
+      clientAccount: clientAccount?.name,
+      priority: Math.max(0, Math.min(MAX_PRIORITY, priority)),
+      delivery: route.delivery,
+      mayRepeat: core.gateway.answers.mayRepeat(route.repetition),
+      deadlineMs,
+      lastEventId,
+      replyTo: surroundings.self,
+    },
+  });
+}
+
+function report(
+  { given, surroundings, history }: Scope,
+  { attempt, outcome }: Extract<Command, { kind: 'report' }>,
+): void {
+  const { requestId } = given.request;
+  history.outcomes.push(outcome);
+  const { upstream } = attempt.placement;
+  surroundings.send('fleet', { type: 'fleet.outcome', requestId, upstream, outcome });
+}
+
+function noteEnd(
+  { given, surroundings, history }: Scope,
+  { result, status }: core.gateway.lifecycleState.EndOutcome,
+): void {
+  const { request, route, service, clientAccount, tableVersion, tableAgeMs } = given;
+  const now = core.kernel.readClock();
+  const tookMs = Math.round(now.monotonicMs - request.receivedAt.monotonicMs);
+  surroundings.record({
+    name: 'requestFinished',
+    requestId: request.requestId,
+    details: {
+      result,
+      status,
+      tookMs,
+      route: route.name,
+      service,
+      clientAccount: clientAccount?.name ?? '',
+      upstreams: history.upstreams,
+      outcomes: history.outcomes,
+      tableVersion,
+      tableAgeMs,
+    },
+  });
+  const { send } = surroundings;
+  send('metrics', { type: 'metrics.count', name: 'gateway.requests', by: 1, label: result });
+  send('metrics', { type: 'metrics.timing', name: 'gateway.whole', ms: tookMs });
+}
--- a/packages/plugins/platform-http/src/platform-task.ts
+++ b/packages/plugins/platform-http/src/platform-task.ts
@@ -137,8 +137,9 @@
 async function poll(platform: client.Client, { watch, revision }: watches.Watched) {
   switch (watch.kind) {
     case 'objects': {
+      const askedAt = core.kernel.readClock();
       const found = await platform.watch(watch.prefix, revision);
-      return found.map<watches.News>((news) => ({ kind: 'objects', ...news }));
+      return found.map<watches.News>((news) => ({ kind: 'objects', ...news, askedAt }));
     }
     case 'instances': {
       const found = await platform.watchInstances(revision);
--- a/packages/plugins/platform-http/src/watches.ts
+++ b/packages/plugins/platform-http/src/watches.ts
@@ -24,7 +24,12 @@
 };
 
 export type News =
-  | { kind: 'objects'; revision: number; objects: readonly core.messages.StoredObject[] }
+  | {
+      kind: 'objects';
+      revision: number;
+      objects: readonly core.messages.StoredObject[];
+      askedAt: core.kernel.Instant;
+    }
   | { kind: 'instances'; revision: number; instances: readonly core.messages.ListedInstance[] };
 
 /** What the shell tells its own task about a watch. */
@@ -136,8 +141,15 @@
 
 function tell({ watch, revision }: Watched, news: News): readonly Command[] {
   if (watch.kind === 'objects' && news.kind === 'objects') {
-    const { objects } = news;
-    const message = { type: 'platform.changed' as const, prefix: watch.prefix, objects };
+    const { objects, askedAt } = news;
+    const message: core.messages.PlatformChanged = {
+      type: 'platform.changed',
+      prefix: watch.prefix,
+      objects,
+      removed: [],
+      isSnapshot: false,
+      askedAt,
+    };
     return watch.readers.map((reader) => ({ kind: 'tell-objects', reader, message }));
   }
   const isNew = news.revision > revision;
--- /dev/null
+++ b/packages/plugins/rollouts/src/index.ts
@@ -0,0 +1,9 @@
+/** Brings upstreams to the newest weights under a lease. */
+import * as core from '@medlarweir/core';
+
+import * as rolloutsTask from './rollouts-task.js';
+
+core.kernel.register<core.settings.gateway.GatewaySettings>({
+  name: 'rollouts',
+  hooks: { 'instance:setup': ({ addTask }) => addTask(rolloutsTask.definition) },
+});
--- /dev/null
+++ b/packages/plugins/rollouts/src/rollouts-task.ts
@@ -0,0 +1,77 @@
+/** The task that holds the lease for orders. */
+import * as core from '@medlarweir/core';
+
+type Message = core.messages.RolloutsMessage;
+type State = core.rollouts.State;
+type Command = core.rollouts.Command;
+type Settings = core.settings.gateway.GatewaySettings;
+type Surroundings = core.kernel.Surroundings<Message, Settings>;
+
+const LEASE_KEY = 'medlarweir-leases/orders';
+/** A holder stops this much before its term ends, and a contender waits this much longer. */
+const LEASE_MARGIN_MS = 300;
+
+export const definition: core.kernel.TaskDefinition<State, Message, Command, Settings> = {
+  name: 'rollouts',
+  create: (surroundings) => {
+    const { settings, incarnation } = surroundings;
+    const terms = {
+      ...core.leases.terms(LEASE_KEY, settings.name, incarnation),
+      termMs: settings.leaseTermMs,
+      marginMs: LEASE_MARGIN_MS,
+    };
+    return {
+      initial: core.rollouts.initial(terms),
+      decide: core.rollouts.decide,
+      perform: (command) => perform(surroundings, command),
+      dump,
+    };
+  },
+};
+
+function dump({ lease, named, errands, settledAtMs }: State): unknown {
+  return { phase: lease.phase.kind, named, errands, settledAtMs };
+}
+
+function perform(surroundings: Surroundings, command: Command): void {
+  const { self, send, record } = surroundings;
+  switch (command.kind) {
+    case 'lease-read':
+    case 'lease-write':
+      send('platform', core.leases.toPlatform(command, self));
+      return;
+    case 'lease-wake':
+      surroundings.schedule('lease', command.afterMs, { type: 'rollouts.lease-wake' });
+      return;
+    case 'lease-acquired':
+      record({ name: 'leaseAcquired', details: { lease: LEASE_KEY, fencing: command.fencing } });
+      return;
+    case 'lease-lost':
+      record({ name: 'leaseLost', details: { lease: LEASE_KEY, fencing: command.fencing } });
+      return;
+    case 'ask-report': {
+      const { upstream, address, delayMs } = command;
+      send('carrier', { type: 'carrier.report', upstream, address, delayMs });
+      return;
+    }
+    case 'order':
+      send('carrier', { type: 'carrier.order', order: command.order });
+      return;
+    case 'free': {
+      const { store, epoch, parts } = command.request;
+      send('contextStores', { type: 'context-stores.free', request: command.request });
+      record({ name: 'contextFreed', details: { store, epoch, parts: parts.length } });
+      return;
+    }
+    case 'wake':
+      surroundings.schedule('wake', command.delayMs, { type: 'rollouts.wake' });
+      return;
+    case 'note-order': {
+      const { upstream, text, fencing } = command;
+      record({ name: 'upstreamOrder', details: { upstream, text, fencing } });
+      return;
+    }
+    default:
+      core.results.never(command);
+  }
+}
--- /dev/null
+++ b/scripts/bundle.ts
@@ -0,0 +1,18 @@
+/** Bundles the binary of the platform's adapter into one file under `target/`. */
+import * as esbuild from 'esbuild';
+
+await esbuild.build({
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/medlarweir-gateway.mjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  conditions: ['source'],
+  minifySyntax: true,
+  // Optional natives that these machines do not have.
+  external: ['dtrace-provider', 'mv', 'source-map-support'],
+  banner: {
+    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+});
--- a/scripts/tables.ts
+++ b/scripts/tables.ts
@@ -3,7 +3,6 @@
 
 import * as core from '@medlarweir/core';
 import * as medlarctl from 'medlarctl';
-import * as medlarweir from 'medlarweir';
 
 export function codesTable(): string {
   const rows = Object.entries(core.results.table)
@@ -73,7 +72,7 @@
   const sections: Readonly<Record<string, string>> = {
     settings: settingsTable(),
     commands: commandsTable(),
-    'medlarweir-exit-codes': exitCodesTable(medlarweir.flags.EXIT_CODES),
+    'medlarweir-exit-codes': exitCodesTable(core.binary.EXIT_CODES),
     'medlarctl-exit-codes': exitCodesTable(medlarctl.exitCodes.ALL),
   };
   return Object.entries(sections).reduce(
