Keep replaced weights in use while a roll lasts

Cause: weights named after the start were taken for ones named long ago, so all upstreams that still had the old ones were unusable and the few new ones drowned (96 requests a second on one of 13). Change: the first reading of the names is told apart from later ones; replaced weights cost little for 1.5 s, more until the bound, and are unusable after it.

--- a/packages/core/src/binary/run.ts
+++ b/packages/core/src/binary/run.ts
@@ -47,8 +47,7 @@
 
 function run<Settings extends kernels.Named>(binary: Binary<Settings>, settings: Settings): void {
   const kernel = kernels.start(settings, kernels.plugins<Settings>());
-  const record = (event: events.Event) =>
-    kernel.send('journal', { type: 'journal.record', event });
+  const record = (event: events.Event) => kernel.send('journal', { type: 'journal.record', event });
   record({ name: 'instanceStarted', details: { version: VERSION, pid: process.pid } });
   const signals = { received: 0 };
   const onSignal = (signal: NodeJS.Signals) => {
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -14,7 +14,11 @@
 import * as views from './views.js';
 
 export type Command =
-  | { kind: 'reply'; replyTo: gatewayMessages.RequestAddress; message: gatewayMessages.RequestMessage }
+  | {
+      kind: 'reply';
+      replyTo: gatewayMessages.RequestAddress;
+      message: gatewayMessages.RequestMessage;
+    }
   | { kind: 'probe'; probe: gatewayMessages.Probe }
   | { kind: 'tell-rollouts'; upstreams: readonly view.RolledUpstream[] }
   | {
@@ -66,7 +70,7 @@
     case 'fleet.evacuated':
       return onEvacuated(state, message.dataCentres);
     case 'fleet.named':
-      return onNamed(state, message.versions);
+      return onNamed(state, message.versions, now);
     case 'fleet.store-news':
       sharedContext.holdings.take(state.holdings, message.store, message.news, now);
       return { state, commands: [] };
@@ -87,7 +91,11 @@
   { type: Type }
 >;
 
-function onPlace(state: fleet.State, { wish, replyTo }: Of<'fleet.place'>, now: task.Instant): Step {
+function onPlace(
+  state: fleet.State,
+  { wish, replyTo }: Of<'fleet.place'>,
+  now: task.Instant,
+): Step {
   const placed = placement.place(state, wish, now);
   const message: gatewayMessages.RequestMessage =
     placed.kind === 'placed'
@@ -143,12 +151,20 @@
     replyTo,
     message: { type: 'fleet.liveness', attempt, isSilent },
   };
-  if (!upstream || isSilent || !evidence.isSilent(upstream, now)) return { state, commands: [reply] };
+  if (!upstream || isSilent || !evidence.isSilent(upstream, now))
+    return { state, commands: [reply] };
   const { address } = upstream.listed;
-  return { state, commands: [reply, { kind: 'probe', probe: { kind: 'life', upstream: id, address } }] };
+  return {
+    state,
+    commands: [reply, { kind: 'probe', probe: { kind: 'life', upstream: id, address } }],
+  };
 }
 
-function onProbed(state: fleet.State, { probe, result }: Of<'fleet.probed'>, now: task.Instant): Step {
+function onProbed(
+  state: fleet.State,
+  { probe, result }: Of<'fleet.probed'>,
+  now: task.Instant,
+): Step {
   const upstream = state.listing.upstreams.get(probe.upstream);
   if (!upstream) return { state, commands: [] };
   const { reach, listed } = upstream;
@@ -158,7 +174,10 @@
     case 'no-answer':
       if (reach.kind === 'silent') return { state, commands: [] };
       Object.assign(upstream, { reach: { kind: 'silent', sinceMs: now.monotonicMs, failures: 1 } });
-      return { state, commands: [{ kind: 'note-upstream', id, text: 'a probe got no answer', ageMs }] };
+      return {
+        state,
+        commands: [{ kind: 'note-upstream', id, text: 'a probe got no answer', ageMs }],
+      };
     case 'unfit':
       return { state, commands: [] };
     case 'healthy': {
@@ -187,7 +206,9 @@
 }
 
 function describeStanding({ standing, versions }: upstreams.Upstream): string {
-  return [standing.kind, ...[...versions].map(([model, version]) => `${model}@${version}`)].join(' ');
+  return [standing.kind, ...[...versions].map(([model, version]) => `${model}@${version}`)].join(
+    ' ',
+  );
 }
 
 function afterChange(state: fleet.State, changed: readonly string[]): readonly Command[] {
@@ -216,9 +237,19 @@
   };
 }
 
-function onNamed(state: fleet.State, versions: Readonly<Record<string, number>>): Step {
+/** Weights that were named before this process began may have been named long ago. */
+function onNamed(
+  state: fleet.State,
+  versions: Readonly<Record<string, number>>,
+  now: task.Instant,
+): Step {
+  const named = Object.entries(versions).map(([model, version]): [string, fleet.Named] => {
+    const known = state.named.get(model);
+    const sinceMs = state.hasReadNames ? now.monotonicMs : -Infinity;
+    return [model, known?.version === version ? known : { version, sinceMs }];
+  });
   return {
-    state: { ...state, named: new Map(Object.entries(versions)) },
+    state: { ...state, named: new Map(named), hasReadNames: true },
     commands: [{ kind: 'note-named', versions }],
   };
 }
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -29,22 +29,29 @@
 const OTHER_CENTRE_MS = 10;
 /** Keeps requests with the same context together where all else is equal. */
 const RANK_STEP_MS = 3;
-/** Weights that were replaced: the answer is worth less, and soon nothing. */
-const OLD_WEIGHTS_MS = 1_500;
+/** Weights that were replaced a while ago: the answer is worth a fifth less. */
+const OLD_WEIGHTS_MS = 160;
+/** Until then an answer of replaced weights is worth as much as another. */
+const OLD_WEIGHTS_FREE_MS = 1_500;
+/** An upstream that may take a request now may begin it a little later. */
+const ROLLOUT_MARGIN_MS = 700;
 /** About to load weights: new work would have to wait for that. */
 const IN_WAVE_MS = 4_000;
 /** Each recent fault, as a wait. */
 const FAULT_MS = 80;
 /** Rejected work a moment ago. */
-const BUSY_MS = 300;
+const BUSY_MS = 500;
 /** Each request that waits at an engine or at a plain upstream. */
 const WAITING_MS = 25;
 /** A cold upstream is slower. */
 const COLD_MS = 40;
+/** Other instances send work too: own work stands for this much in all. */
+const OTHERS_FACTOR = 2.5;
 /** Parts that were sent this recently are likely to be in the upstream's memory still. */
 const RECENT_MS = 15_000;
-/** Of the smoothed latency, what counts: the rest is explained by the terms above. */
+/** Of the smoothed latency, what counts. At an engine it follows the prompts more than the engine. */
 const LATENCY_SHARE = 0.5;
+const ENGINE_LATENCY_SHARE = 0.1;
 
 type View = { state: fleet.State; service: routes.Service; wish: Wish; now: task.Instant };
 
@@ -72,7 +79,9 @@
 }
 
 /** Whether new work may go there at all. */
-export function isUsable({ state, wish }: View, { listed, standing, reach }: upstreams.Upstream) {
+export function isUsable(view: View, upstream: upstreams.Upstream): boolean {
+  const { state, wish } = view;
+  const { listed, standing, reach } = upstream;
   const isStanding = standing.kind === 'listed' || standing.kind === 'missing';
   return (
     isStanding &&
@@ -80,10 +89,18 @@
     listed.service === wish.service &&
     !state.evacuated.has(listed.dataCentre) &&
     !wish.excluded.includes(listed.id) &&
-    servesModel(wish, listed)
+    servesModel(wish, listed) &&
+    !hasExpired(view, upstream)
   );
 }
 
+/** Requests must not begin on weights that were replaced too long ago. */
+function hasExpired({ state, wish, now }: View, upstream: upstreams.Upstream): boolean {
+  const named = state.named.get(wish.prompt?.model ?? '');
+  if (!named || !isBehind(state, wish, upstream)) return false;
+  return now.monotonicMs - named.sinceMs > state.bounds.rolloutMs - ROLLOUT_MARGIN_MS;
+}
+
 function servesModel({ prompt }: Wish, { models }: upstreams.Listed): boolean {
   return !prompt || models.some(({ model }) => model === prompt.model);
 }
@@ -95,7 +112,7 @@
 
 function waveOf({ state, wish }: View, usable: readonly upstreams.Upstream[]): ReadonlySet<string> {
   const model = wish.prompt?.model;
-  const version = model === undefined ? undefined : state.named.get(model);
+  const version = model === undefined ? undefined : state.named.get(model)?.version;
   if (model === undefined || version === undefined) return new Set();
   const candidates = usable.map((each) => ({
     id: each.listed.id,
@@ -122,19 +139,25 @@
     queueMs(view, upstream) +
     readMs(view, upstream) +
     (load?.waiting ?? 0) * WAITING_MS +
-    latencyMs * LATENCY_SHARE +
+    latencyMs * (view.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
     upstreams.faultsNow(upstream, now.monotonicMs) * FAULT_MS +
     (isElsewhere ? OTHER_CENTRE_MS : 0) +
     (upstream.busyUntilMs > now.monotonicMs ? BUSY_MS : 0) +
     (coldShare.isCold(upstream, now.monotonicMs) ? COLD_MS : 0) +
-    (isBehind(state, wish, upstream) ? OLD_WEIGHTS_MS : 0) +
+    oldWeightsMs(view, upstream) +
     (inWave.has(listed.id) ? IN_WAVE_MS : 0)
   );
 }
 
+function oldWeightsMs({ state, wish, now }: View, upstream: upstreams.Upstream): number {
+  const named = state.named.get(wish.prompt?.model ?? '');
+  if (!named || !isBehind(state, wish, upstream)) return 0;
+  return now.monotonicMs - named.sinceMs > OLD_WEIGHTS_FREE_MS ? OLD_WEIGHTS_MS : 0;
+}
+
 function isBehind({ named }: fleet.State, { prompt }: Wish, { versions }: upstreams.Upstream) {
   if (!prompt) return false;
-  return (versions.get(prompt.model) ?? 0) < (named.get(prompt.model) ?? 0);
+  return (versions.get(prompt.model) ?? 0) < (named.get(prompt.model)?.version ?? 0);
 }
 
 /** Work ahead: own tokens that are still to be read, and for plain services the slots in use. */
@@ -142,7 +165,7 @@
   const own = [...underWay.values()];
   if (service.engine) {
     const tokens = own.reduce((sum, each) => sum + (each.isAnswered ? 0 : each.tokens), 0);
-    return tokens / PREFILL_TOKENS_PER_MS + own.length;
+    return (tokens / PREFILL_TOKENS_PER_MS) * OTHERS_FACTOR + own.length;
   }
   const running = Math.max(own.length, load?.running ?? 0);
   const perRequestMs = latencyMs ?? WAITING_MS;
@@ -153,10 +176,7 @@
 function readMs({ state, wish, now }: View, upstream: upstreams.Upstream): number {
   if (!wish.prompt) return 0;
   const salt = saltFor(wish, wish.prompt, upstream);
-  return wish.prompt.parts.reduce(
-    (sum, part) => sum + partMs(state, salt, part, upstream, now),
-    0,
-  );
+  return wish.prompt.parts.reduce((sum, part) => sum + partMs(state, salt, part, upstream, now), 0);
 }
 
 const FETCH_SHARE = 0.5;
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -3,7 +3,11 @@
 import * as holdings from '../shared-context/holdings.js';
 import * as listing from './listing.js';
 
+export type Named = { version: number; sinceMs: number };
+
 export type Bounds = {
+  /** Time after which requests must not begin on weights that were replaced. */
+  rolloutMs: number;
   /** Factor and allowance on the rate that a cold upstream bears, over all instances. */
   coldOverrun: number;
   coldSlack: number;
@@ -19,8 +23,10 @@
   holdings: holdings.Holdings;
   /** Data centres that get no new work. */
   evacuated: ReadonlySet<string>;
-  /** The newest weights of each model. */
-  named: ReadonlyMap<string, number>;
+  /** The newest weights of each model, and since when this instance knows of them. */
+  named: ReadonlyMap<string, Named>;
+  /** Whether the names have been read at all. */
+  hasReadNames: boolean;
   /** Names of the instances that may send, this one included; empty while unknown. */
   members: readonly string[];
 };
@@ -36,6 +42,7 @@
     holdings: holdings.create(),
     evacuated: new Set(),
     named: new Map(),
+    hasReadNames: false,
     members: [],
   };
 }
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -88,8 +88,7 @@
 /** Another incarnation under the same id holds and knows nothing of the one before. */
 export function isReborn(known: Upstream, listed: Listed): boolean {
   const { bornMs, address } = known.listed;
-  const hasNewStart =
-    bornMs !== undefined && listed.bornMs !== undefined && listed.bornMs > bornMs;
+  const hasNewStart = bornMs !== undefined && listed.bornMs !== undefined && listed.bornMs > bornMs;
   return hasNewStart || listed.address !== address;
 }
 
--- a/packages/core/src/fleet/views.ts
+++ b/packages/core/src/fleet/views.ts
@@ -38,7 +38,12 @@
 const MAX_PARTS = 400;
 
 /** Parts under salts of weights that no upstream has any more. */
-export function replaced({ holdings, named, listing, contextStores }: fleet.State): readonly view.Held[] {
+export function replaced({
+  holdings,
+  named,
+  listing,
+  contextStores,
+}: fleet.State): readonly view.Held[] {
   const inUse = lowestVersions(listing.upstreams.values(), named);
   return contextStores.flatMap(({ name }) => {
     const holding = holdings.stores.get(name);
@@ -57,9 +62,9 @@
 /** The lowest weights of each model that an upstream may still have; gone ones cannot come back with older. */
 function lowestVersions(
   all: Iterable<upstreams.Upstream>,
-  named: ReadonlyMap<string, number>,
+  named: fleet.State['named'],
 ): ReadonlyMap<string, number> {
-  const lowest = new Map(named);
+  const lowest = new Map([...named].map(([model, { version }]) => [model, version]));
   [...all]
     .filter(({ standing }) => standing.kind !== 'gone')
     .forEach(({ versions }) =>
--- a/packages/core/src/gateway/answers.ts
+++ b/packages/core/src/gateway/answers.ts
@@ -17,8 +17,7 @@
 /** `no-connection`: this instance's share of the upstream's connections is in use. */
 export type UnsentReason = 'unreachable' | 'no-connection' | 'out-of-time';
 
-export type BreakReason =
-  'connection-lost' | 'foreign-answer' | 'malformed' | 'too-large';
+export type BreakReason = 'connection-lost' | 'foreign-answer' | 'malformed' | 'too-large';
 
 /** These promise a caller that its request has not run: only the system itself may say so. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/core/src/gateway/lifecycle-endings.ts
+++ b/packages/core/src/gateway/lifecycle-endings.ts
@@ -22,10 +22,7 @@
 }
 
 /** No further attempt will be made. The code stands for the case that the request surely did not run. */
-export function giveUp(
-  state: State,
-  code: 'noUpstream' | 'retriesExhausted' | 'answerLost',
-): Step {
+export function giveUp(state: State, code: 'noUpstream' | 'retriesExhausted' | 'answerLost'): Step {
   if (state.isHeadSent) return cut(state);
   if (state.failure) return deliver(state, state.failure);
   if (state.runs > 0) return refuse(state, 'answerLost', undefined);
@@ -68,11 +65,12 @@
 /** Ends the request; an attempt that is still under way is aborted. */
 function end(
   state: State,
-  outcome: lifecycle.EndOutcome,
+  ended: Omit<lifecycle.EndOutcome, 'reason'>,
   replies: readonly lifecycle.Command[],
 ): Step {
   const { phase } = state;
-  const attempt = phase.kind === 'attempting' || phase.kind === 'asking' ? phase.attempt : undefined;
+  const attempt =
+    phase.kind === 'attempting' || phase.kind === 'asking' ? phase.attempt : undefined;
   const aborted: readonly lifecycle.Command[] = attempt
     ? [
         { kind: 'abort', attempt: attempt.id },
@@ -81,7 +79,11 @@
     : [];
   return {
     state: { ...state, phase: { kind: 'ended' } },
-    commands: [...replies, ...aborted, { kind: 'note-end', outcome }],
+    commands: [
+      ...replies,
+      ...aborted,
+      { kind: 'note-end', outcome: { ...ended, reason: state.lastReason } },
+    ],
   };
 }
 
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -72,7 +72,12 @@
   | 'cancelled';
 
 /** How the request ended, for journal and metrics. */
-export type EndOutcome = { result: 'answered' | 'cut' | 'left' | codes.CodeName; status: number };
+export type EndOutcome = {
+  result: 'answered' | 'cut' | 'left' | codes.CodeName;
+  status: number;
+  /** Why the last attempt or search did not succeed, if one did not. */
+  reason: string;
+};
 
 export type Step = task.Step<State, Command>;
 
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -216,7 +216,10 @@
   const next: State = { ...state, isHeadSent: true };
   const silence = armSilence(next);
   if (state.isHeadSent) return { state: next, commands: silence };
-  return { state: next, commands: [{ kind: 'reply', reply: { type: 'reply.head', head } }, ...silence] };
+  return {
+    state: next,
+    commands: [{ kind: 'reply', reply: { type: 'reply.head', head } }, ...silence],
+  };
 }
 
 function onEvents(
@@ -240,7 +243,10 @@
   const step = afterEnd({ ...state, phase: { kind: 'placing' } }, attempt, end, now);
   const report: lifecycle.Command = { kind: 'report', attempt, outcome: endings.outcomeOf(end) };
   const quiet: lifecycle.Command = { kind: 'unschedule', timer: 'silence' };
-  return { state: step.state, commands: [report, quiet, ...noteOf(attempt, end), ...step.commands] };
+  return {
+    state: step.state,
+    commands: [report, quiet, ...noteOf(attempt, end), ...step.commands],
+  };
 }
 
 /** The journal has a line for each attempt that did not succeed. */
@@ -280,9 +286,7 @@
   const { route } = state.given;
   const isSpent = state.sends >= route.maxRuns + MAX_REJECTIONS;
   if (isSpent || leftMs(state, now) < LEAST_ATTEMPT_MS) return endings.giveUp(state, 'noUpstream');
-  return end.kind === 'unsent'
-    ? { state, commands: [place(state)] }
-    : askRetry(state, undefined);
+  return end.kind === 'unsent' ? { state, commands: [place(state)] } : askRetry(state, undefined);
 }
 
 function afterRun(state: State, now: task.Instant): Step {
--- a/packages/core/src/messages/rollouts.ts
+++ b/packages/core/src/messages/rollouts.ts
@@ -12,11 +12,18 @@
   models: readonly { model: string; version: number }[];
 };
 
-export type ReportAnswer = { kind: 'report'; report: Report } | { kind: 'no-report'; reason: string };
+export type ReportAnswer =
+  { kind: 'report'; report: Report } | { kind: 'no-report'; reason: string };
 
 /** `fenced-off`: a holder with a higher fencing token was there. */
 export type OrderAnswer =
-  'accepted' | 'already-done' | 'conflict' | 'fenced-off' | 'wrong-upstream' | 'refused' | 'unknown';
+  | 'accepted'
+  | 'already-done'
+  | 'conflict'
+  | 'fenced-off'
+  | 'wrong-upstream'
+  | 'refused'
+  | 'unknown';
 
 export type Order = {
   upstream: string;
--- a/packages/core/src/rollouts/decide.ts
+++ b/packages/core/src/rollouts/decide.ts
@@ -256,7 +256,10 @@
 }
 
 /** Fetches name a version that the upstream has, so none can begin once no upstream has it. */
-function freeReplaced({ replaced, stores, settledAtMs }: State, now: task.Instant): readonly Command[] {
+function freeReplaced(
+  { replaced, stores, settledAtMs }: State,
+  now: task.Instant,
+): readonly Command[] {
   if (settledAtMs === undefined || now.monotonicMs - settledAtMs < SETTLE_MS) return [];
   return replaced.flatMap(({ store, epoch, parts }) => {
     const address = stores.find(({ name }) => name === store)?.address;
--- a/packages/core/src/settings/flags.ts
+++ b/packages/core/src/settings/flags.ts
@@ -36,7 +36,8 @@
   const names = Object.keys(schema.shape);
   return {
     names,
-    describe: (name) => describe((schema.shape as unknown as Readonly<Record<string, zod.ZodType>>)[name]),
+    describe: (name) =>
+      describe((schema.shape as unknown as Readonly<Record<string, zod.ZodType>>)[name]),
     parse(flags, environment) {
       const given = names.flatMap((name) => {
         const value = flags[flagName(name)] ?? environment[environmentName(name)];
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -22,6 +22,7 @@
     .describe('least level of the journal: debug, info, warn or error'),
   revocationMs: milliseconds(5_000, 'how long a removed credential may still be served'),
   adoptionMs: milliseconds(2_000, 'how soon a configuration is in force'),
+  rolloutMs: milliseconds(8_000, 'how long requests may begin on replaced weights'),
   leaseTermMs: milliseconds(3_000, 'term of the lease for orders'),
   graceMs: milliseconds(8_000, 'time from SIGTERM until the process is killed'),
   retryWindowMs: milliseconds(10_000, 'window of the retry budget'),
--- a/packages/core/src/shared-context/holdings.ts
+++ b/packages/core/src/shared-context/holdings.ts
@@ -6,7 +6,8 @@
 import type * as task from '../kernel/task.js';
 
 export type PartChange =
-  { kind: 'complete'; salt: string; id: string; tokens: number } | { kind: 'gone'; salt: string; id: string };
+  | { kind: 'complete'; salt: string; id: string; tokens: number }
+  | { kind: 'gone'; salt: string; id: string };
 
 /** News of one store. */
 export type StoreNews =
@@ -100,5 +101,8 @@
   [...holding.pending].forEach(([key, { atMs }]) => {
     if (nowMs - atMs > SAVE_TIMEOUT_MS) holding.pending.delete(key);
   });
-  return [...holding.pending.values()].reduce((sum, { tokens }) => sum + tokens, holding.usedTokens);
+  return [...holding.pending.values()].reduce(
+    (sum, { tokens }) => sum + tokens,
+    holding.usedTokens,
+  );
 }
--- a/packages/core/src/shared-context/plan.ts
+++ b/packages/core/src/shared-context/plan.ts
@@ -19,8 +19,8 @@
   fetchUntilMs: number | undefined;
 };
 
-/** A fetch that takes longer than reading the part anew is worth little to a caller who waits. */
-export const FETCH_TIMEOUT_MS = 1_000;
+/** A fetch that takes this long leaves just the time to read the part within the usual target of 800 ms. */
+export const FETCH_TIMEOUT_MS = 400;
 /** Share of a store that is filled: reservations that are under way need the rest. */
 const FILL_SHARE = 0.96;
 /** Stores that are tried in the order of their rank, if the first is full. */
@@ -37,7 +37,9 @@
   const shared = prompt.parts.slice(0, -1);
   const own = prompt.parts.length > 0 ? [undefined] : [];
   const found = shared.map((part) => findStore(situation, text, part.id));
-  const homes = shared.map((part, at) => (found[at] ? undefined : chooseHome(situation, text, part)));
+  const homes = shared.map((part, at) =>
+    found[at] ? undefined : chooseHome(situation, text, part),
+  );
   const remoteNow = holdings.remoteNow(situation.holdings, situation.now);
   const mayFetch = remoteNow !== undefined;
   return {
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -10,9 +10,9 @@
 export const definition: core.kernel.TaskDefinition<State, Message, Command, Settings> = {
   name: 'fleet',
   create: (surroundings) => {
-    const { name, dataCentre, coldOverrun, coldSlack } = surroundings.settings;
+    const { name, dataCentre } = surroundings.settings;
     return {
-      initial: core.fleet.state.initial(name, dataCentre, { coldOverrun, coldSlack }),
+      initial: core.fleet.state.initial(name, dataCentre, surroundings.settings),
       decide: core.fleet.decide,
       perform: (command) => perform(surroundings, command),
       dump,
@@ -66,7 +66,10 @@
       return;
     case 'note-upstream': {
       const { id, text, ageMs } = command;
-      record({ name: 'upstreamChanged', details: { upstream: id, text, heardMsAgo: Math.round(ageMs) } });
+      record({
+        name: 'upstreamChanged',
+        details: { upstream: id, text, heardMsAgo: Math.round(ageMs) },
+      });
       return;
     }
     case 'note-named':
--- a/packages/plugins/gateway/src/gateway-task.ts
+++ b/packages/plugins/gateway/src/gateway-task.ts
@@ -41,7 +41,11 @@
     case 'note-refused': {
       const { requestId, host, path } = command.request;
       const { ageMs, code } = command;
-      record({ name: 'requestDenied', requestId, details: { code, host, path, tableAgeMs: ageMs } });
+      record({
+        name: 'requestDenied',
+        requestId,
+        details: { code, host, path, tableAgeMs: ageMs },
+      });
       send('metrics', { type: 'metrics.count', name: 'gateway.denied', by: 1, label: code });
       return;
     }
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -41,7 +41,14 @@
 
 function dump({ given, phase, sends, runs }: State): unknown {
   const { request, route, service } = given;
-  return { requestId: request.requestId, route: route.name, service, phase: phase.kind, sends, runs };
+  return {
+    requestId: request.requestId,
+    route: route.name,
+    service,
+    phase: phase.kind,
+    sends,
+    runs,
+  };
 }
 
 function perform(scope: Scope, command: Command): void {
@@ -144,7 +151,7 @@
 
 function noteEnd(
   { given, surroundings, history }: Scope,
-  { result, status }: core.gateway.lifecycleState.EndOutcome,
+  { result, status, reason }: core.gateway.lifecycleState.EndOutcome,
 ): void {
   const { request, route, service, clientAccount, tableVersion, tableAgeMs } = given;
   const now = core.kernel.readClock();
@@ -155,6 +162,7 @@
     details: {
       result,
       status,
+      reason,
       tookMs,
       route: route.name,
       service,
