--- a/packages/core/src/gateway/confirmation.ts
+++ b/packages/core/src/gateway/confirmation.ts
@@ -12,7 +12,7 @@
 /** How much earlier than its bound a credential's confirmation ends: the way to the upstream. */
 export const REVOCATION_MARGIN_MS = 600;
 /** An instance that has not heard for this share of the bound does not call a route unknown. */
-const DENIAL_SHARE = 0.9;
+const DENIAL_SHARE = 0.97;
 
 export type Bounds = {
   /** A removed credential must not be served for longer than this, connected or not. */
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -172,6 +172,7 @@
   if (state.phase.kind !== 'attempting' || state.phase.attempt.id !== attemptId) {
     return { state, commands: [] };
   }
+  if (!mayMove(state)) return { state, commands: [] };
   if (!isSilent) return { state, commands: armSilence(state, DOUBT_AGAIN_MS) };
   return askRetry({ ...state, lastReason: 'upstream is silent' }, state.phase.attempt);
 }
--- a/packages/core/src/shared-context/salt.ts
+++ b/packages/core/src/shared-context/salt.ts
@@ -2,7 +2,7 @@
  * The name space of kept context. Two prompts can share context only under the same salt, so the salt
  * holds everything that must not be mixed: model, weight version, and the account if it is isolated.
  */
-const SEPARATOR = '~';
+const SEPARATOR = '/';
 
 export type Salt = { model: string; version: number; isolatedAccount: string | undefined };
 
--- /dev/null
+++ b/packages/core/test/fleet/listing.test.ts
@@ -0,0 +1,85 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('fleet: the list of upstreams');
+const { listing } = core.fleet;
+
+type Listed = core.fleet.upstream.Listed;
+
+/** A list with one upstream, and what the platform says after that. */
+function aListing(listed: Listed = fixtures.aListedUpstream('u-1')) {
+  const held = listing.create();
+  const hear = (atMs: number, changed: readonly Listed[], removed: readonly string[] = []) =>
+    listing.take(held, { changed, removed, isSnapshot: false }, fixtures.anInstant(atMs));
+  hear(0, [listed]);
+  return {
+    held,
+    hear,
+    snapshot: (atMs: number, changed: readonly Listed[]) =>
+      listing.take(held, { changed, removed: [], isSnapshot: true }, fixtures.anInstant(atMs)),
+    standing: () => held.upstreams.get('u-1')?.standing.kind,
+    reach: () => held.upstreams.get('u-1')?.reach.kind,
+  };
+}
+
+suite('an upstream that is taken off the list is gone at once', () => {
+  const list = aListing();
+  list.hear(10_000, [], ['u-1']);
+  assert.is(list.standing(), 'gone');
+});
+
+suite('an entry that lapsed in an outage is used on until living upstreams are back', () => {
+  const list = aListing();
+  listing.disturbed(list.held, fixtures.anInstant(9_000));
+  list.snapshot(9_500, []);
+  assert.is(list.standing(), 'missing');
+  listing.expire(list.held, fixtures.anInstant(11_300));
+  assert.is(list.standing(), 'missing');
+  listing.expire(list.held, fixtures.anInstant(11_500));
+  assert.is(list.standing(), 'gone');
+});
+
+suite('an entry that comes back in time is listed as before', () => {
+  const list = aListing();
+  listing.disturbed(list.held, fixtures.anInstant(9_000));
+  list.snapshot(9_500, []);
+  list.hear(10_500, [fixtures.aListedUpstream('u-1')]);
+  listing.expire(list.held, fixtures.anInstant(20_000));
+  assert.is(list.standing(), 'listed');
+  assert.is(list.reach(), 'answers');
+});
+
+suite('an upstream that drains does not come back in the same incarnation', () => {
+  const list = aListing();
+  list.hear(1_000, [fixtures.aListedUpstream('u-1', { presence: 'draining' })]);
+  list.hear(1_100, [fixtures.aListedUpstream('u-1')]);
+  assert.is(list.standing(), 'draining');
+});
+
+suite('another incarnation under the same id starts anew', () => {
+  const list = aListing();
+  list.hear(1_000, [fixtures.aListedUpstream('u-1', { presence: 'draining' })]);
+  list.hear(2_000, [fixtures.aListedUpstream('u-1', { bornMs: 2 })]);
+  assert.is(list.standing(), 'listed');
+});
+
+suite('an entry that reappears after its removal has to prove itself by a probe', () => {
+  const list = aListing();
+  list.hear(1_000, [], ['u-1']);
+  list.hear(1_500, [fixtures.aListedUpstream('u-1')]);
+  assert.is(list.reach(), 'silent');
+});
+
+suite('weights never go back to older ones', () => {
+  const list = aListing();
+  const known = list.held.upstreams.get('u-1');
+  if (known) core.fleet.upstream.noteVersion(known, 'model-1', 3);
+  list.hear(1_000, [
+    fixtures.aListedUpstream('u-1', { models: [{ model: 'model-1', version: 2 }] }),
+  ]);
+  assert.is(known?.versions.get('model-1'), 3);
+});
+
+suite.run();
--- /dev/null
+++ b/packages/core/test/fleet/placement.test.ts
@@ -0,0 +1,98 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('fleet: placement');
+
+const TWO = [fixtures.aListedUpstream('u-1'), fixtures.aListedUpstream('u-2')];
+
+function listedWith(id: string, version: number) {
+  return fixtures.aListedUpstream(id, { models: [{ model: 'model-1', version }] });
+}
+
+function named(version: number, sinceMs: number) {
+  return new Map([['model-1', { version, sinceMs }]]);
+}
+
+function other(id: string): string {
+  return id === 'u-1' ? 'u-2' : 'u-1';
+}
+
+suite('requests that share context go to the same upstream', () => {
+  const wishes = ['r-1', 'r-2', 'r-3'].map((requestId) => fixtures.aWish({ requestId }));
+  const places = wishes.map((wish) => fixtures.placeOf(fixtures.aFleet(TWO), wish));
+  assert.is(new Set(places).size, 1);
+});
+
+suite('an upstream with much work ahead is passed over', () => {
+  const state = fixtures.aFleet(TWO);
+  const first = fixtures.placeOf(state);
+  const places = Array.from({ length: 6 }, (_, at) =>
+    fixtures.placeOf(state, fixtures.aWish({ requestId: `r-${at}` })),
+  );
+  assert.ok(places.includes(other(first)));
+});
+
+suite('no new work goes to an evacuated data centre, or to an excluded upstream', () => {
+  const evacuated = fixtures.aFleet(TWO, { evacuated: new Set(['dc-1']) });
+  assert.is(fixtures.placeOf(evacuated), 'none-usable');
+  const wish = fixtures.aWish({ excluded: ['u-1'] });
+  assert.is(fixtures.placeOf(fixtures.aFleet(TWO), wish), 'u-2');
+});
+
+suite('an upstream of another service or another model is never chosen', () => {
+  const foreign = fixtures.aListedUpstream('u-1', { service: 'other' });
+  const bare = fixtures.aListedUpstream('u-2', { models: [{ model: 'model-2', version: 1 }] });
+  assert.is(fixtures.placeOf(fixtures.aFleet([foreign, bare])), 'none-usable');
+});
+
+suite('a silent upstream gets nothing until it answers again', () => {
+  const state = fixtures.aFleet(TWO);
+  const first = fixtures.placeOf(state);
+  const known = state.listing.upstreams.get(first);
+  const now = fixtures.anInstant(10);
+  if (known) core.fleet.evidence.onOutcome(known, 'request-1', 'unreachable', now);
+  assert.is(fixtures.placeOf(state, fixtures.aWish(), now), other(first));
+  if (known) core.fleet.evidence.onBack(known, 0, now);
+  const later = fixtures.anInstant(60_000);
+  assert.is(fixtures.placeOf(state, fixtures.aWish({ requestId: 'r-2' }), later), first);
+});
+
+suite('new work keeps away from the wave that takes new weights next', () => {
+  const listed = ['u-1', 'u-2', 'u-3', 'u-4'].map((id) => listedWith(id, 1));
+  const state = fixtures.aFleet(listed, { named: named(2, 0) });
+  const candidates = listed.map(({ id }) => ({ id, version: 1 }));
+  const [inWave] = core.rollouts.wave('model-1', 2, candidates);
+  const places = Array.from({ length: 12 }, (_, at) => {
+    const prompt = fixtures.aPrompt(`p-${at}`, 'own');
+    return fixtures.placeOf(state, fixtures.aWish({ requestId: `r-${at}`, prompt }));
+  });
+  assert.not.ok(places.includes(String(inWave)));
+});
+
+suite('replaced weights serve on within the bound, and not after it', () => {
+  const state = fixtures.aFleet([listedWith('u-1', 1)], { named: named(2, 0) });
+  assert.is(fixtures.placeOf(state, fixtures.aWish(), fixtures.anInstant(5_000)), 'u-1');
+  assert.is(fixtures.placeOf(state, fixtures.aWish(), fixtures.anInstant(7_900)), 'none-usable');
+});
+
+suite('weights that are named while the process runs are not taken for old ones', () => {
+  const state = fixtures.aFleet([listedWith('u-1', 1)]);
+  const hear = (given: core.fleet.state.State, versions: Record<string, number>, atMs: number) =>
+    core.fleet.decide(given, { type: 'fleet.named', versions }, fixtures.anInstant(atMs)).state;
+  const roll = hear(hear(state, {}, 0), { 'model-1': 2 }, 20_000);
+  assert.is(fixtures.placeOf(roll, fixtures.aWish(), fixtures.anInstant(20_100)), 'u-1');
+  const started = hear(state, { 'model-1': 2 }, 20_000);
+  assert.is(fixtures.placeOf(started, fixtures.aWish(), fixtures.anInstant(20_100)), 'none-usable');
+});
+
+suite('the expected version and the salt follow the upstream’s own weights', () => {
+  const state = fixtures.aFleet([listedWith('u-1', 4)]);
+  const placed = core.fleet.placement.place(state, fixtures.aWish(), fixtures.anInstant());
+  const context = placed.kind === 'placed' ? placed.placement.context : undefined;
+  assert.is(context?.expectedVersion, 4);
+  assert.is(core.sharedContext.salt.parse(context?.salt ?? '')?.version, 4);
+});
+
+suite.run();
--- /dev/null
+++ b/packages/core/test/gateway/lifecycle.test.ts
@@ -0,0 +1,251 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('gateway: life of a request');
+
+type Message = core.messages.RequestMessage;
+type Command = core.gateway.lifecycleState.Command;
+type Route = core.gateway.routes.Route;
+
+/** One request whose surroundings the test plays. */
+function aLife(changed: Partial<Route> = {}) {
+  const given: core.gateway.lifecycleState.Given = {
+    request: fixtures.aGatewayRequest(),
+    route: fixtures.aRoute(changed),
+    service: 'models',
+    clientAccount: undefined,
+    tableVersion: 1,
+    tableAgeMs: 0,
+  };
+  const life = {
+    state: core.gateway.lifecycleState.initial(given),
+    commands: [] as Command[],
+    nowMs: 0,
+  };
+  const send = (message: Message, afterMs = 0) => {
+    life.nowMs += afterMs;
+    const now = fixtures.anInstant(life.nowMs);
+    const step = core.gateway.lifecycle.decide(life.state, message, now);
+    life.state = step.state;
+    life.commands.push(...step.commands);
+    return step.commands;
+  };
+  send({ type: 'task.start' });
+  return { life, send };
+}
+
+type Life = ReturnType<typeof aLife>;
+
+function attemptOf({ life }: Life): string {
+  const { phase } = life.state;
+  return phase.kind === 'attempting' || phase.kind === 'asking' ? (phase.attempt?.id ?? '') : '';
+}
+
+function place(given: Life, upstream: string): void {
+  given.send({ type: 'fleet.placed', placement: fixtures.aDestination(upstream) });
+}
+
+function end(given: Life, ended: core.gateway.answers.AttemptEnd, afterMs = 0) {
+  return given.send({ type: 'attempt.ended', attempt: attemptOf(given), end: ended }, afterMs);
+}
+
+function replies({ life }: Life): readonly core.gateway.request.Reply[] {
+  return life.commands.flatMap((each) => (each.kind === 'reply' ? [each.reply] : []));
+}
+
+function sends({ life }: Life): number {
+  return life.commands.filter(({ kind }) => kind === 'send').length;
+}
+
+const REJECTED: core.gateway.answers.AttemptEnd = { kind: 'rejected', status: 503 };
+const BROKEN: core.gateway.answers.AttemptEnd = {
+  kind: 'broken',
+  reason: 'connection-lost',
+  detail: 'reset',
+};
+
+suite('an answer is handed on as it came', () => {
+  const life = aLife();
+  place(life, 'u-1');
+  end(life, fixtures.anAnswer(200));
+  assert.equal(
+    replies(life).map(({ type }) => type),
+    ['reply.whole'],
+  );
+});
+
+suite('a request that may run once is sent again after a truthful rejection', () => {
+  const life = aLife();
+  place(life, 'u-1');
+  end(life, REJECTED);
+  life.send({ type: 'retry.decided', isGranted: true });
+  place(life, 'u-2');
+  assert.is(sends(life), 2);
+});
+
+suite('a request that may run once is not sent again after its connection broke', () => {
+  const life = aLife();
+  place(life, 'u-1');
+  end(life, BROKEN);
+  assert.is(sends(life), 1);
+  const [reply] = replies(life);
+  assert.is(reply?.type === 'reply.refuse' && reply.status, 502);
+});
+
+suite('a repeatable request goes elsewhere when the answer is late', () => {
+  const life = aLife({ repetition: 'repeatable', maxRuns: 2, targetMs: 100 });
+  place(life, 'u-1');
+  life.send({ type: 'request.due', timer: 'silence' }, 250);
+  const commands = life.send({ type: 'retry.decided', isGranted: true });
+  assert.ok(commands.some(({ kind }) => kind === 'abort'));
+  const placed = commands.find((each) => each.kind === 'place');
+  assert.equal(placed?.kind === 'place' && placed.excluded, ['u-1']);
+});
+
+suite('without budget for it the first attempt goes on', () => {
+  const life = aLife({ repetition: 'repeatable', maxRuns: 2, targetMs: 100 });
+  place(life, 'u-1');
+  life.send({ type: 'request.due', timer: 'silence' }, 250);
+  life.send({ type: 'retry.decided', isGranted: false });
+  end(life, fixtures.anAnswer(200));
+  assert.is(replies(life)[0]?.type, 'reply.whole');
+});
+
+suite('an upstream’s own failure is handed on if nobody else answers', () => {
+  const life = aLife({ repetition: 'repeatable', maxRuns: 2 });
+  place(life, 'u-1');
+  end(life, fixtures.anAnswer(500));
+  life.send({ type: 'retry.decided', isGranted: false });
+  const [reply] = replies(life);
+  assert.is(reply?.type === 'reply.whole' && reply.head.status, 500);
+});
+
+suite('a resumable stream goes on behind the last event that was passed on', () => {
+  const life = aLife({ repetition: 'resumable', delivery: 'stream', maxRuns: 2 });
+  place(life, 'u-1');
+  const attempt = attemptOf(life);
+  life.send({ type: 'attempt.head', attempt, head: { status: 200, headers: [] } });
+  life.send({ type: 'attempt.events', attempt, bytes: Buffer.from('e'), lastEventId: '7' });
+  end(life, BROKEN);
+  life.send({ type: 'retry.decided', isGranted: true });
+  place(life, 'u-2');
+  const last = life.life.commands.filter((each) => each.kind === 'send').at(-1);
+  assert.is(last?.kind === 'send' && last.lastEventId, '7');
+  life.send({ type: 'attempt.head', attempt: attemptOf(life), head: { status: 200, headers: [] } });
+  assert.is(replies(life).filter(({ type }) => type === 'reply.head').length, 1);
+});
+
+suite('a stream that may run once is cut when its upstream breaks off', () => {
+  const life = aLife({ delivery: 'stream' });
+  place(life, 'u-1');
+  life.send({ type: 'attempt.head', attempt: attemptOf(life), head: { status: 200, headers: [] } });
+  end(life, BROKEN);
+  assert.is(replies(life).at(-1)?.type, 'reply.cut');
+});
+
+suite('at the time limit the answer says whether the request may have run', () => {
+  const sent = aLife();
+  place(sent, 'u-1');
+  sent.send({ type: 'request.due', timer: 'total' }, 3_000);
+  const unsent = aLife();
+  unsent.send({ type: 'request.due', timer: 'total' }, 3_000);
+  const statuses = [sent, unsent].map((life) => {
+    const reply = replies(life).at(-1);
+    return reply?.type === 'reply.refuse' && reply.status;
+  });
+  assert.equal(statuses, [504, 503]);
+});
+
+suite('a request that no upstream takes is refused early, with a time to come back', () => {
+  const life = aLife();
+  life.send({ type: 'fleet.none', reason: 'none-usable' });
+  life.send({ type: 'request.due', timer: 'place' }, 25);
+  life.send({ type: 'fleet.none', reason: 'none-usable' }, 100);
+  const [reply] = replies(life);
+  assert.ok(reply?.type === 'reply.refuse' && reply.status === 503 && reply.retryAfterMs);
+});
+
+suite('a caller that leaves ends the attempt', () => {
+  const life = aLife();
+  place(life, 'u-1');
+  const commands = life.send({ type: 'caller.left' });
+  assert.ok(commands.some(({ kind }) => kind === 'abort'));
+});
+
+/** Whatever surroundings may do to a request, as numbers that `play` turns into messages. */
+type Move = { kind: number; value: number; afterMs: number };
+
+const ENDS: readonly core.gateway.answers.AttemptEnd[] = [
+  REJECTED,
+  BROKEN,
+  fixtures.anAnswer(200),
+  fixtures.anAnswer(200, false),
+  fixtures.anAnswer(500),
+  fixtures.anAnswer(503),
+  { kind: 'unsent', reason: 'unreachable', detail: '' },
+];
+
+function play(given: Life, { kind, value, afterMs }: Move): void {
+  const attempt = attemptOf(given);
+  const head = { status: 200, headers: [] };
+  const messages: readonly Message[] = [
+    { type: 'fleet.placed', placement: fixtures.aDestination(`u-${value}`) },
+    { type: 'fleet.none', reason: 'none-usable' },
+    { type: 'retry.decided', isGranted: value % 2 === 0 },
+    { type: 'attempt.ended', attempt, end: ENDS[value % ENDS.length] ?? REJECTED },
+    { type: 'attempt.head', attempt, head },
+    { type: 'attempt.events', attempt, bytes: Buffer.from('e'), lastEventId: String(value) },
+    { type: 'request.due', timer: 'silence' },
+    { type: 'fleet.liveness', attempt, isSilent: value % 2 === 0 },
+    { type: 'request.due', timer: value === 0 ? 'total' : 'place' },
+  ];
+  const message = messages[kind % messages.length];
+  if (message) given.send(message, afterMs);
+}
+
+/** Attempts that may have run: sent, and neither vouched for nor unsent. */
+function possibleRuns(commands: readonly Command[]): number {
+  const sent = commands.filter(({ kind }) => kind === 'send').length;
+  const notRun = commands.filter(
+    (each) =>
+      each.kind === 'report' && (each.outcome === 'rejected' || each.outcome === 'unreachable'),
+  ).length;
+  return sent - notRun;
+}
+
+suite('whatever happens: runs stay within the route’s bound, and "not run" is true', () => {
+  const moves = fastCheck.array(
+    fastCheck.record({
+      kind: fastCheck.nat(8),
+      value: fastCheck.nat(9),
+      afterMs: fastCheck.nat(200),
+    }),
+    { maxLength: 40 },
+  );
+  const repetition = fastCheck.constantFrom('once', 'repeatable', 'resumable' as const);
+  const delivery = fastCheck.constantFrom('whole', 'stream' as const);
+  fastCheck.assert(
+    fastCheck.property(
+      moves,
+      repetition,
+      delivery,
+      fastCheck.integer({ min: 1, max: 3 }),
+      (given, kind, how, maxRuns) => {
+        const life = aLife({ repetition: kind, delivery: how, maxRuns });
+        given.forEach((move) => play(life, move));
+        const runs = possibleRuns(life.life.commands);
+        assert.ok(runs <= (kind === 'once' ? 1 : maxRuns), `${runs} runs`);
+        const refusal = replies(life).find((each) => each.type === 'reply.refuse');
+        if (refusal?.type === 'reply.refuse' && refusal.status === 503) assert.is(runs, 0);
+        const finals = ['reply.whole', 'reply.end', 'reply.cut', 'reply.refuse'];
+        assert.ok(replies(life).filter(({ type }) => finals.includes(type)).length <= 1);
+      },
+    ),
+    { ...fixtures.seeded(), numRuns: 2_000 },
+  );
+});
+
+suite.run();
--- /dev/null
+++ b/packages/core/test/gateway/retry-share.test.ts
@@ -0,0 +1,101 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('gateway: shares of the retry budget');
+const { retryShare } = core.gateway;
+
+const WINDOW_MS = 10_000;
+const RATIO = 0.2;
+const EXTRA = 54;
+
+type Event = { atMs: number; instance: number; isRetry: boolean };
+
+const events = (instances: number) =>
+  fastCheck
+    .array(
+      fastCheck.record({
+        atMs: fastCheck.nat(40_000),
+        instance: fastCheck.nat(instances - 1),
+        isRetry: fastCheck.boolean(),
+      }),
+      { maxLength: 400 },
+    )
+    .map((all) => [...all].sort((a, b) => a.atMs - b.atMs));
+
+/** Plays the events and returns the times of requests and of granted retries. */
+function play(all: readonly Event[], instances: number, restartAtMs: number) {
+  const shares = Array.from({ length: instances }, () => retryShare.none);
+  const granted: number[] = [];
+  const requests: number[] = [];
+  const started = { atMs: 0 };
+  all.forEach(({ atMs, instance, isRetry }) => {
+    if (atMs >= restartAtMs && started.atMs === 0) {
+      started.atMs = restartAtMs;
+      shares.fill(retryShare.none);
+    }
+    const bounds = {
+      windowMs: WINDOW_MS,
+      ratio: RATIO,
+      extra: EXTRA,
+      instances,
+      startedAtMs: started.atMs,
+    };
+    const share = shares[instance] ?? retryShare.none;
+    if (!isRetry) {
+      requests.push(atMs);
+      shares[instance] = retryShare.onRequest(share, atMs, bounds);
+      return;
+    }
+    const next = retryShare.onRetry(share, atMs, bounds);
+    if (!next) return;
+    granted.push(atMs);
+    shares[instance] = next;
+  });
+  return { granted, requests };
+}
+
+function within(times: readonly number[], endMs: number): number {
+  return times.filter((time) => time > endMs - WINDOW_MS && time <= endMs).length;
+}
+
+suite(
+  'all instances together keep the bound in every window, over a restart of all of them',
+  () => {
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.integer({ min: 1, max: 9 }).chain((instances) =>
+          fastCheck.record({
+            instances: fastCheck.constant(instances),
+            all: events(instances),
+            restartAtMs: fastCheck.integer({ min: 1, max: 40_000 }),
+          }),
+        ),
+        ({ instances, all, restartAtMs }) => {
+          const { granted, requests } = play(all, instances, restartAtMs);
+          granted.forEach((endMs) => {
+            const bound = RATIO * within(requests, endMs) + EXTRA;
+            assert.ok(within(granted, endMs) <= bound, `${within(granted, endMs)} of ${bound}`);
+          });
+        },
+      ),
+      fixtures.seeded(),
+    );
+  },
+);
+
+suite('a process that has just begun has no extra saved up', () => {
+  const bounds = {
+    windowMs: WINDOW_MS,
+    ratio: RATIO,
+    extra: EXTRA,
+    instances: 1,
+    startedAtMs: 1_000,
+  };
+  assert.is(retryShare.onRetry(retryShare.none, 1_000, bounds), undefined);
+  assert.ok(retryShare.onRetry(retryShare.none, 6_000, bounds));
+});
+
+suite.run();
--- /dev/null
+++ b/packages/core/test/rollouts/rollouts.test.ts
@@ -0,0 +1,159 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('rollouts');
+
+type Message = core.messages.RolloutsMessage;
+type Command = core.rollouts.Command;
+
+const TERMS = {
+  ...core.leases.terms('leases/orders', 'instance-1', 'life-1'),
+  termMs: 3_000,
+  marginMs: 300,
+};
+
+function anUpstream(id: string, version: number) {
+  return { id, address: `${id}:1`, versions: { 'model-1': version }, isReachable: true };
+}
+
+/** The task's decisions, with the lease's object in the test's hands. */
+function aRollout() {
+  const rollout = { state: core.rollouts.initial(TERMS), nowMs: 0, commands: [] as Command[] };
+  const send = (message: Message, afterMs = 0) => {
+    rollout.nowMs += afterMs;
+    const step = core.rollouts.decide(rollout.state, message, fixtures.anInstant(rollout.nowMs));
+    rollout.state = step.state;
+    rollout.commands.push(...step.commands);
+    return step.commands;
+  };
+  const answer = (ticket: string, given: core.messages.PlatformAnswer) =>
+    send({ type: 'platform.answered', ticket, answer: given });
+  return { rollout, send, answer };
+}
+
+type Rollout = ReturnType<typeof aRollout>;
+
+function ticketOf(commands: readonly Command[], kind: 'lease-read' | 'lease-write'): string {
+  const found = commands.find((each) => each.kind === kind);
+  return found && 'ticket' in found ? found.ticket : '';
+}
+
+/** Lets the instance acquire the lease with fencing token 7. */
+function acquire({ send, answer }: Rollout): void {
+  const read = ticketOf(send({ type: 'task.start' }), 'lease-read');
+  const write = ticketOf(answer(read, { kind: 'missing' }), 'lease-write');
+  answer(write, { kind: 'written', version: 7 });
+}
+
+function orders(commands: readonly Command[]): readonly core.messages.Order[] {
+  return commands.flatMap((each) => (each.kind === 'order' ? [each.order] : []));
+}
+
+function report(upstream: string, version: number, accepted = 0, isBusy = false): Message {
+  const models = [{ model: 'model-1', version }];
+  const answer = { kind: 'report' as const, report: { accepted, isBusy, models } };
+  return { type: 'rollouts.reported', upstream, answer };
+}
+
+function begin(given: Rollout): readonly string[] {
+  const upstreams = ['u-1', 'u-2', 'u-3', 'u-4', 'u-5'].map((id) => anUpstream(id, 1));
+  given.send({ type: 'rollouts.upstreams', upstreams });
+  const commands = given.send({ type: 'rollouts.named', versions: { 'model-1': 2 } });
+  return commands.flatMap((each) => (each.kind === 'ask-report' ? [each.upstream] : []));
+}
+
+suite('without the lease nothing is ordered', () => {
+  const given = aRollout();
+  given.send({ type: 'task.start' });
+  assert.equal(begin(given), []);
+});
+
+suite('a wave of a quarter is asked and then ordered, with fencing and expected count', () => {
+  const given = aRollout();
+  acquire(given);
+  const wave = begin(given);
+  assert.is(wave.length, 2);
+  const [order] = orders(given.send(report(String(wave[0]), 1, 3)));
+  assert.is(order?.fencing, 7);
+  assert.is(order?.expectedAccepted, 3);
+  assert.is(order?.version, 2);
+});
+
+suite('a busy upstream is not ordered, one that has the weights is left alone', () => {
+  const given = aRollout();
+  acquire(given);
+  const [first = '', second = ''] = begin(given);
+  assert.equal(orders(given.send(report(first, 1, 0, true))), []);
+  assert.equal(orders(given.send(report(second, 2))), []);
+});
+
+suite('a version that is named in mid-roll goes into the next order', () => {
+  const given = aRollout();
+  acquire(given);
+  const [first = ''] = begin(given);
+  given.send({ type: 'rollouts.named', versions: { 'model-1': 3 } });
+  assert.is(orders(given.send(report(first, 1)))[0]?.version, 3);
+});
+
+suite('no order is sent once the lease may have lapsed', () => {
+  const given = aRollout();
+  acquire(given);
+  const [first = ''] = begin(given);
+  given.rollout.nowMs += 2_800;
+  assert.equal(orders(given.send(report(first, 1))), []);
+});
+
+suite('after a suspension, which only the wall clock shows, no order is sent', () => {
+  const given = aRollout();
+  acquire(given);
+  const [first = ''] = begin(given);
+  const { wallMs } = fixtures.anInstant(10_000);
+  const now = { monotonicMs: 10, wallMs };
+  const step = core.rollouts.decide(given.rollout.state, report(first, 1), now);
+  assert.equal(orders(step.commands), []);
+});
+
+suite('a higher fencing token seen by an upstream ends the holder’s orders', () => {
+  const given = aRollout();
+  acquire(given);
+  const [first = '', second = ''] = begin(given);
+  given.send(report(first, 1));
+  given.send({ type: 'rollouts.ordered', upstream: first, answer: 'fenced-off' });
+  assert.equal(orders(given.send(report(second, 1))), []);
+});
+
+suite('a leaving instance orders nothing more', () => {
+  const given = aRollout();
+  acquire(given);
+  const [first = ''] = begin(given);
+  given.send({ type: 'task.leave' });
+  assert.equal(orders(given.send(report(first, 1))), []);
+});
+
+suite('replaced context is freed only a while after the last upstream has changed', () => {
+  const given = aRollout();
+  acquire(given);
+  given.send({ type: 'rollouts.named', versions: { 'model-1': 2 } });
+  given.send({
+    type: 'rollouts.stores',
+    stores: [fixtures.aContextStore('a')],
+    held: [{ store: 'a', epoch: 1, parts: [{ salt: 's', id: 'p' }] }],
+  });
+  const frees = (commands: readonly Command[]) =>
+    commands.filter(({ kind }) => kind === 'free').length;
+  const done = { type: 'rollouts.upstreams' as const, upstreams: [anUpstream('u-1', 2)] };
+  const renew = () => {
+    const commands = given.send({ type: 'rollouts.lease-wake' }, 1_000);
+    const ticket = ticketOf(commands, 'lease-write');
+    if (ticket !== '') given.answer(ticket, { kind: 'written', version: 8 });
+  };
+  assert.is(frees(given.send(done)), 0);
+  Array.from({ length: 3 }).forEach(renew);
+  assert.is(frees(given.send({ type: 'rollouts.wake' })), 0);
+  Array.from({ length: 2 }).forEach(renew);
+  assert.is(frees(given.send({ type: 'rollouts.wake' })), 1);
+});
+
+suite.run();
--- a/packages/plugins/journal-bunyan/src/index.ts
+++ b/packages/plugins/journal-bunyan/src/index.ts
@@ -3,7 +3,7 @@
 
 import * as journalTask from './journal-task.js';
 
-core.kernel.register({
+core.kernel.register<{ name: string; dataCentre: string; logLevel: core.events.Level }>({
   name: 'journal-bunyan',
   hooks: { 'instance:setup': ({ addTask }) => addTask(journalTask.definition) },
 });
--- a/packages/plugins/journal-bunyan/src/journal-task.ts
+++ b/packages/plugins/journal-bunyan/src/journal-task.ts
@@ -2,18 +2,26 @@
 import * as core from '@medlarweir/core';
 import * as bunyan from 'bunyan';
 
+import * as boundedOutput from './bounded-output.js';
+
 type Message = core.messages.JournalMessage;
 type State = { recorded: number };
 type Command = { kind: 'write'; event: core.events.Event };
+type Settings = { name: string; dataCentre: string; logLevel: core.events.Level };
 
-export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
+export const definition: core.kernel.TaskDefinition<State, Message, Command, Settings> = {
   name: 'journal',
   create: ({ settings }) => {
+    const fields = { instance: settings.name, dataCentre: settings.dataCentre };
+    const output = boundedOutput.create(process.stdout, (lines) => {
+      const { number, text } = core.events.catalogue.linesDropped;
+      const time = new Date().toISOString();
+      return `${JSON.stringify({ ...fields, event: number, lines, msg: text, time })}\n`;
+    });
     const log = bunyan.createLogger({
       name: 'medlarweir',
-      level: settings.logLevel,
-      instance: settings.name,
-      dataCentre: settings.dataCentre,
+      ...fields,
+      streams: [{ level: settings.logLevel, stream: output as unknown as NodeJS.WritableStream }],
     });
     // A log that nobody reads any more must not end the instance.
     process.stdout.on('error', () => undefined);
--- /dev/null
+++ b/packages/plugins/metrics-http/src/metrics-task.ts
@@ -0,0 +1,109 @@
+/** The task that owns the metrics and the socket on which they are pulled as text. */
+import * as http from 'node:http';
+
+import * as core from '@medlarweir/core';
+import * as promClient from 'prom-client';
+
+type Message = core.messages.MetricsMessage;
+type State = { updates: number };
+type Command = Exclude<Message, core.messages.TaskMessage> | { type: 'metrics.close' };
+type Settings = core.settings.gateway.GatewaySettings;
+
+/** Bounds of the latency buckets: from a call within a data centre to the longest route. */
+const BUCKETS_MS = [2, 5, 10, 25, 50, 100, 200, 400, 800, 1_500, 3_000, 6_000, 15_000];
+const PREFIX = 'medlarweir_';
+/** The one label: what a count is divided by, from sets that the code bounds. */
+const LABEL = 'kind';
+
+/** Creates each metric at its first use, under the name of the core's table. */
+export function collect(registry: promClient.Registry) {
+  const registers = [registry];
+  const nameOf = (name: core.messages.MetricName) => `${PREFIX}${name.replaceAll('.', '_')}`;
+  const known = <Metric extends promClient.Metric>(name: string, create: () => Metric) =>
+    (registry.getSingleMetric(name) as unknown as Metric | undefined) ?? create();
+  return (command: Exclude<Command, { type: 'metrics.close' }>) => {
+    const name = nameOf(command.name);
+    const help = command.name;
+    switch (command.type) {
+      case 'metrics.count':
+        known(
+          `${name}_total`,
+          () =>
+            new promClient.Counter({ name: `${name}_total`, help, labelNames: [LABEL], registers }),
+        ).inc({ [LABEL]: command.label ?? '' }, command.by);
+        return;
+      case 'metrics.timing':
+        known(
+          `${name}_ms`,
+          () =>
+            new promClient.Histogram({ name: `${name}_ms`, help, buckets: BUCKETS_MS, registers }),
+        ).observe(command.ms);
+        return;
+      case 'metrics.gauge':
+        known(name, () => new promClient.Gauge({ name, help, registers })).set(command.value);
+        return;
+      default:
+        core.results.never(command);
+    }
+  };
+}
+
+export function definition(
+  address: string,
+): core.kernel.TaskDefinition<State, Message, Command, Settings> {
+  return {
+    name: 'metrics',
+    create: ({ record }) => {
+      const registry = new promClient.Registry();
+      const update = collect(registry);
+      const server = serve(registry, address, (error) =>
+        record({ name: 'dependencyLost', details: { dependency: 'metrics', reason: error.message } }),
+      );
+      return {
+        initial: { updates: 0 },
+        decide,
+        perform: (command) => {
+          if (command.type === 'metrics.close') server.close();
+          else update(command);
+        },
+        dump: (state) => state,
+      };
+    },
+  };
+}
+
+function decide(state: State, message: Message): core.kernel.Step<State, Command> {
+  switch (message.type) {
+    case 'task.start':
+    case 'task.leave':
+      return { state, commands: [] };
+    case 'task.stop':
+      return { state, commands: [{ type: 'metrics.close' }] };
+    case 'metrics.count':
+    case 'metrics.timing':
+    case 'metrics.gauge':
+      return { state: { updates: state.updates + 1 }, commands: [message] };
+    default:
+      return core.results.never(message);
+  }
+}
+
+function serve(
+  registry: promClient.Registry,
+  address: string,
+  onError: (error: Error) => void,
+): http.Server {
+  const [host, port] = address.split(':');
+  const server = http.createServer((request, response) => {
+    if (request.url !== '/metrics') {
+      response.writeHead(404).end();
+      return;
+    }
+    registry.metrics().then(
+      (text) => response.writeHead(200, { 'Content-Type': registry.contentType }).end(text),
+      (error: unknown) => response.writeHead(500).end(String(error)),
+    );
+  });
+  server.on('error', onError);
+  return server.listen(Number(port), host);
+}
