Answers without an end, orders that crawl: two faults, each with a test

Change: an answer that the upstream did not frame is not framed for the caller either; it ends with the connection. Cause 2 (gateway test, two upstreams): after an order the issuer waited for the platform's list before it went on, and its first read of the lease was lost, since the store's task starts after it.

--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -132,7 +132,7 @@
 }
 
 function cost(view: View, upstream: upstreams.Upstream, inWave: ReadonlySet<string>): number {
-  const { state, wish, now } = view;
+  const { state, now } = view;
   const { listed, load, latencyMs = 0 } = upstream;
   const isElsewhere = listed.dataCentre !== state.dataCentre;
   return (
--- a/packages/core/src/gateway/request.ts
+++ b/packages/core/src/gateway/request.ts
@@ -33,7 +33,15 @@
 };
 
 /** The head of an answer. */
-export type Head = { status: number; headers: RawHeaders };
+export type Head = {
+  status: number;
+  headers: RawHeaders;
+  /**
+   * Whether the upstream said where the body ends. If not, it ends with the connection, nobody can
+   * tell whether it is whole, and the caller must not be told that it is.
+   */
+  isFramed: boolean;
+};
 
 /** What the front is told about a request; `reply.refuse` and `reply.cut` end it, as does `end`. */
 export type Reply =
--- a/packages/core/src/rollouts/decide.ts
+++ b/packages/core/src/rollouts/decide.ts
@@ -36,6 +36,8 @@
   | leases.Command
   | { kind: 'ask-report'; upstream: string; address: string; delayMs: number }
   | { kind: 'order'; order: messages.Order }
+  /** The list tells of it later than the upstream itself. */
+  | { kind: 'tell-version'; upstream: string; model: string; version: number }
   | { kind: 'free'; request: fleetMessages.FreeRequest }
   | { kind: 'wake'; delayMs: number }
   | { kind: 'note-order'; upstream: string; text: string; fencing: number };
@@ -174,7 +176,10 @@
   if (answer.kind === 'no-report') return forget(state, upstream);
   const { report } = answer;
   const version = report.models.find(({ model }) => model === errand.model)?.version ?? 0;
-  if (version >= errand.version) return forget(state, upstream);
+  if (version >= errand.version) {
+    const told: Command = { kind: 'tell-version', upstream, model: errand.model, version };
+    return { state: forget(state, upstream).state, commands: [told] };
+  }
   if (report.isBusy || errand.step !== 'asking') return askLater(state, upstream, errand);
   return order(state, upstream, errand, report.accepted, now);
 }
--- a/packages/core/test/gateway/lifecycle.test.ts
+++ b/packages/core/test/gateway/lifecycle.test.ts
@@ -127,21 +127,21 @@
   const life = aLife({ repetition: 'resumable', delivery: 'stream', maxRuns: 2 });
   place(life, 'u-1');
   const attempt = attemptOf(life);
-  life.send({ type: 'attempt.head', attempt, head: { status: 200, headers: [] } });
+  life.send({ type: 'attempt.head', attempt, head: fixtures.anAnswerHead() });
   life.send({ type: 'attempt.events', attempt, bytes: Buffer.from('e'), lastEventId: '7' });
   end(life, BROKEN);
   life.send({ type: 'retry.decided', isGranted: true });
   place(life, 'u-2');
   const last = life.life.commands.filter((each) => each.kind === 'send').at(-1);
   assert.is(last?.kind === 'send' && last.lastEventId, '7');
-  life.send({ type: 'attempt.head', attempt: attemptOf(life), head: { status: 200, headers: [] } });
+  life.send({ type: 'attempt.head', attempt: attemptOf(life), head: fixtures.anAnswerHead() });
   assert.is(replies(life).filter(({ type }) => type === 'reply.head').length, 1);
 });
 
 suite('a stream that may run once is cut when its upstream breaks off', () => {
   const life = aLife({ delivery: 'stream' });
   place(life, 'u-1');
-  life.send({ type: 'attempt.head', attempt: attemptOf(life), head: { status: 200, headers: [] } });
+  life.send({ type: 'attempt.head', attempt: attemptOf(life), head: fixtures.anAnswerHead() });
   end(life, BROKEN);
   assert.is(replies(life).at(-1)?.type, 'reply.cut');
 });
@@ -190,7 +190,7 @@
 
 function play(given: Life, { kind, value, afterMs }: Move): void {
   const attempt = attemptOf(given);
-  const head = { status: 200, headers: [] };
+  const head = fixtures.anAnswerHead();
   const messages: readonly Message[] = [
     { type: 'fleet.placed', placement: fixtures.aDestination(`u-${value}`) },
     { type: 'fleet.none', reason: 'none-usable' },
--- a/packages/core/test/rollouts/rollouts.test.ts
+++ b/packages/core/test/rollouts/rollouts.test.ts
@@ -89,6 +89,16 @@
   assert.equal(orders(given.send(report(second, 2))), []);
 });
 
+suite('an upstream that reports its new weights is told of at once, ahead of the list', () => {
+  const given = aRollout();
+  acquire(given);
+  const [first = ''] = begin(given);
+  given.send(report(first, 1));
+  const commands = given.send(report(first, 2, 1));
+  const told = commands.find((each) => each.kind === 'tell-version');
+  assert.is(told?.kind === 'tell-version' && told.version, 2);
+});
+
 suite('a version that is named in mid-roll goes into the next order', () => {
   const given = aRollout();
   acquire(given);
--- a/packages/plugins/rollouts/src/rollouts-task.ts
+++ b/packages/plugins/rollouts/src/rollouts-task.ts
@@ -57,6 +57,12 @@
     case 'order':
       send('carrier', { type: 'carrier.order', order: command.order });
       return;
+    case 'tell-version': {
+      const { upstream, model, version } = command;
+      const sign = { load: undefined, coldMs: undefined, version: { model, version } };
+      send('fleet', { type: 'fleet.heard', upstream, requestId: undefined, sign });
+      return;
+    }
     case 'free': {
       const { store, epoch, parts } = command.request;
       send('contextStores', { type: 'context-stores.free', request: command.request });
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,3 +4,4 @@
 export * as plain from './plain/plain.js';
 export * as platform from './platform/platform.js';
 export * as store from './store/store.js';
+export * as replica from './replica/replica.js';
--- /dev/null
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -0,0 +1,234 @@
+/**
+ * A stand-in for an upstream of the users' platform: runs requests, whole or as a stream of events,
+ * reports its weights, takes orders, and shows the faults that a test switches on.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+/**
+ * `reject`: vouches that it did not run. `foreign-answer`: bears another request's id. `no-id`: bears
+ * none. `cut`: breaks off midway. `unframed`: no length, and ends with the connection.
+ * `unframed-reset`: the same, but reset. `garbage`: bytes that are no answer. `encoded`: an encoding
+ * nobody asked for. `promise`: 503 without vouching. `silent`: no answer, for good. `error`: 500.
+ * `extra`: a second answer after the first. `unsealed`: 200 without a seal.
+ */
+export type Fault =
+  | 'none'
+  | 'reject'
+  | 'foreign-answer'
+  | 'no-id'
+  | 'cut'
+  | 'unframed'
+  | 'unframed-reset'
+  | 'garbage'
+  | 'encoded'
+  | 'promise'
+  | 'silent'
+  | 'error'
+  | 'extra'
+  | 'unsealed';
+
+export type Received = {
+  requestId: string;
+  method: string;
+  path: string;
+  headers: http.IncomingHttpHeaders;
+  body: string;
+};
+
+export type Options = { id?: string; model?: string; version?: number };
+
+export type Replica = {
+  id: string;
+  address: string;
+  /** Requests that began to run. */
+  ran: readonly Received[];
+  /** Requests that arrived, run or not. */
+  arrived: readonly Received[];
+  /** Runs whose connection was closed before their end. */
+  abandoned(): number;
+  setFault(fault: Fault): void;
+  /** Events of a stream, and the pause between them. */
+  setStream(events: number, pauseMs: number): void;
+  version(): number;
+  close(): Promise<void>;
+};
+
+const SEAL = 'x-medlarweir-response-seal';
+const REQUEST_ID = 'x-medlarweir-request-id';
+
+export async function start({
+  id = 'i-1',
+  model = 'model-1',
+  version = 1,
+}: Options = {}): Promise<Replica> {
+  const state = {
+    fault: 'none' as Fault,
+    events: 4,
+    pauseMs: 5,
+    version,
+    orders: 0,
+    fence: 0,
+    abandoned: 0,
+  };
+  const ran: Received[] = [];
+  const arrived: Received[] = [];
+
+  function answer(
+    received: Received,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ) {
+    arrived.push(received);
+    const expected = received.headers['x-medlarweir-expect-instance'];
+    const weights = received.headers['x-medlarweir-expect-version'];
+    const isOther = expected !== undefined && expected !== id;
+    if (isOther || (weights !== undefined && weights !== String(state.version))) {
+      response.writeHead(421, { 'x-medlarweir-instance-id': id }).end();
+      return;
+    }
+    if (state.fault === 'reject') {
+      response.writeHead(503, { 'x-medlarweir-not-executed': '1' }).end();
+      return;
+    }
+    ran.push(received);
+    response.on('close', () => {
+      if (!response.writableFinished) state.abandoned += 1;
+    });
+    if (state.fault === 'silent') return;
+    const isStream = received.headers['x-medlarweir-model'] !== undefined;
+    if (isStream) stream(received, response);
+    else whole(received, request.socket, response);
+  }
+
+  function headersOf({ requestId }: Received): Record<string, string> {
+    const shown = state.fault === 'foreign-answer' ? 'another-request' : requestId;
+    return {
+      ...(state.fault === 'no-id' ? {} : { [REQUEST_ID]: shown }),
+      ...(state.fault === 'unsealed' ? {} : { [SEAL]: `seal-${id}` }),
+      ...(state.fault === 'encoded' ? { 'content-encoding': 'gzip' } : {}),
+      'x-medlarweir-server-load': '1,0,8',
+      'x-medlarweir-weight-versions': String(state.version),
+    };
+  }
+
+  function whole(received: Received, socket: net.Socket, response: http.ServerResponse): void {
+    const body = `answer to ${received.requestId} by ${id}`;
+    const headers = headersOf(received);
+    const raw = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    const unframed = `HTTP/1.1 200 OK\r\n${raw.join('')}connection: close\r\n\r\n${body}`;
+    switch (state.fault) {
+      case 'garbage':
+        socket.end('these bytes are no answer\r\n\r\n');
+        return;
+      case 'unframed':
+        socket.end(unframed);
+        return;
+      case 'unframed-reset':
+        socket.write(unframed, () => setTimeout(() => socket.resetAndDestroy(), state.pauseMs));
+        return;
+      case 'cut':
+        response.writeHead(200, { ...headers, 'content-length': body.length * 2 });
+        response.write(body, () => socket.destroy());
+        return;
+      case 'extra':
+        response.writeHead(200, { ...headers, 'content-length': body.length });
+        response.end(body, () =>
+          socket.write(`HTTP/1.1 200 OK\r\n${raw.join('')}content-length: 0\r\n\r\n`),
+        );
+        return;
+      case 'error':
+        response.writeHead(500, headers).end('failed');
+        return;
+      case 'promise':
+        response.writeHead(503, headers).end('busy');
+        return;
+      case 'none':
+      case 'reject':
+      case 'foreign-answer':
+      case 'no-id':
+      case 'encoded':
+      case 'silent':
+      case 'unsealed':
+        response.writeHead(200, headers).end(body);
+        return;
+      default:
+        throw new Error(`unexpected fault: ${JSON.stringify(state.fault satisfies never)}`);
+    }
+  }
+
+  /** Events count from the one behind `Last-Event-Id`; a cut comes in the middle of an event. */
+  function stream(received: Received, response: http.ServerResponse): void {
+    const first = Number(received.headers['last-event-id'] ?? 0) + 1;
+    response.writeHead(200, { ...headersOf(received), 'content-type': 'text/event-stream' });
+    const send = (at: number) => {
+      if (response.destroyed) return;
+      if (state.fault === 'cut' && at === first + 1) {
+        response.write(`id: ${at}\ndata: half`, () => response.destroy());
+        return;
+      }
+      if (at > state.events) {
+        response.end();
+        return;
+      }
+      response.write(`id: ${at}\ndata: ${at}\n\n`);
+      setTimeout(() => send(at + 1), state.pauseMs);
+    };
+    send(first);
+  }
+
+  function order(text: string, response: http.ServerResponse): void {
+    const given = JSON.parse(text) as { version: number; fence: number; expected: number };
+    if (given.fence < state.fence) {
+      response.writeHead(412).end();
+      return;
+    }
+    if (given.expected !== state.orders) {
+      response.writeHead(409).end();
+      return;
+    }
+    Object.assign(state, { fence: given.fence, orders: state.orders + 1, version: given.version });
+    response.writeHead(202).end();
+  }
+
+  const server = http.createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    response.on('error', () => undefined);
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      const body = Buffer.concat(chunks).toString('utf8');
+      const { url: path = '', method = '', headers } = request;
+      if (path === '/-/report') {
+        const models = [{ name: model, version: state.version, adapters: [] }];
+        response.end(JSON.stringify({ models, busy: false, seq: state.orders }));
+      } else if (path === '/-/order') order(body, response);
+      else if (path === '/health')
+        response.writeHead(200, { 'x-medlarweir-instance-id': id }).end();
+      else {
+        const requestId = String(headers[REQUEST_ID]);
+        answer({ requestId, method, path, headers, body }, request, response);
+      }
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  return {
+    id,
+    address: `127.0.0.1:${port}`,
+    ran,
+    arrived,
+    abandoned: () => state.abandoned,
+    setFault: (fault) => {
+      state.fault = fault;
+    },
+    setStream: (events, pauseMs) => Object.assign(state, { events, pauseMs }),
+    version: () => state.version,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
