--- /dev/null
+++ b/packages/core/src/events/explain.ts
@@ -0,0 +1,89 @@
+/** Finds, among the journal's lines of any instances, those that tell what became of one request. */
+import * as zod from 'zod';
+
+import * as catalogue from './catalogue.js';
+
+/** One line of a journal, as far as the explanation needs it. */
+const lineSchema = zod.looseObject({
+  time: zod.string(),
+  instance: zod.string(),
+  event: zod.number(),
+  msg: zod.string(),
+  requestId: zod.string().optional(),
+});
+
+export type Line = zod.infer<typeof lineSchema>;
+
+/** Own lines tell of the request, the others of what its instance and its upstreams went through. */
+export type Explained = { line: Line; about: 'request' | 'upstream' | 'instance' };
+
+const { catalogue: table } = catalogue;
+/** Changes of belief that decide on requests. */
+const SURROUNDINGS: ReadonlySet<number> = new Set(
+  [
+    table.tableAdopted,
+    table.readinessChanged,
+    table.weightsNamed,
+    table.dataCentresEvacuated,
+    table.dependencyLost,
+    table.dependencyBack,
+    table.instanceStarted,
+    table.instanceLeaving,
+    table.linesDropped,
+  ].map(({ number }) => number),
+);
+/** What happened this long before the request began may have decided on it. */
+const BEFORE_MS = 5_000;
+
+/** Reads one line of text; whatever a collector put before the record is passed over. */
+export function parseLine(text: string): Line | undefined {
+  const at = text.indexOf('{');
+  if (at < 0) return undefined;
+  try {
+    const checked = lineSchema.safeParse(JSON.parse(text.slice(at)));
+    return checked.success ? checked.data : undefined;
+  } catch {
+    // A line that was cut off on its way tells nothing.
+    return undefined;
+  }
+}
+
+export function explain(lines: readonly Line[], requestId: string): readonly Explained[] {
+  const own = lines.filter((line) => line.requestId === requestId);
+  const last = own.at(-1);
+  if (!last) return [];
+  const endMs = Math.max(...own.map(timeOf));
+  const startMs = Math.min(...own.map((line) => timeOf(line) - tookMs(line))) - BEFORE_MS;
+  const instances = new Set(own.map(({ instance }) => instance));
+  const upstreams = new Set(own.flatMap(upstreamsOf));
+  const near = lines.filter(
+    (line) =>
+      line.requestId === undefined &&
+      instances.has(line.instance) &&
+      timeOf(line) >= startMs &&
+      timeOf(line) <= endMs,
+  );
+  const explained: readonly Explained[] = [
+    ...own.map((line): Explained => ({ line, about: 'request' })),
+    ...near
+      .filter(({ event }) => SURROUNDINGS.has(event))
+      .map((line): Explained => ({ line, about: 'instance' })),
+    ...near
+      .filter((line) => upstreamsOf(line).some((id) => upstreams.has(id)))
+      .map((line): Explained => ({ line, about: 'upstream' })),
+  ];
+  return [...explained].sort((a, b) => timeOf(a.line) - timeOf(b.line));
+}
+
+function timeOf({ time }: Line): number {
+  return Date.parse(time);
+}
+
+function tookMs({ tookMs: took }: Line): number {
+  return typeof took === 'number' ? took : 0;
+}
+
+function upstreamsOf({ upstream, upstreams }: Line): readonly string[] {
+  if (typeof upstream === 'string') return [upstream];
+  return Array.isArray(upstreams) ? upstreams.map(String) : [];
+}
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -255,8 +255,19 @@
   };
 }
 
+/** Notes since when no upstream has weights below the lowest ones. */
+function withLowest(state: fleet.State, now: task.Instant): fleet.State {
+  const versions = views.lowestVersions(state.listing.upstreams.values(), state.named);
+  const known = state.lowest.versions;
+  const isSame =
+    versions.size === known.size &&
+    [...versions].every(([model, version]) => known.get(model) === version);
+  return isSame ? state : { ...state, lowest: { versions, sinceMs: now.monotonicMs } };
+}
+
 /** Silent upstreams are probed, since no request will show that they are back. */
-function onTick(state: fleet.State, now: task.Instant): Step {
+function onTick(given: fleet.State, now: task.Instant): Step {
+  const state = withLowest(given, now);
   const expired = listing.expire(state.listing, now);
   const all = [...state.listing.upstreams.values()];
   all.forEach((upstream) => evidence.fade(upstream, now.monotonicMs));
@@ -268,7 +279,7 @@
       ...describe(state, expired),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
       views.toRollouts(state),
-      { kind: 'tell-replaced', stores: state.contextStores, held: views.replaced(state) },
+      { kind: 'tell-replaced', stores: state.contextStores, held: views.replaced(state, now) },
     ],
   };
 }
--- a/packages/core/src/fleet/evidence.ts
+++ b/packages/core/src/fleet/evidence.ts
@@ -18,8 +18,8 @@
 
 /** No byte for this long, with work unanswered, is silence. */
 export const SILENCE_MS = 900;
-/** How long work keeps away after a rejection. */
-const BUSY_MS = 400;
+/** How long work keeps away after a rejection: a load of weights takes this long or longer. */
+const BUSY_MS = 700;
 /** Weight of the newest measurement in the smoothed latency. */
 const LATENCY_WEIGHT = 0.25;
 /** Parts remembered for one upstream; its memory holds fewer. */
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -37,10 +37,12 @@
 const ROLLOUT_MARGIN_MS = 700;
 /** About to load weights: new work would have to wait for that. */
 const IN_WAVE_MS = 4_000;
+/** Runs dry for the next load: used only where all others are much slower. */
+const NEXT_WAVE_MS = 1_500;
 /** Each recent fault, as a wait. */
 const FAULT_MS = 80;
-/** Rejected work a moment ago. */
-const BUSY_MS = 500;
+/** Rejected work a moment ago: it would most likely reject this as well, at the cost of a retry. */
+const BUSY_MS = 3_000;
 /** Each request that waits at an engine or at a plain upstream. */
 const WAITING_MS = 25;
 /** A cold upstream is slower. */
@@ -63,10 +65,10 @@
   if (usable.length === 0) return { kind: 'none', reason: 'none-usable' };
   const open = usable.filter((each) => isOpen(view, each));
   if (open.length === 0) return { kind: 'none', reason: 'cold' };
-  const inWave = waveOf(view, usable);
+  const waves = wavesOf(view, usable);
   const ranks = rankOf(view, open);
   const costed = open
-    .map((each) => ({ each, costMs: cost(view, each, inWave) + (ranks.get(each.listed.id) ?? 0) }))
+    .map((each) => ({ each, costMs: cost(view, each, waves) + (ranks.get(each.listed.id) ?? 0) }))
     .sort((a, b) => a.costMs - b.costMs);
   const best = costed[0];
   if (!best) return { kind: 'none', reason: 'full' };
@@ -110,15 +112,18 @@
   return coldShare.maySend(state, service, upstream, now.monotonicMs);
 }
 
-function waveOf({ state, wish }: View, usable: readonly upstreams.Upstream[]): ReadonlySet<string> {
+type Waves = { now: ReadonlySet<string>; next: ReadonlySet<string> };
+
+function wavesOf({ state, wish }: View, usable: readonly upstreams.Upstream[]): Waves {
   const model = wish.prompt?.model;
   const version = model === undefined ? undefined : state.named.get(model)?.version;
-  if (model === undefined || version === undefined) return new Set();
+  if (model === undefined || version === undefined) return { now: new Set(), next: new Set() };
   const candidates = usable.map((each) => ({
     id: each.listed.id,
     version: each.versions.get(model) ?? 0,
   }));
-  return new Set(wave.wave(model, version, candidates));
+  const { now, next } = wave.waves(model, version, candidates);
+  return { now: new Set(now), next: new Set(next) };
 }
 
 /** Small costs in the order of rendezvous hashing of the last part that requests share. */
@@ -131,7 +136,7 @@
   return new Map(ranked.map((id, at) => [id, at * RANK_STEP_MS]));
 }
 
-function cost(view: View, upstream: upstreams.Upstream, inWave: ReadonlySet<string>): number {
+function cost(view: View, upstream: upstreams.Upstream, waves: Waves): number {
   const { state, now } = view;
   const { listed, load, latencyMs = 0 } = upstream;
   const isElsewhere = listed.dataCentre !== state.dataCentre;
@@ -145,7 +150,8 @@
     (upstream.busyUntilMs > now.monotonicMs ? BUSY_MS : 0) +
     (coldShare.isCold(upstream, now.monotonicMs) ? COLD_MS : 0) +
     oldWeightsMs(view, upstream) +
-    (inWave.has(listed.id) ? IN_WAVE_MS : 0)
+    (waves.now.has(listed.id) ? IN_WAVE_MS : 0) +
+    (waves.next.has(listed.id) ? NEXT_WAVE_MS : 0)
   );
 }
 
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -25,6 +25,8 @@
   evacuated: ReadonlySet<string>;
   /** The newest weights of each model, and since when this instance knows of them. */
   named: ReadonlyMap<string, Named>;
+  /** The lowest weights of each model that an upstream may have, and since when. */
+  lowest: { versions: ReadonlyMap<string, number>; sinceMs: number };
   /** Whether the names have been read at all. */
   hasReadNames: boolean;
   /** Names of the instances that may send, this one included; empty while unknown. */
@@ -42,6 +44,7 @@
     holdings: holdings.create(),
     evacuated: new Set(),
     named: new Map(),
+    lowest: { versions: new Map(), sinceMs: 0 },
     hasReadNames: false,
     members: [],
   };
--- a/packages/core/src/fleet/views.ts
+++ b/packages/core/src/fleet/views.ts
@@ -1,4 +1,5 @@
 /** What other tasks are told of the fleet. */
+import type * as task from '../kernel/task.js';
 import type * as gatewayMessages from '../messages/gateway.js';
 import type * as view from '../rollouts/view.js';
 import * as sharedContext from '../shared-context/index.js';
@@ -34,21 +35,27 @@
   return [{ kind: 'health', upstream, address, path: service.healthPath }];
 }
 
+/**
+ * A fetch names weights that its upstream has, so none of replaced context begins once no upstream
+ * has them; those under way have ended by then, see `FETCH_TIMEOUT_MS`.
+ */
+const SETTLE_MS = 1_500;
+
 /** Parts named for each store at one time; the rest follows once these are gone. */
 const MAX_PARTS = 400;
 
 /** Parts under salts of weights that no upstream has any more. */
-export function replaced({
-  holdings,
-  named,
-  listing,
-  contextStores,
-}: fleet.State): readonly view.Held[] {
-  const inUse = lowestVersions(listing.upstreams.values(), named);
+export function replaced(
+  { holdings, lowest, contextStores }: fleet.State,
+  now: task.Instant,
+): readonly view.Held[] {
+  if (now.monotonicMs - lowest.sinceMs < SETTLE_MS) return [];
   return contextStores.flatMap(({ name }) => {
     const holding = holdings.stores.get(name);
     if (!holding?.isReachable || holding.epoch === undefined) return [];
-    const parts = [...holding.parts.values()].filter(({ salt }) => isReplaced(salt, inUse));
+    const parts = [...holding.parts.values()].filter(({ salt }) =>
+      isReplaced(salt, lowest.versions),
+    );
     if (parts.length === 0) return [];
     return [{ store: name, epoch: holding.epoch, parts: parts.slice(0, MAX_PARTS) }];
   });
@@ -60,7 +67,7 @@
 }
 
 /** The lowest weights of each model that an upstream may still have; gone ones cannot come back with older. */
-function lowestVersions(
+export function lowestVersions(
   all: Iterable<upstreams.Upstream>,
   named: fleet.State['named'],
 ): ReadonlyMap<string, number> {
--- a/packages/core/src/rollouts/decide.ts
+++ b/packages/core/src/rollouts/decide.ts
@@ -26,9 +26,9 @@
   upstreams: readonly view.RolledUpstream[];
   stores: readonly routes.ContextStore[];
   replaced: readonly view.Held[];
-  /** Since when nothing is left to load; parts of replaced weights are freed a while later. */
-  settledAtMs: number | undefined;
   errands: Readonly<Record<string, Errand>>;
+  /** Since when each upstream of the present waves has been kept free of new work. */
+  dryingSinceMs: Readonly<Record<string, number>>;
   isLeaving: boolean;
 };
 
@@ -48,10 +48,10 @@
 const REPORT_MS = 150;
 /** An upstream that does not report for this long is asked anew. */
 const ERRAND_TIMEOUT_MS = 3_000;
+/** Short requests that may run once have ended by then; streams that were cut go on elsewhere. */
+const DRY_MS = 400;
 /** Pause between two looks at what is left to do. */
-const WAKE_MS = 200;
-/** After the last load, fetches of replaced context that were under way have ended by then. */
-const SETTLE_MS = 4_000;
+const WAKE_MS = 100;
 /** Fencing is checked by the upstreams; see `fencingRequired` of the users' rules. */
 const CHECKS_FENCING = { checksFencing: true };
 
@@ -62,8 +62,8 @@
     upstreams: [],
     stores: [],
     replaced: [],
-    settledAtMs: undefined,
     errands: {},
+    dryingSinceMs: {},
     isLeaving: false,
   };
 }
@@ -114,7 +114,8 @@
 function advance(given: State, now: task.Instant): Step {
   const permission = mayAct(given, now);
   if (permission.kind === 'refused') return { state: { ...given, errands: {} }, commands: [] };
-  const state = { ...given, errands: withoutEnded(given, now) };
+  const drying = dryingOf(given, now);
+  const state = { ...given, errands: withoutEnded(given, now), dryingSinceMs: drying };
   const wanted = wantedErrands(state, now);
   const errands = { ...state.errands, ...Object.fromEntries(wanted) };
   const asks = wanted.map(([upstream, { address }]): Command => ({
@@ -123,16 +124,8 @@
     address,
     delayMs: 0,
   }));
-  const settledAtMs = isSettled(state) ? (state.settledAtMs ?? now.monotonicMs) : undefined;
-  const next: State = { ...state, errands, settledAtMs };
-  return { state: next, commands: [...asks, ...freeReplaced(next, now)] };
-}
-
-function isSettled({ errands, named, upstreams }: State): boolean {
-  if (Object.keys(errands).length > 0) return false;
-  return Object.entries(named).every(([model, version]) =>
-    upstreams.every(({ versions }) => (versions[model] ?? version) >= version),
-  );
+  const next: State = { ...state, errands, replaced: [] };
+  return { state: next, commands: [...asks, ...freeReplaced(state)] };
 }
 
 function withoutEnded({ errands, upstreams }: State, now: task.Instant) {
@@ -144,26 +137,39 @@
   return Object.fromEntries(kept);
 }
 
+/** Upstreams of one model that can be reached, as candidates for its waves. */
+function wavesOf({ upstreams }: State, model: string, version: number): waves.Waves {
+  const candidates = upstreams
+    .filter(({ isReachable, versions }) => isReachable && versions[model] !== undefined)
+    .map(({ id, versions }) => ({ id, version: versions[model] ?? 0 }));
+  return waves.waves(model, version, candidates);
+}
+
+function dryingOf(state: State, now: task.Instant): State['dryingSinceMs'] {
+  const ids = Object.entries(state.named).flatMap(([model, version]) => {
+    const { now: present, next } = wavesOf(state, model, version);
+    return [...present, ...next];
+  });
+  return Object.fromEntries(ids.map((id) => [id, state.dryingSinceMs[id] ?? now.monotonicMs]));
+}
+
 function wantedErrands(state: State, now: task.Instant): readonly [string, Errand][] {
-  return Object.entries(state.named).flatMap(([model, version]) => {
-    const serving = state.upstreams.filter((each) => each.versions[model] !== undefined);
-    const candidates = serving
-      .filter(({ isReachable }) => isReachable)
-      .map(({ id, versions }) => ({ id, version: versions[model] ?? 0 }));
-    return waves
-      .wave(model, version, candidates)
-      .filter((id) => state.errands[id] === undefined)
+  const isDry = (id: string) =>
+    now.monotonicMs - (state.dryingSinceMs[id] ?? now.monotonicMs) >= DRY_MS;
+  return Object.entries(state.named).flatMap(([model, version]) =>
+    wavesOf(state, model, version)
+      .now.filter((id) => state.errands[id] === undefined && isDry(id))
       .map((id): [string, Errand] => [
         id,
         {
           model,
           version,
-          address: serving.find((each) => each.id === id)?.address ?? '',
+          address: state.upstreams.find((each) => each.id === id)?.address ?? '',
           step: 'asking',
           startedAtMs: now.monotonicMs,
         },
-      ]);
-  });
+      ]),
+  );
 }
 
 function onReported(
@@ -260,13 +266,9 @@
   return { state: { ...state, errands }, commands: [] };
 }
 
-/** Fetches name a version that the upstream has, so none can begin once no upstream has it. */
-function freeReplaced(
-  { replaced, stores, settledAtMs }: State,
-  now: task.Instant,
-): readonly Command[] {
-  if (settledAtMs === undefined || now.monotonicMs - settledAtMs < SETTLE_MS) return [];
-  return replaced.flatMap(({ store, epoch, parts }) => {
+/** The fleet names parts that no upstream can read any more; each list is carried out once. */
+function freeReplaced({ replaced, stores }: State): readonly Command[] {
+  return replaced.flatMap(({ store, epoch, parts }): readonly Command[] => {
     const address = stores.find(({ name }) => name === store)?.address;
     if (address === undefined) return [];
     return [{ kind: 'free', request: { store, address, epoch, parts } }];
--- a/packages/core/src/rollouts/wave.ts
+++ b/packages/core/src/rollouts/wave.ts
@@ -1,17 +1,20 @@
 /**
- * The wave of a rollout: the upstreams that take new weights next. Every instance works it out from
- * what it sees of the versions, so new work keeps away from the wave without any message.
+ * The waves of a rollout: the upstreams that take new weights now, and those that are next. Every
+ * instance works them out from what it sees of the versions, so new work keeps away from both without
+ * any message, and those that are next run dry while the others load.
  */
 import * as rendezvous from '../membership/rendezvous.js';
 
-/** Share of a model's upstreams that take weights at once: the others carry the load meanwhile. */
-const WAVE_SHARE = 0.25;
+/** Share of a model's upstreams in one wave: twice as many are out of use at a time. */
+const WAVE_SHARE = 0.15;
 
 export type Candidate = { id: string; version: number };
+export type Waves = { now: readonly string[]; next: readonly string[] };
 
-/** The ids of the wave, of all upstreams of one model that are in service. */
-export function wave(model: string, version: number, all: readonly Candidate[]): readonly string[] {
+/** The ids of both waves, of all upstreams of one model that are in service. */
+export function waves(model: string, version: number, all: readonly Candidate[]): Waves {
   const behind = all.filter((each) => each.version < version).map(({ id }) => id);
-  const size = Math.max(1, Math.ceil(all.length * WAVE_SHARE));
-  return rendezvous.choose(`${model}/${version}`, behind, size);
+  const size = Math.max(1, Math.round(all.length * WAVE_SHARE));
+  const chosen = rendezvous.choose(`${model}/${version}`, behind, 2 * size);
+  return { now: chosen.slice(0, size), next: chosen.slice(size) };
 }
--- /dev/null
+++ b/packages/core/test/events/explain.test.ts
@@ -0,0 +1,57 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('explaining a request');
+
+const START_MS = Date.UTC(2026, 11, 4);
+
+function aLine(atMs: number, event: core.events.EventName, details: object): string {
+  const { number, text } = core.events.catalogue[event];
+  const time = new Date(START_MS + atMs).toISOString();
+  return JSON.stringify({ time, instance: 'instance-1', event: number, msg: text, ...details });
+}
+
+/** A request that its upstream left unanswered, among lines of others. */
+const JOURNAL = [
+  aLine(0, 'dependencyLost', { dependency: 'store', reason: 'old' }),
+  aLine(20_000, 'upstreamChanged', { upstream: 'u-1', text: 'does not answer' }),
+  aLine(20_100, 'upstreamChanged', { upstream: 'u-2', text: 'answers again' }),
+  aLine(21_000, 'attemptFailed', { requestId: 'r-1', upstream: 'u-1', reason: 'connection-lost' }),
+  aLine(21_010, 'requestFinished', { requestId: 'r-2', upstreams: ['u-1'], tookMs: 10 }),
+  aLine(21_020, 'requestFinished', { requestId: 'r-1', upstreams: ['u-1'], tookMs: 50 }),
+  aLine(30_000, 'dependencyBack', { dependency: 'store' }),
+];
+
+function explained(id: string) {
+  const lines = JOURNAL.flatMap((text) => core.events.parseLine(text) ?? []);
+  return core.events.explain(lines, id).map(({ line, about }) => [line.event, about]);
+}
+
+suite('shows the lines of the request and what its upstream went through, in order', () => {
+  const { upstreamChanged, attemptFailed, requestFinished } = core.events.catalogue;
+  assert.equal(explained('r-1'), [
+    [upstreamChanged.number, 'upstream'],
+    [attemptFailed.number, 'request'],
+    [requestFinished.number, 'request'],
+  ]);
+});
+
+suite('shows nothing of a request that no line names', () => {
+  assert.equal(explained('r-3'), []);
+});
+
+suite('a collector’s prefix is passed over, and text that is no record is skipped', () => {
+  const [first = ''] = JOURNAL;
+  assert.ok(core.events.parseLine(` 12.5 instance-1 ${first}`));
+  fastCheck.assert(
+    fastCheck.property(fixtures.anyText(), (text) => {
+      core.events.parseLine(text);
+    }),
+    fixtures.seeded(500),
+  );
+});
+
+suite.run();
--- a/packages/medlarctl/src/command-line.ts
+++ b/packages/medlarctl/src/command-line.ts
@@ -45,6 +45,9 @@
   (error) => core.results.failure('wrongUse', (error as Error).message),
 );
 
+/** Stands in the platform's place for a command that does not reach it. */
+const UNREACHED = '127.0.0.1:0';
+
 type Environment = Readonly<Record<string, string | undefined>>;
 
 export function parse(
@@ -63,7 +66,8 @@
   if (values.help === true || name === undefined) return neverthrow.ok({ kind: 'help' });
   const command = registry.find(name);
   if (!command) return neverthrow.err(core.results.failure('unknownCommand', name));
-  const platform = values.platform ?? environment.MEDLARWEIR_PLATFORM;
+  const given = values.platform ?? environment.MEDLARWEIR_PLATFORM;
+  const platform = command.reaches === 'files' ? UNREACHED : given;
   if (typeof platform !== 'string') {
     const detail = '--platform (MEDLARWEIR_PLATFORM): expected HOST:PORT; found nothing';
     return neverthrow.err(core.results.failure('wrongUse', detail));
--- a/packages/medlarctl/src/commands/index.ts
+++ b/packages/medlarctl/src/commands/index.ts
@@ -8,3 +8,4 @@
 import './history.js';
 import './diff.js';
 import './revert.js';
+import './explain.js';
--- a/packages/medlarctl/src/files.ts
+++ b/packages/medlarctl/src/files.ts
@@ -13,3 +13,17 @@
     return neverthrow.err(core.results.failure('invalidInput', `${file}: ${String(error)}`));
   }
 }
+
+/** The texts of files, or of standard input if none is named. */
+export async function readTexts(
+  names: readonly string[],
+): Promise<neverthrow.Result<readonly string[], core.results.Failure>> {
+  const sources = names.length > 0 ? names : [STANDARD_INPUT];
+  try {
+    return neverthrow.ok(await Promise.all(sources.map((name) => fs.readFile(name, 'utf8'))));
+  } catch (error) {
+    return neverthrow.err(core.results.failure('invalidInput', String(error)));
+  }
+}
+
+const STANDARD_INPUT = '/dev/stdin';
--- a/packages/medlarctl/src/registry.ts
+++ b/packages/medlarctl/src/registry.ts
@@ -33,6 +33,8 @@
   /** Words and flags behind the name, for the help text. */
   usage: string;
   summary: string;
+  /** What it needs besides its words; the platform if nothing is said. */
+  reaches?: 'platform' | 'files';
   flags?: NonNullable<util.ParseArgsConfig['options']>;
   run(input: Input): Outcome;
 };
--- a/packages/plugins/rollouts/src/rollouts-task.ts
+++ b/packages/plugins/rollouts/src/rollouts-task.ts
@@ -29,8 +29,8 @@
   },
 };
 
-function dump({ lease, named, errands, settledAtMs }: State): unknown {
-  return { phase: lease.phase.kind, named, errands, settledAtMs };
+function dump({ lease, named, errands }: State): unknown {
+  return { phase: lease.phase.kind, named, errands };
 }
 
 function perform(surroundings: Surroundings, command: Command): void {
