Let running streams go on under new weights; count own work for all instances

Change: loads retain the streams that are left after 700 ms without new work; own work counts for 0.7 of what all instances would send.

--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -45,10 +45,15 @@
 const BUSY_MS = 3_000;
 /** Each request that waits at an engine or at a plain upstream. */
 const WAITING_MS = 25;
+/** Each request that an engine runs: some of them are still being read. */
+const RUNNING_MS = 12;
 /** A cold upstream is slower. */
 const COLD_MS = 40;
-/** Other instances send work too: own work stands for this much in all. */
-const OTHERS_FACTOR = 2.5;
+/**
+ * Other instances send work too, and choose as this one does. Own work stands for this share of what
+ * all of them would send: with less, all rush to an upstream that has just come free.
+ */
+const OTHERS_SHARE = 0.7;
 /** Parts that were sent this recently are likely to be in the upstream's memory still. */
 const RECENT_MS = 15_000;
 /** Of the smoothed latency, what counts. At an engine it follows the prompts more than the engine. */
@@ -144,6 +149,7 @@
     queueMs(view, upstream) +
     readMs(view, upstream) +
     (load?.waiting ?? 0) * WAITING_MS +
+    (view.service.engine ? (load?.running ?? 0) * RUNNING_MS : 0) +
     latencyMs * (view.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
     upstreams.faultsNow(upstream, now.monotonicMs) * FAULT_MS +
     (isElsewhere ? OTHER_CENTRE_MS : 0) +
@@ -167,11 +173,15 @@
 }
 
 /** Work ahead: own tokens that are still to be read, and for plain services the slots in use. */
-function queueMs({ service }: View, { underWay, load, listed, latencyMs }: upstreams.Upstream) {
+function queueMs(
+  { state, service }: View,
+  { underWay, load, listed, latencyMs }: upstreams.Upstream,
+) {
   const own = [...underWay.values()];
   if (service.engine) {
     const tokens = own.reduce((sum, each) => sum + (each.isAnswered ? 0 : each.tokens), 0);
-    return (tokens / PREFILL_TOKENS_PER_MS) * OTHERS_FACTOR + own.length;
+    const others = Math.max(1, state.members.length * OTHERS_SHARE);
+    return (tokens / PREFILL_TOKENS_PER_MS) * others + own.length;
   }
   const running = Math.max(own.length, load?.running ?? 0);
   const perRequestMs = latencyMs ?? WAITING_MS;
--- a/packages/core/src/rollouts/decide.ts
+++ b/packages/core/src/rollouts/decide.ts
@@ -48,8 +48,8 @@
 const REPORT_MS = 150;
 /** An upstream that does not report for this long is asked anew. */
 const ERRAND_TIMEOUT_MS = 3_000;
-/** Short requests that may run once have ended by then; streams that were cut go on elsewhere. */
-const DRY_MS = 400;
+/** Short requests have ended by then, and most streams. */
+const DRY_MS = 700;
 /** Pause between two looks at what is left to do. */
 const WAKE_MS = 100;
 /** Fencing is checked by the upstreams; see `fencingRequired` of the users' rules. */
