--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -81,7 +81,7 @@
   },
   {
     // Development scripts have nothing else to do while they wait.
-    files: ['scripts/**'],
+    files: ['scripts/**', 'platform/test/names.test.ts'],
     rules: { 'n/no-sync': 'off' },
   },
   {
--- a/packages/core/src/claims/batches.ts
+++ b/packages/core/src/claims/batches.ts
@@ -147,7 +147,6 @@
       return learn(scope, key, found, answer.current);
     case 'unavailable':
       return onUnavailable(scope, key, found);
-    case 'objects':
       return NOTHING;
     default:
       return results.never(answer);
--- a/packages/core/src/cold-starts/answers.ts
+++ b/packages/core/src/cold-starts/answers.ts
@@ -37,7 +37,6 @@
       const found = answer.kind === 'object' ? answer.object : undefined;
       return onSeen(state, upstream, lease.observe(before, found, now), now);
     }
-    case 'objects':
     case 'written':
     case 'conflict':
     case 'unavailable':
@@ -85,7 +84,6 @@
     case 'unavailable':
     case 'object':
     case 'missing':
-    case 'objects':
       return { state, commands: [] };
     default:
       return results.never(answer);
--- a/packages/core/src/leases/decide.ts
+++ b/packages/core/src/leases/decide.ts
@@ -119,7 +119,6 @@
     case 'object':
       return judge(given, phase.observation, answer.object, now);
     case 'unavailable':
-    case 'objects':
     case 'written':
     case 'conflict':
       return calls.readAgain(given, phase, now);
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -27,6 +27,5 @@
   | 'gateway.denied'
   | 'gateway.whole'
   | 'gateway.first_event'
-  | 'gateway.open'
   | 'transport.connections'
-  | 'platform.call';
+  | 'platform.answered';
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -25,7 +25,6 @@
 export type PlatformAnswer =
   | { kind: 'object'; object: StoredObject }
   | { kind: 'missing' }
-  | { kind: 'objects'; objects: readonly StoredObject[] }
   | { kind: 'written'; version: number }
   | { kind: 'conflict'; current: StoredObject | undefined }
   /** No answer: a write may or may not have taken effect. */
@@ -71,12 +70,6 @@
       key: string;
       replyTo: task.Address<PlatformAnswered>;
     }
-  | {
-      type: 'platform.list';
-      ticket: string;
-      prefix: string;
-      replyTo: task.Address<PlatformAnswered>;
-    }
   /** A conditional update: takes effect only on `expectedVersion`. */
   | {
       type: 'platform.write';
--- a/packages/medlarctl/src/change.ts
+++ b/packages/medlarctl/src/change.ts
@@ -75,7 +75,6 @@
     case 'unavailable':
       return neverthrow.err(answer.failure);
     case 'missing':
-    case 'objects':
     case 'written':
     case 'conflict':
       return neverthrow.err(core.results.failure('platformMalformed', `answer ${answer.kind}`));
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -75,6 +75,7 @@
       return;
     }
     case 'reply':
+      if (command.reply.type === 'reply.head') noteFirstEvent(scope);
       scope.caller.send(command.reply);
       return;
     case 'schedule':
@@ -149,6 +150,11 @@
   surroundings.send('fleet', { type: 'fleet.outcome', requestId, upstream, outcome });
 }
 
+function noteFirstEvent({ given, surroundings }: Scope): void {
+  const ms = core.kernel.readClock().monotonicMs - given.request.receivedAt.monotonicMs;
+  surroundings.send('metrics', { type: 'metrics.timing', name: 'gateway.first_event', ms });
+}
+
 function noteEnd(
   { given, surroundings, history }: Scope,
   { result, status, reason }: core.gateway.lifecycleState.EndOutcome,
--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -202,9 +202,9 @@
         const models = [{ name: model, version: state.version, adapters: [] }];
         response.end(JSON.stringify({ models, busy: false, seq: state.orders }));
       } else if (path === '/-/order') order(body, response);
-      else if (path === '/health')
+      else if (path === '/health') {
         response.writeHead(200, { 'x-medlarweir-instance-id': id }).end();
-      else {
+      } else {
         const requestId = String(headers[REQUEST_ID]);
         answer({ requestId, method, path, headers, body }, request, response);
       }
