Keep a red test: a begun stream without an upstream is held until its time limit

HOLD_BEGUN_MS adds the time that was held already, so the search for another upstream never ends before the route's limit.

--- a/packages/core/test/gateway/lifecycle.test.ts
+++ b/packages/core/test/gateway/lifecycle.test.ts
@@ -13,7 +13,7 @@
 /** One request whose surroundings the test plays. */
 function aLife(changed: Partial<Route> = {}) {
   const given: core.gateway.lifecycleState.Given = {
-    request: fixtures.aGatewayRequest(),
+    request: fixtures.aGatewayRequest({ patienceMs: undefined }),
     route: fixtures.aRoute(changed),
     service: 'models',
     clientAccount: undefined,
@@ -146,6 +146,25 @@
   assert.is(replies(life).at(-1)?.type, 'reply.cut');
 });
 
+suite('a stream that has begun and finds no upstream for two seconds is cut, not held', () => {
+  const life = aLife({
+    repetition: 'resumable',
+    delivery: 'stream',
+    maxRuns: 2,
+    timeoutMs: 15_000,
+  });
+  place(life, 'u-1');
+  const attempt = attemptOf(life);
+  life.send({ type: 'attempt.head', attempt, head: fixtures.anAnswerHead() });
+  end(life, BROKEN);
+  life.send({ type: 'retry.decided', isGranted: true });
+  Array.from({ length: 80 }).forEach(() => {
+    life.send({ type: 'fleet.none', reason: 'none-usable' });
+    life.send({ type: 'request.due', timer: 'place' }, 25);
+  });
+  assert.is(replies(life).at(-1)?.type, 'reply.cut');
+});
+
 suite('at the time limit the answer says whether the request may have run', () => {
   const sent = aLife();
   place(sent, 'u-1');
