End the search for an upstream of a begun stream after its hold time

Cause: HOLD_BEGUN_MS added the time that was held already to itself, so a begun stream was looked after until its route's limit. The state keeps since when the present search has found none.

--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -40,6 +40,8 @@
   /** Upstreams that are not asked again. */
   excluded: readonly string[];
   isHeadSent: boolean;
+  /** When the present search for an upstream first found none. */
+  searchingSinceMs: number | undefined;
   lastEventId: string | undefined;
   /** An upstream's own failure, handed on if no other upstream answers. */
   failure: Extract<answers.AttemptEnd, { kind: 'answered' }> | undefined;
@@ -89,6 +91,7 @@
     runs: 0,
     excluded: [],
     isHeadSent: false,
+    searchingSinceMs: undefined,
     lastEventId: given.request.lastEventId,
     failure: undefined,
     lastReason: '',
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -16,7 +16,7 @@
 const PLACE_AGAIN_MS = 25;
 /** A request is held for this share of its target before it is refused: later costs the caller more. */
 const HOLD_SHARE = 1 / 8;
-/** A stream that has begun is held longer: refusing is no longer possible. */
+/** A stream that has begun is held this long from the first search without result: it can only be cut. */
 const HOLD_BEGUN_MS = 1_500;
 /** Sends beyond the allowed runs, for upstreams that reject without running. */
 const MAX_REJECTIONS = 3;
@@ -89,6 +89,7 @@
   const next: State = {
     ...state,
     phase: { kind: 'attempting', attempt },
+    searchingSinceMs: undefined,
     sends: state.sends + 1,
     runs: state.runs + 1,
   };
@@ -126,10 +127,12 @@
 function onNone(state: State, reason: messages.NoPlacement, now: task.Instant): Step {
   if (state.phase.kind !== 'placing') return { state, commands: [] };
   const { request, route } = state.given;
-  const heldMs = now.monotonicMs - request.receivedAt.monotonicMs;
-  const holdMs = state.isHeadSent ? HOLD_BEGUN_MS + heldMs : route.targetMs * HOLD_SHARE;
-  const next = { ...state, lastReason: `no upstream: ${reason}` };
-  if (heldMs < holdMs && leftMs(state, now) > LEAST_ATTEMPT_MS) {
+  const searchingSinceMs = state.searchingSinceMs ?? now.monotonicMs;
+  const next = { ...state, searchingSinceMs, lastReason: `no upstream: ${reason}` };
+  const isOver = state.isHeadSent
+    ? now.monotonicMs - searchingSinceMs >= HOLD_BEGUN_MS
+    : now.monotonicMs - request.receivedAt.monotonicMs >= route.targetMs * HOLD_SHARE;
+  if (!isOver && leftMs(state, now) > LEAST_ATTEMPT_MS) {
     return {
       state: next,
       commands: [{ kind: 'schedule', timer: 'place', delayMs: PLACE_AGAIN_MS }],
