Instances tell each other of their work at the upstreams

Cause: each of nine instances saw only its own requests, so loads of the engines differed by a factor and a session's parts were read at two engines before a store told of them. Ruled out: a stronger weight on what engines tell (load headers are old by some requests). Change: signed datagrams name the own work at each upstream and the parts sent there; the key is in the member's own entry. Placement adds the peers' work, and memory under way.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -8,9 +8,10 @@
 import * as sharedContext from '../shared-context/index.js';
 import * as evidence from './evidence.js';
 import * as listing from './listing.js';
+import type * as peerWork from './peer-work.js';
 import * as placement from './placement.js';
 import type * as fleet from './state.js';
-import type * as upstreams from './upstream.js';
+import * as telling from './telling.js';
 import * as views from './views.js';
 
 export type Command =
@@ -28,6 +29,8 @@
     }
   | { kind: 'limit-connections'; connectionsPerUpstream: Readonly<Record<string, number>> }
   | { kind: 'schedule-tick' }
+  | { kind: 'schedule-tell' }
+  | { kind: 'tell-peers'; note: peerWork.Note }
   | { kind: 'note-placed'; wish: placement.Wish; placed: placement.Placed }
   | { kind: 'note-upstream'; id: string; text: string; ageMs: number }
   | { kind: 'note-named'; versions: Readonly<Record<string, number>> }
@@ -74,6 +77,10 @@
     case 'fleet.store-news':
       sharedContext.holdings.take(state.holdings, message.store, message.news, now);
       return { state, commands: [] };
+    case 'fleet.peer-note':
+      return { state: telling.hear(state, message.note, now), commands: [] };
+    case 'fleet.tell':
+      return onTell(state, now);
     case 'fleet.tick':
       return onTick(state, now);
     case 'task.start':
@@ -106,10 +113,24 @@
     commands: [
       { kind: 'note-placed', wish, placed },
       { kind: 'reply', replyTo, message },
+      ...(placed.kind === 'placed' ? tellLater(state, placed.placement) : []),
     ],
   };
 }
 
+function tellLater(
+  state: fleet.State,
+  changed: Pick<gatewayMessages.Destination, 'upstream' | 'context'>,
+): readonly Command[] {
+  return telling.noteChange(state.telling, changed) ? [{ kind: 'schedule-tell' }] : [];
+}
+
+function onTell(state: fleet.State, now: task.Instant): Step {
+  const { note, isMoreLeft } = telling.next(state, now);
+  const again: readonly Command[] = isMoreLeft ? [{ kind: 'schedule-tell' }] : [];
+  return { state, commands: note ? [{ kind: 'tell-peers', note }, ...again] : again };
+}
+
 function onOutcome(
   state: fleet.State,
   { requestId, upstream: id, outcome }: Of<'fleet.outcome'>,
@@ -119,10 +140,11 @@
   if (!upstream) return { state, commands: [] };
   const before = upstream.reach.kind;
   evidence.onOutcome(upstream, requestId, outcome, now);
-  if (before === upstream.reach.kind) return { state, commands: [] };
+  const told = tellLater(state, { upstream: id, context: undefined });
+  if (before === upstream.reach.kind) return { state, commands: told };
   const text = `does not answer: ${outcome}`;
   const ageMs = now.monotonicMs - upstream.heardAtMs;
-  return { state, commands: [{ kind: 'note-upstream', id, text, ageMs }] };
+  return { state, commands: [...told, { kind: 'note-upstream', id, text, ageMs }] };
 }
 
 function onHeard(
@@ -133,9 +155,15 @@
   const upstream = state.listing.upstreams.get(id);
   if (!upstream) return { state, commands: [] };
   const versions = [...upstream.versions.values()].join();
-  evidence.onHeard(upstream, requestId, sign, now);
+  const isFirst = evidence.onHeard(upstream, requestId, sign, now);
   const hasChanged = versions !== [...upstream.versions.values()].join();
-  return { state, commands: hasChanged ? [views.toRollouts(state)] : [] };
+  return {
+    state,
+    commands: [
+      ...(isFirst ? tellLater(state, { upstream: id, context: undefined }) : []),
+      ...(hasChanged ? [views.toRollouts(state)] : []),
+    ],
+  };
 }
 
 /** A silent upstream is asked for a sign of life; the request asks again after the answer is due. */
@@ -195,21 +223,7 @@
 
 function onListed(state: fleet.State, news: listing.News, now: task.Instant): Step {
   const changed = listing.take(state.listing, news, now);
-  return { state, commands: [...describe(state, changed), ...afterChange(state, changed)] };
-}
-
-function describe(state: fleet.State, changed: readonly string[]): readonly Command[] {
-  return changed.flatMap((id): readonly Command[] => {
-    const upstream = state.listing.upstreams.get(id);
-    if (!upstream) return [];
-    return [{ kind: 'note-upstream', id, text: `now ${describeStanding(upstream)}`, ageMs: 0 }];
-  });
-}
-
-function describeStanding({ standing, versions }: upstreams.Upstream): string {
-  return [standing.kind, ...[...versions].map(([model, version]) => `${model}@${version}`)].join(
-    ' ',
-  );
+  return { state, commands: [...views.describe(state, changed), ...afterChange(state, changed)] };
 }
 
 function afterChange(state: fleet.State, changed: readonly string[]): readonly Command[] {
@@ -267,7 +281,7 @@
 
 /** Silent upstreams are probed, since no request will show that they are back. */
 function onTick(given: fleet.State, now: task.Instant): Step {
-  const state = withLowest(given, now);
+  const state = telling.expire(withLowest(given, now), now);
   const expired = listing.expire(state.listing, now);
   const all = [...state.listing.upstreams.values()];
   all.forEach((upstream) => evidence.fade(upstream, now.monotonicMs));
@@ -276,7 +290,8 @@
     state,
     commands: [
       { kind: 'schedule-tick' },
-      ...describe(state, expired),
+      { kind: 'tell-peers', note: telling.whole(state, now) },
+      ...views.describe(state, expired),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
       views.toRollouts(state),
       { kind: 'tell-replaced', stores: state.contextStores, held: views.replaced(state, now) },
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -7,7 +7,9 @@
 import * as wave from '../rollouts/wave.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as coldShare from './cold-share.js';
+import * as peerWork from './peer-work.js';
 import type * as fleet from './state.js';
+import * as telling from './telling.js';
 import * as upstreams from './upstream.js';
 
 export type Wish = {
@@ -50,10 +52,14 @@
 /** A cold upstream is slower. */
 const COLD_MS = 40;
 /**
- * Other instances send work too, and choose as this one does. Own work stands for this share of what
- * all of them would send: with less, all rush to an upstream that has just come free.
+ * Instances that do not tell of their work choose as this one does. Own work stands for this share of
+ * what all of them would send: with less, all rush to an upstream that has just come free.
  */
 const OTHERS_SHARE = 0.7;
+/** Share of an engine's memory that prompts under way fill before further ones have to wait. */
+const MEMORY_SHARE = 0.85;
+/** How long a whole memory of prompts takes to finish. */
+const FULL_MEMORY_MS = 800;
 /** Parts that were sent this recently are likely to be in the upstream's memory still. */
 const RECENT_MS = 15_000;
 /** Of the smoothed latency, what counts. At an engine it follows the prompts more than the engine. */
@@ -143,13 +149,11 @@
 
 function cost(view: View, upstream: upstreams.Upstream, waves: Waves): number {
   const { state, now } = view;
-  const { listed, load, latencyMs = 0 } = upstream;
+  const { listed, latencyMs = 0 } = upstream;
   const isElsewhere = listed.dataCentre !== state.dataCentre;
   return (
     queueMs(view, upstream) +
     readMs(view, upstream) +
-    (load?.waiting ?? 0) * WAITING_MS +
-    (view.service.engine ? (load?.running ?? 0) * RUNNING_MS : 0) +
     latencyMs * (view.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
     upstreams.faultsNow(upstream, now.monotonicMs) * FAULT_MS +
     (isElsewhere ? OTHER_CENTRE_MS : 0) +
@@ -172,20 +176,36 @@
   return (versions.get(prompt.model) ?? 0) < (named.get(prompt.model)?.version ?? 0);
 }
 
-/** Work ahead: own tokens that are still to be read, and for plain services the slots in use. */
-function queueMs(
-  { state, service }: View,
-  { underWay, load, listed, latencyMs }: upstreams.Upstream,
-) {
-  const own = [...underWay.values()];
-  if (service.engine) {
-    const tokens = own.reduce((sum, each) => sum + (each.isAnswered ? 0 : each.tokens), 0);
-    const others = Math.max(1, state.members.length * OTHERS_SHARE);
-    return (tokens / PREFILL_TOKENS_PER_MS) * others + own.length;
-  }
-  const running = Math.max(own.length, load?.running ?? 0);
+/** Work ahead: at an engine what it has to read and runs, at a plain upstream the slots in use. */
+function queueMs(view: View, upstream: upstreams.Upstream): number {
+  const { load, listed, latencyMs, underWay } = upstream;
+  if (view.service.engine) return engineQueueMs(view, upstream, view.service.engine);
+  const told = underWay.size + upstream.peerWork.requests;
+  const running = Math.max(told, telling.unheard(view.state) === 0 ? 0 : (load?.running ?? 0));
   const perRequestMs = latencyMs ?? WAITING_MS;
-  return (running / Math.max(1, listed.slots)) * perRequestMs;
+  const waiting = load?.waiting ?? 0;
+  return (running / Math.max(1, listed.slots)) * perRequestMs + waiting * WAITING_MS;
+}
+
+/** What an engine told of its load is old by some requests; the peers' notes are newer. */
+function engineQueueMs(
+  { state }: View,
+  upstream: upstreams.Upstream,
+  { contextTokens }: routes.Engine,
+): number {
+  const own = telling.ownWork(upstream);
+  const all = peerWork.sum([own, upstream.peerWork]);
+  const unheard = telling.unheard(state);
+  const factor = Math.max(1, (unheard + 1) * OTHERS_SHARE);
+  const unread = own.unreadTokens * factor + upstream.peerWork.unreadTokens;
+  const excessTokens = Math.max(0, all.promptTokens - contextTokens * MEMORY_SHARE);
+  const { running = 0, waiting = 0 } = unheard > 0 ? (upstream.load ?? {}) : {};
+  return (
+    unread / PREFILL_TOKENS_PER_MS +
+    Math.max(running, all.requests) * RUNNING_MS +
+    waiting * WAITING_MS +
+    (excessTokens / contextTokens) * FULL_MEMORY_MS
+  );
 }
 
 /** Time to get the prompt's parts there: nothing, a fetch, or reading. */
@@ -233,11 +253,16 @@
   upstream.underWay.set(wish.requestId, {
     startedAtMs: now.monotonicMs,
     tokens,
+    promptTokens: promptTokens(wish),
     isAnswered: false,
   });
   return { upstream: id, address, service: service.name, context: contextFor(view, upstream) };
 }
 
+function promptTokens({ prompt }: Wish): number {
+  return prompt?.parts.reduce((sum, { tokens }) => sum + tokens, 0) ?? 0;
+}
+
 function contextFor({ state, service, wish, now }: View, upstream: upstreams.Upstream) {
   if (!wish.prompt || !service.engine) return undefined;
   const { prompt } = wish;
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -2,6 +2,7 @@
 import type * as routes from '../gateway/routes.js';
 import * as holdings from '../shared-context/holdings.js';
 import * as listing from './listing.js';
+import type * as peerWork from './peer-work.js';
 
 export type Named = { version: number; sinceMs: number };
 
@@ -13,6 +14,16 @@
   coldSlack: number;
 };
 
+/** What the peers have not been told yet. Updated in place. */
+export type Telling = {
+  /** Tells this life of the process from earlier ones. */
+  life: string;
+  /** Upstreams at which the own work has changed. */
+  changed: Set<string>;
+  sent: peerWork.SentParts[];
+  isDue: boolean;
+};
+
 export type State = {
   instance: string;
   dataCentre: string;
@@ -31,9 +42,11 @@
   hasReadNames: boolean;
   /** Names of the instances that may send, this one included; empty while unknown. */
   members: readonly string[];
+  peerWork: peerWork.PeerWork;
+  telling: Telling;
 };
 
-export function initial(instance: string, dataCentre: string, bounds: Bounds): State {
+export function initial(instance: string, dataCentre: string, bounds: Bounds, life: string): State {
   return {
     instance,
     dataCentre,
@@ -47,5 +60,7 @@
     lowest: { versions: new Map(), sinceMs: 0 },
     hasReadNames: false,
     members: [],
+    peerWork: new Map(),
+    telling: { life, changed: new Set(), sent: [], isDue: false },
   };
 }
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -1,5 +1,6 @@
 /** What an instance knows of one upstream. Updated in place: only the fleet's task sees it. */
 import type * as task from '../kernel/task.js';
+import * as peerWork from './peer-work.js';
 
 export type ModelVersion = { model: string; version: number };
 
@@ -46,6 +47,8 @@
   versions: Map<string, number>;
   /** Own attempts under way, by request. */
   underWay: Map<string, Work>;
+  /** Work of other instances, as far as they told. */
+  peerWork: peerWork.Work;
   load: Load | undefined;
   /** When a byte last came from it. */
   heardAtMs: number;
@@ -60,7 +63,14 @@
   busyUntilMs: number;
 };
 
-export type Work = { startedAtMs: number; tokens: number; isAnswered: boolean };
+/** An own attempt under way. */
+export type Work = {
+  startedAtMs: number;
+  /** Tokens that the upstream has to read or to fetch for it. */
+  tokens: number;
+  promptTokens: number;
+  isAnswered: boolean;
+};
 
 export function fromList(listed: Listed, now: task.Instant): Upstream {
   return {
@@ -71,6 +81,7 @@
     nextColdSendMs: 0,
     versions: new Map(listed.models.map(({ model, version }) => [model, version])),
     underWay: new Map(),
+    peerWork: peerWork.NONE,
     load: undefined,
     heardAtMs: now.monotonicMs,
     faults: 0,
--- a/packages/core/src/fleet/views.ts
+++ b/packages/core/src/fleet/views.ts
@@ -24,6 +24,24 @@
   };
 }
 
+/** What has become of the upstreams, for the journal. */
+export function describe(
+  state: fleet.State,
+  changed: readonly string[],
+): readonly decide.Command[] {
+  return changed.flatMap((id): readonly decide.Command[] => {
+    const upstream = state.listing.upstreams.get(id);
+    if (!upstream) return [];
+    return [{ kind: 'note-upstream', id, text: `now ${describeStanding(upstream)}`, ageMs: 0 }];
+  });
+}
+
+function describeStanding({ standing, versions }: upstreams.Upstream): string {
+  return [standing.kind, ...[...versions].map(([model, version]) => `${model}@${version}`)].join(
+    ' ',
+  );
+}
+
 /** A probe for an upstream that is listed and silent. */
 export function probeFor(
   { services }: fleet.State,
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -1,6 +1,7 @@
 /** Messages to the task that knows the upstreams. */
 import type * as evidence from '../fleet/evidence.js';
 import type * as listing from '../fleet/listing.js';
+import type * as peerWork from '../fleet/peer-work.js';
 import type * as placement from '../fleet/placement.js';
 import type * as lifecycle from '../gateway/lifecycle-state.js';
 import type * as routes from '../gateway/routes.js';
@@ -33,6 +34,10 @@
     }
   | { type: 'fleet.probed'; probe: gateway.Probe; result: ProbeResult }
   | { type: 'fleet.store-news'; store: string; news: holdings.StoreNews }
+  /** Another instance tells of its work. */
+  | { type: 'fleet.peer-note'; note: peerWork.Note }
+  /** The own work is to be told. */
+  | { type: 'fleet.tell' }
   | { type: 'fleet.tick' };
 
 export type ProbeResult =
--- a/packages/core/src/messages/index.ts
+++ b/packages/core/src/messages/index.ts
@@ -12,6 +12,7 @@
 export * from './mailboxes.js';
 export * from './membership.js';
 export * from './orders.js';
+export * from './peer-notes.js';
 export * from './peers.js';
 export * from './platform.js';
 export * from './rollouts.js';
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -22,6 +22,7 @@
   | 'first_token'
   | 'claims.writes'
   | 'answers.dropped'
+  | 'peers.notes'
   | 'platform.calls'
   | 'gateway.requests'
   | 'gateway.denied'
--- a/packages/core/src/messages/mailboxes.ts
+++ b/packages/core/src/messages/mailboxes.ts
@@ -10,6 +10,7 @@
 import type * as journal from './journal.js';
 import type * as membership from './membership.js';
 import type * as orders from './orders.js';
+import type * as peerNotes from './peer-notes.js';
 import type * as peers from './peers.js';
 import type * as platform from './platform.js';
 import type * as rollouts from './rollouts.js';
@@ -33,6 +34,7 @@
   membership: membership.MembershipMessage;
   metrics: journal.MetricsMessage;
   orders: orders.OrdersMessage;
+  peerNotes: peerNotes.PeerNotesMessage;
   peers: peers.PeersMessage;
   platform: platform.PlatformMessage;
   rollouts: rollouts.RolloutsMessage;
--- /dev/null
+++ b/packages/core/src/messages/peer-notes.ts
@@ -0,0 +1,18 @@
+/** To the task that exchanges notes of work with the other instances of the platform. */
+import type * as peerWork from '../fleet/peer-work.js';
+import type * as life from './life.js';
+
+/** An instance that may send, as its entry on the platform shows it. */
+export type Correspondent = {
+  name: string;
+  dataCentre: string;
+  /** HOST:PORT at which it takes notes; nothing if it takes none. */
+  notes: string | undefined;
+  /** With which it signs its notes. */
+  signingKey: string | undefined;
+};
+
+export type PeerNotesMessage =
+  | life.TaskMessage
+  | { type: 'peer-notes.members'; members: readonly Correspondent[] }
+  | { type: 'peer-notes.tell'; note: peerWork.Note };
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -15,6 +15,9 @@
   callers: hostAndPort.describe('where callers connect (HOST:PORT)'),
   readiness: hostAndPort.describe('where the balancer asks for readiness (HOST:PORT)'),
   metrics: hostAndPort.optional().describe('where metrics are served (HOST:PORT); none without it'),
+  notes: hostAndPort
+    .optional()
+    .describe('where other instances tell of their work (UDP, HOST:PORT); none without it'),
   platform: hostAndPort.describe('the platform’s object store (HOST:PORT)'),
   logLevel: zod
     .enum(['debug', 'info', 'warn', 'error'])
--- a/packages/core/src/shared-context/plan.ts
+++ b/packages/core/src/shared-context/plan.ts
@@ -9,6 +9,8 @@
 /** What a request names of kept context at its upstream. */
 export type ContextPlan = {
   salt: string;
+  /** Ids of the parts that other requests share. */
+  sharedParts: readonly string[];
   /** An upstream with other weights does not run the request. */
   expectedVersion: number;
   /** For each part of the prompt, the store that it is fetched from. */
@@ -44,6 +46,7 @@
   const mayFetch = remoteNow !== undefined;
   return {
     salt: text,
+    sharedParts: shared.map(({ id }) => id),
     expectedVersion: salt.version,
     fetch: [...found.map((store) => (mayFetch ? store?.address : undefined)), ...own],
     save: [...homes.map((store) => store?.address), ...own],
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -10,9 +10,10 @@
 export const definition: core.kernel.TaskDefinition<State, Message, Command, Settings> = {
   name: 'fleet',
   create: (surroundings) => {
-    const { name, dataCentre } = surroundings.settings;
+    const { settings, incarnation } = surroundings;
+    const { name, dataCentre } = settings;
     return {
-      initial: core.fleet.state.initial(name, dataCentre, surroundings.settings),
+      initial: core.fleet.state.initial(name, dataCentre, settings, incarnation),
       decide: core.fleet.decide,
       perform: (command) => perform(surroundings, command),
       dump,
@@ -61,6 +62,12 @@
     case 'schedule-tick':
       surroundings.schedule('tick', core.fleet.TICK_MS, { type: 'fleet.tick' });
       return;
+    case 'schedule-tell':
+      surroundings.schedule('tell', core.fleet.telling.TELL_MS, { type: 'fleet.tell' });
+      return;
+    case 'tell-peers':
+      send('peerNotes', { type: 'peer-notes.tell', note: command.note });
+      return;
     case 'note-placed':
       notePlaced(surroundings, command);
       return;
--- /dev/null
+++ b/packages/plugins/peer-notes-udp/src/index.ts
@@ -0,0 +1,15 @@
+/** Tells the other instances of the own work at the upstreams, and hears of theirs. */
+import * as core from '@medlarweir/core';
+
+import * as peerNotesTask from './peer-notes-task.js';
+
+export * as datagram from './datagram.js';
+
+core.kernel.register<core.settings.gateway.GatewaySettings>({
+  name: 'peer-notes-udp',
+  hooks: {
+    'instance:setup': ({ addTask, settings }) => {
+      if (settings.notes !== undefined) addTask(peerNotesTask.definition(settings.notes));
+    },
+  },
+});
--- /dev/null
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -0,0 +1,50 @@
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as peerNotes from '@medlarweir/plugin-peer-notes-udp';
+import * as fc from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('peer notes: datagrams');
+
+const KEY = 'key-of-instance-2';
+const keyOf = (from: string) => (from === 'instance-2' ? KEY : undefined);
+
+function aNote() {
+  return fixtures.aPeerNote({
+    isWhole: true,
+    work: [{ upstream: 'u-1', work: { unreadTokens: 5, promptTokens: 7, requests: 1 } }],
+    sent: [{ upstream: 'u-1', salt: 'salt', parts: ['p0', 'p1'] }],
+  });
+}
+
+suite('a note comes back as it was told', () => {
+  assert.equal(peerNotes.datagram.decode(peerNotes.datagram.encode(aNote(), KEY), keyOf), aNote());
+});
+
+suite('a note of a stranger, or with another key, is not taken', () => {
+  const strange = fixtures.aPeerNote({ from: 'instance-9' });
+  const { encode, decode } = peerNotes.datagram;
+  assert.is(decode(encode(strange, KEY), keyOf), undefined);
+  assert.is(decode(encode(aNote(), 'another key'), keyOf), undefined);
+});
+
+suite('bytes that were changed or made up are not taken', () => {
+  const { encode, decode } = peerNotes.datagram;
+  const genuine = encode(aNote(), KEY);
+  const changed = fc.property(
+    fc.nat(genuine.length - 1),
+    fc.integer({ min: 1, max: 255 }),
+    (at, by) => {
+      const bytes = Buffer.from(genuine);
+      bytes.writeUInt8((bytes.readUInt8(at) + by) % 256, at);
+      assert.is(decode(bytes, keyOf), undefined);
+    },
+  );
+  fc.assert(changed, { seed: 20_261_204, numRuns: 300 });
+  const madeUp = fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+    assert.is(decode(Buffer.from(bytes), keyOf), undefined);
+  });
+  fc.assert(madeUp, { seed: 20_261_204, numRuns: 300 });
+});
+
+suite.run();
