Refuse work that an engine would begin too late

Cause: with two of six engines dark the queue of the others grew to the route's limit of 2,660 ms within six seconds, and every request behind it was late or lost, long after the engines were back. Ruled out: uneven loads (the four queues were alike). Admitted work still waits longer than expected.

--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -19,6 +19,10 @@
   /** The client account's name if it shares no context. */
   isolatedAccount: string | undefined;
   excluded: readonly string[];
+  /** The time to the first part of the answer that callers count on. */
+  targetMs: number;
+  /** Whether it may be refused: not once an answer has begun. */
+  mayRefuse: boolean;
 };
 
 export type Placed =
@@ -56,6 +60,8 @@
  * what all of them would send: with less, all rush to an upstream that has just come free.
  */
 const OTHERS_SHARE = 0.7;
+/** Share of the target that work ahead may take: reading the prompt itself needs the rest. */
+const MAX_WAIT_SHARE = 0.75;
 /** Share of an engine's memory that prompts under way fill before further ones have to wait. */
 const MEMORY_SHARE = 0.85;
 /** How long a whole memory of prompts takes to finish. */
@@ -82,7 +88,7 @@
     .map((each) => ({ each, costMs: cost(view, each, waves) + (ranks.get(each.listed.id) ?? 0) }))
     .sort((a, b) => a.costMs - b.costMs);
   const best = costed[0];
-  if (!best) return { kind: 'none', reason: 'full' };
+  if (!best || isTooLate(view, best.each)) return { kind: 'none', reason: 'full' };
   return {
     kind: 'placed',
     placement: book(view, best.each),
@@ -91,6 +97,16 @@
   };
 }
 
+/**
+ * Whether the first part of the answer would come too late to be of full use. Work beyond that would
+ * make all that follows late as well, so it is refused while its caller can still go elsewhere.
+ */
+function isTooLate(view: View, upstream: upstreams.Upstream): boolean {
+  const { service, wish } = view;
+  if (!service.engine || !wish.mayRefuse) return false;
+  return engineWaitMs(view, upstream, service.engine) > wish.targetMs * MAX_WAIT_SHARE;
+}
+
 /** Whether new work may go there at all. */
 export function isUsable(view: View, upstream: upstreams.Upstream): boolean {
   const { state, wish } = view;
@@ -187,8 +203,8 @@
   return (running / Math.max(1, listed.slots)) * perRequestMs + waiting * WAITING_MS;
 }
 
-/** What an engine told of its load is old by some requests; the peers' notes are newer. */
-function engineQueueMs(
+/** Time until an engine has read what it was sent; the peers' notes are newer than its own figures. */
+function engineWaitMs(
   { state }: View,
   upstream: upstreams.Upstream,
   { contextTokens }: routes.Engine,
@@ -199,12 +215,16 @@
   const factor = Math.max(1, (unheard + 1) * OTHERS_SHARE);
   const unread = own.unreadTokens * factor + upstream.peerWork.unreadTokens;
   const excessTokens = Math.max(0, all.promptTokens - contextTokens * MEMORY_SHARE);
-  const { running = 0, waiting = 0 } = unheard > 0 ? (upstream.load ?? {}) : {};
+  return unread / PREFILL_TOKENS_PER_MS + (excessTokens / contextTokens) * FULL_MEMORY_MS;
+}
+
+function engineQueueMs(view: View, upstream: upstreams.Upstream, engine: routes.Engine): number {
+  const { underWay, peerWork: others, load } = upstream;
+  const { running = 0, waiting = 0 } = telling.unheard(view.state) > 0 ? (load ?? {}) : {};
   return (
-    unread / PREFILL_TOKENS_PER_MS +
-    Math.max(running, all.requests) * RUNNING_MS +
-    waiting * WAITING_MS +
-    (excessTokens / contextTokens) * FULL_MEMORY_MS
+    engineWaitMs(view, upstream, engine) +
+    Math.max(running, underWay.size + others.requests) * RUNNING_MS +
+    waiting * WAITING_MS
   );
 }
 
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -70,8 +70,8 @@
   }
 }
 
-function place({ excluded }: State): lifecycle.Command {
-  return { kind: 'place', excluded };
+function place({ excluded, isHeadSent, runs }: State): lifecycle.Command {
+  return { kind: 'place', excluded, mayRefuse: !isHeadSent && runs === 0 };
 }
 
 function leftMs({ given }: State, now: task.Instant): number {
--- a/packages/core/test/fleet/placement.test.ts
+++ b/packages/core/test/fleet/placement.test.ts
@@ -25,6 +25,16 @@
   assert.is(new Set(places).size, 1);
 });
 
+suite('work that would begin too late is refused, unless its answer has begun', () => {
+  const state = fixtures.aFleet(TWO);
+  const place = (at: number, mayRefuse = true) =>
+    fixtures.placeOf(state, fixtures.aWish({ requestId: `r-${at}`, mayRefuse }));
+  const places = Array.from({ length: 200 }, (_, at) => place(at));
+  assert.is(places.at(-1), 'full');
+  assert.ok(places.filter((each) => each !== 'full').length > 20);
+  assert.is.not(place(201, false), 'full');
+});
+
 suite('an upstream with much work ahead is passed over', () => {
   const state = fixtures.aFleet(TWO);
   const first = fixtures.placeOf(state);
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -57,7 +57,7 @@
   const { requestId } = given.request;
   switch (command.kind) {
     case 'place':
-      place(scope, command.excluded);
+      place(scope, command);
       return;
     case 'send':
       sendAttempt(scope, command);
@@ -105,13 +105,17 @@
   }
 }
 
-function place({ given, surroundings }: Scope, excluded: readonly string[]): void {
-  const { request, service, clientAccount } = given;
+function place(
+  { given, surroundings }: Scope,
+  { excluded, mayRefuse }: Extract<Command, { kind: 'place' }>,
+): void {
+  const { request, route, service, clientAccount } = given;
+  const { targetMs } = route;
   const isolatedAccount = clientAccount?.isIsolated ? clientAccount.name : undefined;
   const { requestId, prompt } = request;
   surroundings.send('fleet', {
     type: 'fleet.place',
-    wish: { requestId, service, prompt, isolatedAccount, excluded },
+    wish: { requestId, service, prompt, isolatedAccount, excluded, targetMs, mayRefuse },
     replyTo: surroundings.self,
   });
 }
