Learn how fast engines read from the time to first events

Cause: the wait was reckoned with the sheet's 68 tokens a ms, which an engine reads alone; beside running requests it is a half of that, and other engines differ. Admitted requests waited 1 to 2 s where 0.6 s were reckoned. Ruled out: a lower share of the target (it would refuse too much of calm load). Change: a smoothed rate for each service, from unread tokens ahead and the time to the first event of own requests.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -10,6 +10,7 @@
 import * as listing from './listing.js';
 import type * as peerWork from './peer-work.js';
 import * as placement from './placement.js';
+import * as readRate from './read-rate.js';
 import type * as fleet from './state.js';
 import * as telling from './telling.js';
 import * as views from './views.js';
@@ -155,12 +156,13 @@
   const upstream = state.listing.upstreams.get(id);
   if (!upstream) return { state, commands: [] };
   const versions = [...upstream.versions.values()].join();
-  const isFirst = evidence.onHeard(upstream, requestId, sign, now);
+  const begun = evidence.onHeard(upstream, requestId, sign, now);
+  if (begun) readRate.learn(state, upstream.listed.service, begun, now);
   const hasChanged = versions !== [...upstream.versions.values()].join();
   return {
     state,
     commands: [
-      ...(isFirst ? tellLater(state, { upstream: id, context: undefined }) : []),
+      ...(begun ? tellLater(state, { upstream: id, context: undefined }) : []),
       ...(hasChanged ? [views.toRollouts(state)] : []),
     ],
   };
@@ -269,19 +271,9 @@
   };
 }
 
-/** Notes since when no upstream has weights below the lowest ones. */
-function withLowest(state: fleet.State, now: task.Instant): fleet.State {
-  const versions = views.lowestVersions(state.listing.upstreams.values(), state.named);
-  const known = state.lowest.versions;
-  const isSame =
-    versions.size === known.size &&
-    [...versions].every(([model, version]) => known.get(model) === version);
-  return isSame ? state : { ...state, lowest: { versions, sinceMs: now.monotonicMs } };
-}
-
 /** Silent upstreams are probed, since no request will show that they are back. */
 function onTick(given: fleet.State, now: task.Instant): Step {
-  const state = telling.expire(withLowest(given, now), now);
+  const state = telling.expire(views.withLowest(given, now), now);
   const expired = listing.expire(state.listing, now);
   const all = [...state.listing.upstreams.values()];
   all.forEach((upstream) => evidence.fade(upstream, now.monotonicMs));
--- a/packages/core/src/fleet/evidence.ts
+++ b/packages/core/src/fleet/evidence.ts
@@ -73,26 +73,26 @@
   version: upstreams.ModelVersion | undefined;
 };
 
-/** A byte came from the upstream. Says whether it is the first of its request. */
+/** A byte came from the upstream. Returns the work whose first byte it is. */
 export function onHeard(
   upstream: upstreams.Upstream,
   requestId: string | undefined,
   sign: Sign,
   now: task.Instant,
-): boolean {
+): upstreams.Work | undefined {
   Object.assign(upstream, { heardAtMs: now.monotonicMs, load: sign.load ?? upstream.load });
   if (sign.coldMs !== undefined && sign.coldMs > 0) {
     Object.assign(upstream, { coldUntilMs: now.monotonicMs + sign.coldMs });
   }
   if (sign.version) upstreams.noteVersion(upstream, sign.version.model, sign.version.version);
   const work = requestId === undefined ? undefined : upstream.underWay.get(requestId);
-  if (!work || work.isAnswered) return false;
+  if (!work || work.isAnswered) return undefined;
   work.isAnswered = true;
   const measuredMs = now.monotonicMs - work.startedAtMs;
   const known = upstream.latencyMs ?? measuredMs;
   const latencyMs = known + (measuredMs - known) * LATENCY_WEIGHT;
   Object.assign(upstream, { latencyMs });
-  return true;
+  return work;
 }
 
 /** It answers again: it may have been restarted, so it counts as cold unless it says otherwise. */
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -8,6 +8,7 @@
 import * as sharedContext from '../shared-context/index.js';
 import * as coldShare from './cold-share.js';
 import * as peerWork from './peer-work.js';
+import * as readRate from './read-rate.js';
 import type * as fleet from './state.js';
 import * as telling from './telling.js';
 import * as upstreams from './upstream.js';
@@ -29,8 +30,6 @@
   | { kind: 'placed'; placement: messages.Destination; costMs: number; candidates: number }
   | { kind: 'none'; reason: messages.NoPlacement };
 
-/** What an engine of the kind in use reads: tokens for each millisecond. Source: the users' sheet. */
-const PREFILL_TOKENS_PER_MS = 68;
 /** The way to another data centre and back, with the price of the bytes between them. */
 const OTHER_CENTRE_MS = 10;
 /** Keeps requests with the same context together where all else is equal. */
@@ -169,7 +168,7 @@
   const isElsewhere = listed.dataCentre !== state.dataCentre;
   return (
     queueMs(view, upstream) +
-    readMs(view, upstream) +
+    tokensToRead(view, upstream) / readRate.of(view.state, view.service.name) +
     latencyMs * (view.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
     upstreams.faultsNow(upstream, now.monotonicMs) * FAULT_MS +
     (isElsewhere ? OTHER_CENTRE_MS : 0) +
@@ -205,17 +204,21 @@
 
 /** Time until an engine has read what it was sent; the peers' notes are newer than its own figures. */
 function engineWaitMs(
-  { state }: View,
+  view: View,
   upstream: upstreams.Upstream,
   { contextTokens }: routes.Engine,
 ): number {
-  const own = telling.ownWork(upstream);
-  const all = peerWork.sum([own, upstream.peerWork]);
-  const unheard = telling.unheard(state);
-  const factor = Math.max(1, (unheard + 1) * OTHERS_SHARE);
-  const unread = own.unreadTokens * factor + upstream.peerWork.unreadTokens;
+  const all = peerWork.sum([telling.ownWork(upstream), upstream.peerWork]);
   const excessTokens = Math.max(0, all.promptTokens - contextTokens * MEMORY_SHARE);
-  return unread / PREFILL_TOKENS_PER_MS + (excessTokens / contextTokens) * FULL_MEMORY_MS;
+  const readingMs = unreadTokens(view, upstream) / readRate.of(view.state, view.service.name);
+  return readingMs + (excessTokens / contextTokens) * FULL_MEMORY_MS;
+}
+
+/** Tokens that are to be read there, with those of instances that do not tell. */
+function unreadTokens({ state }: View, upstream: upstreams.Upstream): number {
+  const factor = Math.max(1, (telling.unheard(state) + 1) * OTHERS_SHARE);
+  const own = telling.ownWork(upstream);
+  return own.unreadTokens * factor + upstream.peerWork.unreadTokens;
 }
 
 function engineQueueMs(view: View, upstream: upstreams.Upstream, engine: routes.Engine): number {
@@ -228,16 +231,19 @@
   );
 }
 
-/** Time to get the prompt's parts there: nothing, a fetch, or reading. */
-function readMs({ state, wish, now }: View, upstream: upstreams.Upstream): number {
+/** Tokens of the prompt that have to get there by reading; a fetch counts for a share of them. */
+function tokensToRead({ state, wish, now }: View, upstream: upstreams.Upstream): number {
   if (!wish.prompt) return 0;
-  const salt = saltFor(wish, wish.prompt, upstream);
-  return wish.prompt.parts.reduce((sum, part) => sum + partMs(state, salt, part, upstream, now), 0);
+  const salt = sharedContext.salt.format(saltOf(wish, wish.prompt, upstream));
+  return wish.prompt.parts.reduce(
+    (sum, part) => sum + partTokens(state, salt, part, upstream, now),
+    0,
+  );
 }
 
 const FETCH_SHARE = 0.5;
 
-function partMs(
+function partTokens(
   state: fleet.State,
   salt: string,
   part: request.Part,
@@ -247,10 +253,9 @@
   const key = sharedContext.holdings.partKey(salt, part.id);
   const sentAtMs = recentParts.get(key);
   if (sentAtMs !== undefined && now.monotonicMs - sentAtMs < RECENT_MS) return 0;
-  const readingMs = part.tokens / PREFILL_TOKENS_PER_MS;
   const situation = { holdings: state.holdings, stores: state.contextStores, now };
   const isStored = sharedContext.plan.findStore(situation, salt, part.id) !== undefined;
-  return isStored ? readingMs * FETCH_SHARE : readingMs;
+  return isStored ? part.tokens * FETCH_SHARE : part.tokens;
 }
 
 function saltOf({ isolatedAccount }: Wish, prompt: request.Prompt, upstream: upstreams.Upstream) {
@@ -258,10 +263,6 @@
   return { model: prompt.model, version, isolatedAccount };
 }
 
-function saltFor(wish: Wish, prompt: request.Prompt, upstream: upstreams.Upstream): string {
-  return sharedContext.salt.format(saltOf(wish, prompt, upstream));
-}
-
 /** Notes the work at the upstream and says what the attempt names of kept context. */
 function book(view: View, upstream: upstreams.Upstream): messages.Destination {
   const { state, service, wish, now } = view;
@@ -269,11 +270,12 @@
   if (service.coldPerS > 0 && coldShare.isCold(upstream, now.monotonicMs)) {
     coldShare.book(state, service, upstream, now.monotonicMs);
   }
-  const tokens = readMs(view, upstream) * PREFILL_TOKENS_PER_MS;
+  const tokens = tokensToRead(view, upstream);
   upstream.underWay.set(wish.requestId, {
     startedAtMs: now.monotonicMs,
     tokens,
     promptTokens: promptTokens(wish),
+    aheadTokens: tokens + unreadTokens(view, upstream),
     isAnswered: false,
   });
   return { upstream: id, address, service: service.name, context: contextFor(view, upstream) };
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -43,6 +43,8 @@
   /** Names of the instances that may send, this one included; empty while unknown. */
   members: readonly string[];
   peerWork: peerWork.PeerWork;
+  /** What an engine reads, in tokens for each millisecond, by service. Updated in place. */
+  readRates: Map<string, number>;
   telling: Telling;
 };
 
@@ -61,6 +63,7 @@
     hasReadNames: false,
     members: [],
     peerWork: new Map(),
+    readRates: new Map(),
     telling: { life, changed: new Set(), sent: [], isDue: false },
   };
 }
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -69,6 +69,8 @@
   /** Tokens that the upstream has to read or to fetch for it. */
   tokens: number;
   promptTokens: number;
+  /** Tokens that the upstream had to read before its first event, these included. */
+  aheadTokens: number;
   isAnswered: boolean;
 };
 
--- a/packages/core/src/fleet/views.ts
+++ b/packages/core/src/fleet/views.ts
@@ -99,3 +99,13 @@
     );
   return lowest;
 }
+
+/** Notes since when no upstream has weights below the lowest ones. */
+export function withLowest(state: fleet.State, now: task.Instant): fleet.State {
+  const versions = lowestVersions(state.listing.upstreams.values(), state.named);
+  const known = state.lowest.versions;
+  const isSame =
+    versions.size === known.size &&
+    [...versions].every(([model, version]) => known.get(model) === version);
+  return isSame ? state : { ...state, lowest: { versions, sinceMs: now.monotonicMs } };
+}
--- a/packages/core/test/fleet/placement.test.ts
+++ b/packages/core/test/fleet/placement.test.ts
@@ -35,6 +35,30 @@
   assert.is.not(place(201, false), 'full');
 });
 
+suite('engines that read slowly take less work before it is refused', () => {
+  const taken = (tokensPerMs: number) => {
+    const state = fixtures.aFleet(TWO, { readRates: new Map([['models', tokensPerMs]]) });
+    const wishes = Array.from({ length: 100 }, (_, at) =>
+      fixtures.aWish({ requestId: `r-${at}`, prompt: fixtures.aPrompt(`p-${at}`, 'own') }),
+    );
+    return wishes.filter((wish) => fixtures.placeOf(state, wish) !== 'full').length;
+  };
+  assert.ok(taken(20) < taken(80));
+});
+
+suite('the rate at which engines read follows the time to the first event', () => {
+  const state = fixtures.aFleet(TWO);
+  const { readRate } = core.fleet;
+  const work = { startedAtMs: 0, tokens: 0, promptTokens: 0, isAnswered: true };
+  const before = readRate.of(state, 'models');
+  Array.from({ length: 60 }).forEach(() =>
+    readRate.learn(state, 'models', { ...work, aheadTokens: 20_000 }, fixtures.anInstant(1_000)),
+  );
+  assert.ok(Math.abs(readRate.of(state, 'models') - 20) < 1);
+  readRate.learn(state, 'models', { ...work, aheadTokens: 100 }, fixtures.anInstant(1_000));
+  assert.ok(readRate.of(state, 'models') < before);
+});
+
 suite('an upstream with much work ahead is passed over', () => {
   const state = fixtures.aFleet(TWO);
   const first = fixtures.placeOf(state);
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -21,13 +21,14 @@
   },
 };
 
-function dump({ listing, holdings, members, named }: State): unknown {
+function dump({ listing, holdings, members, named, peerWork, readRates }: State): unknown {
   const upstreams = [...listing.upstreams.values()].map((each) => ({
     id: each.listed.id,
     service: each.listed.service,
     standing: each.standing.kind,
     reach: each.reach.kind,
     underWay: each.underWay.size,
+    peerWork: each.peerWork,
     versions: Object.fromEntries(each.versions),
   }));
   const stores = [...holdings.stores].map(([name, { isReachable, parts, usedTokens }]) => ({
@@ -36,7 +37,14 @@
     parts: parts.size,
     usedTokens,
   }));
-  return { upstreams, stores, members, named: Object.fromEntries(named) };
+  return {
+    upstreams,
+    stores,
+    members,
+    heardPeers: [...peerWork.keys()],
+    tokensReadPerMs: Object.fromEntries(readRates),
+    named: Object.fromEntries(named),
+  };
 }
 
 function perform(surroundings: Surroundings, command: Command): void {
