--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -7,10 +7,9 @@
 import * as wave from '../rollouts/wave.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as coldShare from './cold-share.js';
-import * as peerWork from './peer-work.js';
+import * as queue from './queue.js';
 import * as readRate from './read-rate.js';
 import type * as fleet from './state.js';
-import * as telling from './telling.js';
 import * as upstreams from './upstream.js';
 
 export type Wish = {
@@ -48,30 +47,17 @@
 const FAULT_MS = 80;
 /** Rejected work a moment ago: it would most likely reject this as well, at the cost of a retry. */
 const BUSY_MS = 3_000;
-/** Each request that waits at an engine or at a plain upstream. */
-const WAITING_MS = 25;
-/** Each request that an engine runs: some of them are still being read. */
-const RUNNING_MS = 12;
 /** A cold upstream is slower. */
 const COLD_MS = 40;
-/**
- * Instances that do not tell of their work choose as this one does. Own work stands for this share of
- * what all of them would send: with less, all rush to an upstream that has just come free.
- */
-const OTHERS_SHARE = 0.7;
 /** Share of the target that work ahead may take: reading the prompt itself needs the rest. */
 const MAX_WAIT_SHARE = 0.75;
-/** Share of an engine's memory that prompts under way fill before further ones have to wait. */
-const MEMORY_SHARE = 0.85;
-/** How long a whole memory of prompts takes to finish. */
-const FULL_MEMORY_MS = 800;
 /** Parts that were sent this recently are likely to be in the upstream's memory still. */
 const RECENT_MS = 15_000;
 /** Of the smoothed latency, what counts. At an engine it follows the prompts more than the engine. */
 const LATENCY_SHARE = 0.5;
 const ENGINE_LATENCY_SHARE = 0.1;
 
-type View = { state: fleet.State; service: routes.Service; wish: Wish; now: task.Instant };
+export type View = { state: fleet.State; service: routes.Service; wish: Wish; now: task.Instant };
 
 export function place(state: fleet.State, wish: Wish, now: task.Instant): Placed {
   const service = state.services.get(wish.service);
@@ -103,7 +89,7 @@
 function isTooLate(view: View, upstream: upstreams.Upstream): boolean {
   const { service, wish } = view;
   if (!service.engine || !wish.mayRefuse) return false;
-  return engineWaitMs(view, upstream, service.engine) > wish.targetMs * MAX_WAIT_SHARE;
+  return queue.engineWaitMs(view, upstream, service.engine) > wish.targetMs * MAX_WAIT_SHARE;
 }
 
 /** Whether new work may go there at all. */
@@ -167,7 +153,7 @@
   const { listed, latencyMs = 0 } = upstream;
   const isElsewhere = listed.dataCentre !== state.dataCentre;
   return (
-    queueMs(view, upstream) +
+    queue.queueMs(view, upstream) +
     tokensToRead(view, upstream) / readRate.of(view.state, view.service.name) +
     latencyMs * (view.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
     upstreams.faultsNow(upstream, now.monotonicMs) * FAULT_MS +
@@ -191,46 +177,6 @@
   return (versions.get(prompt.model) ?? 0) < (named.get(prompt.model)?.version ?? 0);
 }
 
-/** Work ahead: at an engine what it has to read and runs, at a plain upstream the slots in use. */
-function queueMs(view: View, upstream: upstreams.Upstream): number {
-  const { load, listed, latencyMs, underWay } = upstream;
-  if (view.service.engine) return engineQueueMs(view, upstream, view.service.engine);
-  const told = underWay.size + upstream.peerWork.requests;
-  const running = Math.max(told, telling.unheard(view.state) === 0 ? 0 : (load?.running ?? 0));
-  const perRequestMs = latencyMs ?? WAITING_MS;
-  const waiting = load?.waiting ?? 0;
-  return (running / Math.max(1, listed.slots)) * perRequestMs + waiting * WAITING_MS;
-}
-
-/** Time until an engine has read what it was sent; the peers' notes are newer than its own figures. */
-function engineWaitMs(
-  view: View,
-  upstream: upstreams.Upstream,
-  { contextTokens }: routes.Engine,
-): number {
-  const all = peerWork.sum([telling.ownWork(upstream), upstream.peerWork]);
-  const excessTokens = Math.max(0, all.promptTokens - contextTokens * MEMORY_SHARE);
-  const readingMs = unreadTokens(view, upstream) / readRate.of(view.state, view.service.name);
-  return readingMs + (excessTokens / contextTokens) * FULL_MEMORY_MS;
-}
-
-/** Tokens that are to be read there, with those of instances that do not tell. */
-function unreadTokens({ state }: View, upstream: upstreams.Upstream): number {
-  const factor = Math.max(1, (telling.unheard(state) + 1) * OTHERS_SHARE);
-  const own = telling.ownWork(upstream);
-  return own.unreadTokens * factor + upstream.peerWork.unreadTokens;
-}
-
-function engineQueueMs(view: View, upstream: upstreams.Upstream, engine: routes.Engine): number {
-  const { underWay, peerWork: others, load } = upstream;
-  const { running = 0, waiting = 0 } = telling.unheard(view.state) > 0 ? (load ?? {}) : {};
-  return (
-    engineWaitMs(view, upstream, engine) +
-    Math.max(running, underWay.size + others.requests) * RUNNING_MS +
-    waiting * WAITING_MS
-  );
-}
-
 /** Tokens of the prompt that have to get there by reading; a fetch counts for a share of them. */
 function tokensToRead({ state, wish, now }: View, upstream: upstreams.Upstream): number {
   if (!wish.prompt) return 0;
@@ -271,14 +217,21 @@
     coldShare.book(state, service, upstream, now.monotonicMs);
   }
   const tokens = tokensToRead(view, upstream);
+  const waitMs = service.engine ? queue.engineWaitMs(view, upstream, service.engine) : 0;
   upstream.underWay.set(wish.requestId, {
     startedAtMs: now.monotonicMs,
     tokens,
     promptTokens: promptTokens(wish),
-    aheadTokens: tokens + unreadTokens(view, upstream),
+    aheadTokens: tokens + queue.unreadTokens(view, upstream),
     isAnswered: false,
   });
-  return { upstream: id, address, service: service.name, context: contextFor(view, upstream) };
+  return {
+    upstream: id,
+    address,
+    service: service.name,
+    context: contextFor(view, upstream),
+    expected: { waitMs: Math.round(waitMs), tokensToRead: Math.round(tokens) },
+  };
 }
 
 function promptTokens({ prompt }: Wish): number {
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -14,6 +14,15 @@
   address: string;
   service: string;
   context: context.ContextPlan | undefined;
+  expected: Expected;
+};
+
+/** What the placement counted on, for the journal. */
+export type Expected = {
+  /** Work ahead of the request. */
+  waitMs: number;
+  /** Tokens of its prompt that were not expected to be there; fetches count for a share. */
+  tokensToRead: number;
 };
 
 /** `cold`: only upstreams are left that bear no more at the moment. */
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -15,10 +15,17 @@
 };
 
 /** What the journal's line about the request says of its attempts; written by the shell only. */
-type History = { upstreams: string[]; outcomes: string[] };
+type History = {
+  upstreams: string[];
+  expected: core.messages.Expected[];
+  outcomes: string[];
+  firstEventMs: number | undefined;
+};
 
 /** The most urgent and the least urgent value that upstreams know. */
 const MAX_PRIORITY = 9;
+/** Stands in the journal for a stream of which no event came. */
+const NO_EVENT = -1;
 
 export function definition(
   given: Given,
@@ -27,7 +34,7 @@
   return {
     name: 'request',
     create: (surroundings) => {
-      const scope = { given, caller, surroundings, history: { upstreams: [], outcomes: [] } };
+      const scope = { given, caller, surroundings, history: blank() };
       return {
         initial: core.gateway.lifecycleState.initial(given),
         decide: core.gateway.lifecycle.decide,
@@ -39,6 +46,10 @@
   };
 }
 
+function blank(): History {
+  return { upstreams: [], expected: [], outcomes: [], firstEventMs: undefined };
+}
+
 function dump({ given, phase, sends, runs }: State): unknown {
   const { request, route, service } = given;
   return {
@@ -127,6 +138,7 @@
   const { request, route, clientAccount } = given;
   const priority = clientAccount?.priority ?? route.priority;
   history.upstreams.push(attempt.placement.upstream);
+  history.expected.push(attempt.placement.expected);
   surroundings.send('transport', {
     type: 'transport.send',
     send: {
@@ -154,8 +166,9 @@
   surroundings.send('fleet', { type: 'fleet.outcome', requestId, upstream, outcome });
 }
 
-function noteFirstEvent({ given, surroundings }: Scope): void {
+function noteFirstEvent({ given, surroundings, history }: Scope): void {
   const ms = core.kernel.readClock().monotonicMs - given.request.receivedAt.monotonicMs;
+  Object.assign(history, { firstEventMs: Math.round(ms) });
   surroundings.send('metrics', { type: 'metrics.timing', name: 'gateway.first_event', ms });
 }
 
@@ -174,10 +187,13 @@
       status,
       reason,
       tookMs,
+      firstEventMs: history.firstEventMs ?? NO_EVENT,
       route: route.name,
       service,
       clientAccount: clientAccount?.name ?? '',
       upstreams: history.upstreams,
+      expectedWaitMs: history.expected.map(({ waitMs }) => String(waitMs)),
+      tokensToRead: history.expected.map(({ tokensToRead }) => String(tokensToRead)),
       outcomes: history.outcomes,
       tableVersion,
       tableAgeMs,
