Readers of a context store tell the instances that may not read it

Cause: a store holds 12 calls for its events; at 80 instances the others got 429, took the store for unreachable and neither fetched nor saved there. Ruled out: short polls (each is charged as a probe). Notes of work leave up to 250 ms apart to 16 members in large deployments, which keeps to the control bytes of the design's size.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -30,7 +30,7 @@
     }
   | { kind: 'limit-connections'; connectionsPerUpstream: Readonly<Record<string, number>> }
   | { kind: 'schedule-tick' }
-  | { kind: 'schedule-tell' }
+  | { kind: 'schedule-tell'; delayMs: number }
   | { kind: 'tell-peers'; note: peerWork.Note }
   | { kind: 'note-placed'; wish: placement.Wish; placed: placement.Placed }
   | { kind: 'note-upstream'; id: string; text: string; ageMs: number }
@@ -123,12 +123,15 @@
   state: fleet.State,
   changed: Pick<gatewayMessages.Destination, 'upstream' | 'context'>,
 ): readonly Command[] {
-  return telling.noteChange(state.telling, changed) ? [{ kind: 'schedule-tell' }] : [];
+  if (!telling.noteChange(state.telling, changed)) return [];
+  return [{ kind: 'schedule-tell', delayMs: telling.pauseMs(state) }];
 }
 
 function onTell(state: fleet.State, now: task.Instant): Step {
   const { note, isMoreLeft } = telling.next(state, now);
-  const again: readonly Command[] = isMoreLeft ? [{ kind: 'schedule-tell' }] : [];
+  const again: readonly Command[] = isMoreLeft
+    ? [{ kind: 'schedule-tell', delayMs: telling.pauseMs(state) }]
+    : [];
   return { state, commands: note ? [{ kind: 'tell-peers', note }, ...again] : again };
 }
 
--- a/packages/core/src/fleet/telling.ts
+++ b/packages/core/src/fleet/telling.ts
@@ -6,12 +6,20 @@
 import type * as fleet from './state.js';
 import type * as upstreams from './upstream.js';
 
-/** Pause between two notes: changes within it go together. A placement is known to all after that. */
-export const TELL_MS = 40;
+/** Pause between two notes: changes within it go together. A placement is known to others after that. */
+const LEAST_PAUSE_MS = 40;
+/** In large deployments a longer pause keeps to the bytes that an instance may spend on control. */
+const PAUSE_PER_MEMBER_MS = 3;
+const LONGEST_PAUSE_MS = 250;
 /** Upstreams and parts in one note, so that it fits into a datagram; the rest follows. */
 const MAX_WORK = 60;
 const MAX_SENT = 12;
 
+export function pauseMs({ members }: fleet.State): number {
+  const fairMs = members.length * PAUSE_PER_MEMBER_MS;
+  return Math.min(LONGEST_PAUSE_MS, Math.max(LEAST_PAUSE_MS, fairMs));
+}
+
 export function ownWork({ underWay }: upstreams.Upstream): peerWork.Work {
   const own = [...underWay.values()];
   return {
--- a/packages/core/src/gateway/routes.ts
+++ b/packages/core/src/gateway/routes.ts
@@ -57,6 +57,8 @@
   dataCentre: string;
   capacityTokens: number;
   linkMbps: number;
+  /** Calls for its events that it holds at once. */
+  maxReaders: number;
   /** Fixed delay of each transfer. */
   firstByteMs: number;
 };
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -50,6 +50,9 @@
 export type ContextStoresMessage =
   | life.TaskMessage
   | { type: 'context-stores.table'; stores: readonly routes.ContextStore[] }
+  | { type: 'context-stores.members'; names: readonly string[] }
+  /** Another instance told of a store. */
+  | { type: 'context-stores.relayed'; store: string }
   | { type: 'context-stores.free'; request: FreeRequest }
   | { type: 'context-stores.poll'; store: string };
 
--- a/packages/core/src/messages/peer-notes.ts
+++ b/packages/core/src/messages/peer-notes.ts
@@ -1,5 +1,7 @@
 /** To the task that exchanges notes of work with the other instances of the platform. */
 import type * as peerWork from '../fleet/peer-work.js';
+import type * as holdings from '../shared-context/holdings.js';
+import type * as readers from '../shared-context/readers.js';
 import type * as life from './life.js';
 
 /** An instance that may send, as its entry on the platform shows it. */
@@ -15,4 +17,14 @@
 export type PeerNotesMessage =
   | life.TaskMessage
   | { type: 'peer-notes.members'; members: readonly Correspondent[] }
-  | { type: 'peer-notes.tell'; note: peerWork.Note };
+  | { type: 'peer-notes.tell'; note: peerWork.Note }
+  /** News of a context store, for instances that do not read it themselves. */
+  | { type: 'peer-notes.relay'; store: readers.ReadStore; news: StoreChanges };
+
+/** What a reader tells of a store; without changes it tells that the store answers. */
+export type StoreChanges = Extract<holdings.StoreNews, { kind: 'changes' }>;
+
+/** What instances tell each other. */
+export type Notice =
+  | { kind: 'work'; note: peerWork.Note }
+  | { kind: 'store'; from: string; store: string; news: StoreChanges };
--- /dev/null
+++ b/packages/core/src/shared-context/readers.ts
@@ -0,0 +1,36 @@
+/**
+ * Who follows the events of a context store. A store holds few such calls at once, so in a large
+ * deployment some instances read and tell the others what changed.
+ */
+import * as rendezvous from '../membership/rendezvous.js';
+
+/** A store, as far as it matters who reads it. */
+export type ReadStore = { name: string; maxReaders: number };
+
+/** The rest is for instances that see other members, and for calls of lives that have just ended. */
+const READER_SHARE = 0.8;
+/** Readers that tell one instance of the same change: one of them may have just died. */
+const TELLERS = 2;
+
+export function readersOf(
+  { name, maxReaders }: ReadStore,
+  members: readonly string[],
+): readonly string[] {
+  const count = Math.max(1, Math.floor(maxReaders * READER_SHARE));
+  return members.length <= count ? members : rendezvous.choose(name, members, count);
+}
+
+/** The instances that a reader tells of one store; none for an instance that does not read it. */
+export function listenersOf(
+  reader: string,
+  store: ReadStore,
+  members: readonly string[],
+): readonly string[] {
+  const readers = readersOf(store, members);
+  if (!readers.includes(reader)) return [];
+  return members.filter(
+    (name) =>
+      !readers.includes(name) &&
+      rendezvous.choose(`${store.name}/${name}`, readers, TELLERS).includes(reader),
+  );
+}
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -71,7 +71,7 @@
       surroundings.schedule('tick', core.fleet.TICK_MS, { type: 'fleet.tick' });
       return;
     case 'schedule-tell':
-      surroundings.schedule('tell', core.fleet.telling.TELL_MS, { type: 'fleet.tell' });
+      surroundings.schedule('tell', command.delayMs, { type: 'fleet.tell' });
       return;
     case 'tell-peers':
       send('peerNotes', { type: 'peer-notes.tell', note: command.note });
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -4,10 +4,11 @@
  */
 import * as crypto from 'node:crypto';
 
-import type * as core from '@medlarweir/core';
+import * as core from '@medlarweir/core';
 import * as zod from 'zod';
 
-type Note = core.fleet.peerWork.Note;
+type Notice = core.messages.Notice;
+type Change = core.sharedContext.holdings.PartChange;
 
 /** Half of the digest, as RFC 2104 advises at least. */
 const SIGNATURE_BYTES = 16;
@@ -15,30 +16,88 @@
 const amount = zod.number().nonnegative();
 
 /** Short arrays, since each note crosses the links between data centres many times a second. */
-const shape = zod.tuple([
-  zod.string(),
-  zod.string(),
-  amount,
-  zod.boolean(),
-  zod.array(zod.tuple([zod.string(), amount, amount, amount])),
-  zod.array(zod.tuple([zod.string(), zod.string(), zod.array(zod.string())])),
+const shape = zod.union([
+  zod.tuple([
+    zod.literal('work'),
+    zod.string(),
+    zod.string(),
+    amount,
+    zod.boolean(),
+    zod.array(zod.tuple([zod.string(), amount, amount, amount])),
+    zod.array(zod.tuple([zod.string(), zod.string(), zod.array(zod.string())])),
+  ]),
+  zod.tuple([
+    zod.literal('store'),
+    zod.string(),
+    zod.string(),
+    zod.number(),
+    zod.number().nullable(),
+    zod.array(zod.tuple([zod.string(), zod.string(), zod.number()])),
+  ]),
 ]);
 
-export function encode(note: Note, key: string): Buffer {
-  const plain: zod.infer<typeof shape> = [
-    note.from,
-    note.life,
-    Math.round(note.sentAtMs),
-    note.isWhole,
-    note.work.map(({ upstream, work }) => [
-      upstream,
-      Math.round(work.unreadTokens),
-      work.promptTokens,
-      work.requests,
-    ]),
-    note.sent.map(({ upstream, salt, parts }) => [upstream, salt, [...parts]]),
-  ];
-  const body = Buffer.from(JSON.stringify(plain));
+/** Tokens of a part that the store does not hold any more. */
+const GONE = -1;
+
+function toPlain(note: Notice): zod.infer<typeof shape> {
+  switch (note.kind) {
+    case 'work': {
+      const { from, life, sentAtMs, isWhole, work, sent } = note.note;
+      return [
+        'work',
+        from,
+        life,
+        Math.round(sentAtMs),
+        isWhole,
+        work.map(({ upstream, work: { unreadTokens, promptTokens, requests } }) => [
+          upstream,
+          Math.round(unreadTokens),
+          promptTokens,
+          requests,
+        ]),
+        sent.map(({ upstream, salt, parts }) => [upstream, salt, [...parts]]),
+      ];
+    }
+    case 'store': {
+      const { from, store, news } = note;
+      const changes = news.changes.map((change): [string, string, number] => [
+        change.salt,
+        change.id,
+        change.kind === 'complete' ? change.tokens : GONE,
+      ]);
+      return ['store', from, store, news.epoch, news.clockMs ?? null, changes];
+    }
+    default:
+      return core.results.never(note);
+  }
+}
+
+function fromPlain(plain: zod.infer<typeof shape>): Notice {
+  if (plain[0] === 'work') {
+    const [kind, from, life, sentAtMs, isWhole, work, sent] = plain;
+    const note = {
+      from,
+      life,
+      sentAtMs,
+      isWhole,
+      work: work.map(([upstream, unreadTokens, promptTokens, requests]) => ({
+        upstream,
+        work: { unreadTokens, promptTokens, requests },
+      })),
+      sent: sent.map(([upstream, salt, parts]) => ({ upstream, salt, parts })),
+    };
+    return { kind, note };
+  }
+  const [kind, from, store, epoch, clockMs, rows] = plain;
+  const changes = rows.map(([salt, id, tokens]): Change =>
+    tokens === GONE ? { kind: 'gone', salt, id } : { kind: 'complete', salt, id, tokens },
+  );
+  const news = { kind: 'changes' as const, epoch, clockMs: clockMs ?? undefined, changes };
+  return { kind, from, store, news };
+}
+
+export function encode(note: Notice, key: string): Buffer {
+  const body = Buffer.from(JSON.stringify(toPlain(note)));
   return Buffer.concat([sign(body, key), body]);
 }
 
@@ -46,25 +105,14 @@
 export function decode(
   datagram: Buffer,
   keyOf: (from: string) => string | undefined,
-): Note | undefined {
+): Notice | undefined {
   const signature = datagram.subarray(0, SIGNATURE_BYTES);
   const body = datagram.subarray(SIGNATURE_BYTES);
   const found = shape.safeParse(parse(body));
   if (!found.success) return undefined;
-  const [from, life, sentAtMs, isWhole, work, sent] = found.data;
-  const key = keyOf(from);
+  const key = keyOf(found.data[1]);
   if (key === undefined || !crypto.timingSafeEqual(signature, sign(body, key))) return undefined;
-  return {
-    from,
-    life,
-    sentAtMs,
-    isWhole,
-    work: work.map(([upstream, unreadTokens, promptTokens, requests]) => ({
-      upstream,
-      work: { unreadTokens, promptTokens, requests },
-    })),
-    sent: sent.map(([upstream, salt, parts]) => ({ upstream, salt, parts })),
-  };
+  return fromPlain(found.data);
 }
 
 function parse(body: Buffer): unknown {
--- a/packages/plugins/peer-notes-udp/src/peer-notes-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-notes-task.ts
@@ -9,27 +9,32 @@
 import * as datagram from './datagram.js';
 
 type Correspondent = core.messages.Correspondent;
-type Note = core.fleet.peerWork.Note;
 type Message = core.messages.PeerNotesMessage | { type: 'peer-notes.received'; bytes: Buffer };
 type State = {
-  /** Other members that take notes. */
+  /** Addresses of the members that are told of the own work. */
   receivers: readonly string[];
+  addresses: ReadonlyMap<string, string>;
+  members: readonly string[];
   keys: ReadonlyMap<string, string>;
 };
 type Command =
   | { kind: 'listen' }
   | { kind: 'close' }
-  | { kind: 'send'; note: Note; key: string; receivers: readonly string[] }
+  | {
+      kind: 'send';
+      note: core.messages.Notice;
+      key: string;
+      receivers: readonly string[];
+    }
   | { kind: 'open'; bytes: Buffer; keys: State['keys'] };
 type Step = core.kernel.Step<State, Command>;
 type Settings = core.settings.gateway.GatewaySettings;
 type Surroundings = core.kernel.Surroundings<Message, Settings>;
 
-/**
- * Members that are told. At 25 notes a second of 150 bytes to each this stays near the 10 KB/s that
- * an instance may spend on control in a large deployment, where most notes are much rarer.
- */
-const MAX_RECEIVERS = 30;
+/** Members that are told. Four notes a second of 150 bytes keep to 10 KB/s; see the design's size. */
+const MAX_RECEIVERS = 16;
+/** Changes in one note, so that it fits into a datagram. */
+const MAX_CHANGES = 25;
 
 export function definition(
   address: string,
@@ -40,7 +45,7 @@
       const { name, dataCentre } = surroundings.settings;
       const socket = dgram.createSocket('udp4');
       return {
-        initial: { receivers: [], keys: new Map() },
+        initial: { receivers: [], addresses: new Map(), members: [], keys: new Map() },
         decide: (state, message) => decide(name, dataCentre, state, message),
         perform: (command) => perform(surroundings, socket, address, command),
         dump: ({ receivers }) => ({ receivers }),
@@ -60,11 +65,11 @@
     case 'peer-notes.members':
       return { state: correspondence(name, dataCentre, message.members), commands: [] };
     case 'peer-notes.tell': {
-      const key = state.keys.get(name);
-      if (key === undefined || state.receivers.length === 0) return { state, commands: [] };
-      const { receivers } = state;
-      return { state, commands: [{ kind: 'send', note: message.note, key, receivers }] };
+      const note = { kind: 'work' as const, note: message.note };
+      return { state, commands: sendTo(state, name, state.receivers, [note]) };
     }
+    case 'peer-notes.relay':
+      return { state, commands: relay(state, name, message) };
     case 'peer-notes.received':
       return { state, commands: [{ kind: 'open', bytes: message.bytes, keys: state.keys }] };
     default:
@@ -72,6 +77,33 @@
   }
 }
 
+function sendTo(
+  { keys }: State,
+  name: string,
+  receivers: readonly string[],
+  notes: readonly core.messages.Notice[],
+): readonly Command[] {
+  const key = keys.get(name);
+  if (key === undefined || receivers.length === 0) return [];
+  return notes.map((note) => ({ kind: 'send', note, key, receivers }));
+}
+
+/** Tells the instances that do not read the store; at least one note, which shows that it answers. */
+function relay(
+  state: State,
+  name: string,
+  { store, news }: Extract<Message, { type: 'peer-notes.relay' }>,
+): readonly Command[] {
+  const listeners = core.sharedContext.readers.listenersOf(name, store, state.members);
+  const receivers = listeners.flatMap((each) => state.addresses.get(each) ?? []);
+  const pages = Math.max(1, Math.ceil(news.changes.length / MAX_CHANGES));
+  const notes = Array.from({ length: pages }, (_, at): core.messages.Notice => {
+    const changes = news.changes.slice(at * MAX_CHANGES, (at + 1) * MAX_CHANGES);
+    return { kind: 'store', from: name, store: store.name, news: { ...news, changes } };
+  });
+  return sendTo(state, name, receivers, notes);
+}
+
 /** Where there are too many members, those of the own data centre come first. */
 function correspondence(
   name: string,
@@ -88,7 +120,9 @@
   const chosen = [...near.map((each) => each.name), ...ranked].slice(0, MAX_RECEIVERS);
   const addresses = new Map(others.map((each) => [each.name, each.notes ?? '']));
   return {
-    receivers: chosen.map((each) => addresses.get(each) ?? ''),
+    receivers: chosen.flatMap((each) => addresses.get(each) ?? []),
+    addresses,
+    members: members.map((each) => each.name),
     keys: new Map(
       members.flatMap((each) => (each.signingKey ? [[each.name, each.signingKey] as const] : [])),
     ),
@@ -143,8 +177,22 @@
   { bytes, keys }: Extract<Command, { kind: 'open' }>,
 ): void {
   const note = datagram.decode(bytes, (from) => keys.get(from));
-  count(surroundings, note ? 'received' : 'rejected');
-  if (note) surroundings.send('fleet', { type: 'fleet.peer-note', note });
+  count(surroundings, note?.kind ?? 'rejected');
+  if (note) deliver(surroundings, note);
+}
+
+function deliver({ send: tell }: Surroundings, note: core.messages.Notice): void {
+  switch (note.kind) {
+    case 'work':
+      tell('fleet', { type: 'fleet.peer-note', note: note.note });
+      return;
+    case 'store':
+      tell('fleet', { type: 'fleet.store-news', store: note.store, news: note.news });
+      tell('contextStores', { type: 'context-stores.relayed', store: note.store });
+      return;
+    default:
+      core.results.never(note);
+  }
 }
 
 function count({ send: tell }: Surroundings, label: string): void {
--- a/packages/plugins/peer-notes-udp/test/datagram.test.ts
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -10,19 +10,30 @@
 const keyOf = (from: string) => (from === 'instance-2' ? KEY : undefined);
 
 function aNote() {
-  return fixtures.aPeerNote({
+  const note = fixtures.aPeerNote({
     isWhole: true,
     work: [{ upstream: 'u-1', work: { unreadTokens: 5, promptTokens: 7, requests: 1 } }],
     sent: [{ upstream: 'u-1', salt: 'salt', parts: ['p0', 'p1'] }],
   });
+  return { kind: 'work' as const, note };
+}
+
+function aStoreNote() {
+  const changes = [
+    { kind: 'complete' as const, salt: 'salt', id: 'p0', tokens: 5 },
+    { kind: 'gone' as const, salt: 'salt', id: 'p1' },
+  ];
+  const news = { kind: 'changes' as const, epoch: 7, clockMs: 9, changes };
+  return { kind: 'store' as const, from: 'instance-2', store: 'store-1', news };
 }
 
 suite('a note comes back as it was told', () => {
-  assert.equal(peerNotes.datagram.decode(peerNotes.datagram.encode(aNote(), KEY), keyOf), aNote());
+  const { encode, decode } = peerNotes.datagram;
+  [aNote(), aStoreNote()].forEach((note) => assert.equal(decode(encode(note, KEY), keyOf), note));
 });
 
 suite('a note of a stranger, or with another key, is not taken', () => {
-  const strange = fixtures.aPeerNote({ from: 'instance-9' });
+  const strange = { kind: 'work' as const, note: fixtures.aPeerNote({ from: 'instance-9' }) };
   const { encode, decode } = peerNotes.datagram;
   assert.is(decode(encode(strange, KEY), keyOf), undefined);
   assert.is(decode(encode(aNote(), 'another key'), keyOf), undefined);
