Revert the probes for requests that have to stay

Cause looked for: no stream of these sites may be repeated, so nobody asked whether a silent engine lives, and some requests a second still went to dark ones. Work that is never answered keeps its engine costly anyway, which holds most requests off.

--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -7,7 +7,6 @@
 import * as results from '../results/index.js';
 import * as answers from './answers.js';
 import * as endings from './lifecycle-endings.js';
-import * as silence from './lifecycle-silence.js';
 import * as lifecycle from './lifecycle-state.js';
 
 type State = lifecycle.State;
@@ -23,6 +22,14 @@
 const MAX_REJECTIONS = 3;
 /** The least time that makes another attempt worth while. */
 const LEAST_ATTEMPT_MS = 40;
+/** A whole answer that takes longer than this many targets is asked for elsewhere. */
+const WHOLE_SILENCE_TARGETS = 2.5;
+/** A first event that takes longer than this many targets raises doubts about the upstream. */
+const FIRST_EVENT_TARGETS = 1.25;
+/** Later events: this many gaps of the route. */
+const EVENT_SILENCE_GAPS = 3;
+/** Pause before a doubt is looked at again while the upstream shows signs of life. */
+const DOUBT_AGAIN_MS = 300;
 
 export function begin(state: State, now: task.Instant): Step {
   const totalMs = Math.max(0, lifecycle.deadlineMs(state.given) - now.monotonicMs);
@@ -90,10 +97,33 @@
   const deadlineMs = lifecycle.deadlineMs(state.given);
   return {
     state: next,
-    commands: [{ kind: 'send', attempt, lastEventId, deadlineMs }, ...silence.watch(next)],
+    commands: [{ kind: 'send', attempt, lastEventId, deadlineMs }, ...armSilence(next)],
   };
 }
 
+/** Watches for silence where another upstream could take over. */
+function armSilence(state: State, delayMs = silenceMs(state)): readonly lifecycle.Command[] {
+  if (!mayMove(state)) return [];
+  return [{ kind: 'schedule', timer: 'silence', delayMs }];
+}
+
+function mayMove({ given: { route }, runs }: State): boolean {
+  return answers.mayRepeat(route.repetition) && runs < route.maxRuns;
+}
+
+function silenceMs({ given: { route }, isHeadSent }: State): number {
+  switch (route.delivery) {
+    case 'whole':
+      return WHOLE_SILENCE_TARGETS * route.targetMs;
+    case 'stream':
+      return isHeadSent
+        ? Math.max(EVENT_SILENCE_GAPS * route.eventGapMs, route.targetMs)
+        : FIRST_EVENT_TARGETS * route.targetMs;
+    default:
+      return results.never(route.delivery);
+  }
+}
+
 function onNone(state: State, reason: messages.NoPlacement, now: task.Instant): Step {
   if (state.phase.kind !== 'placing') return { state, commands: [] };
   const { request, route } = state.given;
@@ -128,10 +158,9 @@
 
 /** A whole answer that is late is asked for elsewhere; a stream only if its upstream is silent. */
 function onSilence(state: State, now: task.Instant): Step {
-  if (state.phase.kind !== 'attempting') return { state, commands: [] };
+  if (state.phase.kind !== 'attempting' || !mayMove(state)) return { state, commands: [] };
   if (leftMs(state, now) < LEAST_ATTEMPT_MS) return { state, commands: [] };
   const { attempt } = state.phase;
-  if (!silence.mayMove(state)) return { state, commands: [{ kind: 'ask-liveness', attempt }] };
   switch (state.given.route.delivery) {
     case 'whole':
       return askRetry({ ...state, lastReason: 'no answer in time' }, attempt);
@@ -146,8 +175,8 @@
   if (state.phase.kind !== 'attempting' || state.phase.attempt.id !== attemptId) {
     return { state, commands: [] };
   }
-  if (!isSilent) return { state, commands: silence.watchAgain(state) };
-  if (!silence.mayMove(state)) return { state, commands: [] };
+  if (!mayMove(state)) return { state, commands: [] };
+  if (!isSilent) return { state, commands: armSilence(state, DOUBT_AGAIN_MS) };
   return askRetry({ ...state, lastReason: 'upstream is silent' }, state.phase.attempt);
 }
 
@@ -163,7 +192,7 @@
   const { attempt } = state.phase;
   if (!isGranted && attempt) {
     const next: State = { ...state, phase: { kind: 'attempting', attempt } };
-    return { state: next, commands: silence.watchAgain(next) };
+    return { state: next, commands: armSilence(next, DOUBT_AGAIN_MS) };
   }
   if (!isGranted) return endings.giveUp(state, 'retriesExhausted');
   const excluded = attempt ? [...state.excluded, attempt.placement.upstream] : state.excluded;
@@ -189,11 +218,11 @@
 ): Step {
   if (!currentAttempt(state, attempt)) return { state, commands: [] };
   const next: State = { ...state, isHeadSent: true };
-  const watched = silence.watch(next);
-  if (state.isHeadSent) return { state: next, commands: watched };
+  const silence = armSilence(next);
+  if (state.isHeadSent) return { state: next, commands: silence };
   return {
     state: next,
-    commands: [{ kind: 'reply', reply: { type: 'reply.head', head } }, ...watched],
+    commands: [{ kind: 'reply', reply: { type: 'reply.head', head } }, ...silence],
   };
 }
 
@@ -205,7 +234,7 @@
   const lastEventId = message.lastEventId ?? state.lastEventId;
   const next: State = { ...state, lastEventId };
   const reply = { type: 'reply.events' as const, bytes: message.bytes };
-  return { state: next, commands: [{ kind: 'reply', reply }, ...silence.watch(next)] };
+  return { state: next, commands: [{ kind: 'reply', reply }, ...armSilence(next)] };
 }
 
 function onEnded(
@@ -265,7 +294,6 @@
 }
 
 function afterRun(state: State, now: task.Instant): Step {
-  if (silence.mayMove(state) && leftMs(state, now) >= LEAST_ATTEMPT_MS)
-    {return askRetry(state, undefined);}
+  if (mayMove(state) && leftMs(state, now) >= LEAST_ATTEMPT_MS) return askRetry(state, undefined);
   return endings.giveUp(state, 'answerLost');
 }
--- a/packages/core/test/gateway/lifecycle.test.ts
+++ b/packages/core/test/gateway/lifecycle.test.ts
@@ -67,24 +67,6 @@
   detail: 'reset',
 };
 
-suite('a request that has to stay asks whether its silent upstream lives, and stays', () => {
-  const life = aLife({ repetition: 'once', delivery: 'stream' });
-  place(life, 'u-1');
-  const attempt = attemptOf(life);
-  const asked = life.send({ type: 'request.due', timer: 'silence' }, 1_000);
-  assert.equal(
-    asked.map(({ kind }) => kind),
-    ['ask-liveness'],
-  );
-  const doubted = life.send({ type: 'fleet.liveness', attempt, isSilent: false });
-  assert.equal(
-    doubted.map(({ kind }) => kind),
-    ['schedule'],
-  );
-  assert.equal(life.send({ type: 'fleet.liveness', attempt, isSilent: true }), []);
-  assert.is(attemptOf(life), attempt);
-});
-
 suite('an answer is handed on as it came', () => {
   const life = aLife();
   place(life, 'u-1');
