--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -207,7 +207,7 @@
   switch (result.kind) {
     case 'no-answer':
       if (reach.kind === 'silent') return { state, commands: [] };
-      Object.assign(upstream, { reach: { kind: 'silent', sinceMs: now.monotonicMs, failures: 1 } });
+      Object.assign(upstream, { reach: { kind: 'silent' } });
       return {
         state,
         commands: [{ kind: 'note-upstream', id, text: 'a probe got no answer', ageMs }],
--- a/packages/core/src/fleet/evidence.ts
+++ b/packages/core/src/fleet/evidence.ts
@@ -36,10 +36,10 @@
   upstreams.addFaults(upstream, FAULT_WEIGHTS[outcome], now.monotonicMs);
   switch (outcome) {
     case 'unreachable':
-      suspect(upstream, now);
+      suspect(upstream);
       return;
     case 'silent':
-      if (isSilent(upstream, now)) suspect(upstream, now);
+      if (isSilent(upstream, now)) suspect(upstream);
       return;
     case 'rejected':
     case 'no-connection':
@@ -55,10 +55,8 @@
   }
 }
 
-function suspect(upstream: upstreams.Upstream, now: task.Instant): void {
-  const { reach } = upstream;
-  const failures = reach.kind === 'silent' ? reach.failures + 1 : 1;
-  Object.assign(upstream, { reach: { kind: 'silent', sinceMs: now.monotonicMs, failures } });
+function suspect(upstream: upstreams.Upstream): void {
+  Object.assign(upstream, { reach: { kind: 'silent' } });
 }
 
 /** Whether nothing has come from it although work has waited for an answer. */
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -34,7 +34,7 @@
 export type Reach =
   | { kind: 'answers' }
   /** Connections fail or nothing comes back; probed until something does. */
-  | { kind: 'silent'; sinceMs: number; failures: number };
+  | { kind: 'silent' };
 
 export type Upstream = {
   listed: Listed;
@@ -107,7 +107,7 @@
 
 /** A change of the list for an upstream that is known. One that drains stays away in this incarnation. */
 export function update(known: Upstream, listed: Listed, now: task.Instant): void {
-  if (known.standing.kind === 'gone' && listed.presence === 'ready') askForProof(known, now);
+  if (known.standing.kind === 'gone' && listed.presence === 'ready') askForProof(known);
   Object.assign(known, {
     listed,
     standing: known.standing.kind === 'draining' ? known.standing : standingOf(listed),
@@ -118,8 +118,8 @@
 }
 
 /** An entry that comes back may be a late write of one that left: a probe has to succeed first. */
-function askForProof(known: Upstream, now: task.Instant): void {
-  Object.assign(known, { reach: { kind: 'silent', sinceMs: now.monotonicMs, failures: 1 } });
+function askForProof(known: Upstream): void {
+  Object.assign(known, { reach: { kind: 'silent' } });
 }
 
 /** Versions only grow; a list that lags does not take one back. */
--- a/packages/core/src/gateway/request.ts
+++ b/packages/core/src/gateway/request.ts
@@ -8,7 +8,6 @@
   model: string;
   /** In order; the last part belongs to this request alone. */
   parts: readonly Part[];
-  maxOutputTokens: number;
 };
 
 /** End-to-end headers as they came, names and values in turn. */
--- a/packages/core/src/gateway/routes.ts
+++ b/packages/core/src/gateway/routes.ts
@@ -37,7 +37,10 @@
 };
 
 /** A model engine, or a plain service. */
-export type Engine = { contextTokens: number; bytesPerToken: number; linkMbps: number };
+export type Engine = {
+  /** Tokens that its memory holds. */
+  contextTokens: number;
+};
 
 export type Service = {
   name: string;
@@ -56,11 +59,8 @@
   address: string;
   dataCentre: string;
   capacityTokens: number;
-  linkMbps: number;
   /** Calls for its events that it holds at once. */
   maxReaders: number;
-  /** Fixed delay of each transfer. */
-  firstByteMs: number;
 };
 
 /** What callers may send. */
