--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -243,10 +243,6 @@
   const { prompt } = wish;
   const situation = { holdings: state.holdings, stores: state.contextStores, now };
   const context = sharedContext.plan.plan(situation, prompt, saltOf(wish, prompt, upstream));
-  prompt.parts.slice(0, -1).forEach((part) => {
-    const key = sharedContext.holdings.partKey(context.salt, part.id);
-    upstream.recentParts.delete(key);
-    upstream.recentParts.set(key, now.monotonicMs);
-  });
+  upstreams.noteParts(upstream, context.salt, context.sharedParts, now);
   return context;
 }
--- a/packages/core/src/fleet/telling.ts
+++ b/packages/core/src/fleet/telling.ts
@@ -1,10 +1,9 @@
 /** What this instance tells its peers of its own work, and what it does with theirs. */
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/gateway.js';
-import * as holdings from '../shared-context/holdings.js';
 import * as peerWork from './peer-work.js';
 import type * as fleet from './state.js';
-import type * as upstreams from './upstream.js';
+import * as upstreams from './upstream.js';
 
 /** Pause between two notes: changes within it go together. A placement is known to others after that. */
 const LEAST_PAUSE_MS = 40;
@@ -93,7 +92,7 @@
   if (known === state.peerWork) return state;
   note.sent.forEach(({ upstream, salt, parts }) => {
     const at = state.listing.upstreams.get(upstream);
-    parts.forEach((part) => at?.recentParts.set(holdings.partKey(salt, part), now.monotonicMs));
+    if (at) upstreams.noteParts(at, salt, parts, now);
   });
   const before = state.peerWork.get(note.from)?.work.keys() ?? [];
   const touched = new Set([...before, ...note.work.map(({ upstream }) => upstream)]);
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -1,5 +1,6 @@
 /** What an instance knows of one upstream. Updated in place: only the fleet's task sees it. */
 import type * as task from '../kernel/task.js';
+import * as holdings from '../shared-context/holdings.js';
 import * as peerWork from './peer-work.js';
 
 export type ModelVersion = { model: string; version: number };
@@ -129,6 +130,20 @@
   known.recentParts.clear();
 }
 
+/** Parts that were just sent there, the newest last: the oldest are forgotten first. */
+export function noteParts(
+  { recentParts }: Upstream,
+  salt: string,
+  parts: readonly string[],
+  now: task.Instant,
+): void {
+  parts.forEach((part) => {
+    const key = holdings.partKey(salt, part);
+    recentParts.delete(key);
+    recentParts.set(key, now.monotonicMs);
+  });
+}
+
 const FAULT_HALF_LIFE_MS = 2_000;
 
 export function faultsNow({ faults, faultsAtMs }: Upstream, nowMs: number): number {
