--- /dev/null
+++ b/packages/stand-ins/src/context-store/context-store.ts
@@ -0,0 +1,154 @@
+/**
+ * A stand-in for a managed store of kept context on the users' platform: parts under salts, events of
+ * what came and went, a bounded number of held calls for them, and frees. Nothing is dropped by itself.
+ */
+import * as serve from '../http/serve.js';
+
+export type Fault = 'none' | 'silent' | 'error';
+
+export type ContextStore = {
+  address: string;
+  /** A save that is complete. */
+  save(salt: string, id: string, tokens: number): void;
+  /** Empties it under another epoch, as a restart does. */
+  restart(): void;
+  setFault(fault: Fault): void;
+  holds(salt: string, id: string): boolean;
+  /** The most calls for events that were held at once, and the calls that were turned away. */
+  stats(): { mostHeld: number; turnedAway: number; lists: number };
+  close(): Promise<void>;
+};
+
+/** Number, sign, salt, id, tokens that are stored now, model. */
+type Event = readonly [number, '+' | '-', string, string, number, string];
+type Part = { salt: string; id: string; tokens: number };
+type State = {
+  fault: Fault;
+  epoch: number;
+  events: Event[];
+  parts: Map<string, Part>;
+  held: number;
+  mostHeld: number;
+  turnedAway: number;
+  lists: number;
+  waiting: Set<() => void>;
+};
+
+const MODEL = 'model-1';
+const MAX_WAIT_MS = 1_000;
+
+export async function start({ maxHeldCalls = 12 } = {}): Promise<ContextStore> {
+  const state: State = {
+    fault: 'none',
+    epoch: 1,
+    events: [],
+    parts: new Map(),
+    held: 0,
+    mostHeld: 0,
+    turnedAway: 0,
+    lists: 0,
+    waiting: new Set(),
+  };
+  const { address, close } = await serve.listen((request) => answer(state, maxHeldCalls, request));
+  return {
+    address,
+    save: (salt, id, tokens) => {
+      state.parts.set(keyOf(salt, id), { salt, id, tokens });
+      tell(state, '+', { salt, id, tokens });
+    },
+    restart: () => {
+      Object.assign(state, { epoch: state.epoch + 1, events: [], parts: new Map() });
+      wakeAll(state);
+    },
+    setFault: (fault) => Object.assign(state, { fault }),
+    holds: (salt, id) => state.parts.has(keyOf(salt, id)),
+    stats: ({ mostHeld, turnedAway, lists } = state) => ({ mostHeld, turnedAway, lists }),
+    close: () => {
+      wakeAll(state);
+      return close();
+    },
+  };
+}
+
+function keyOf(salt: string, id: string): string {
+  return `${salt} ${id}`;
+}
+
+function tell(state: State, sign: '+' | '-', { salt, id, tokens }: Part): void {
+  state.events.push([state.events.length + 1, sign, salt, id, tokens, MODEL]);
+  wakeAll(state);
+}
+
+function wakeAll({ waiting }: State): void {
+  waiting.forEach((wake) => wake());
+  waiting.clear();
+}
+
+async function answer(
+  state: State,
+  maxHeldCalls: number,
+  { method, path, query, headers, body }: serve.Request,
+): Promise<serve.Reply> {
+  if (state.fault === 'silent') return { kind: 'silent' };
+  if (state.fault === 'error') return serve.json(500, {});
+  switch (`${method} /${path.join('/')}`) {
+    case 'GET /-/kv-events':
+      return events(state, maxHeldCalls, Number(query.get('since')), Number(headers['wait-ms']));
+    case 'GET /-/kv-list':
+      Object.assign(state, { lists: state.lists + 1 });
+      return serve.json(200, {
+        ...standing(state),
+        held: [...state.parts.values()].map(({ salt, id, tokens }) => [salt, id, tokens, MODEL]),
+        partial: [],
+      });
+    case 'POST /-/kv-free':
+      return free(state, JSON.parse(body.toString()) as Free);
+    default:
+      return serve.json(404, {});
+  }
+}
+
+function standing({ epoch, events: told }: State) {
+  return { bootEpoch: epoch, nextToken: told.length, clock_ms: Date.now() };
+}
+
+async function events(
+  state: State,
+  maxHeldCalls: number,
+  since: number,
+  waitMs: number,
+): Promise<serve.Reply> {
+  if (state.held >= maxHeldCalls) {
+    Object.assign(state, { turnedAway: state.turnedAway + 1 });
+    return serve.json(429, {});
+  }
+  const { epoch } = state;
+  const held = state.held + 1;
+  Object.assign(state, { held, mostHeld: Math.max(state.mostHeld, held) });
+  if (state.events.length <= since) await news(state, Math.min(waitMs || 0, MAX_WAIT_MS));
+  Object.assign(state, { held: state.held - 1 });
+  const isLost = epoch !== state.epoch;
+  const found = isLost ? [] : state.events.slice(since);
+  return serve.json(200, { ...standing(state), lost: isLost, events: found });
+}
+
+function news({ waiting }: State, waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, waitMs);
+    waiting.add(() => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
+
+type Free = { bootEpoch?: number; parts: readonly (readonly [string, string])[] };
+
+function free(state: State, { bootEpoch, parts }: Free): serve.Reply {
+  if (bootEpoch !== undefined && bootEpoch !== state.epoch) return serve.json(409, {});
+  parts.forEach(([salt, id]) => {
+    if (!state.parts.delete(keyOf(salt, id))) return;
+    tell(state, '-', { salt, id, tokens: 0 });
+  });
+  return serve.json(200, {});
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 /** Stand-ins for the systems that medlarweir works with. */
+export * as contextStore from './context-store/context-store.js';
 export * as engine from './engine/engine.js';
 export * as serve from './http/serve.js';
 export * as plain from './plain/plain.js';
--- /dev/null
+++ b/packages/stand-ins/test/contracts/context-store.ts
@@ -0,0 +1,67 @@
+/** What a managed store of kept context promises. */
+import type * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+import * as wire from './wire.js';
+
+/** A store that holds two calls for its events at once. */
+export type Subject = {
+  address: string;
+  save(salt: string, id: string, tokens: number): Promise<void>;
+  restart(): Promise<void>;
+  end(): Promise<void>;
+};
+
+type News = { bootEpoch: number; nextToken: number; lost: boolean; events: unknown[][] };
+type List = { bootEpoch: number; nextToken: number; held: unknown[][] };
+
+async function news({ address }: Subject, since: number): Promise<News> {
+  return (await wire.call(address, 'GET', `/-/kv-events?since=${since}`)).body as News;
+}
+
+async function list({ address }: Subject): Promise<List> {
+  return (await wire.call(address, 'GET', '/-/kv-list')).body as List;
+}
+
+export function describeContextStore(suite: uvu.Test, start: () => Promise<Subject>): void {
+  suite('a part that was saved is told and listed, and once freed it is neither', async () => {
+    const subject = await start();
+    await subject.save('salt', 'a1', 400);
+    const first = await news(subject, 0);
+    assert.equal(first.events[0]?.slice(1, 5), ['+', 'salt', 'a1', 400]);
+    assert.equal((await list(subject)).held[0]?.slice(0, 3), ['salt', 'a1', 400]);
+    const parts = [['salt', 'a1']];
+    const { bootEpoch } = first;
+    assert.is(
+      (await wire.call(subject.address, 'POST', '/-/kv-free', { bootEpoch, parts })).status,
+      200,
+    );
+    const then = await news(subject, first.nextToken);
+    assert.equal(then.events[0]?.slice(1, 4), ['-', 'salt', 'a1']);
+    assert.equal((await list(subject)).held, []);
+    await subject.end();
+  });
+
+  suite('a restart empties it, and frees of the epoch before are refused', async () => {
+    const subject = await start();
+    await subject.save('salt', 'a1', 400);
+    const { bootEpoch } = await list(subject);
+    await subject.restart();
+    await subject.save('salt', 'a1', 400);
+    const after = await list(subject);
+    assert.is.not(after.bootEpoch, bootEpoch);
+    const freed = { bootEpoch, parts: [['salt', 'a1']] };
+    assert.is((await wire.call(subject.address, 'POST', '/-/kv-free', freed)).status, 409);
+    assert.is((await list(subject)).held.length, 1);
+    await subject.end();
+  });
+
+  suite('it holds two calls for its events and turns a third away', async () => {
+    const subject = await start();
+    const call = () =>
+      wire.call(subject.address, 'GET', '/-/kv-events?since=0', undefined, { 'wait-ms': '300' });
+    const statuses = (await Promise.all([call(), call(), call()])).map(({ status }) => status);
+    assert.equal(statuses.sort(), [200, 200, 429]);
+    await subject.end();
+  });
+}
--- a/packages/stand-ins/test/contracts/wire.ts
+++ b/packages/stand-ins/test/contracts/wire.ts
@@ -11,10 +11,12 @@
   method: 'GET' | 'POST' | 'PUT' | 'DELETE',
   path: string,
   body?: unknown,
+  headers: Readonly<Record<string, string>> = {},
 ): Promise<Reply> {
   const raw = body instanceof Uint8Array ? body : JSON.stringify(body);
   const response = await undici.request(`http://${address}${path}`, {
     method,
+    headers,
     ...(body === undefined ? {} : { body: raw }),
   });
   const text = await response.body.text();
