Let both tasks of metrics use one decision

metrics-http and metrics-statsd had the same decision; core/metrics has it now, with its types. The dumps name their counts as before. Behaviour is unchanged.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * as load from './load/index.js';
 export * as membership from './membership/index.js';
 export * as messages from './messages/index.js';
+export * as metrics from './metrics/index.js';
 export * as results from './results/index.js';
 export * as rollouts from './rollouts/index.js';
 export * as routing from './routing/index.js';
--- /dev/null
+++ b/packages/core/src/metrics/index.ts
@@ -0,0 +1,2 @@
+/** The way into metrics. */
+export * from './decide.js';
--- a/packages/plugins/metrics-http/src/metrics-task.ts
+++ b/packages/plugins/metrics-http/src/metrics-task.ts
@@ -5,8 +5,8 @@
 import * as promClient from 'prom-client';
 
 type Message = core.messages.MetricsMessage;
-type State = { updates: number };
-type Command = Exclude<Message, core.messages.TaskMessage> | { type: 'metrics.close' };
+type State = core.metrics.State;
+type Command = core.metrics.Command;
 type Settings = core.settings.gateway.GatewaySettings;
 
 /** Bounds of the latency buckets: from a call within a data centre to the longest route. */
@@ -21,7 +21,7 @@
   const nameOf = (name: core.messages.MetricName) => `${PREFIX}${name.replaceAll('.', '_')}`;
   const known = <Metric extends promClient.Metric>(name: string, create: () => Metric) =>
     (registry.getSingleMetric(name) as unknown as Metric | undefined) ?? create();
-  return (command: Exclude<Command, { type: 'metrics.close' }>) => {
+  return (command: core.metrics.Figure) => {
     const name = nameOf(command.name);
     const help = command.name;
     switch (command.type) {
@@ -63,8 +63,8 @@
         }),
       );
       return {
-        initial: { updates: 0 },
-        decide,
+        initial: core.metrics.initial,
+        decide: core.metrics.decide,
         perform: (command) => {
           if (command.type === 'metrics.close') server.close();
           else update(command);
@@ -75,22 +75,6 @@
   };
 }
 
-function decide(state: State, message: Message): core.kernel.Step<State, Command> {
-  switch (message.type) {
-    case 'task.start':
-    case 'task.leave':
-      return { state, commands: [] };
-    case 'task.stop':
-      return { state, commands: [{ type: 'metrics.close' }] };
-    case 'metrics.count':
-    case 'metrics.timing':
-    case 'metrics.gauge':
-      return { state: { updates: state.updates + 1 }, commands: [message] };
-    default:
-      return core.results.never(message);
-  }
-}
-
 function serve(
   registry: promClient.Registry,
   address: string,
--- a/packages/plugins/metrics-statsd/src/metrics-task.ts
+++ b/packages/plugins/metrics-statsd/src/metrics-task.ts
@@ -3,8 +3,8 @@
 import * as hotShots from 'hot-shots';
 
 type Message = core.messages.MetricsMessage;
-type State = { sent: number };
-type Command = Exclude<Message, core.messages.TaskMessage> | { type: 'metrics.close' };
+type State = core.metrics.State;
+type Command = core.metrics.Command;
 
 export function definition(server: string): core.kernel.TaskDefinition<State, Message, Command> {
   const [host = '', port = ''] = server.split(':');
@@ -19,31 +19,15 @@
         errorHandler: () => undefined,
       });
       return {
-        initial: { sent: 0 },
-        decide,
+        initial: core.metrics.initial,
+        decide: core.metrics.decide,
         perform: (command) => perform(client, command),
-        dump: (state) => state,
+        dump: ({ updates }) => ({ sent: updates }),
       };
     },
   };
 }
 
-function decide(state: State, message: Message): core.kernel.Step<State, Command> {
-  switch (message.type) {
-    case 'task.start':
-    case 'task.leave':
-      return { state, commands: [] };
-    case 'task.stop':
-      return { state, commands: [{ type: 'metrics.close' }] };
-    case 'metrics.count':
-    case 'metrics.timing':
-    case 'metrics.gauge':
-      return { state: { sent: state.sent + 1 }, commands: [message] };
-    default:
-      return core.results.never(message);
-  }
-}
-
 function perform(client: hotShots.StatsD, command: Command): void {
   switch (command.type) {
     case 'metrics.count':
