--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -1,9 +1,9 @@
 /** The settings of an instance that serves as a gateway on the users' platform. */
 import * as zod from 'zod';
 
+import * as address from './address.js';
 import * as flags from './flags.js';
 
-const hostAndPort = zod.string().regex(/^[^\s:]+:\d{1,5}$/, 'expected HOST:PORT');
 const milliseconds = (fallback: number, text: string) =>
   zod.coerce.number().int().min(0).max(600_000).default(fallback).describe(`${text}, in ms`);
 const factor = (fallback: number, text: string) =>
@@ -12,13 +12,15 @@
 export const gatewaySchema = zod.strictObject({
   name: zod.string().min(1).describe('name of the instance, unique in the deployment'),
   dataCentre: zod.string().min(1).describe('data centre in which the instance stands'),
-  callers: hostAndPort.describe('where callers connect (HOST:PORT)'),
-  readiness: hostAndPort.describe('where the balancer asks for readiness (HOST:PORT)'),
-  metrics: hostAndPort.optional().describe('where metrics are served (HOST:PORT); none without it'),
-  notes: hostAndPort
+  callers: address.hostAndPort.describe('where callers connect (HOST:PORT)'),
+  readiness: address.hostAndPort.describe('where the balancer asks for readiness (HOST:PORT)'),
+  metrics: address.hostAndPort
+    .optional()
+    .describe('where metrics are served (HOST:PORT); none without it'),
+  notes: address.hostAndPort
     .optional()
     .describe('where other instances tell of their work (UDP, HOST:PORT); none without it'),
-  platform: hostAndPort.describe('the platform’s object store (HOST:PORT)'),
+  platform: address.hostAndPort.describe('the platform’s object store (HOST:PORT)'),
   logLevel: zod
     .enum(['debug', 'info', 'warn', 'error'])
     .default('info')
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -1,27 +1,26 @@
 /** The settings of an entry instance: one schema with defaults; flags go before the environment. */
 import * as zod from 'zod';
 
+import * as address from './address.js';
 import * as flags from './flags.js';
 
-const hostAndPort = zod.string().regex(/^[^\s:]+:\d{1,5}$/, 'expected HOST:PORT');
-
 export const settingsSchema = zod.strictObject({
   name: zod
     .string()
     .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits, -')
     .describe('name of the instance, unique in the deployment'),
   dataCentre: zod.string().min(1).describe('data centre in which the instance stands'),
-  callers: hostAndPort
+  callers: address.hostAndPort
     .default('127.0.0.1:8080')
     .describe('where callers connect (HOST:PORT); port 0 asks the system for a free one'),
-  peers: hostAndPort
+  peers: address.hostAndPort
     .default('127.0.0.1:8081')
     .describe('where other instances and operators connect (HOST:PORT)'),
-  platform: hostAndPort.describe('the platform’s object API (HOST:PORT)'),
+  platform: address.hostAndPort.describe('the platform’s object API (HOST:PORT)'),
   seeds: zod
     .string()
     .transform((text) => text.split(',').filter((each) => each !== ''))
-    .pipe(zod.array(hostAndPort))
+    .pipe(zod.array(address.hostAndPort))
     .optional()
     .describe('a few peers (HOST:PORT, parted by commas), asked at a start without the platform'),
   deploymentKey: zod
@@ -33,7 +32,7 @@
     .min(16)
     .optional()
     .describe('second key, accepted from others while keys are rotated and never sent'),
-  statsd: hostAndPort
+  statsd: address.hostAndPort
     .optional()
     .describe('where metrics go (StatsD over UDP, HOST:PORT); none are sent without it'),
   logLevel: zod
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -2,6 +2,8 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as core from '@medlarweir/core';
+
 import type * as decode from './decode.js';
 import * as encode from './encode.js';
 
@@ -23,7 +25,7 @@
 };
 
 export function listen(address: string, handlers: Handlers): http.Server {
-  const [host = '', port = ''] = address.split(':');
+  const { host, port } = core.settings.address.split(address);
   const server = http.createServer((request, response) => {
     void readArrival(request, response, handlers.maxBodyBytes()).then((arrival) => {
       if (arrival) handlers.onArrival(arrival);
@@ -33,7 +35,7 @@
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.keepAliveTimeout = KEEP_ALIVE_MS;
-  server.listen(Number(port), host, () => {
+  server.listen(port, host, () => {
     const bound = server.address() as net.AddressInfo;
     handlers.onListening(`${bound.address}:${bound.port}`);
   });
--- a/packages/plugins/metrics-http/src/metrics-task.ts
+++ b/packages/plugins/metrics-http/src/metrics-task.ts
@@ -80,7 +80,7 @@
   address: string,
   onError: (error: Error) => void,
 ): http.Server {
-  const [host, port] = address.split(':');
+  const { host, port } = core.settings.address.split(address);
   const server = http.createServer((request, response) => {
     if (request.url !== '/metrics') {
       response.writeHead(404).end();
@@ -92,5 +92,5 @@
     );
   });
   server.on('error', onError);
-  return server.listen(Number(port), host);
+  return server.listen(port, host);
 }
--- a/packages/plugins/metrics-statsd/src/metrics-task.ts
+++ b/packages/plugins/metrics-statsd/src/metrics-task.ts
@@ -7,13 +7,13 @@
 type Command = core.metrics.Command;
 
 export function definition(server: string): core.kernel.TaskDefinition<State, Message, Command> {
-  const [host = '', port = ''] = server.split(':');
+  const { host, port } = core.settings.address.split(server);
   return {
     name: 'metrics',
     create: ({ settings }) => {
       const client = new hotShots.StatsD({
         host,
-        port: Number(port),
+        port,
         prefix: 'medlarweir.',
         globalTags: { instance: settings.name, data_centre: settings.dataCentre },
         errorHandler: () => undefined,
--- a/packages/plugins/peer-notes-udp/src/peer-notes-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-notes-task.ts
@@ -156,20 +156,20 @@
 }
 
 function listen({ self, record }: Surroundings, socket: dgram.Socket, address: string): void {
-  const [host = '', port = ''] = address.split(':');
+  const { host, port } = core.settings.address.split(address);
   socket.on('message', (bytes) => self.send({ type: 'peer-notes.received', bytes }));
   socket.on('error', (error) =>
     record({ name: 'dependencyLost', details: { dependency: 'peers', reason: error.message } }),
   );
-  socket.bind(Number(port), host, () =>
+  socket.bind(port, host, () =>
     record({ name: 'instanceListening', details: { peerNotes: address } }),
   );
 }
 
 /** A peer that cannot be reached is told again half a second later; only the count is kept. */
 function send(surroundings: Surroundings, socket: dgram.Socket, to: string, bytes: Buffer): void {
-  const [host = '', port = ''] = to.split(':');
-  socket.send(bytes, Number(port), host, (error) => count(surroundings, error ? 'unsent' : 'sent'));
+  const { host, port } = core.settings.address.split(to);
+  socket.send(bytes, port, host, (error) => count(surroundings, error ? 'unsent' : 'sent'));
 }
 
 function open(
--- a/packages/plugins/peers-trpc/src/peers-task.ts
+++ b/packages/plugins/peers-trpc/src/peers-task.ts
@@ -120,7 +120,7 @@
 
 function listen(surroundings: Surroundings): http.Server {
   const { settings, self } = surroundings;
-  const [host = '', port = ''] = settings.peers.split(':');
+  const { host, port } = core.settings.address.split(settings.peers);
   const server = standalone.createHTTPServer({
     router: router.createRouter({
       onNote: (received) => self.send({ type: 'peers.received', note: received }),
@@ -133,7 +133,7 @@
       ]),
     }),
   });
-  server.listen(Number(port), host, () => {
+  server.listen(port, host, () => {
     const bound = server.address() as net.AddressInfo;
     self.send({ type: 'peers.listening', address: `${bound.address}:${bound.port}` });
   });
