Reckon each candidate of a placement once

The work ahead was summed up to five times for each upstream of each request (cost, refusal, booking), the tokens to read twice, and each part was looked up in the stores for every upstream although the salt is the same. A candidate now carries its figures, and the look-up is made once for each salt. Behaviour is unchanged: npm test -- fleet, 32 passed.

--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -53,10 +53,21 @@
 const MAX_WAIT_SHARE = 0.75;
 /** Parts that were sent this recently are likely to be in the upstream's memory still. */
 const RECENT_MS = 15_000;
+/** A fetch takes about this share of the time of reading. */
+const FETCH_SHARE = 0.5;
 /** Of the smoothed latency, what counts. At an engine it follows the prompts more than the engine. */
 const LATENCY_SHARE = 0.5;
 const ENGINE_LATENCY_SHARE = 0.1;
 
+/** An upstream that may take the request, with what was reckoned of it. */
+type Candidate = {
+  upstream: upstreams.Upstream;
+  ahead: queue.Queue;
+  /** Tokens of the prompt that have to get there by reading; a fetch counts for a share of them. */
+  tokens: number;
+  costMs: number;
+};
+
 export type View = { state: fleet.State; service: routes.Service; wish: Wish; now: task.Instant };
 
 export function place(state: fleet.State, wish: Wish, now: task.Instant): Placed {
@@ -69,14 +80,25 @@
   if (open.length === 0) return { kind: 'none', reason: 'cold' };
   const waves = wavesOf(view, usable);
   const ranks = rankOf(view, open);
-  const costed = open
-    .map((each) => ({ each, costMs: cost(view, each, waves) + (ranks.get(each.listed.id) ?? 0) }))
+  const toRead = promptReader(view);
+  const candidates = open
+    .map((each): Candidate => {
+      const ahead = queue.at(view, each);
+      const tokens = toRead(each);
+      const rankMs = ranks.get(each.listed.id) ?? 0;
+      return {
+        upstream: each,
+        ahead,
+        tokens,
+        costMs: cost(view, each, ahead, tokens, waves) + rankMs,
+      };
+    })
     .sort((a, b) => a.costMs - b.costMs);
-  const best = costed[0];
-  if (!best || isTooLate(view, best.each)) return { kind: 'none', reason: 'full' };
+  const best = candidates[0];
+  if (!best || isTooLate(view, best)) return { kind: 'none', reason: 'full' };
   return {
     kind: 'placed',
-    placement: book(view, best.each),
+    placement: book(view, best),
     costMs: Math.round(best.costMs),
     candidates: open.length,
   };
@@ -86,10 +108,8 @@
  * Whether the first part of the answer would come too late to be of full use. Work beyond that would
  * make all that follows late as well, so it is refused while its caller can still go elsewhere.
  */
-function isTooLate(view: View, upstream: upstreams.Upstream): boolean {
-  const { service, wish } = view;
-  if (!service.engine || !wish.mayRefuse) return false;
-  return queue.engineWaitMs(view, upstream, service.engine) > wish.targetMs * MAX_WAIT_SHARE;
+function isTooLate({ wish }: View, { ahead }: Candidate): boolean {
+  return wish.mayRefuse && ahead.waitMs > wish.targetMs * MAX_WAIT_SHARE;
 }
 
 /** Whether new work may go there at all. */
@@ -148,13 +168,19 @@
   return new Map(ranked.map((id, at) => [id, at * RANK_STEP_MS]));
 }
 
-function cost(view: View, upstream: upstreams.Upstream, waves: Waves): number {
+function cost(
+  view: View,
+  upstream: upstreams.Upstream,
+  ahead: queue.Queue,
+  tokens: number,
+  waves: Waves,
+): number {
   const { state, now } = view;
   const { listed, latencyMs = 0 } = upstream;
   const isElsewhere = listed.dataCentre !== state.dataCentre;
   return (
-    queue.queueMs(view, upstream) +
-    tokensToRead(view, upstream) / readRate.of(view.state, view.service.name) +
+    ahead.costMs +
+    tokens / readRate.of(view.state, view.service.name) +
     latencyMs * (view.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
     upstreams.faultsNow(upstream, now.monotonicMs) * FAULT_MS +
     (isElsewhere ? OTHER_CENTRE_MS : 0) +
@@ -177,31 +203,37 @@
   return (versions.get(prompt.model) ?? 0) < (named.get(prompt.model)?.version ?? 0);
 }
 
-/** Tokens of the prompt that have to get there by reading; a fetch counts for a share of them. */
-function tokensToRead({ state, wish, now }: View, upstream: upstreams.Upstream): number {
-  if (!wish.prompt) return 0;
-  const salt = sharedContext.salt.format(saltOf(wish, wish.prompt, upstream));
-  return wish.prompt.parts.reduce(
-    (sum, part) => sum + partTokens(state, salt, part, upstream, now),
-    0,
-  );
-}
+type Reading = { key: string; tokens: number };
 
-const FETCH_SHARE = 0.5;
+/** Tells for each upstream what it has to read; what the stores hold is looked up once for each salt. */
+function promptReader(view: View): (upstream: upstreams.Upstream) => number {
+  const { wish, now } = view;
+  const { prompt } = wish;
+  if (!prompt) return () => 0;
+  const bySalt = new Map<string, readonly Reading[]>();
+  return (upstream) => {
+    const salt = sharedContext.salt.format(saltOf(wish, prompt, upstream));
+    const readings = bySalt.get(salt) ?? readingsOf(view, prompt, salt);
+    bySalt.set(salt, readings);
+    return readings
+      .filter(
+        ({ key }) => now.monotonicMs - (upstream.recentParts.get(key) ?? -Infinity) >= RECENT_MS,
+      )
+      .reduce((sum, { tokens }) => sum + tokens, 0);
+  };
+}
 
-function partTokens(
-  state: fleet.State,
+function readingsOf(
+  { state, now }: View,
+  { parts }: request.Prompt,
   salt: string,
-  part: request.Part,
-  { recentParts }: upstreams.Upstream,
-  now: task.Instant,
-): number {
-  const key = sharedContext.holdings.partKey(salt, part.id);
-  const sentAtMs = recentParts.get(key);
-  if (sentAtMs !== undefined && now.monotonicMs - sentAtMs < RECENT_MS) return 0;
+): readonly Reading[] {
   const situation = { holdings: state.holdings, stores: state.contextStores, now };
-  const isStored = sharedContext.plan.findStore(situation, salt, part.id) !== undefined;
-  return isStored ? part.tokens * FETCH_SHARE : part.tokens;
+  return parts.map(({ id, tokens }) => {
+    const isStored = sharedContext.plan.findStore(situation, salt, id) !== undefined;
+    const key = sharedContext.holdings.partKey(salt, id);
+    return { key, tokens: isStored ? tokens * FETCH_SHARE : tokens };
+  });
 }
 
 function saltOf({ isolatedAccount }: Wish, prompt: request.Prompt, upstream: upstreams.Upstream) {
@@ -210,19 +242,17 @@
 }
 
 /** Notes the work at the upstream and says what the attempt names of kept context. */
-function book(view: View, upstream: upstreams.Upstream): messages.Destination {
+function book(view: View, { upstream, ahead, tokens }: Candidate): messages.Destination {
   const { state, service, wish, now } = view;
   const { id, address } = upstream.listed;
   if (service.coldPerS > 0 && coldShare.isCold(upstream, now.monotonicMs)) {
     coldShare.book(state, service, upstream, now.monotonicMs);
   }
-  const tokens = tokensToRead(view, upstream);
-  const waitMs = service.engine ? queue.engineWaitMs(view, upstream, service.engine) : 0;
   upstream.underWay.set(wish.requestId, {
     startedAtMs: now.monotonicMs,
     tokens,
     promptTokens: promptTokens(wish),
-    aheadTokens: tokens + queue.estimate(state, upstream).unreadTokens,
+    aheadTokens: tokens + ahead.unreadTokens,
     isAnswered: false,
   });
   return {
@@ -230,7 +260,7 @@
     address,
     service: service.name,
     context: contextFor(view, upstream),
-    expected: { waitMs: Math.round(waitMs), tokensToRead: Math.round(tokens) },
+    expected: { waitMs: Math.round(ahead.waitMs), tokensToRead: Math.round(tokens) },
   };
 }
 
--- a/packages/core/src/fleet/queue.ts
+++ b/packages/core/src/fleet/queue.ts
@@ -30,40 +30,55 @@
   return peerWork.sum([own, peerWork.times(upstream.peerWork, share)]);
 }
 
-/** Work ahead: at an engine what it has to read and runs, at a plain upstream the slots in use. */
-export function queueMs(view: placement.View, upstream: upstreams.Upstream): number {
-  const { load, listed, latencyMs, underWay, peerWork: others } = upstream;
+/** What a new request meets at an upstream. */
+export type Queue = {
+  /** Tokens that are to be read before its own. */
+  unreadTokens: number;
+  /** Until an engine has read what it was sent, and has memory for more; nothing at a plain upstream. */
+  waitMs: number;
+  /** What the queue adds to the cost of the upstream. */
+  costMs: number;
+};
+
+export function at(view: placement.View, upstream: upstreams.Upstream): Queue {
+  const ahead = estimate(view.state, upstream);
+  const { unreadTokens } = ahead;
   const { engine } = view.service;
-  if (engine) return engineQueueMs(view, upstream, engine);
+  if (!engine) return { unreadTokens, waitMs: 0, costMs: plainCostMs(upstream) };
+  const waitMs = engineWaitMs(view, ahead, engine);
+  return { unreadTokens, waitMs, costMs: waitMs + engineLoadMs(view, upstream, ahead) };
+}
+
+/** The slots in use. */
+function plainCostMs({
+  load,
+  listed,
+  latencyMs,
+  underWay,
+  peerWork: others,
+}: upstreams.Upstream): number {
   const running = Math.max(underWay.size + others.requests, load?.running ?? 0);
   const perRequestMs = latencyMs ?? WAITING_MS;
   const waiting = load?.waiting ?? 0;
   return (running / Math.max(1, listed.slots)) * perRequestMs + waiting * WAITING_MS;
 }
 
-/** Time until an engine has read what it was sent, and has memory for more. */
-export function engineWaitMs(
+function engineWaitMs(
   { state, service }: placement.View,
-  upstream: upstreams.Upstream,
+  { unreadTokens, promptTokens }: peerWork.Work,
   { contextTokens }: routes.Engine,
 ): number {
-  const { unreadTokens, promptTokens } = estimate(state, upstream);
   const excessTokens = Math.max(0, promptTokens - contextTokens * MEMORY_SHARE);
   const readingMs = unreadTokens / readRate.of(state, service.name);
   return readingMs + (excessTokens / contextTokens) * FULL_MEMORY_MS;
 }
 
 /** What an engine told of its load is old by some requests; the peers' notes are newer. */
-function engineQueueMs(
-  view: placement.View,
-  upstream: upstreams.Upstream,
-  engine: routes.Engine,
+function engineLoadMs(
+  { state }: placement.View,
+  { load }: upstreams.Upstream,
+  { requests }: peerWork.Work,
 ): number {
-  const { running = 0, waiting = 0 } = view.state.peerWork.size === 0 ? (upstream.load ?? {}) : {};
-  const { requests } = estimate(view.state, upstream);
-  return (
-    engineWaitMs(view, upstream, engine) +
-    Math.max(running, requests) * RUNNING_MS +
-    waiting * WAITING_MS
-  );
+  const { running = 0, waiting = 0 } = state.peerWork.size === 0 ? (load ?? {}) : {};
+  return Math.max(running, requests) * RUNNING_MS + waiting * WAITING_MS;
 }
