Work out once who reads a store; let twins in the adapter share one piece

Readers and listeners of a store were hashed anew at each poll and each relay, up to 700 hashes at a time at 80 instances; they are found once for a list of members. The list of instances and that of members take in news by one function, and the check for empty ones existed already. Notes are decoded in an exhaustive switch like all others.

--- a/benchmark/src/control-plane/instance.ts
+++ b/benchmark/src/control-plane/instance.ts
@@ -144,7 +144,7 @@
 
   function takeList(news: core.messages.PlatformChanged): void {
     state.list = store.instanceList.take(state.list, news);
-    if (!store.instanceList.hasNews(news)) return;
+    if (!store.changes.hasAny(news)) return;
     const instances = [...state.list.values()];
     takeMembership({ type: 'platform.instances-changed', instances });
   }
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -73,27 +73,27 @@
 }
 
 function fromPlain(plain: zod.infer<typeof shape>): Notice {
-  if (plain[0] === 'work') {
-    const [kind, from, life, sentAtMs, isWhole, work, sent] = plain;
-    const note = {
-      from,
-      life,
-      sentAtMs,
-      isWhole,
-      work: work.map(([upstream, unreadTokens, promptTokens, requests]) => ({
+  switch (plain[0]) {
+    case 'work': {
+      const [kind, from, life, sentAtMs, isWhole, rows, sent] = plain;
+      const work = rows.map(([upstream, unreadTokens, promptTokens, requests]) => ({
         upstream,
         work: { unreadTokens, promptTokens, requests },
-      })),
-      sent: sent.map(([upstream, salt, parts]) => ({ upstream, salt, parts })),
-    };
-    return { kind, note };
+      }));
+      const parts = sent.map(([upstream, salt, ids]) => ({ upstream, salt, parts: ids }));
+      return { kind, note: { from, life, sentAtMs, isWhole, work, sent: parts } };
+    }
+    case 'store': {
+      const [kind, from, store, epoch, clockMs, rows] = plain;
+      const changes = rows.map(([salt, id, tokens]): Change =>
+        tokens === GONE ? { kind: 'gone', salt, id } : { kind: 'complete', salt, id, tokens },
+      );
+      const news = { kind: 'changes' as const, epoch, clockMs: clockMs ?? undefined, changes };
+      return { kind, from, store, news };
+    }
+    default:
+      return core.results.never(plain);
   }
-  const [kind, from, store, epoch, clockMs, rows] = plain;
-  const changes = rows.map(([salt, id, tokens]): Change =>
-    tokens === GONE ? { kind: 'gone', salt, id } : { kind: 'complete', salt, id, tokens },
-  );
-  const news = { kind: 'changes' as const, epoch, clockMs: clockMs ?? undefined, changes };
-  return { kind, from, store, news };
 }
 
 export function encode(note: Notice, key: string): Buffer {
--- a/packages/plugins/peer-notes-udp/src/peer-notes-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-notes-task.ts
@@ -16,6 +16,8 @@
   addresses: ReadonlyMap<string, string>;
   members: readonly string[];
   keys: ReadonlyMap<string, string>;
+  /** Addresses that are told of each store, as found for the present members. */
+  listeners: ReadonlyMap<string, readonly string[]>;
 };
 type Command =
   | { kind: 'listen' }
@@ -45,7 +47,7 @@
       const { name, dataCentre } = surroundings.settings;
       const socket = dgram.createSocket('udp4');
       return {
-        initial: { receivers: [], addresses: new Map(), members: [], keys: new Map() },
+        initial: correspondence(name, dataCentre, []),
         decide: (state, message) => decide(name, dataCentre, state, message),
         perform: (command) => perform(surroundings, socket, address, command),
         dump: ({ receivers }) => ({ receivers }),
@@ -69,7 +71,7 @@
       return { state, commands: sendTo(state, name, state.receivers, [note]) };
     }
     case 'peer-notes.relay':
-      return { state, commands: relay(state, name, message) };
+      return relay(state, name, message);
     case 'peer-notes.received':
       return { state, commands: [{ kind: 'open', bytes: message.bytes, keys: state.keys }] };
     default:
@@ -93,15 +95,27 @@
   state: State,
   name: string,
   { store, news }: Extract<Message, { type: 'peer-notes.relay' }>,
-): readonly Command[] {
-  const listeners = core.sharedContext.readers.listenersOf(name, store, state.members);
-  const receivers = listeners.flatMap((each) => state.addresses.get(each) ?? []);
+): Step {
+  const key = `${store.name} ${store.maxReaders}`;
+  const receivers = state.listeners.get(key) ?? listenersOf(state, name, store);
   const pages = Math.max(1, Math.ceil(news.changes.length / MAX_CHANGES));
   const notes = Array.from({ length: pages }, (_, at): core.messages.Notice => {
     const changes = news.changes.slice(at * MAX_CHANGES, (at + 1) * MAX_CHANGES);
     return { kind: 'store', from: name, store: store.name, news: { ...news, changes } };
   });
-  return sendTo(state, name, receivers, notes);
+  return {
+    state: { ...state, listeners: new Map(state.listeners).set(key, receivers) },
+    commands: sendTo(state, name, receivers, notes),
+  };
+}
+
+function listenersOf(
+  { addresses, members }: State,
+  name: string,
+  store: core.sharedContext.readers.ReadStore,
+): readonly string[] {
+  const listeners = core.sharedContext.readers.listenersOf(name, store, members);
+  return listeners.flatMap((each) => addresses.get(each) ?? []);
 }
 
 /** Where there are too many members, those of the own data centre come first. */
@@ -123,6 +137,7 @@
     receivers: chosen.flatMap((each) => addresses.get(each) ?? []),
     addresses,
     members: members.map((each) => each.name),
+    listeners: new Map(),
     keys: new Map(
       members.flatMap((each) => (each.signingKey ? [[each.name, each.signingKey] as const] : [])),
     ),
--- a/packages/stand-ins/src/context-store/context-store.ts
+++ b/packages/stand-ins/src/context-store/context-store.ts
@@ -62,7 +62,10 @@
     },
     setFault: (fault) => Object.assign(state, { fault }),
     holds: (salt, id) => state.parts.has(keyOf(salt, id)),
-    stats: ({ mostHeld, turnedAway, lists } = state) => ({ mostHeld, turnedAway, lists }),
+    stats: () => {
+      const { mostHeld, turnedAway, lists } = state;
+      return { mostHeld, turnedAway, lists };
+    },
     close: () => {
       wakeAll(state);
       return close();
