--- a/benchmark/src/control-plane/instance.ts
+++ b/benchmark/src/control-plane/instance.ts
@@ -180,6 +180,8 @@
         command.reader.changed.send(command.message);
         return;
       case 'send-failure':
+      case 'share-position':
+      case 'share-changes':
       case 'record-lost':
       case 'record-back':
         return;
@@ -188,7 +190,7 @@
     }
   }
   function decideWatch(message: store.watches.Message): void {
-    takeWatches(store.watches.decide(state.watches, message, now()));
+    takeWatches(store.watchAnswers.decide(state.watches, message, now()));
   }
   function ask(kind: string, run: number, call: (answer: (text: string) => void) => void): void {
     if (links.isCut(dataCentre, PLATFORM)) {
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -34,6 +34,11 @@
     text: 'list of evacuated data centres changed',
   },
   membersChanged: { number: 235, level: 'info', text: 'list of members changed' },
+  readerChanged: {
+    number: 236,
+    level: 'info',
+    text: 'instance that reads the platform for this one changed',
+  },
   membershipChanged: { number: 203, level: 'info', text: 'membership changed' },
   promptPlaced: { number: 301, level: 'info', text: 'prompt placed' },
   piecesExported: { number: 302, level: 'info', text: 'pieces exported' },
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -13,7 +13,9 @@
 import * as placement from './placement.js';
 import * as prefillRate from './prefill-rate.js';
 import type * as fleet from './state.js';
+import * as liveness from './liveness.js';
 import * as peerUpdates from './peer-updates.js';
+import * as publishing from './publishing.js';
 import * as reports from './reports.js';
 
 export type Command =
@@ -56,9 +58,9 @@
     case 'fleet.upstream-responded':
       return onResponse(state, message, now);
     case 'fleet.check-liveness':
-      return onLivenessCheck(state, message, now);
+      return liveness.check(state, message, now);
     case 'fleet.probe-finished':
-      return onProbeFinished(state, message, now);
+      return liveness.onProbeFinished(state, message, now);
     case 'fleet.upstream-list-read':
       return onListRead(state, message.update, now);
     case 'fleet.upstream-list-unavailable':
@@ -75,10 +77,12 @@
     case 'fleet.store-changed':
       sharedContext.inventory.applyUpdate(state.inventory, message.store, message.update, now);
       return { state, commands: [] };
+    case 'fleet.sharing-changed':
+      return { state: peerUpdates.withSharing(state, message.sharing), commands: [] };
     case 'fleet.peer-update':
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
     case 'fleet.publish-work':
-      return onPeerUpdateDue(state, now);
+      return { state, commands: publishing.changes(state, now) };
     case 'fleet.tick':
       return onTick(state, now);
     case 'task.start':
@@ -111,27 +115,11 @@
     commands: [
       { kind: 'record-placement', placementRequest, decision: placed },
       { kind: 'reply', replyTo, message },
-      ...(placed.kind === 'placed' ? schedulePeerUpdate(state, placed.destination) : []),
+      ...(placed.kind === 'placed' ? publishing.schedule(state, placed.destination) : []),
     ],
   };
 }
 
-function schedulePeerUpdate(
-  state: fleet.State,
-  changed: Pick<gatewayMessages.Destination, 'upstream' | 'context'>,
-): readonly Command[] {
-  if (!peerUpdates.addChange(state.outbox, changed)) return [];
-  return [{ kind: 'schedule-peer-update', delayMs: peerUpdates.intervalMs(state) }];
-}
-
-function onPeerUpdateDue(state: fleet.State, now: task.Instant): Step {
-  const { update, isMoreLeft } = peerUpdates.takeNext(state, now);
-  const again: readonly Command[] = isMoreLeft
-    ? [{ kind: 'schedule-peer-update', delayMs: peerUpdates.intervalMs(state) }]
-    : [];
-  return { state, commands: update ? [{ kind: 'send-peer-update', update }, ...again] : again };
-}
-
 function onOutcome(
   state: fleet.State,
   { requestId, upstream: id, outcome }: MessageOf<'fleet.attempt-ended'>,
@@ -141,7 +129,7 @@
   if (!upstream) return { state, commands: [] };
   const before = upstream.reachability.kind;
   upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
-  const scheduled = schedulePeerUpdate(state, { upstream: id, context: undefined });
+  const scheduled = publishing.schedule(state, { upstream: id, context: undefined });
   if (before === upstream.reachability.kind) return { state, commands: scheduled };
   const text = `does not answer: ${outcome}`;
   const ageMs = now.monotonicMs - upstream.lastByteAtMs;
@@ -162,73 +150,12 @@
   return {
     state,
     commands: [
-      ...(begun ? schedulePeerUpdate(state, { upstream: id, context: undefined }) : []),
+      ...(begun ? publishing.schedule(state, { upstream: id, context: undefined }) : []),
       ...(hasChanged ? [reports.reportToRollouts(state)] : []),
     ],
   };
 }
 
-/** Replies whether the upstream is marked silent; if not, probes it after a silence timeout without bytes. */
-function onLivenessCheck(
-  state: fleet.State,
-  { attempt, upstream: id, replyTo }: MessageOf<'fleet.check-liveness'>,
-  now: task.Instant,
-): Step {
-  const upstream = state.registry.upstreams.get(id);
-  const isSilent = !upstream || upstream.reachability.kind === 'silent';
-  const reply: Command = {
-    kind: 'reply',
-    replyTo,
-    message: { type: 'fleet.liveness-checked', attempt, isSilent },
-  };
-  if (!upstream || isSilent || !upstreamHealth.isSilent(upstream, now)) {
-    return { state, commands: [reply] };
-  }
-  const { address } = upstream.registration;
-  // The request checks again after the probe's answer is due.
-  return {
-    state,
-    commands: [reply, { kind: 'probe', probe: { kind: 'liveness', upstream: id, address } }],
-  };
-}
-
-function onProbeFinished(
-  state: fleet.State,
-  { probe, result }: MessageOf<'fleet.probe-finished'>,
-  now: task.Instant,
-): Step {
-  const upstream = state.registry.upstreams.get(probe.upstream);
-  if (!upstream) return { state, commands: [] };
-  const { reachability, registration } = upstream;
-  const ageMs = now.monotonicMs - upstream.lastByteAtMs;
-  const id = probe.upstream;
-  switch (result.kind) {
-    case 'no-response':
-      if (reachability.kind === 'silent') return { state, commands: [] };
-      Object.assign(upstream, { reachability: { kind: 'silent' } });
-      return {
-        state,
-        commands: [{ kind: 'record-upstream-change', id, text: 'a probe got no answer', ageMs }],
-      };
-    case 'unhealthy':
-      return { state, commands: [] };
-    case 'healthy': {
-      if (probe.kind === 'liveness') Object.assign(upstream, { lastByteAtMs: now.monotonicMs });
-      if (probe.kind === 'liveness' || reachability.kind !== 'silent') {
-        return { state, commands: [] };
-      }
-      const coldStartMs = state.services.get(registration.service)?.coldStartMs ?? 0;
-      upstreamHealth.recordRecovery(upstream, result.coldMs ?? coldStartMs, now);
-      return {
-        state,
-        commands: [{ kind: 'record-upstream-change', id, text: 'answers again', ageMs }],
-      };
-    }
-    default:
-      return results.assertNever(result);
-  }
-}
-
 function onListRead(state: fleet.State, update: discovery.Update, now: task.Instant): Step {
   const changed = discovery.applyUpdate(state.registry, update, now);
   return {
@@ -285,7 +212,7 @@
     state,
     commands: [
       { kind: 'schedule-tick' },
-      { kind: 'send-peer-update', update: peerUpdates.takeSnapshot(state, now) },
+      ...publishing.snapshots(state, now),
       ...reports.recordChanges(state, expired),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
       reports.reportToRollouts(state),
--- a/packages/core/src/fleet/peer-updates.ts
+++ b/packages/core/src/fleet/peer-updates.ts
@@ -10,11 +10,14 @@
 /** Longer intervals in large deployments keep within an instance's byte budget for control traffic. */
 const INTERVAL_PER_MEMBER_MS = 3;
 const MAX_INTERVAL_MS = 250;
+/** Between an instance and its reader; a reader hears many instances. */
+const SHARED_INTERVAL_MS = 400;
 /** Upstreams and sent parts in one update, so that it fits into a datagram; the rest follows in the next. */
-const MAX_UPSTREAMS_PER_UPDATE = 60;
+const MAX_UPSTREAMS_PER_UPDATE = 100;
 const MAX_SENT_PARTS_PER_UPDATE = 12;
 
-export function intervalMs({ members }: fleet.State): number {
+export function intervalMs({ members, sharing }: fleet.State): number {
+  if (sharing !== 'with-all') return SHARED_INTERVAL_MS;
   const fairMs = members.length * INTERVAL_PER_MEMBER_MS;
   return Math.min(MAX_INTERVAL_MS, Math.max(MIN_INTERVAL_MS, fairMs));
 }
@@ -28,9 +31,17 @@
   };
 }
 
+/** Number of other members whose work is part of a current report. */
+export function reportedPeers({ peerWork: reports }: fleet.State): number {
+  return [...reports.values()].reduce(
+    (sum, { scope, instances }) => sum + instances - (scope === 'fleet' ? 1 : 0),
+    0,
+  );
+}
+
 /** Number of other members without a current report. */
-export function unreportedPeers({ members, peerWork: reports }: fleet.State): number {
-  return Math.max(0, members.length - 1 - reports.size);
+export function unreportedPeers(state: fleet.State): number {
+  return Math.max(0, state.members.length - 1 - reportedPeers(state));
 }
 
 /**
@@ -65,11 +76,10 @@
   const isMoreLeft = outbox.changedUpstreams.size + outbox.sentParts.length > 0;
   Object.assign(outbox, { isScheduled: isMoreLeft });
   if (work.length + sentParts.length === 0) return { update: undefined, isMoreLeft };
-  const { incarnation } = outbox;
-  const update = {
-    from: instance,
-    incarnation,
-    sentAtMs: now.monotonicMs,
+  const update: peerWork.Update = {
+    ...signature(instance, outbox, now),
+    scope: 'own',
+    instances: 1,
     isSnapshot: false,
     work,
     sentParts,
@@ -77,6 +87,14 @@
   return { update, isMoreLeft };
 }
 
+function signature(
+  from: string,
+  { incarnation }: fleet.Outbox,
+  now: task.Instant,
+): Pick<peerWork.Update, 'from' | 'incarnation' | 'sentAtMs'> {
+  return { from, incarnation, sentAtMs: now.monotonicMs };
+}
+
 /** Returns an update with all work. It replaces lost updates and shows that this instance is alive. */
 export function takeSnapshot(
   { outbox, registry, instance }: fleet.State,
@@ -88,24 +106,81 @@
     .slice(0, MAX_UPSTREAMS_PER_UPDATE)
     .map((each) => ({ upstream: each.registration.id, work: ownWork(each) }));
   if (isComplete) outbox.changedUpstreams.clear();
-  const { incarnation } = outbox;
   return {
-    from: instance,
-    incarnation,
-    sentAtMs: now.monotonicMs,
+    ...signature(instance, outbox, now),
+    scope: 'own',
+    instances: 1,
     isSnapshot: isComplete,
     work,
     sentParts: [],
   };
 }
 
+/** A snapshot makes the changes before it needless. */
+export function clearOutbox(outbox: fleet.Outbox): void {
+  outbox.changedUpstreams.clear();
+  Object.assign(outbox, { isScheduled: false, sentParts: [] });
+}
+
+/**
+ * The updates that a reader sends: the work of its group to the other groups' readers, and that of all
+ * instances to those that follow it.
+ */
+export function takeSummaries(state: fleet.State, now: task.Instant): readonly peerWork.Update[] {
+  return [summary(state, 'group', ['own'], now), summary(state, 'fleet', ['own', 'group'], now)];
+}
+
+function summary(
+  { outbox, registry, instance, peerWork: reports }: fleet.State,
+  scope: peerWork.Scope,
+  summedUp: readonly peerWork.Scope[],
+  now: task.Instant,
+): peerWork.Update {
+  const included = [...reports].filter(([, report]) => summedUp.includes(report.scope));
+  const byPeer = new Map(included);
+  const work = [...registry.upstreams.values()]
+    .map((each) => ({
+      upstream: each.registration.id,
+      work: peerWork.sum([ownWork(each), peerWork.totalAt(byPeer, each.registration.id)]),
+    }))
+    .filter((each) => each.work.requests > 0)
+    .slice(0, MAX_UPSTREAMS_PER_UPDATE);
+  return {
+    ...signature(instance, outbox, now),
+    scope,
+    instances: 1 + included.reduce((sum, [, report]) => sum + report.instances, 0),
+    isSnapshot: true,
+    work,
+    sentParts: [],
+  };
+}
+
+/** Scopes of the updates that count; others are still on their way from before a change. */
+const SCOPES_HEARD: Readonly<Record<peerWork.Sharing, readonly peerWork.Scope[]>> = {
+  'with-all': ['own'],
+  'through-reader': ['fleet'],
+  'as-reader': ['own', 'group'],
+};
+
+/** Changes how updates are exchanged, and drops those that came the other way. */
+export function withSharing(state: fleet.State, sharing: peerWork.Sharing): fleet.State {
+  if (state.sharing === sharing) return state;
+  const heard = SCOPES_HEARD[sharing];
+  const kept = [...state.peerWork].filter(([, { scope }]) => heard.includes(scope));
+  const reports = new Map(kept);
+  refreshPeerWork(state, reports, new Set(state.registry.upstreams.keys()));
+  return { ...state, sharing, peerWork: reports };
+}
+
 /** Applies a peer's update; ignores this instance's own and outdated ones. */
 export function receive(
   state: fleet.State,
   update: peerWork.Update,
   now: task.Instant,
 ): fleet.State {
-  if (update.from === state.instance) return state;
+  if (update.from === state.instance || !SCOPES_HEARD[state.sharing].includes(update.scope)) {
+    return state;
+  }
   const reports = peerWork.applyUpdate(state.peerWork, update, now);
   if (reports === state.peerWork) return state;
   update.sentParts.forEach(({ upstream, salt, parts }) => {
@@ -133,6 +208,16 @@
 ): void {
   ids.forEach((id) => {
     const upstream = registry.upstreams.get(id);
-    if (upstream) upstream.peerWork = peerWork.totalAt(reports, id);
+    if (upstream) upstream.peerWork = othersWork(upstream, reports);
   });
 }
+
+/** The work of other instances; a sum over the whole fleet includes this instance's own. */
+function othersWork(
+  upstream: upstreams.Upstream,
+  reports: peerWork.ReportsByPeer,
+): peerWork.InFlightWork {
+  const total = peerWork.totalAt(reports, upstream.registration.id);
+  const isOwnIncluded = [...reports.values()].some(({ scope }) => scope === 'fleet');
+  return isOwnIncluded ? peerWork.subtract(total, ownWork(upstream)) : total;
+}
--- a/packages/core/src/fleet/peer-work.ts
+++ b/packages/core/src/fleet/peer-work.ts
@@ -16,8 +16,20 @@
 /** Ids of the parts of one prompt that were sent to an upstream. */
 export type SentParts = { upstream: string; salt: string; parts: readonly string[] };
 
+/**
+ * Whose work an update sums up: the sender's own, that of the instances that follow the sender, or
+ * that of all instances, the receiver included.
+ */
+export type Scope = 'own' | 'group' | 'fleet';
+
+/** How an instance exchanges updates: directly, or by way of its group's reader. */
+export type Sharing = 'with-all' | 'through-reader' | 'as-reader';
+
 export type Update = {
   from: string;
+  scope: Scope;
+  /** Number of instances whose work is summed up. */
+  instances: number;
   /** Run of the sender's process; with `sentAtMs`, its monotonic clock, it detects reordered updates. */
   incarnation: string;
   sentAtMs: number;
@@ -29,6 +41,8 @@
 
 /** Latest state reported by one peer. */
 export type PeerReport = {
+  scope: Scope;
+  instances: number;
   incarnation: string;
   sentAtMs: number;
   receivedAtMs: number;
@@ -53,8 +67,10 @@
   if (isLate) return reports;
   const kept = update.isSnapshot || before?.incarnation !== update.incarnation ? [] : before.work;
   const changed = update.work.map(({ upstream, work }) => [upstream, work] as const);
-  const { incarnation, sentAtMs } = update;
+  const { incarnation, sentAtMs, scope, instances } = update;
   const report: PeerReport = {
+    scope,
+    instances,
     incarnation,
     sentAtMs,
     receivedAtMs: now.monotonicMs,
@@ -82,6 +98,15 @@
   );
 }
 
+/** Never below 0: both amounts may be of slightly different times. */
+export function subtract(from: InFlightWork, part: InFlightWork): InFlightWork {
+  return {
+    unreadTokens: Math.max(0, from.unreadTokens - part.unreadTokens),
+    promptTokens: Math.max(0, from.promptTokens - part.promptTokens),
+    requests: Math.max(0, from.requests - part.requests),
+  };
+}
+
 export function scale(
   { unreadTokens, promptTokens, requests }: InFlightWork,
   factor: number,
--- a/packages/core/src/fleet/queue.ts
+++ b/packages/core/src/fleet/queue.ts
@@ -25,8 +25,8 @@
 /** Work of all instances at an upstream, extrapolated from the peers that report to those that do not. */
 export function totalWork(state: fleet.State, upstream: upstreams.Upstream): peerWork.InFlightWork {
   const own = peerUpdates.ownWork(upstream);
-  const peers = state.peerWork.size;
-  if (peers === 0) return peerWork.scale(own, Math.max(1, state.members.length * UNREPORTED_SHARE));
+  const peers = peerUpdates.reportedPeers(state);
+  if (peers <= 0) return peerWork.scale(own, Math.max(1, state.members.length * UNREPORTED_SHARE));
   const share = 1 + peerUpdates.unreportedPeers(state) / peers;
   return peerWork.sum([own, peerWork.scale(upstream.peerWork, share)]);
 }
--- a/packages/core/src/fleet/reports.ts
+++ b/packages/core/src/fleet/reports.ts
@@ -79,10 +79,11 @@
   return contextStores.flatMap(({ name }) => {
     const contents = inventory.stores.get(name);
     if (!contents?.isReachable || contents.epoch === undefined) return [];
-    const parts = [...contents.parts.values()].filter(({ salt }) =>
-      isObsolete(salt, oldestInUse.versions),
+    const obsoleteSalts = new Set(
+      [...contents.salts.keys()].filter((salt) => isObsolete(salt, oldestInUse.versions)),
     );
-    if (parts.length === 0) return [];
+    if (obsoleteSalts.size === 0) return [];
+    const parts = [...contents.parts.values()].filter(({ salt }) => obsoleteSalts.has(salt));
     return [
       { store: name, epoch: contents.epoch, parts: parts.slice(0, MAX_OBSOLETE_PARTS_PER_STORE) },
     ];
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -43,6 +43,7 @@
   /** Names of the instances that may send, including this one; empty while unknown. */
   members: readonly string[];
   peerWork: peerWork.ReportsByPeer;
+  sharing: peerWork.Sharing;
   /** Tokens per millisecond that an engine reads, by service. Updated in place. */
   prefillRates: Map<string, number>;
   outbox: Outbox;
@@ -68,6 +69,7 @@
     hasReadTargetVersions: false,
     members: [],
     peerWork: new Map(),
+    sharing: 'with-all',
     prefillRates: new Map(),
     outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
   };
--- a/packages/core/src/leases/decide.ts
+++ b/packages/core/src/leases/decide.ts
@@ -150,7 +150,8 @@
     : { version: object.version, record, seenAtMs: now.monotonicMs };
   const waitMs = takeOverAtMs(given, observation) - now.monotonicMs;
   if (waitMs <= 0) return takeOver(given, object.version, now);
-  return platformCalls.wakeAfter({ ...given, phase: { kind: 'waiting', observation } }, waitMs);
+  const waiting: lease.Lease = { ...given, phase: { kind: 'waiting', observation } };
+  return platformCalls.wakeAfter(waiting, waitMs + given.standbyDelayMs);
 }
 
 /** Replaces a record that fails to parse: a contender waits for one term of its own options. */
--- a/packages/core/src/leases/index.ts
+++ b/packages/core/src/leases/index.ts
@@ -2,3 +2,4 @@
 export * from './decide.js';
 export * from './lease.js';
 export * from './permission.js';
+export * as standby from './standby.js';
--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -101,7 +101,13 @@
   | { kind: 'held'; grant: Grant; renewal: PendingWrite | undefined }
   | { kind: 'releasing'; write: PendingWrite };
 
-export type Lease = { options: Options; phase: Phase; nextId: number };
+export type Lease = {
+  options: Options;
+  phase: Phase;
+  nextId: number;
+  /** Additional time between reads of a lease that another instance holds; the first standbys have none. */
+  standbyDelayMs: number;
+};
 
 /** Carried out by the task that owns the lease. */
 export type Command =
@@ -122,7 +128,7 @@
 export type Step = task.Step<Lease, Command>;
 
 export function create(given: Options): Lease {
-  return { options: given, phase: { kind: 'idle' }, nextId: 1 };
+  return { options: given, phase: { kind: 'idle' }, nextId: 1, standbyDelayMs: 0 };
 }
 
 /** Converts a read or write command to the message for the platform task. */
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -39,6 +39,7 @@
     }
   | { type: 'fleet.probe-finished'; probe: gateway.Probe; result: ProbeResult }
   | { type: 'fleet.store-changed'; store: string; update: inventory.StoreUpdate }
+  | { type: 'fleet.sharing-changed'; sharing: peerWork.Sharing }
   /** Another instance's summary of its work in flight. */
   | { type: 'fleet.peer-update'; update: peerWork.Update }
   /** This instance's peer update is due. */
@@ -55,9 +56,8 @@
 export type ContextStoresMessage =
   | taskLifecycle.LifecycleMessage
   | { type: 'context-stores.set-stores'; stores: readonly routes.ContextStore[] }
-  | { type: 'context-stores.members-changed'; names: readonly string[] }
-  /** Another instance relayed an update of this store. */
-  | { type: 'context-stores.relayed-by-peer'; store: string }
+  /** Whether this instance reads the stores itself. */
+  | { type: 'context-stores.role-changed'; isReader: boolean; sharing: peerWork.Sharing }
   | { type: 'context-stores.free'; request: FreeRequest }
   | { type: 'context-stores.poll'; store: string };
 
--- a/packages/core/src/messages/index.ts
+++ b/packages/core/src/messages/index.ts
@@ -15,6 +15,7 @@
 export * from './peer-updates.js';
 export * from './peers.js';
 export * from './platform.js';
+export * from './readers.js';
 export * from './rollouts.js';
 export * from './routing.js';
 export * from './stores.js';
--- a/packages/core/src/messages/mailboxes.ts
+++ b/packages/core/src/messages/mailboxes.ts
@@ -15,6 +15,7 @@
 import type * as peerUpdates from './peer-updates.js';
 import type * as peers from './peers.js';
 import type * as platform from './platform.js';
+import type * as readers from './readers.js';
 import type * as rollouts from './rollouts.js';
 import type * as routing from './routing.js';
 import type * as stores from './stores.js';
@@ -39,6 +40,7 @@
   peerNotes: peerUpdates.PeerUpdatesMessage;
   peers: peers.PeersMessage;
   platform: platform.PlatformMessage;
+  readers: readers.ReadersMessage;
   rollouts: rollouts.RolloutsMessage;
   routing: routing.RoutingMessage;
   stores: stores.StoresMessage;
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -1,7 +1,7 @@
 /** Messages to the task that exchanges peer updates with the other instances of the platform. */
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as inventory from '../shared-context/inventory.js';
-import type * as eventReaders from '../shared-context/event-readers.js';
+import type * as readers from './readers.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
 /** An instance that may send peer updates, from its entry on the platform. */
@@ -10,21 +10,34 @@
   dataCentre: string;
   /** HOST:PORT at which it receives peer updates; `undefined` if it receives none. */
   notes: string | undefined;
+  /** Share of a core that the instance has; 0 if it does not say. */
+  processorShare: number;
   /** The key with which it signs its peer updates. */
   signingKey: string | undefined;
 };
 
+/** Names of the members that receive updates about work, by scope; see `peerWork.Scope`. */
+export type Audiences = Readonly<Record<peerWork.Scope, readonly string[]>>;
+
 export type PeerUpdatesMessage =
   | taskLifecycle.LifecycleMessage
   | { type: 'peer-updates.members-changed'; members: readonly PeerEndpoint[] }
+  | { type: 'peer-updates.audiences-changed'; audiences: Audiences }
   | { type: 'peer-updates.publish-work'; update: peerWork.Update }
-  /** Changes of a context store, for instances that do not read the store themselves. */
-  | { type: 'peer-updates.relay-store'; store: eventReaders.Store; update: StoreChanges };
+  | { type: 'peer-updates.send'; update: PeerUpdate; to: readonly string[] };
 
-/** Changes of a store as its reader saw them; an empty update means that the store answers. */
-export type StoreChanges = Extract<inventory.StoreUpdate, { kind: 'changes' }>;
+/** Updates of context stores that one instance read for others. */
+export type StoreUpdates = readonly { store: string; update: inventory.RelayedUpdate }[];
 
 /** An update that one instance sends to another. */
 export type PeerUpdate =
   | { kind: 'work'; update: peerWork.Update }
-  | { kind: 'store'; from: string; store: string; update: StoreChanges };
+  | { kind: 'stores'; from: string; updates: StoreUpdates }
+  | { kind: 'question'; from: string; question: readers.Question }
+  | {
+      kind: 'answer';
+      from: string;
+      question: readers.Question;
+      positions: readonly readers.RelayedPosition[];
+    }
+  | { kind: 'changes'; from: string; changes: readers.WatchChanges };
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -1,6 +1,7 @@
 /** Messages to and from the task that calls the platform's API. */
 import type * as task from '../kernel/task.js';
 import type * as results from '../results/index.js';
+import type * as readers from './readers.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
 /** One versioned object of the platform. */
@@ -45,17 +46,25 @@
   removed: readonly string[];
   /** Whether `objects` is the complete set rather than the changes. */
   isSnapshot: boolean;
-  /** When the watch request was sent. The answer is at least as recent as this. */
+  /** The answer is at least as recent as this: mostly the time at which the request was sent. */
   askedAt: task.Instant;
 };
 
 /** A watch request failed. */
 export type PlatformWatchFailed = { type: 'platform.watch-failed'; prefix: string; reason: string };
 
-/**
- * `waitMs`: how long the platform may hold a watch request; `pauseMs`: the pause after an update.
- */
-export type WatchPacing = { waitMs: number; pauseMs: number };
+export type WatchPacing = {
+  /** How long the platform may hold a watch request. */
+  waitMs: number;
+  /** The pause after an update. */
+  pauseMs: number;
+  /** Least time between two calls that catch up with the reader. */
+  catchUpPauseMs?: number;
+  /** Whether the first listing may be seconds old, which costs the platform less. */
+  mayStartStale?: boolean;
+  /** Whether changes are small and public enough to be passed on to other instances. */
+  relaysContent?: boolean;
+};
 
 export type PlatformInstancesChanged = {
   type: 'platform.instances-changed';
@@ -90,6 +99,10 @@
       /** Receives failures of the watch; absent if the watcher does not need them. */
       failuresTo?: task.Address<PlatformWatchFailed>;
     }
+  /** Whether another instance reads the platform for this one; watches then wait for what it tells. */
+  | { type: 'platform.set-relayed'; isRelayed: boolean }
+  | { type: 'platform.relayed-positions'; positions: readonly readers.WatchPosition[] }
+  | { type: 'platform.relayed-changes'; changes: readers.WatchChanges }
   /** Ends the watch of this prefix for this watcher. */
   | { type: 'platform.unwatch'; prefix: string; replyTo: task.Address<PlatformWatchUpdated> }
   /** Watches the list of instances. Sent again, it only changes the pause after each answer. */
--- a/packages/core/src/messages/rollouts.ts
+++ b/packages/core/src/messages/rollouts.ts
@@ -42,6 +42,7 @@
 export type RolloutsMessage =
   | taskLifecycle.LifecycleMessage
   | platform.PlatformAnswered
+  | { type: 'rollouts.members-changed'; names: readonly string[] }
   | { type: 'rollouts.target-versions-changed'; versions: Readonly<Record<string, number>> }
   | { type: 'rollouts.upstreams-changed'; upstreams: readonly inputs.Upstream[] }
   | {
--- a/packages/core/src/rollouts/decide.ts
+++ b/packages/core/src/rollouts/decide.ts
@@ -10,6 +10,7 @@
 import type * as messages from '../messages/rollouts.js';
 import * as results from '../results/index.js';
 import type * as inputs from './inputs.js';
+import * as obsoleteParts from './obsolete-parts.js';
 import * as waves from './wave.js';
 
 /** An order in flight at one upstream, or the status request before it. */
@@ -52,6 +53,8 @@
 /** Time without new work before an order; short requests and most streams have ended by then. */
 const QUIESCE_MS = 700;
 const RECONCILE_INTERVAL_MS = 100;
+/** The same without the lease, when there is nothing to order. */
+const STANDBY_INTERVAL_MS = 500;
 /** The upstreams check the fencing token; see `fencingRequired` of the users' rules. */
 const CHECKS_FENCING = { checksFencing: true };
 
@@ -83,6 +86,10 @@
       return onLease(state, leases.onPlatformAnswer(state.lease, message, now));
     case 'rollouts.lease-tick':
       return onLease(state, leases.wake(state.lease, now));
+    case 'rollouts.members-changed': {
+      const lease = leases.standby.withMembers(state.lease, message.names);
+      return { state: { ...state, lease }, commands: [] };
+    }
     case 'rollouts.target-versions-changed':
       return reconcile({ ...state, targetVersions: message.versions }, now);
     case 'rollouts.upstreams-changed':
@@ -108,7 +115,9 @@
 }
 
 function withNextWake({ state, commands }: Step): Step {
-  return { state, commands: [...commands, { kind: 'wake', delayMs: RECONCILE_INTERVAL_MS }] };
+  const isHolder = state.lease.phase.kind === 'held';
+  const delayMs = isHolder ? RECONCILE_INTERVAL_MS : STANDBY_INTERVAL_MS;
+  return { state, commands: [...commands, { kind: 'wake', delayMs }] };
 }
 
 function orderPermission({ lease, isLeaving }: State, now: task.Instant): leases.Permission {
@@ -133,7 +142,7 @@
     delayMs: 0,
   }));
   const next: State = { ...state, pendingOrders, obsoleteParts: [] };
-  return { state: next, commands: [...requests, ...freeObsoleteParts(state)] };
+  return { state: next, commands: [...requests, ...obsoleteParts.free(state)] };
 }
 
 function activeOrders({ pendingOrders, upstreams }: State, now: task.Instant) {
@@ -283,12 +292,3 @@
   const { [upstream]: ended, ...pendingOrders } = state.pendingOrders;
   return { state: { ...state, pendingOrders }, commands: [] };
 }
-
-/** Frees the parts that the fleet reports as obsolete; `reconcile` then clears the list, so each is freed once. */
-function freeObsoleteParts({ obsoleteParts, stores }: State): readonly Command[] {
-  return obsoleteParts.flatMap(({ store, epoch, parts }): readonly Command[] => {
-    const address = stores.find(({ name }) => name === store)?.address;
-    if (address === undefined) return [];
-    return [{ kind: 'free', request: { store, address, epoch, parts } }];
-  });
-}
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -25,6 +25,16 @@
       'address on which peer updates are received (UDP, HOST:PORT); not received if absent',
     ),
   platform: address.hostAndPort.describe('address of the platform’s object store (HOST:PORT)'),
+  processorShare: zod.coerce
+    .number()
+    .min(0)
+    .default(0)
+    .describe('share of a core that this machine has; the strongest read for others; 0 if unknown'),
+  isFirstStart: zod
+    .enum(['true', 'false'])
+    .default('false')
+    .transform((text) => text === 'true')
+    .describe('whether the whole deployment starts for the first time: true or false'),
   logLevel: zod
     .enum(['debug', 'info', 'warn', 'error'])
     .default('info')
--- a/packages/core/src/shared-context/inventory.ts
+++ b/packages/core/src/shared-context/inventory.ts
@@ -16,11 +16,16 @@
   | { kind: 'listing'; epoch: number; clockMs: number | undefined; changes: readonly PartChange[] }
   | { kind: 'unreachable' };
 
+/** The updates that a reader passes on; it does not pass on whole listings. */
+export type RelayedUpdate = Exclude<StoreUpdate, { kind: 'listing' }>;
+
 export type StoreContents = {
   isReachable: boolean;
   epoch: number | undefined;
   /** Parts by `partKey`. */
   parts: Map<string, { salt: string; id: string; tokens: number }>;
+  /** Number of parts under each salt. */
+  salts: Map<string, number>;
   usedTokens: number;
   /** Saves that were requested and not reported yet, by part key; `atMs` is the time of the request. */
   pendingSaves: Map<string, { tokens: number; atMs: number }>;
@@ -49,6 +54,7 @@
     isReachable: false,
     epoch: undefined,
     parts: new Map(),
+    salts: new Map(),
     usedTokens: 0,
     pendingSaves: new Map(),
   };
@@ -77,6 +83,7 @@
 
 function clear(contents: StoreContents, includesPending: boolean): void {
   contents.parts.clear();
+  contents.salts.clear();
   Object.assign(contents, { usedTokens: 0 });
   if (includesPending) contents.pendingSaves.clear();
 }
@@ -89,13 +96,20 @@
 
 function applyChange(contents: StoreContents, change: PartChange): void {
   const key = partKey(change.salt, change.id);
-  const known = contents.parts.get(key)?.tokens ?? 0;
+  const known = contents.parts.get(key);
   const tokens = change.kind === 'complete' ? change.tokens : 0;
-  Object.assign(contents, { usedTokens: contents.usedTokens + tokens - known });
-  contents.parts.delete(key);
+  Object.assign(contents, { usedTokens: contents.usedTokens + tokens - (known?.tokens ?? 0) });
+  if (contents.parts.delete(key)) countPart(contents, change.salt, -1);
   contents.pendingSaves.delete(key);
   if (change.kind === 'gone') return;
   contents.parts.set(key, { salt: change.salt, id: change.id, tokens: change.tokens });
+  countPart(contents, change.salt, 1);
+}
+
+function countPart({ salts }: StoreContents, salt: string, by: 1 | -1): void {
+  const count = (salts.get(salt) ?? 0) + by;
+  if (count > 0) salts.set(salt, count);
+  else salts.delete(salt);
 }
 
 export function remoteNow({ clock }: Inventory, now: task.Instant): number | undefined {
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -5,49 +5,27 @@
 import * as crypto from 'node:crypto';
 
 import * as core from '@medlarweir/core';
-import * as zod from 'zod';
+
+import * as schemas from './schemas.js';
+import * as storeRows from './store-rows.js';
 
 type PeerUpdate = core.messages.PeerUpdate;
-type PartChange = core.sharedContext.inventory.PartChange;
 
 /** Half of the digest, the minimum that RFC 2104 recommends. */
 const SIGNATURE_BYTES = 16;
 
-const amountSchema = zod.number().nonnegative();
-
-/** Compact arrays, because updates cross the links between data centres many times a second. */
-const bodySchema = zod.union([
-  zod.tuple([
-    zod.literal('work'),
-    zod.string(),
-    zod.string(),
-    amountSchema,
-    zod.boolean(),
-    zod.array(zod.tuple([zod.string(), amountSchema, amountSchema, amountSchema])),
-    zod.array(zod.tuple([zod.string(), zod.string(), zod.array(zod.string())])),
-  ]),
-  zod.tuple([
-    zod.literal('store'),
-    zod.string(),
-    zod.string(),
-    zod.number(),
-    zod.number().nullable(),
-    zod.array(zod.tuple([zod.string(), zod.string(), zod.number()])),
-  ]),
-]);
-
-/** Token count that marks a part which the store no longer holds. */
-const GONE_TOKENS = -1;
-
-function toTuple(peerUpdate: PeerUpdate): zod.infer<typeof bodySchema> {
+function toTuple(peerUpdate: PeerUpdate): schemas.Body {
   switch (peerUpdate.kind) {
     case 'work': {
-      const { from, incarnation, sentAtMs, isSnapshot, work, sentParts } = peerUpdate.update;
+      const { from, incarnation, sentAtMs, scope, instances, isSnapshot, work, sentParts } =
+        peerUpdate.update;
       return [
         'work',
         from,
         incarnation,
         Math.round(sentAtMs),
+        scope,
+        instances,
         isSnapshot,
         work.map(({ upstream, work: { unreadTokens, promptTokens, requests } }) => [
           upstream,
@@ -58,24 +36,52 @@
         sentParts.map(({ upstream, salt, parts }) => [upstream, salt, [...parts]]),
       ];
     }
-    case 'store': {
-      const { from, store, update } = peerUpdate;
-      const changes = update.changes.map((change): [string, string, number] => [
-        change.salt,
-        change.id,
-        change.kind === 'complete' ? change.tokens : GONE_TOKENS,
-      ]);
-      return ['store', from, store, update.epoch, update.clockMs ?? null, changes];
+    case 'stores':
+      return ['stores', peerUpdate.from, storeRows.toRows(peerUpdate.updates)];
+    case 'question':
+      return ['question', peerUpdate.from, toQuestionTuple(peerUpdate.question)];
+    case 'answer':
+      return [
+        'answer',
+        peerUpdate.from,
+        toQuestionTuple(peerUpdate.question),
+        peerUpdate.positions.map(({ objectKind, revision, changedAt, ageMs }) => [
+          objectKind,
+          revision,
+          changedAt,
+          ageMs,
+        ]),
+      ];
+    case 'changes': {
+      const { objectKind, since, revision, objects, removed } = peerUpdate.changes;
+      const rows = objects.map(
+        ({ key, version, value, writeId }): [string, number, unknown, string] => [
+          key,
+          version,
+          value,
+          writeId,
+        ],
+      );
+      return ['changes', peerUpdate.from, objectKind, since, revision, rows, [...removed]];
     }
     default:
       return core.results.assertNever(peerUpdate);
   }
 }
 
-function fromTuple(tuple: zod.infer<typeof bodySchema>): PeerUpdate {
+function toQuestionTuple({ incarnation, sentAt }: core.messages.Question): schemas.QuestionTuple {
+  return [incarnation, sentAt.monotonicMs, sentAt.wallMs];
+}
+
+function toQuestion([incarnation, monotonicMs, wallMs]: schemas.QuestionTuple) {
+  return { incarnation, sentAt: { monotonicMs, wallMs } };
+}
+
+function fromTuple(tuple: schemas.Body): PeerUpdate {
   switch (tuple[0]) {
     case 'work': {
-      const [kind, from, senderIncarnation, sentAtMs, isComplete, workRows, sentRows] = tuple;
+      const [kind, from, incarnation, sentAtMs, scope, instances, isSnapshot, workRows, sentRows] =
+        tuple;
       const work = workRows.map(([upstream, unreadTokens, promptTokens, requests]) => ({
         upstream,
         work: { unreadTokens, promptTokens, requests },
@@ -83,30 +89,36 @@
       const sentParts = sentRows.map(([upstream, salt, ids]) => ({ upstream, salt, parts: ids }));
       return {
         kind,
-        update: {
-          from,
-          incarnation: senderIncarnation,
-          sentAtMs,
-          isSnapshot: isComplete,
-          work,
-          sentParts,
-        },
+        update: { from, incarnation, sentAtMs, scope, instances, isSnapshot, work, sentParts },
       };
     }
-    case 'store': {
-      const [kind, from, store, epoch, clockMs, changeRows] = tuple;
-      const changes = changeRows.map(([salt, id, tokens]): PartChange =>
-        tokens === GONE_TOKENS
-          ? { kind: 'gone', salt, id }
-          : { kind: 'complete', salt, id, tokens },
-      );
-      const storeUpdate = {
-        kind: 'changes' as const,
-        epoch,
-        clockMs: clockMs ?? undefined,
-        changes,
-      };
-      return { kind, from, store, update: storeUpdate };
+    case 'stores': {
+      const [kind, from, rows] = tuple;
+      return { kind, from, updates: storeRows.fromRows(rows) };
+    }
+    case 'question': {
+      const [kind, from, question] = tuple;
+      return { kind, from, question: toQuestion(question) };
+    }
+    case 'answer': {
+      const [kind, from, question, positionRows] = tuple;
+      const positions = positionRows.map(([objectKind, revision, changedAt, ageMs]) => ({
+        objectKind,
+        revision,
+        changedAt,
+        ageMs,
+      }));
+      return { kind, from, question: toQuestion(question), positions };
+    }
+    case 'changes': {
+      const [kind, from, objectKind, since, revision, objectRows, removed] = tuple;
+      const objects = objectRows.map(([key, version, value, writeId]) => ({
+        key,
+        version,
+        value,
+        writeId,
+      }));
+      return { kind, from, changes: { objectKind, since, revision, objects, removed } };
     }
     default:
       return core.results.assertNever(tuple);
@@ -125,11 +137,11 @@
 ): PeerUpdate | undefined {
   const signature = datagram.subarray(0, SIGNATURE_BYTES);
   const body = datagram.subarray(SIGNATURE_BYTES);
-  const parsed = bodySchema.safeParse(parseJson(body));
-  if (!parsed.success) return undefined;
-  const key = keyOf(parsed.data[1]);
+  const parsed = schemas.parse(parseJson(body));
+  if (!parsed) return undefined;
+  const key = keyOf(parsed[1]);
   if (key === undefined || !crypto.timingSafeEqual(signature, sign(body, key))) return undefined;
-  return fromTuple(parsed.data);
+  return fromTuple(parsed);
 }
 
 function parseJson(body: Buffer): unknown {
--- a/packages/plugins/peer-notes-udp/src/index.ts
+++ b/packages/plugins/peer-notes-udp/src/index.ts
@@ -1,7 +1,11 @@
-/** Exchanges updates with other instances about the work that each has in flight at upstreams. */
+/**
+ * Exchanges updates with other instances: about the work that each has in flight at upstreams, and
+ * about what one instance reads for others.
+ */
 import * as core from '@medlarweir/core';
 
 import * as peerUpdatesTask from './peer-updates-task.js';
+import * as readersTask from './readers-task.js';
 
 export * as datagram from './datagram.js';
 
@@ -9,7 +13,9 @@
   name: 'peer-notes-udp',
   hooks: {
     'instance:setup': ({ addTask, settings }) => {
-      if (settings.notes !== undefined) addTask(peerUpdatesTask.definition(settings.notes));
+      if (settings.notes === undefined) return;
+      addTask(peerUpdatesTask.definition(settings.notes));
+      addTask(readersTask.definition);
     },
   },
 });
--- a/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
@@ -11,13 +11,11 @@
 type PeerEndpoint = core.messages.PeerEndpoint;
 type Message = core.messages.PeerUpdatesMessage | { type: 'peer-updates.received'; bytes: Buffer };
 type State = {
-  /** Addresses of the members that receive updates about the work of this instance. */
-  receivers: readonly string[];
+  members: readonly PeerEndpoint[];
+  /** Names of the members that receive updates about work, by scope. */
+  audiences: core.messages.Audiences;
   addresses: ReadonlyMap<string, string>;
-  members: readonly string[];
   keys: ReadonlyMap<string, string>;
-  /** Cache of the addresses that receive the changes of each store, for the current members. */
-  relayReceivers: ReadonlyMap<string, readonly string[]>;
 };
 type Command =
   | { kind: 'listen' }
@@ -33,14 +31,8 @@
 type Settings = core.settings.gateway.GatewaySettings;
 type TaskContext = core.kernel.TaskContext<Message, Settings>;
 
-/**
- * Limits the traffic to 10 KB/s, at four updates of 150 bytes per second to each recipient; see the
- * size in the design.
- */
+/** Limits the traffic to 10 KB/s, at four updates of 150 bytes per second to each receiver. */
 const MAX_RECEIVERS = 16;
-/** Bounds the size of an update, so that it fits into one datagram. */
-const MAX_CHANGES_PER_DATAGRAM = 25;
-
 export function definition(
   address: string,
 ): core.kernel.TaskDefinition<State, Message, Command, Settings> {
@@ -50,10 +42,15 @@
       const { name, dataCentre } = context.settings;
       const socket = dgram.createSocket('udp4');
       return {
-        initial: stateOf(name, dataCentre, []),
+        initial: {
+          members: [],
+          audiences: { own: [], group: [], fleet: [] },
+          addresses: new Map(),
+          keys: new Map(),
+        },
         decide: (state, message) => decide(name, dataCentre, state, message),
         perform: (command) => perform(context, socket, address, command),
-        dump: ({ receivers }) => ({ receivers }),
+        dump: ({ audiences }) => ({ audiences }),
       };
     },
   };
@@ -68,13 +65,16 @@
     case 'task.drain':
       return { state, commands: [] };
     case 'peer-updates.members-changed':
-      return { state: stateOf(name, dataCentre, message.members), commands: [] };
+      return { state: withMembers(state, message.members), commands: [] };
+    case 'peer-updates.audiences-changed':
+      return { state: { ...state, audiences: message.audiences }, commands: [] };
     case 'peer-updates.publish-work': {
-      const update = { kind: 'work' as const, update: message.update };
-      return { state, commands: sendCommands(state, name, state.receivers, [update]) };
+      const { update } = message;
+      const audience = audienceOf(state, name, dataCentre, update.scope);
+      return { state, commands: sendCommands(state, name, { kind: 'work', update }, audience) };
     }
-    case 'peer-updates.relay-store':
-      return relayStoreChanges(state, name, message);
+    case 'peer-updates.send':
+      return { state, commands: sendCommands(state, name, message.update, message.to) };
     case 'peer-updates.received':
       return { state, commands: [{ kind: 'open', bytes: message.bytes, keys: state.keys }] };
     default:
@@ -83,69 +83,50 @@
 }
 
 function sendCommands(
-  { keys }: State,
+  { keys, addresses }: State,
   name: string,
-  receivers: readonly string[],
-  updates: readonly core.messages.PeerUpdate[],
+  update: core.messages.PeerUpdate,
+  names: readonly string[],
 ): readonly Command[] {
   const key = keys.get(name);
-  if (key === undefined || receivers.length === 0) return [];
-  return updates.map((update) => ({ kind: 'send', update, key, receivers }));
-}
-
-/**
- * Relays changes of a store to instances that do not read it themselves. Sends at least one update,
- * even without changes, because it shows that the store responds.
- */
-function relayStoreChanges(
-  state: State,
-  name: string,
-  { store, update }: Extract<Message, { type: 'peer-updates.relay-store' }>,
-): Step {
-  const key = `${store.name} ${store.maxReaders}`;
-  const receivers = state.relayReceivers.get(key) ?? findRelayReceivers(state, name, store);
-  const datagramCount = Math.max(1, Math.ceil(update.changes.length / MAX_CHANGES_PER_DATAGRAM));
-  const updates = Array.from({ length: datagramCount }, (_, index): core.messages.PeerUpdate => {
-    const changes = update.changes.slice(
-      index * MAX_CHANGES_PER_DATAGRAM,
-      (index + 1) * MAX_CHANGES_PER_DATAGRAM,
-    );
-    return { kind: 'store', from: name, store: store.name, update: { ...update, changes } };
-  });
-  return {
-    state: { ...state, relayReceivers: new Map(state.relayReceivers).set(key, receivers) },
-    commands: sendCommands(state, name, receivers, updates),
-  };
+  const receivers = names.flatMap((each) => addresses.get(each) ?? []);
+  return key === undefined || receivers.length === 0
+    ? []
+    : [{ kind: 'send', update, key, receivers }];
 }
 
-function findRelayReceivers(
-  { addresses, members }: State,
+/** Without a reader, own work goes to all members; if they are too many, to those nearby first. */
+function audienceOf(
+  { members, audiences }: State,
   name: string,
-  store: core.sharedContext.eventReaders.Store,
+  dataCentre: string,
+  scope: core.fleet.peerWork.Scope,
 ): readonly string[] {
-  const targets = core.sharedContext.eventReaders.relayTargets(name, store, members);
-  return targets.flatMap((each) => addresses.get(each) ?? []);
-}
-
-/** Prefers members of the own data centre when there are more than `MAX_RECEIVERS`. */
-function stateOf(name: string, dataCentre: string, members: readonly PeerEndpoint[]): State {
-  const others = members.filter((each) => each.name !== name && each.notes !== undefined);
+  const named = audiences[scope];
+  if (named.length > 0 || scope !== 'own') return named;
+  const others = members.filter((each) => each.name !== name);
   const local = others.filter((each) => each.dataCentre === dataCentre);
   const remote = others.filter((each) => each.dataCentre !== dataCentre);
   const ranked = core.membership.rank(
     name,
     remote.map((each) => each.name),
   );
-  const chosen = [...local.map((each) => each.name), ...ranked].slice(0, MAX_RECEIVERS);
-  const addresses = new Map(others.map((each) => [each.name, each.notes ?? '']));
+  return [...local.map((each) => each.name), ...ranked].slice(0, MAX_RECEIVERS);
+}
+
+function withMembers(state: State, members: readonly PeerEndpoint[]): State {
+  const pairs = <Value>(valueOf: (member: PeerEndpoint) => Value | undefined) =>
+    new Map(
+      members.flatMap((each) => {
+        const value = valueOf(each);
+        return value === undefined ? [] : [[each.name, value] as const];
+      }),
+    );
   return {
-    receivers: chosen.flatMap((each) => addresses.get(each) ?? []),
-    addresses,
-    members: members.map((each) => each.name),
-    relayReceivers: new Map(),
-    keys: new Map(
-      members.flatMap((each) => (each.signingKey ? [[each.name, each.signingKey] as const] : [])),
-    ),
+    ...state,
+    members,
+    addresses: pairs(({ notes }) => notes),
+    keys: pairs(({ signingKey }) => signingKey),
   };
 }
 
@@ -201,24 +182,34 @@
   if (update) deliver(context, update);
 }
 
-function deliver({ send: sendMessage }: TaskContext, update: core.messages.PeerUpdate): void {
+function deliver({ send }: TaskContext, update: core.messages.PeerUpdate): void {
   switch (update.kind) {
     case 'work':
-      sendMessage('fleet', { type: 'fleet.peer-update', update: update.update });
+      send('fleet', { type: 'fleet.peer-update', update: update.update });
       return;
-    case 'store':
-      sendMessage('fleet', {
-        type: 'fleet.store-changed',
-        store: update.store,
-        update: update.update,
-      });
-      sendMessage('contextStores', { type: 'context-stores.relayed-by-peer', store: update.store });
+    case 'stores':
+      update.updates.forEach(({ store, update: storeUpdate }) =>
+        send('fleet', { type: 'fleet.store-changed', store, update: storeUpdate }),
+      );
       return;
+    case 'question':
+      send('readers', { type: 'readers.asked', from: update.from, question: update.question });
+      return;
+    case 'answer': {
+      const { from, question, positions } = update;
+      send('readers', { type: 'readers.answered', from, question, positions });
+      return;
+    }
+    case 'changes': {
+      const { from, changes } = update;
+      send('readers', { type: 'readers.changes-received', from, changes });
+      return;
+    }
     default:
       core.results.assertNever(update);
   }
 }
 
-function countDatagram({ send: sendMessage }: TaskContext, label: string): void {
-  sendMessage('metrics', { type: 'metrics.count', name: 'peers.notes', by: 1, label });
+function countDatagram({ send }: TaskContext, label: string): void {
+  send('metrics', { type: 'metrics.count', name: 'peers.notes', by: 1, label });
 }
--- /dev/null
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -0,0 +1,73 @@
+/**
+ * The bodies of the datagrams. Compact arrays, because updates cross the links between data centres
+ * many times a second.
+ */
+import * as zod from 'zod';
+
+const amount = zod.number().nonnegative();
+const nullableNumber = zod.number().nullable();
+
+/** Upstream, unread tokens, prompt tokens, requests. */
+const workRow = zod.tuple([zod.string(), amount, amount, amount]);
+/** Upstream, salt, part ids. */
+const sentRow = zod.tuple([zod.string(), zod.string(), zod.array(zod.string())]);
+/** Incarnation, monotonic and wall time of the sender's question. */
+const question = zod.tuple([zod.string(), zod.number(), zod.number()]);
+/** Kind of objects, revision, revision of the last change, age in ms. */
+const position = zod.tuple([zod.string(), amount, amount, amount]);
+/** Part id and tokens; `GONE_TOKENS` for a part that the store no longer holds. */
+const partRow = zod.tuple([zod.string(), zod.number()]);
+/** Store, epoch, clock, and the changes of each salt; without an epoch, the store does not answer. */
+const storeRow = zod.tuple([
+  zod.string(),
+  nullableNumber,
+  nullableNumber,
+  zod.array(zod.tuple([zod.string(), zod.array(partRow)])),
+]);
+/** Key, version, value, write id. */
+const objectRow = zod.tuple([zod.string(), zod.number(), zod.unknown(), zod.string()]);
+
+/** By kind, so that an update is checked against one schema only. */
+const bodies = {
+  /** Kind, sender, incarnation, send time, scope, instances, is a snapshot, work, sent parts. */
+  work: zod.tuple([
+    zod.literal('work'),
+    zod.string(),
+    zod.string(),
+    amount,
+    zod.enum(['own', 'group', 'fleet']),
+    zod.number().int().positive(),
+    zod.boolean(),
+    zod.array(workRow),
+    zod.array(sentRow),
+  ]),
+  stores: zod.tuple([zod.literal('stores'), zod.string(), zod.array(storeRow)]),
+  question: zod.tuple([zod.literal('question'), zod.string(), question]),
+  answer: zod.tuple([zod.literal('answer'), zod.string(), question, zod.array(position)]),
+  /** Kind, sender, kind of objects, since, revision, objects, removed keys. */
+  changes: zod.tuple([
+    zod.literal('changes'),
+    zod.string(),
+    zod.string(),
+    amount,
+    amount,
+    zod.array(objectRow),
+    zod.array(zod.string()),
+  ]),
+};
+
+const kinds = zod.tuple([zod.enum(['work', 'stores', 'question', 'answer', 'changes'])]);
+const anyBody = kinds.rest(zod.unknown());
+
+export type Body = zod.infer<(typeof bodies)[keyof typeof bodies]>;
+
+export function parse(found: unknown): Body | undefined {
+  const checked = anyBody.safeParse(found);
+  return checked.success ? bodies[checked.data[0]].safeParse(found).data : undefined;
+}
+
+export type QuestionTuple = zod.infer<typeof question>;
+export type StoreTuple = zod.infer<typeof storeRow>;
+
+/** Token count that marks a part which the store no longer holds. */
+export const GONE_TOKENS = -1;
--- a/packages/plugins/peer-notes-udp/test/datagram.test.ts
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -28,12 +28,33 @@
     { kind: 'gone' as const, salt: 'salt', id: 'p1' },
   ];
   const update = { kind: 'changes' as const, epoch: 7, clockMs: 9, changes };
-  return { kind: 'store' as const, from: 'instance-2', store: 'store-1', update };
+  const updates = [
+    { store: 'store-1', update },
+    { store: 'store-2', update: { kind: 'unreachable' as const } },
+  ];
+  return { kind: 'stores' as const, from: 'instance-2', updates };
+}
+
+const QUESTION = { incarnation: 'life-1', sentAt: { monotonicMs: 5, wallMs: 6 } };
+
+function aQuestion() {
+  return { kind: 'question' as const, from: 'instance-2', question: QUESTION };
+}
+
+function anAnswer() {
+  const positions = [{ objectKind: 'things', revision: 9, changedAt: 7, ageMs: 30 }];
+  return { kind: 'answer' as const, from: 'instance-2', question: QUESTION, positions };
+}
+
+function aChange() {
+  const objects = [{ key: 'things/a', version: 9, value: { size: 1 }, writeId: '' }];
+  const changes = { objectKind: 'things', since: 7, revision: 9, objects, removed: ['things/b'] };
+  return { kind: 'changes' as const, from: 'instance-2', changes };
 }
 
 suite('decoding an encoded update returns the same update', () => {
   const { encode, decode } = peerNotes.datagram;
-  [aWorkUpdate(), aStoreUpdate()].forEach((update) =>
+  [aWorkUpdate(), aStoreUpdate(), aQuestion(), anAnswer(), aChange()].forEach((update) =>
     assert.equal(decode(encode(update, KEY), keyOf), update),
   );
 });
