Upstreams that left while the list was out of reach get no work when it is back

Change: if only few entries are gone the grace counts from the last failed call; if most are, from now, also for an instance whose reader alone saw the outage.

--- a/packages/core/src/fleet/discovery.ts
+++ b/packages/core/src/fleet/discovery.ts
@@ -22,6 +22,8 @@
 
 /** Running upstreams are back on the list within two seconds of the platform's return. */
 const OUTAGE_GRACE_MS = 1_900;
+/** So many that are removed at once have hardly left all together. */
+const MIN_MASS_REMOVAL = 3;
 /** A removed upstream is kept this long to recognise late entries of the same incarnation. */
 const TOMBSTONE_RETENTION_MS = 60_000;
 
@@ -47,7 +49,32 @@
   const absent = update.isSnapshot
     ? [...registry.upstreams.keys()].filter((id) => !present.has(id))
     : update.removed;
-  return [...changed, ...absent.flatMap((id) => applyRemoval(registry, id, now))];
+  const leaving = absent.filter((id) => isInService(registry.upstreams.get(id)));
+  const graceEndMs = graceEnd(registry, leaving.length, now);
+  return [...changed, ...leaving.flatMap((id) => applyRemoval(registry, id, graceEndMs, now))];
+}
+
+function isInService(upstream: upstreams.Upstream | undefined): boolean {
+  const kind = upstream?.registrationState.kind;
+  return kind === 'listed' || kind === 'draining';
+}
+
+/**
+ * Until when removed entries may return. An outage of the platform lets most entries expire, and they
+ * are back within the grace period after its end, which is at the latest now. An instance for which
+ * another one reads may not have noticed the outage itself. If only few are gone, the platform was out
+ * of reach for this instance alone, and they have most likely left.
+ */
+function graceEnd(
+  { upstreams: known, lastOutageAtMs }: Registry,
+  removed: number,
+  now: task.Instant,
+): number {
+  const isAfterOutage = now.monotonicMs - lastOutageAtMs < OUTAGE_GRACE_MS;
+  const inService = [...known.values()].filter(isInService).length;
+  const areMost = removed > inService / 2 && (isAfterOutage || removed >= MIN_MASS_REMOVAL);
+  if (areMost) return now.monotonicMs + OUTAGE_GRACE_MS;
+  return isAfterOutage ? lastOutageAtMs + OUTAGE_GRACE_MS : -Infinity;
 }
 
 function applyRegistration(
@@ -67,15 +94,18 @@
 }
 
 /** Shortly after an outage, marks the entry missing: it may have expired while its upstream kept running. */
-function applyRemoval(registry: Registry, id: string, now: task.Instant): readonly string[] {
+function applyRemoval(
+  registry: Registry,
+  id: string,
+  graceEndMs: number,
+  now: task.Instant,
+): readonly string[] {
   const upstream = registry.upstreams.get(id);
-  if (!upstream || upstream.registrationState.kind === 'gone') return [];
-  const sinceMs = now.monotonicMs;
-  const mayReturn =
-    upstream.registrationState.kind === 'listed' &&
-    sinceMs - registry.lastOutageAtMs < OUTAGE_GRACE_MS;
-  if (upstream.registrationState.kind === 'missing') return [];
-  upstream.registrationState = mayReturn ? { kind: 'missing', sinceMs } : { kind: 'gone', sinceMs };
+  if (!upstream) return [];
+  const mayReturn = upstream.registrationState.kind === 'listed' && graceEndMs > now.monotonicMs;
+  upstream.registrationState = mayReturn
+    ? { kind: 'missing', untilMs: graceEndMs }
+    : { kind: 'gone', sinceMs: now.monotonicMs };
   return [id];
 }
 
@@ -83,10 +113,7 @@
 export function expire(registry: Registry, now: task.Instant): readonly string[] {
   return [...registry.upstreams].flatMap(([id, upstream]) => {
     const { registrationState } = upstream;
-    if (
-      registrationState.kind === 'missing' &&
-      now.monotonicMs - registrationState.sinceMs >= OUTAGE_GRACE_MS
-    ) {
+    if (registrationState.kind === 'missing' && now.monotonicMs >= registrationState.untilMs) {
       Object.assign(upstream, { registrationState: { kind: 'gone', sinceMs: now.monotonicMs } });
       return [id];
     }
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -28,7 +28,7 @@
  */
 export type RegistrationState =
   | { kind: 'listed' }
-  | { kind: 'missing'; sinceMs: number }
+  | { kind: 'missing'; untilMs: number }
   | { kind: 'draining' }
   | { kind: 'gone'; sinceMs: number };
 
--- a/packages/core/test/fleet/listing.test.ts
+++ b/packages/core/test/fleet/listing.test.ts
@@ -109,4 +109,32 @@
   );
 });
 
+suite('most entries removed at once are kept even if this instance noticed no outage', () => {
+  const listed = ['u-1', 'u-2', 'u-3', 'u-4'].map((id) => fixtures.aListedUpstream(id));
+  const removedAfter = (removed: readonly string[]) => {
+    const state = fixtures.aFleet(listed);
+    const update = { changed: [], removed, isSnapshot: false };
+    const noticedAt = fixtures.anInstant(1_000);
+    core.fleet.decide(state, { type: 'fleet.upstream-list-read', update }, noticedAt);
+    return state.registry.upstreams.get('u-1')?.registrationState.kind;
+  };
+  assert.is(removedAfter(['u-1', 'u-2', 'u-3']), 'missing');
+  assert.is(removedAfter(['u-1', 'u-2']), 'gone');
+});
+
+/** Guards against losing every engine at the end of an outage that let all entries expire. */
+suite('entries that all expired in an outage are kept for the whole grace period', () => {
+  const listed = ['u-1', 'u-2', 'u-3'].map((id) => fixtures.aListedUpstream(id));
+  const state = fixtures.aFleet(listed);
+  const unavailable = { type: 'fleet.upstream-list-unavailable' as const };
+  core.fleet.decide(state, unavailable, fixtures.anInstant(0));
+  const update = { changed: [], removed: [], isSnapshot: true };
+  const noticedAt = fixtures.anInstant(1_030);
+  core.fleet.decide(state, { type: 'fleet.upstream-list-read', update }, noticedAt);
+  const placeAt = (atMs: number) =>
+    fixtures.placedUpstream(state, fixtures.aPlacementRequest(), fixtures.anInstant(atMs));
+  assert.ok(['u-1', 'u-2', 'u-3'].includes(placeAt(2_900)));
+  assert.is(placeAt(2_960), 'none-usable');
+});
+
 suite.run();
