Each named version keeps its own time, and waves grow as the bound comes near

Orders that come late filled the wave, and the upstreams behind them waited. Change: core/rollouts/targets keeps when each version was named; a request goes to outdated weights only if it is expected to begin within the bound; waves grow from 0.4 of the bound to all that is left at 0.75.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -5,6 +5,7 @@
 import type * as gatewayMessages from '../messages/gateway.js';
 import * as results from '../results/index.js';
 import type * as inputs from '../rollouts/inputs.js';
+import * as targets from '../rollouts/targets.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as upstreamHealth from './upstream-health.js';
 import * as connectionLimits from './connection-limits.js';
@@ -190,13 +191,10 @@
   versions: Readonly<Record<string, number>>,
   now: task.Instant,
 ): Step {
-  const next = Object.entries(versions).map(([model, version]): [string, fleet.TargetVersion] => {
-    const known = state.targetVersions.get(model);
-    const sinceMs = state.hasReadTargetVersions ? now.monotonicMs : -Infinity;
-    return [model, known?.version === version ? known : { version, sinceMs }];
-  });
+  const sinceMs = state.hasReadTargetVersions ? now.monotonicMs : -Infinity;
+  const targetVersions = targets.update(state.targetVersions, versions, sinceMs);
   return {
-    state: { ...state, targetVersions: new Map(next), hasReadTargetVersions: true },
+    state: { ...state, targetVersions, hasReadTargetVersions: true },
     commands: [{ kind: 'record-target-versions', versions }],
   };
 }
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -4,6 +4,7 @@
 import type * as task from '../kernel/task.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type * as messages from '../messages/gateway.js';
+import * as targets from '../rollouts/targets.js';
 import * as wave from '../rollouts/wave.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as coldRateLimit from './cold-rate-limit.js';
@@ -38,8 +39,10 @@
 const OUTDATED_WEIGHTS_COST_MS = 160;
 /** For this long after a replacement, an answer from the old weights is worth as much as any other. */
 const OUTDATED_WEIGHTS_GRACE_MS = 1_500;
-/** Subtracted from the rollout bound: an upstream may start a request some time after placement. */
+/** Subtracted from the rollout bound: a request needs some time to reach its upstream. */
 const ROLLOUT_MARGIN_MS = 700;
+/** By how much the wait at an upstream may exceed its estimate. */
+const MAX_WAIT_FACTOR = 2;
 /** The upstream is about to load weights; new work would wait for the load. */
 const CURRENT_WAVE_COST_MS = 4_000;
 /** The upstream is kept free of new work before its next load; chosen only if all others are much slower. */
@@ -85,6 +88,7 @@
   const waves = rolloutWaves(inputs, eligible);
   const affinityCosts = affinityCostsMs(inputs, available);
   const estimateTokens = promptPrefill.prefillEstimator(inputs);
+  const readingRate = prefillRate.tokensPerMs(state, service.name);
   const candidates = available
     .map((each): Candidate => {
       const ahead = queue.estimate(inputs, each);
@@ -97,6 +101,9 @@
         costMs: expectedCostMs(inputs, each, ahead, tokens, waves) + affinityMs,
       };
     })
+    .filter(({ upstream, ahead, tokens }) =>
+      mayStillBegin(inputs, upstream, ahead.waitMs + tokens / readingRate),
+    )
     .sort((a, b) => a.costMs - b.costMs);
   const best = candidates[0];
   if (!best || exceedsWaitLimit(inputs, best)) return { kind: 'none', reason: 'full' };
@@ -120,9 +127,11 @@
 
 /** Whether new work may be sent to the upstream at all. */
 export function isEligible(inputs: Inputs, upstream: upstreams.Upstream): boolean {
-  const { state, placementRequest } = inputs;
+  const { state, placementRequest, now } = inputs;
   const { registration, registrationState, reachability } = upstream;
-  const isRegistered = registrationState.kind === 'listed' || registrationState.kind === 'missing';
+  const isRegistered =
+    registrationState.kind === 'listed' ||
+    (registrationState.kind === 'missing' && now.monotonicMs < registrationState.untilMs);
   return (
     isRegistered &&
     reachability.kind === 'answers' &&
@@ -130,18 +139,33 @@
     !state.evacuatedDataCentres.has(registration.dataCentre) &&
     !placementRequest.excludedUpstreams.includes(registration.id) &&
     servesModel(placementRequest, registration) &&
-    !hasExpiredWeights(inputs, upstream)
+    mayStillBegin(inputs, upstream, 0)
   );
 }
 
-/** Requests must not begin on weights that were replaced too long ago. */
-function hasExpiredWeights(
-  { state, placementRequest, now }: Inputs,
+/**
+ * Requests must not begin on weights that were replaced too long ago. One begins with its first token,
+ * so the work ahead of it and its own prompt count.
+ */
+function mayStillBegin(
+  inputs: Inputs,
   upstream: upstreams.Upstream,
+  untilBeginMs: number,
 ): boolean {
-  const target = state.targetVersions.get(placementRequest.prompt?.model ?? '');
-  if (!target || !hasOutdatedWeights(state, placementRequest, upstream)) return false;
-  return now.monotonicMs - target.sinceMs > state.bounds.rolloutMs - ROLLOUT_MARGIN_MS;
+  const outdatedMs = outdatedForMs(inputs, upstream);
+  const expectedMs = untilBeginMs * MAX_WAIT_FACTOR + ROLLOUT_MARGIN_MS;
+  return outdatedMs === undefined || outdatedMs + expectedMs <= inputs.state.bounds.rolloutMs;
+}
+
+/** Time since the weights of the upstream were replaced; undefined if they are the newest. */
+function outdatedForMs(
+  { state, placementRequest: { prompt }, now }: Inputs,
+  { versions }: upstreams.Upstream,
+): number | undefined {
+  if (!prompt) return undefined;
+  const target = state.targetVersions.get(prompt.model);
+  const sinceMs = targets.outdatedSinceMs(target, versions.get(prompt.model) ?? 0);
+  return sinceMs === undefined ? undefined : now.monotonicMs - sinceMs;
 }
 
 function servesModel({ prompt }: Request, { models }: upstreams.Registration): boolean {
@@ -156,17 +180,18 @@
 type Waves = { current: ReadonlySet<string>; next: ReadonlySet<string> };
 
 function rolloutWaves(
-  { state, placementRequest }: Inputs,
+  { state, placementRequest, now }: Inputs,
   eligible: readonly upstreams.Upstream[],
 ): Waves {
-  const model = placementRequest.prompt?.model;
-  const version = model === undefined ? undefined : state.targetVersions.get(model)?.version;
-  if (model === undefined || version === undefined) return { current: new Set(), next: new Set() };
+  const model = placementRequest.prompt?.model ?? '';
+  const target = state.targetVersions.get(model);
+  if (!target) return { current: new Set(), next: new Set() };
   const candidates = eligible.map((each) => ({
     id: each.registration.id,
     version: each.versions.get(model) ?? 0,
   }));
-  const { current, next } = wave.chooseWaves(model, version, candidates);
+  const moment = { nowMs: now.monotonicMs, rolloutMs: state.bounds.rolloutMs };
+  const { current, next } = wave.chooseWaves(model, target, candidates, moment);
   return { current: new Set(current), next: new Set(next) };
 }
 
@@ -195,7 +220,7 @@
   const isElsewhere = registration.dataCentre !== state.dataCentre;
   return (
     ahead.costMs +
-    tokens / prefillRate.tokensPerMs(inputs.state, inputs.service.name) +
+    tokens / prefillRate.tokensPerMs(state, inputs.service.name) +
     firstByteLatencyMs * (inputs.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
     upstreams.currentFaultScore(upstream, now.monotonicMs) * FAULT_COST_MS +
     (isElsewhere ? OTHER_DATA_CENTRE_COST_MS : 0) +
@@ -207,24 +232,9 @@
   );
 }
 
-function outdatedWeightsCostMs(
-  { state, placementRequest, now }: Inputs,
-  upstream: upstreams.Upstream,
-): number {
-  const target = state.targetVersions.get(placementRequest.prompt?.model ?? '');
-  if (!target || !hasOutdatedWeights(state, placementRequest, upstream)) return 0;
-  return now.monotonicMs - target.sinceMs > OUTDATED_WEIGHTS_GRACE_MS
-    ? OUTDATED_WEIGHTS_COST_MS
-    : 0;
-}
-
-function hasOutdatedWeights(
-  { targetVersions }: fleet.State,
-  { prompt }: Request,
-  { versions }: upstreams.Upstream,
-) {
-  if (!prompt) return false;
-  return (versions.get(prompt.model) ?? 0) < (targetVersions.get(prompt.model)?.version ?? 0);
+function outdatedWeightsCostMs(inputs: Inputs, upstream: upstreams.Upstream): number {
+  const outdatedMs = outdatedForMs(inputs, upstream) ?? 0;
+  return outdatedMs > OUTDATED_WEIGHTS_GRACE_MS ? OUTDATED_WEIGHTS_COST_MS : 0;
 }
 
 /** Records the work at the upstream and returns the destination with its context plan. */
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,11 +1,10 @@
 /** State of the fleet task: all upstreams, and the other inputs of placement. */
 import type * as routes from '../gateway/routes.js';
+import type * as targets from '../rollouts/targets.js';
 import * as inventory from '../shared-context/inventory.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
 
-export type TargetVersion = { version: number; sinceMs: number };
-
 export type Bounds = {
   /** Time after a replacement of weights from which requests must not start on the old ones. */
   rolloutMs: number;
@@ -34,8 +33,8 @@
   inventory: inventory.Inventory;
   /** Data centres that receive no new work. */
   evacuatedDataCentres: ReadonlySet<string>;
-  /** Newest weight version of each model, and the monotonic time at which this instance learned it. */
-  targetVersions: ReadonlyMap<string, TargetVersion>;
+  /** Newest weight version of each model, and the monotonic times at which this instance learned them. */
+  targetVersions: targets.Targets;
   /** Lowest weight version of each model that an upstream may still have, and since when. */
   oldestInUse: { versions: ReadonlyMap<string, number>; sinceMs: number };
   /** Whether the target versions have been read at least once. */
--- a/packages/core/src/rollouts/decide.ts
+++ b/packages/core/src/rollouts/decide.ts
@@ -11,7 +11,8 @@
 import * as results from '../results/index.js';
 import type * as inputs from './inputs.js';
 import * as obsoleteParts from './obsolete-parts.js';
-import * as waves from './wave.js';
+import * as schedule from './schedule.js';
+import * as targets from './targets.js';
 
 /** An order in flight at one upstream, or the status request before it. */
 export type PendingOrder = {
@@ -24,7 +25,9 @@
 
 export type State = {
   lease: leases.Lease;
-  targetVersions: Readonly<Record<string, number>>;
+  targets: targets.Targets;
+  /** Time from the naming of a version until no request may begin on older ones. */
+  rolloutMs: number;
   upstreams: readonly inputs.Upstream[];
   stores: readonly routes.ContextStore[];
   obsoleteParts: readonly inputs.ObsoleteParts[];
@@ -48,20 +51,17 @@
 
 /** Interval of status requests during a load, which takes about 400 ms. */
 const REPORT_POLL_MS = 150;
-/** A pending order is dropped after this time; the upstream is then asked again. */
-const ORDER_TIMEOUT_MS = 3_000;
-/** Time without new work before an order; short requests and most streams have ended by then. */
-const QUIESCE_MS = 700;
 const RECONCILE_INTERVAL_MS = 100;
 /** The same without the lease, when there is nothing to order. */
 const STANDBY_INTERVAL_MS = 500;
 /** The upstreams check the fencing token; see `fencingRequired` of the users' rules. */
 const CHECKS_FENCING = { checksFencing: true };
 
-export function initial(terms: leases.Options): State {
+export function initial(terms: leases.Options, rolloutMs: number): State {
   return {
     lease: leases.create(terms),
-    targetVersions: {},
+    targets: new Map(),
+    rolloutMs,
     upstreams: [],
     stores: [],
     obsoleteParts: [],
@@ -91,7 +91,7 @@
       return { state: { ...state, lease }, commands: [] };
     }
     case 'rollouts.target-versions-changed':
-      return reconcile({ ...state, targetVersions: message.versions }, now);
+      return onTargets(state, message.versions, now);
     case 'rollouts.upstreams-changed':
       return reconcile({ ...state, upstreams: message.upstreams }, now);
     case 'rollouts.stores-changed':
@@ -110,6 +110,17 @@
   }
 }
 
+function onTargets(
+  state: State,
+  versions: Readonly<Record<string, number>>,
+  now: task.Instant,
+): Step {
+  return reconcile(
+    { ...state, targets: targets.update(state.targets, versions, now.monotonicMs) },
+    now,
+  );
+}
+
 function onLease(state: State, { state: lease, commands }: leases.Step): Step {
   return { state: { ...state, lease }, commands };
 }
@@ -131,9 +142,9 @@
   if (permission.kind === 'refused') {
     return { state: { ...given, pendingOrders: {} }, commands: [] };
   }
-  const quiescingSinceMs = quiescingUpstreams(given, now);
-  const state = { ...given, pendingOrders: activeOrders(given, now), quiescingSinceMs };
-  const added = newOrders(state, now);
+  const quiescingSinceMs = schedule.quiescingUpstreams(given, now);
+  const state = { ...given, pendingOrders: schedule.activeOrders(given, now), quiescingSinceMs };
+  const added = schedule.newOrders(state, now);
   const pendingOrders = { ...state.pendingOrders, ...Object.fromEntries(added) };
   const requests = added.map(([upstream, { address }]): Command => ({
     kind: 'request-report',
@@ -145,50 +156,6 @@
   return { state: next, commands: [...requests, ...obsoleteParts.free(state)] };
 }
 
-function activeOrders({ pendingOrders, upstreams }: State, now: task.Instant) {
-  const kept = Object.entries(pendingOrders).filter(([id, { model, version, startedAtMs }]) => {
-    const known = upstreams.find((each) => each.id === id);
-    const isDone = (known?.versions[model] ?? version) >= version;
-    return !isDone && now.monotonicMs - startedAtMs < ORDER_TIMEOUT_MS;
-  });
-  return Object.fromEntries(kept);
-}
-
-/** Waves of one model, chosen from its reachable upstreams. */
-function wavesOf({ upstreams }: State, model: string, version: number): waves.Waves {
-  const candidates = upstreams
-    .filter(({ isReachable, versions }) => isReachable && versions[model] !== undefined)
-    .map(({ id, versions }) => ({ id, version: versions[model] ?? 0 }));
-  return waves.chooseWaves(model, version, candidates);
-}
-
-function quiescingUpstreams(state: State, now: task.Instant): State['quiescingSinceMs'] {
-  const ids = Object.entries(state.targetVersions).flatMap(([model, version]) => {
-    const { current, next } = wavesOf(state, model, version);
-    return [...current, ...next];
-  });
-  return Object.fromEntries(ids.map((id) => [id, state.quiescingSinceMs[id] ?? now.monotonicMs]));
-}
-
-function newOrders(state: State, now: task.Instant): readonly [string, PendingOrder][] {
-  const hasQuiesced = (id: string) =>
-    now.monotonicMs - (state.quiescingSinceMs[id] ?? now.monotonicMs) >= QUIESCE_MS;
-  return Object.entries(state.targetVersions).flatMap(([model, version]) =>
-    wavesOf(state, model, version)
-      .current.filter((id) => state.pendingOrders[id] === undefined && hasQuiesced(id))
-      .map((id): [string, PendingOrder] => [
-        id,
-        {
-          model,
-          version,
-          address: state.upstreams.find((each) => each.id === id)?.address ?? '',
-          step: 'asking',
-          startedAtMs: now.monotonicMs,
-        },
-      ]),
-  );
-}
-
 function onReported(
   state: State,
   { upstream, answer }: Extract<messages.RolloutsMessage, { type: 'rollouts.status-answered' }>,
@@ -218,7 +185,7 @@
   const permission = orderPermission(state, now);
   if (permission.kind === 'refused') return removeOrder(state, upstream);
   const { model, address } = pending;
-  const version = state.targetVersions[model] ?? pending.version;
+  const version = state.targets.get(model)?.version ?? pending.version;
   const { fencing } = permission;
   const { holder } = state.lease.options;
   const ordering: PendingOrder = { ...pending, version, step: 'ordering' };
--- a/packages/core/src/rollouts/wave.ts
+++ b/packages/core/src/rollouts/wave.ts
@@ -4,17 +4,47 @@
  * coordination, and the next wave drains while the current one loads.
  */
 import * as rendezvous from '../membership/rendezvous.js';
+import * as targets from './targets.js';
 
 /** Share of a model's upstreams in one wave; twice as many are out of use at a time. */
 const WAVE_SHARE = 0.15;
+/**
+ * Share of the time for a rollout after which waves grow. Orders that are lost or carried out late keep
+ * their upstreams in the wave, and the others must not wait behind them.
+ */
+const GROWTH_START_SHARE = 0.4;
+/** Share of the time by which all upstreams that are left are in one wave. */
+const GROWTH_END_SHARE = 0.75;
 
 export type Candidate = { id: string; version: number };
 export type Waves = { current: readonly string[]; next: readonly string[] };
 
+/** `rolloutMs`: time from the naming of a version until no request may begin on older ones. */
+export type Moment = { nowMs: number; rolloutMs: number };
+
 /** Returns the ids of both waves, chosen from all upstreams in service of one model. */
-export function chooseWaves(model: string, version: number, all: readonly Candidate[]): Waves {
-  const behind = all.filter((each) => each.version < version).map(({ id }) => id);
-  const size = Math.max(1, Math.round(all.length * WAVE_SHARE));
-  const chosen = rendezvous.selectTop(`${model}/${version}`, behind, 2 * size);
+export function chooseWaves(
+  model: string,
+  target: targets.Target,
+  all: readonly Candidate[],
+  moment: Moment,
+): Waves {
+  const behind = all.filter(({ version }) => version < target.version);
+  const share = waveShare(target, behind, moment);
+  const size = Math.max(1, Math.round(all.length * share));
+  const ids = behind.map(({ id }) => id);
+  const chosen = rendezvous.selectTop(`${model}/${target.version}`, ids, 2 * size);
   return { current: chosen.slice(0, size), next: chosen.slice(size) };
 }
+
+function waveShare(
+  target: targets.Target,
+  behind: readonly Candidate[],
+  { nowMs, rolloutMs }: Moment,
+): number {
+  const lowest = Math.min(...behind.map(({ version }) => version));
+  const sinceMs = targets.outdatedSinceMs(target, lowest) ?? nowMs;
+  const elapsedShare = (nowMs - sinceMs) / rolloutMs;
+  const growth = (elapsedShare - GROWTH_START_SHARE) / (GROWTH_END_SHARE - GROWTH_START_SHARE);
+  return WAVE_SHARE + (1 - WAVE_SHARE) * Math.min(1, Math.max(0, growth));
+}
--- a/packages/core/test/fleet/placement.test.ts
+++ b/packages/core/test/fleet/placement.test.ts
@@ -13,7 +13,7 @@
 }
 
 function targets(version: number, sinceMs: number) {
-  return new Map([['model-1', { version, sinceMs }]]);
+  return new Map([['model-1', core.rollouts.targets.create(version, sinceMs)]]);
 }
 
 function other(id: string): string {
@@ -122,7 +122,12 @@
   const listed = ['u-1', 'u-2', 'u-3', 'u-4'].map((id) => listedWith(id, 1));
   const state = fixtures.aFleet(listed, { targetVersions: targets(2, 0) });
   const candidates = listed.map(({ id }) => ({ id, version: 1 }));
-  const { current, next } = core.rollouts.chooseWaves('model-1', 2, candidates);
+  const { current, next } = core.rollouts.chooseWaves(
+    'model-1',
+    core.rollouts.targets.create(2, 0),
+    candidates,
+    { nowMs: 0, rolloutMs: fixtures.FLEET_BOUNDS.rolloutMs },
+  );
   const places = Array.from({ length: 12 }, (_, at) => {
     const prompt = fixtures.aPrompt(`p-${at}`, 'own');
     return fixtures.placedUpstream(
@@ -145,6 +150,43 @@
   );
 });
 
+/**
+ * Guards against the request that waited at an engine with replaced weights and began there after the
+ * bound: the second version, named two seconds later, had started the time anew.
+ */
+suite('a second version does not extend the time on weights that the first one replaced', () => {
+  const named = core.rollouts.targets.update(targets(2, 0), { 'model-1': 3 }, 2_000);
+  const state = fixtures.aFleet([listedWith('u-1', 1), listedWith('u-2', 2)], {
+    targetVersions: named,
+  });
+  const place = (atMs: number) =>
+    fixtures.placedUpstream(state, fixtures.aPlacementRequest(), fixtures.anInstant(atMs));
+  assert.is(place(7_900), 'u-2');
+  assert.is(place(9_900), 'none-usable');
+});
+
+suite('a request goes to outdated weights only if it begins there within the bound', () => {
+  const busyWith = (tokens: number) => {
+    const state = fixtures.aFleet([listedWith('u-1', 1)], { targetVersions: targets(2, 0) });
+    const upstream = state.registry.upstreams.get('u-1');
+    const peerWork = { unreadTokens: tokens, promptTokens: tokens, requests: 1 };
+    if (upstream) Object.assign(upstream, { peerWork });
+    const reports = new Map([
+      ['instance-2', { ...fixtures.aPeerUpdate(), receivedAtMs: 0, work: new Map() }],
+    ]);
+    return { ...state, members: ['instance-1', 'instance-2'], peerWork: reports };
+  };
+  const place = (tokens: number, atMs: number) =>
+    fixtures.placedUpstream(
+      busyWith(tokens),
+      fixtures.aPlacementRequest(),
+      fixtures.anInstant(atMs),
+    );
+  assert.is(place(30_000, 5_000), 'u-1');
+  assert.is(place(0, 6_900), 'u-1');
+  assert.is.not(place(30_000, 6_900), 'u-1');
+});
+
 suite(
   'a target version set while the process runs counts as new, one found at start as old',
   () => {
--- a/packages/core/test/rollouts/rollouts.test.ts
+++ b/packages/core/test/rollouts/rollouts.test.ts
@@ -18,13 +18,19 @@
   marginMs: 300,
 };
 
+const ROLLOUT_MS = 8_000;
+
 function anUpstream(id: string, version: number) {
   return { id, address: `${id}:1`, versions: { 'model-1': version }, isReachable: true };
 }
 
 /** The state of the rollouts task; the test sends its messages and answers its platform calls. */
 function aRollout() {
-  const rollout = { state: core.rollouts.initial(TERMS), nowMs: 0, commands: [] as Command[] };
+  const rollout = {
+    state: core.rollouts.initial(TERMS, ROLLOUT_MS),
+    nowMs: 0,
+    commands: [] as Command[],
+  };
   const send = (message: Message, afterMs = 0) => {
     rollout.nowMs += afterMs;
     const step = core.rollouts.decide(rollout.state, message, fixtures.anInstant(rollout.nowMs));
--- /dev/null
+++ b/packages/core/test/rollouts/waves.test.ts
@@ -0,0 +1,77 @@
+/**
+ * Waves of a rollout. Orders that are lost or carried out late must not hold up the upstreams behind
+ * them until requests may no longer begin on the old weights.
+ */
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as fc from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('rollouts: waves');
+const { targets, chooseWaves } = core.rollouts;
+
+const ROLLOUT_MS = 10_000;
+const LOAD_MS = 1_200;
+
+function candidates(count: number, version = 1) {
+  return Array.from({ length: count }, (_, at) => ({ id: `u-${at}`, version }));
+}
+
+function wavesAt(nowMs: number, count = 69) {
+  const moment = { nowMs, rolloutMs: ROLLOUT_MS };
+  return chooseWaves('model-1', targets.create(2, 0), candidates(count), moment);
+}
+
+suite('waves grow until all upstreams that are left are in one, well before the bound', () => {
+  assert.is(wavesAt(0).current.length, 10);
+  assert.is(wavesAt(4_000).current.length, 10);
+  assert.ok(wavesAt(6_000).current.length > 30);
+  assert.is(wavesAt(7_500).current.length, 69);
+});
+
+suite('both waves are disjoint and hold only upstreams with older weights', () => {
+  const property = fc.property(
+    fc.integer({ min: 1, max: 100 }),
+    fc.nat(100),
+    fc.nat(12_000),
+    (behind, ahead, nowMs) => {
+      const newer = candidates(ahead, 2).map((each) => ({ ...each, id: `n-${each.id}` }));
+      const all = [...candidates(behind), ...newer];
+      const moment = { nowMs, rolloutMs: ROLLOUT_MS };
+      const { current, next } = chooseWaves('model-1', targets.create(2, 0), all, moment);
+      const chosen = [...current, ...next];
+      assert.ok(current.length > 0);
+      assert.is(new Set(chosen).size, chosen.length);
+      assert.ok(chosen.every((id) => id.startsWith('u-')));
+    },
+  );
+  fc.assert(property, fixtures.seeded());
+});
+
+/** Loads take `LOAD_MS`; the upstreams named by `isStuck` never load. */
+function outdatedAtBound(count: number, isStuck: (id: string) => boolean): number {
+  const versions = new Map(candidates(count).map(({ id }) => [id, 1]));
+  for (let nowMs = 0; nowMs < ROLLOUT_MS; nowMs += LOAD_MS) {
+    const all = [...versions].map(([id, version]) => ({ id, version }));
+    const moment = { nowMs, rolloutMs: ROLLOUT_MS };
+    const { current } = chooseWaves('model-1', targets.create(2, 0), all, moment);
+    current.filter((id) => !isStuck(id)).forEach((id) => versions.set(id, 2));
+  }
+  return [...versions].filter(([id, version]) => version === 1 && !isStuck(id)).length;
+}
+
+suite('upstreams whose orders come late do not hold up the others beyond the bound', () => {
+  const isStuck = (id: string) => Number(id.slice(2)) % 3 === 0;
+  [13, 42, 69, 98].forEach((count) => assert.is(outdatedAtBound(count, isStuck), 0, `${count}`));
+});
+
+suite('an upstream is outdated from the first version that is newer than its own', () => {
+  const first = targets.update(new Map(), { 'model-1': 2 }, 1_000);
+  const second = targets.update(first, { 'model-1': 3 }, 3_000).get('model-1');
+  assert.is(targets.outdatedSinceMs(second, 1), 1_000);
+  assert.is(targets.outdatedSinceMs(second, 2), 3_000);
+  assert.is(targets.outdatedSinceMs(second, 3), undefined);
+});
+
+suite.run();
--- a/packages/plugins/rollouts/src/rollouts-task.ts
+++ b/packages/plugins/rollouts/src/rollouts-task.ts
@@ -21,7 +21,7 @@
       marginMs: LEASE_MARGIN_MS,
     };
     return {
-      initial: core.rollouts.initial(leaseOptions),
+      initial: core.rollouts.initial(leaseOptions, settings.rolloutMs),
       decide: core.rollouts.decide,
       perform: (command) => perform(context, command),
       dump,
@@ -29,8 +29,8 @@
   },
 };
 
-function dump({ lease, targetVersions, pendingOrders }: State): unknown {
-  return { phase: lease.phase.kind, named: targetVersions, errands: pendingOrders };
+function dump({ lease, targets, pendingOrders }: State): unknown {
+  return { phase: lease.phase.kind, named: Object.fromEntries(targets), errands: pendingOrders };
 }
 
 function perform(context: TaskContext, command: Command): void {
