--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -5,6 +5,8 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as endless from './endless.js';
+
 /**
  * `not-executed`: 503 with the header that confirms that the request did not run. `foreign-answer`:
  * carries another request's id. `no-request-id`: carries none. `cut`: the connection closes in the
@@ -14,6 +16,8 @@
  * `unconfirmed-503`: 503 without that header. `silent`: never responds. `error`: 500.
  * `extra-response`: a second response after the first. `no-seal`: 200 without the seal header.
  */
+export { ENDLESS_FAULTS } from './endless.js';
+
 export type Fault =
   | 'none'
   | 'not-executed'
@@ -28,7 +32,8 @@
   | 'silent'
   | 'error'
   | 'extra-response'
-  | 'no-seal';
+  | 'no-seal'
+  | endless.EndlessFault;
 
 export type ReceivedRequest = {
   requestId: string;
@@ -49,6 +54,8 @@
   receivedRequests: readonly ReceivedRequest[];
   /** Number of runs whose connection closed before the response was complete. */
   countAbandoned(): number;
+  /** Connections on which an answer without end has not been closed. */
+  countEndless(): number;
   setFault(fault: Fault): void;
   /** Sets the number of events in a stream and the pause between them. */
   setStream(events: number, pauseMs: number): void;
@@ -56,6 +63,12 @@
   close(): Promise<void>;
 };
 
+function headerLinesOf(headers: Readonly<Record<string, string>>): string {
+  return Object.entries(headers)
+    .map(([name, value]) => `${name}: ${value}\r\n`)
+    .join('');
+}
+
 const SEAL = 'x-medlarweir-response-seal';
 const REQUEST_ID = 'x-medlarweir-request-id';
 
@@ -72,6 +85,7 @@
     orders: 0,
     fence: 0,
     abandoned: 0,
+    endless: 0,
   };
   const ran: ReceivedRequest[] = [];
   const receivedRequests: ReceivedRequest[] = [];
@@ -98,6 +112,14 @@
       if (!response.writableFinished) state.abandoned += 1;
     });
     if (state.fault === 'silent') return;
+    if (endless.isEndless(state.fault)) {
+      state.endless += 1;
+      request.socket.on('close', () => {
+        state.endless -= 1;
+      });
+      endless.answer(request.socket, state.fault, headerLinesOf(headersOf(received)));
+      return;
+    }
     const isStream = received.headers['x-medlarweir-model'] !== undefined;
     if (isStream) stream(received, response);
     else whole(received, request.socket, response);
@@ -121,8 +143,8 @@
   ): void {
     const body = `answer to ${received.requestId} by ${id}`;
     const headers = headersOf(received);
-    const headerLines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
-    const closeDelimited = `HTTP/1.1 200 OK\r\n${headerLines.join('')}connection: close\r\n\r\n${body}`;
+    const headerLines = headerLinesOf(headers);
+    const closeDelimited = `HTTP/1.1 200 OK\r\n${headerLines}connection: close\r\n\r\n${body}`;
     switch (state.fault) {
       case 'malformed-response':
         socket.end('these bytes are no answer\r\n\r\n');
@@ -142,7 +164,7 @@
       case 'extra-response':
         response.writeHead(200, { ...headers, 'content-length': body.length });
         response.end(body, () =>
-          socket.write(`HTTP/1.1 200 OK\r\n${headerLines.join('')}content-length: 0\r\n\r\n`),
+          socket.write(`HTTP/1.1 200 OK\r\n${headerLines}content-length: 0\r\n\r\n`),
         );
         return;
       case 'error':
@@ -160,6 +182,14 @@
       case 'no-seal':
         response.writeHead(200, headers).end(body);
         return;
+      case 'endless-head':
+      case 'endless-interim-heads':
+      case 'endless-body':
+      case 'endless-chunk-extension':
+      case 'endless-comments':
+      case 'endless-event':
+      case 'endless-surplus':
+        throw new Error('handled before');
       default:
         throw new Error(`unexpected fault: ${JSON.stringify(state.fault satisfies never)}`);
     }
@@ -228,6 +258,7 @@
     ran,
     receivedRequests,
     countAbandoned: () => state.abandoned,
+    countEndless: () => state.endless,
     setFault: (fault) => {
       state.fault = fault;
     },
