--- a/packages/core/src/fleet/peer-updates.ts
+++ b/packages/core/src/fleet/peer-updates.ts
@@ -10,8 +10,8 @@
 /** Longer intervals in large deployments keep within an instance's byte budget for control traffic. */
 const INTERVAL_PER_MEMBER_MS = 3;
 const MAX_INTERVAL_MS = 250;
-/** Between an instance and its reader; a reader hears many instances. */
-const SHARED_INTERVAL_MS = 400;
+/** Between an instance and its reader: an update takes two such intervals to reach the others. */
+const SHARED_INTERVAL_MS = 150;
 /** Upstreams and sent parts in one update, so that it fits into a datagram; the rest follows in the next. */
 const MAX_UPSTREAMS_PER_UPDATE = 100;
 const MAX_SENT_PARTS_PER_UPDATE = 12;
--- a/packages/core/src/rollouts/wave.ts
+++ b/packages/core/src/rollouts/wave.ts
@@ -8,6 +8,9 @@
 
 /** Share of a model's upstreams in one wave; twice as many are out of use at a time. */
 const WAVE_SHARE = 0.15;
+/** The same for many upstreams, where smaller waves still end in time and leave more for requests. */
+const LARGE_WAVE_SHARE = 0.1;
+const LARGE_UPSTREAM_COUNT = 30;
 /**
  * Share of the time for a rollout after which waves grow. Orders that are lost or carried out late keep
  * their upstreams in the wave, and the others must not wait behind them.
@@ -30,14 +33,16 @@
   moment: Moment,
 ): Waves {
   const behind = all.filter(({ version }) => version < target.version);
-  const share = waveShare(target, behind, moment);
+  const leastShare = all.length > LARGE_UPSTREAM_COUNT ? LARGE_WAVE_SHARE : WAVE_SHARE;
+  const share = leastShare + (1 - leastShare) * growth(target, behind, moment);
   const size = Math.max(1, Math.round(all.length * share));
   const ids = behind.map(({ id }) => id);
   const chosen = rendezvous.selectTop(`${model}/${target.version}`, ids, 2 * size);
   return { current: chosen.slice(0, size), next: chosen.slice(size) };
 }
 
-function waveShare(
+/** How far waves have grown, from 0 to 1. */
+function growth(
   target: targets.Target,
   behind: readonly Candidate[],
   { nowMs, rolloutMs }: Moment,
@@ -45,6 +50,6 @@
   const lowest = Math.min(...behind.map(({ version }) => version));
   const sinceMs = targets.outdatedSinceMs(target, lowest) ?? nowMs;
   const elapsedShare = (nowMs - sinceMs) / rolloutMs;
-  const growth = (elapsedShare - GROWTH_START_SHARE) / (GROWTH_END_SHARE - GROWTH_START_SHARE);
-  return WAVE_SHARE + (1 - WAVE_SHARE) * Math.min(1, Math.max(0, growth));
+  const grown = (elapsedShare - GROWTH_START_SHARE) / (GROWTH_END_SHARE - GROWTH_START_SHARE);
+  return Math.min(1, Math.max(0, grown));
 }
