--- a/packages/core/src/fleet/peer-updates.ts
+++ b/packages/core/src/fleet/peer-updates.ts
@@ -12,12 +12,17 @@
 const MAX_INTERVAL_MS = 250;
 /** Between an instance and its reader: an update takes two such intervals to reach the others. */
 const SHARED_INTERVAL_MS = 150;
-/** Upstreams and sent parts in one update, so that it fits into a datagram; the rest follows in the next. */
-const MAX_UPSTREAMS_PER_UPDATE = 100;
+/** The same for a reader, whose updates hold all upstreams. */
+const READER_INTERVAL_MS = 250;
+/** Keeps the order of updates that are sent at the same time. */
+const UPDATE_ORDER_STEP_MS = 0.01;
+/** Upstreams and sent parts in one update, so that it is not fragmented; the rest follows in the next. */
+const MAX_UPSTREAMS_PER_UPDATE = 25;
 const MAX_SENT_PARTS_PER_UPDATE = 12;
 
 export function intervalMs({ members, sharing }: fleet.State): number {
-  if (sharing !== 'with-all') return SHARED_INTERVAL_MS;
+  if (sharing === 'as-reader') return READER_INTERVAL_MS;
+  if (sharing === 'through-reader') return SHARED_INTERVAL_MS;
   const fairMs = members.length * INTERVAL_PER_MEMBER_MS;
   return Math.min(MAX_INTERVAL_MS, Math.max(MIN_INTERVAL_MS, fairMs));
 }
@@ -127,15 +132,19 @@
  * instances to those that follow it.
  */
 export function takeSummaries(state: fleet.State, now: task.Instant): readonly peerWork.Update[] {
-  return [summary(state, 'group', ['own'], now), summary(state, 'fleet', ['own', 'group'], now)];
+  return [
+    ...summaries(state, 'group', ['own'], now),
+    ...summaries(state, 'fleet', ['own', 'group'], now),
+  ];
 }
 
-function summary(
+/** One scope in several updates, each with a part of all upstreams. */
+function summaries(
   { outbox, registry, instance, peerWork: reports }: fleet.State,
   scope: peerWork.Scope,
   summedUp: readonly peerWork.Scope[],
   now: task.Instant,
-): peerWork.Update {
+): readonly peerWork.Update[] {
   const included = [...reports].filter(([, report]) => summedUp.includes(report.scope));
   const byPeer = new Map(included);
   const work = [...registry.upstreams.values()]
@@ -143,16 +152,20 @@
       upstream: each.registration.id,
       work: peerWork.sum([ownWork(each), peerWork.totalAt(byPeer, each.registration.id)]),
     }))
-    .filter((each) => each.work.requests > 0)
-    .slice(0, MAX_UPSTREAMS_PER_UPDATE);
-  return {
-    ...signature(instance, outbox, now),
-    scope,
-    instances: 1 + included.reduce((sum, [, report]) => sum + report.instances, 0),
-    isSnapshot: true,
-    work,
-    sentParts: [],
-  };
+    .sort((a, b) => (a.upstream < b.upstream ? -1 : 1));
+  const count = Math.max(1, Math.ceil(work.length / MAX_UPSTREAMS_PER_UPDATE));
+  return Array.from({ length: count }, (_, at) => {
+    const { sentAtMs, ...signed } = signature(instance, outbox, now);
+    return {
+      ...signed,
+      sentAtMs: sentAtMs + at * UPDATE_ORDER_STEP_MS,
+      scope,
+      instances: 1 + included.reduce((sum, [, report]) => sum + report.instances, 0),
+      isSnapshot: false,
+      work: work.slice(at * MAX_UPSTREAMS_PER_UPDATE, (at + 1) * MAX_UPSTREAMS_PER_UPDATE),
+      sentParts: [],
+    };
+  });
 }
 
 /** Scopes of the updates that count; others are still on their way from before a change. */
--- a/packages/core/src/readers/decide.ts
+++ b/packages/core/src/readers/decide.ts
@@ -12,6 +12,7 @@
 import * as results from '../results/index.js';
 import * as audiences from './audiences.js';
 import * as groups from './groups.js';
+import * as pieces from './pieces.js';
 import type * as readers from './state.js';
 import * as storeBatch from './store-batch.js';
 
@@ -56,7 +57,12 @@
       return { state: { ...state, positions }, commands: [] };
     }
     case 'readers.changes-read':
-      return { state, commands: toFollowers(state, { kind: 'changes', changes: message.changes }) };
+      return {
+        state,
+        commands: pieces
+          .split(message.changes)
+          .flatMap((changes) => toFollowers(state, { kind: 'changes', changes })),
+      };
     case 'readers.changes-received':
       return state.source.kind === 'peer'
         ? { state, commands: [{ kind: 'apply-changes', changes: message.changes }] }
--- a/packages/core/src/readers/store-batch.ts
+++ b/packages/core/src/readers/store-batch.ts
@@ -4,8 +4,10 @@
 
 export type Batch = ReadonlyMap<string, inventory.RelayedUpdate>;
 
-/** Changes in one datagram of about 2 KB. */
-const MAX_CHANGES_PER_UPDATE = 80;
+/** Size of one datagram in changes of about 20 bytes, so that it is not fragmented on its way. */
+const MAX_CHANGES_PER_UPDATE = 45;
+/** Size of a store's name, epoch, clock and salt, in changes. */
+const STORE_OVERHEAD_CHANGES = 4;
 
 /** A listing is not passed on: followers have followed the events that led to it. */
 export function add(batch: Batch, store: string, update: inventory.StoreUpdate): Batch {
@@ -39,14 +41,14 @@
 
 /** An update without changes takes room too: it shows that the store responds. */
 function sizeOf(update: inventory.RelayedUpdate): number {
-  return 1 + (update.kind === 'changes' ? update.changes.length : 0);
+  return STORE_OVERHEAD_CHANGES + (update.kind === 'changes' ? update.changes.length : 0);
 }
 
 function splitUpdate(update: inventory.RelayedUpdate): readonly inventory.RelayedUpdate[] {
-  if (update.kind === 'unreachable' || update.changes.length < MAX_CHANGES_PER_UPDATE) {
+  if (update.kind === 'unreachable' || sizeOf(update) <= MAX_CHANGES_PER_UPDATE) {
     return [update];
   }
-  const size = MAX_CHANGES_PER_UPDATE - 1;
+  const size = MAX_CHANGES_PER_UPDATE - STORE_OVERHEAD_CHANGES;
   return Array.from({ length: Math.ceil(update.changes.length / size) }, (_, at) => ({
     ...update,
     changes: update.changes.slice(at * size, (at + 1) * size),
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -13,6 +13,8 @@
 
 /** Half of the digest, the minimum that RFC 2104 recommends. */
 const SIGNATURE_BYTES = 16;
+/** Resolution of send times, which order the updates of one sender. */
+const TIME_STEPS_PER_MS = 100;
 
 function toTuple(peerUpdate: PeerUpdate): schemas.Body {
   switch (peerUpdate.kind) {
@@ -23,7 +25,7 @@
         'work',
         from,
         incarnation,
-        Math.round(sentAtMs),
+        Math.round(sentAtMs * TIME_STEPS_PER_MS) / TIME_STEPS_PER_MS,
         scope,
         instances,
         isSnapshot,
