--- a/packages/plugins/peer-notes-udp/test/datagram.test.ts
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -1,3 +1,4 @@
+import * as core from '@medlarweir/core';
 import * as fixtures from '@medlarweir/core/fixtures';
 import * as peerNotes from '@medlarweir/plugin-peer-notes-udp';
 import * as fc from 'fast-check';
@@ -59,6 +60,51 @@
   );
 });
 
+/** Payload of UDP in an Ethernet frame; larger datagrams are fragmented, and lost with any fragment. */
+const MAX_PACKET_BYTES = 1_472;
+
+/**
+ * Guards against large deployments in which instances did not know of each other's work: sums over 69
+ * engines were datagrams of more than 2 KB.
+ */
+suite('sums over many engines and batches of store events fit into packets', () => {
+  const listed = Array.from({ length: 98 }, (_, at) =>
+    fixtures.aListedUpstream(`i-${String(at).padStart(10, 'a')}`),
+  );
+  const state = fixtures.aFleet(listed);
+  const work = { unreadTokens: 123_456, promptTokens: 234_567, requests: 16 };
+  state.registry.upstreams.forEach((each) => Object.assign(each, { inFlight: new Map() }));
+  const update = fixtures.aPeerUpdate({
+    work: listed.map(({ id }) => ({ upstream: id, work })),
+  });
+  const reader = core.fleet.peerUpdates.receive(
+    core.fleet.peerUpdates.withSharing(state, 'as-reader'),
+    update,
+    fixtures.anInstant(),
+  );
+  const sums = core.fleet.peerUpdates
+    .takeSummaries(reader, fixtures.anInstant(123_456.78))
+    .map((each) => ({ kind: 'work' as const, update: each }));
+  const changes = Array.from({ length: 200 }, (_, at) => ({
+    kind: 'complete' as const,
+    salt: `mw/a-model/${at % 2}`,
+    id: (0xab_cd_ef_00 + at).toString(16),
+    tokens: 12_345,
+  }));
+  const batch = core.readers.storeBatch.add(new Map(), 'a-store-123', {
+    kind: 'changes',
+    epoch: 123_456,
+    clockMs: 1_790_000_000_000,
+    changes,
+  });
+  const stores = core.readers.storeBatch
+    .split(batch)
+    .map((updates) => ({ kind: 'stores' as const, from: 'front-somewhere-100', updates }));
+  [...sums, ...stores].forEach((each) =>
+    assert.ok(peerNotes.datagram.encode(each, KEY).length <= MAX_PACKET_BYTES),
+  );
+});
+
 suite('rejects an update from an unknown sender or signed with another key', () => {
   const fromStranger = {
     kind: 'work' as const,
