--- a/packages/core/src/readers/decide.ts
+++ b/packages/core/src/readers/decide.ts
@@ -33,6 +33,8 @@
 const OTHER_CANDIDATE_INTERVALS = 6;
 /** The same while this instance reads for itself. */
 const CANDIDATE_INTERVALS = 2;
+/** An instance that lost its reader reads for itself for so long; it would often lose it again soon. */
+const OWN_READING_INTERVALS = 5;
 /** A follower that has not asked for this many intervals has gone or asks another instance. */
 const FOLLOWER_INTERVALS = 6;
 
@@ -200,7 +202,9 @@
 /** The best candidate whose knowledge is fresh enough, or else this instance itself. */
 function chooseSource(before: State, state: State, now: task.Instant): Step {
   const source = sourceOf(state, now);
-  const next = { ...state, source };
+  const hasLostReader = before.source.kind === 'peer' && source.kind === 'self';
+  const lostReaderAtMs = hasLostReader ? now.monotonicMs : state.lostReaderAtMs;
+  const next = { ...state, source, lostReaderAtMs };
   const isSame =
     before.groups === state.groups &&
     source.kind === before.source.kind &&
@@ -211,6 +215,8 @@
 
 function sourceOf(state: State, now: task.Instant): readers.Source {
   const { source, groups: divided } = state;
+  const readsAloneUntilMs = state.lostReaderAtMs + OWN_READING_INTERVALS * intervalMs(state);
+  if (source.kind === 'self' && now.monotonicMs < readsAloneUntilMs) return source;
   const name = divided.candidates.find((each) => isOfUse(state, state.heard.get(each), now));
   if (name !== undefined) return { kind: 'peer', name };
   const isRankedFirst = divided.isShared && divided.candidates.length === 0;
--- a/packages/core/src/readers/state.ts
+++ b/packages/core/src/readers/state.ts
@@ -31,6 +31,8 @@
   positions: ReadonlyMap<string, messages.WatchPosition>;
   storeBatch: storeBatch.Batch;
   ticks: number;
+  /** When this instance last lost its reader; it then reads for itself for a while. */
+  lostReaderAtMs: number;
 };
 
 export type Command =
@@ -61,5 +63,6 @@
     positions: new Map(),
     storeBatch: new Map(),
     ticks: 0,
+    lostReaderAtMs: -Infinity,
   };
 }
