Large deployments compare two upstreams by affinity for a request, and age what readers tell

Every instance sent to the engines that had been idle when the sums of work were gathered, up to 0.5 s ago. Change: with readers, a request compares the two upstreams that rank first for its context, all only when these are full or unsound; unread tokens that a reader told are aged by what the engine has read since.

--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -11,6 +11,7 @@
 import * as queue from './queue.js';
 import * as prefillRate from './prefill-rate.js';
 import * as promptPrefill from './prompt-prefill.js';
+import * as sampling from './sampling.js';
 import type * as fleet from './state.js';
 import * as upstreams from './upstream.js';
 
@@ -86,10 +87,34 @@
   const available = eligible.filter((each) => isWithinColdRate(inputs, each));
   if (available.length === 0) return { kind: 'none', reason: 'cold' };
   const waves = rolloutWaves(inputs, eligible);
-  const affinityCosts = affinityCostsMs(inputs, available);
+  const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
+  const sampled = sampling.select(inputs, available, affinityKey(placementRequest), isInWave);
+  const first = rankCandidates(inputs, sampled, waves)[0];
+  const isSampleFull = !first || exceedsWaitLimit(inputs, first);
+  const best =
+    isSampleFull && sampled.length < available.length
+      ? rankCandidates(inputs, available, waves)[0]
+      : first;
+  if (!best || exceedsWaitLimit(inputs, best)) return { kind: 'none', reason: 'full' };
+  return {
+    kind: 'placed',
+    destination: reserve(inputs, best),
+    costMs: Math.round(best.costMs),
+    candidates: sampled.length,
+  };
+}
+
+/** The upstreams on which the request may still begin in time, the cheapest first. */
+function rankCandidates(
+  inputs: Inputs,
+  compared: readonly upstreams.Upstream[],
+  waves: Waves,
+): readonly Candidate[] {
+  const { state, service } = inputs;
+  const affinityCosts = affinityCostsMs(inputs, compared);
   const estimateTokens = promptPrefill.prefillEstimator(inputs);
   const readingRate = prefillRate.tokensPerMs(state, service.name);
-  const candidates = available
+  return compared
     .map((each): Candidate => {
       const ahead = queue.estimate(inputs, each);
       const tokens = estimateTokens(each);
@@ -105,14 +130,6 @@
       mayStillBegin(inputs, upstream, ahead.waitMs + tokens / readingRate),
     )
     .sort((a, b) => a.costMs - b.costMs);
-  const best = candidates[0];
-  if (!best || exceedsWaitLimit(inputs, best)) return { kind: 'none', reason: 'full' };
-  return {
-    kind: 'placed',
-    destination: reserve(inputs, best),
-    costMs: Math.round(best.costMs),
-    candidates: available.length,
-  };
 }
 
 /**
@@ -195,14 +212,18 @@
   return { current: new Set(current), next: new Set(next) };
 }
 
+/** The last shared part of the prompt; requests without one have no affinity. */
+function affinityKey({ prompt, requestId }: Request): string {
+  return prompt?.parts.at(-2)?.id ?? requestId;
+}
+
 /** Returns small costs by upstream id, ordered by rendezvous hashing of the last shared prompt part. */
 function affinityCostsMs(
   { placementRequest }: Inputs,
   available: readonly upstreams.Upstream[],
 ): ReadonlyMap<string, number> {
-  const key = placementRequest.prompt?.parts.at(-2)?.id ?? placementRequest.requestId;
   const ranked = rendezvous.rank(
-    key,
+    affinityKey(placementRequest),
     available.map(({ registration }) => registration.id),
   );
   return new Map(ranked.map((id, at) => [id, at * AFFINITY_STEP_COST_MS]));
--- a/packages/core/src/fleet/queue.ts
+++ b/packages/core/src/fleet/queue.ts
@@ -42,14 +42,31 @@
 };
 
 export function estimate(inputs: placement.Inputs, upstream: upstreams.Upstream): Estimate {
-  const ahead = totalWork(inputs.state, upstream);
-  const { unreadTokens } = ahead;
   const { engine } = inputs.service;
+  const ahead = withoutReadMeanwhile(inputs, upstream, totalWork(inputs.state, upstream));
+  const { unreadTokens } = ahead;
   if (!engine) return { unreadTokens, waitMs: 0, costMs: plainCostMs(upstream) };
   const waitMs = engineWaitMs(inputs, ahead, engine);
   return { unreadTokens, waitMs, costMs: waitMs + engineLoadMs(inputs, upstream, ahead) };
 }
 
+/**
+ * What a reader tells is some hundred milliseconds old, and the engine has read on since. Own work is
+ * known exactly.
+ */
+function withoutReadMeanwhile(
+  { state, service, now }: placement.Inputs,
+  upstream: upstreams.Upstream,
+  total: peerWork.InFlightWork,
+): peerWork.InFlightWork {
+  if (state.sharing === 'with-all') return total;
+  const heardAtMs = Math.max(...[...state.peerWork.values()].map((each) => each.receivedAtMs));
+  if (!Number.isFinite(heardAtMs)) return total;
+  const readTokens = (now.monotonicMs - heardAtMs) * prefillRate.tokensPerMs(state, service.name);
+  const own = peerUpdates.ownWork(upstream).unreadTokens;
+  return { ...total, unreadTokens: Math.max(own, total.unreadTokens - readTokens) };
+}
+
 /** Cost of the slots in use and of waiting requests at an upstream without an engine. */
 function plainCostMs({
   reportedLoad,
