--- a/packages/core/src/readers/decide.ts
+++ b/packages/core/src/readers/decide.ts
@@ -7,6 +7,7 @@
  * the peer gives. So no delay on the way, and no pause of either process, makes knowledge look newer
  * than it is.
  */
+import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/readers.js';
 import * as results from '../results/index.js';
@@ -105,7 +106,7 @@
 ): Step {
   const positions = [...state.positions.values()].map(({ askedAt, ...position }) => ({
     ...position,
-    ageMs: Math.max(0, Math.ceil(ageOf(askedAt, now))),
+    ageMs: Math.max(0, Math.ceil(staleness.ageMs(askedAt, now))),
   }));
   const answer = { kind: 'answer' as const, from: state.name, question, positions };
   const isNew = !state.followers.has(from);
@@ -119,18 +120,13 @@
   };
 }
 
-/** The larger of the ages on both clocks: the monotonic one stops while a machine is suspended. */
-function ageOf(since: task.Instant, now: task.Instant): number {
-  return Math.max(now.monotonicMs - since.monotonicMs, now.wallMs - since.wallMs);
-}
-
 function onAnswered(
   state: State,
   { from, question, positions }: MessageOf<'readers.answered'>,
   now: task.Instant,
 ): Step {
   if (question.incarnation !== state.incarnation) return { state, commands: [] };
-  const waitedMs = ageOf(question.sentAt, now);
+  const waitedMs = staleness.ageMs(question.sentAt, now);
   const newestMs = Math.min(...positions.map(({ ageMs }) => ageMs)) + waitedMs;
   const known = state.heard.get(from);
   const heard =
