--- a/packages/core/src/leases/standby.ts
+++ b/packages/core/src/leases/standby.ts
@@ -1,7 +1,7 @@
 /**
- * Spreads the reads of the instances that wait for a lease. All of them read it at the same rate would
- * cost the platform calls in proportion to the deployment; so the higher an instance ranks, the more
- * often it reads, and the number of reads grows with the logarithm of the number of instances.
+ * Spreads the reads of the instances that wait for a lease. If all of them read it at the same rate,
+ * the platform's calls would grow with the deployment. So the higher an instance ranks, the more often
+ * it reads, and the number of reads grows with the logarithm of the number of instances.
  */
 import * as rendezvous from '../membership/rendezvous.js';
 import type * as lease from './lease.js';
