--- a/packages/core/src/fleet/peer-updates.ts
+++ b/packages/core/src/fleet/peer-updates.ts
@@ -11,9 +11,9 @@
 const INTERVAL_PER_MEMBER_MS = 3;
 const MAX_INTERVAL_MS = 250;
 /** Between an instance and its reader: an update takes two such intervals to reach the others. */
-const SHARED_INTERVAL_MS = 150;
+const SHARED_INTERVAL_MS = 400;
 /** The same for a reader, whose updates hold all upstreams. */
-const READER_INTERVAL_MS = 250;
+const READER_INTERVAL_MS = 500;
 /** Keeps the order of updates that are sent at the same time. */
 const UPDATE_ORDER_STEP_MS = 0.01;
 /** Upstreams and sent parts in one update, so that it is not fragmented; the rest follows in the next. */
@@ -200,7 +200,9 @@
     const at = state.registry.upstreams.get(upstream);
     if (at) upstreams.recordSentParts(at, salt, parts, now);
   });
-  const before = state.peerWork.get(update.from)?.work.keys() ?? [];
+  const known = state.peerWork.get(update.from);
+  const isReplaced = update.isSnapshot || known?.incarnation !== update.incarnation;
+  const before = isReplaced ? (known?.work.keys() ?? []) : [];
   const touched = new Set([...before, ...update.work.map(({ upstream }) => upstream)]);
   refreshPeerWork(state, reports, touched);
   return { ...state, peerWork: reports };
