--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -1,5 +1,6 @@
 /** Decisions of the fleet task. State is updated in place, since no other task sees it. */
 import type * as routes from '../gateway/routes.js';
+import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import type * as gatewayMessages from '../messages/gateway.js';
@@ -38,7 +39,12 @@
   | { kind: 'send-peer-update'; update: peerWork.Update }
   | { kind: 'record-placement'; placementRequest: placement.Request; decision: placement.Decision }
   | { kind: 'record-upstream-change'; id: string; text: string; ageMs: number }
-  | { kind: 'record-target-versions'; versions: Readonly<Record<string, number>> }
+  | {
+      kind: 'record-target-versions';
+      versions: Readonly<Record<string, number>>;
+      /** Time since the last answer of the platform without them; infinite if there was none. */
+      unseenMs: number;
+    }
   | { kind: 'record-evacuation'; dataCentres: readonly string[] };
 
 export type Step = task.Step<fleet.State, Command>;
@@ -74,7 +80,7 @@
     case 'fleet.evacuations-changed':
       return onEvacuationsChanged(state, message.dataCentres);
     case 'fleet.target-versions-changed':
-      return onTargetVersionsChanged(state, message.versions, now);
+      return onTargetVersionsChanged(state, message, now);
     case 'fleet.store-changed':
       sharedContext.inventory.applyUpdate(state.inventory, message.store, message.update, now);
       return { state, commands: [] };
@@ -188,14 +194,16 @@
 /** Versions in the first read may have been set long before this process started, so they count as old. */
 function onTargetVersionsChanged(
   state: fleet.State,
-  versions: Readonly<Record<string, number>>,
+  { versions, namedAfter }: MessageOf<'fleet.target-versions-changed'>,
   now: task.Instant,
 ): Step {
   const sinceMs = state.hasReadTargetVersions ? now.monotonicMs : -Infinity;
   const targetVersions = targets.update(state.targetVersions, versions, sinceMs);
   return {
     state: { ...state, targetVersions, hasReadTargetVersions: true },
-    commands: [{ kind: 'record-target-versions', versions }],
+    commands: [
+      { kind: 'record-target-versions', versions, unseenMs: staleness.ageMs(namedAfter, now) },
+    ],
   };
 }
 
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -239,7 +239,12 @@
     address,
     service: service.name,
     context: contextPlanFor(inputs, upstream),
-    expected: { waitMs: Math.round(ahead.waitMs), tokensToRead: Math.round(tokens) },
+    expected: {
+      waitMs: Math.round(ahead.waitMs),
+      tokensToRead: Math.round(tokens),
+      weightVersion: upstream.versions.get(placementRequest.prompt?.model ?? '') ?? 0,
+      replacedForMs: eligibility.outdatedForMs(inputs, upstream),
+    },
   };
 }
 
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -7,6 +7,7 @@
 import type * as routes from '../gateway/routes.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as gateway from './gateway.js';
+import type * as rollouts from './rollouts.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
 export type FleetMessage =
@@ -16,7 +17,7 @@
   /** The list of upstreams could not be read. */
   | { type: 'fleet.upstream-list-unavailable' }
   | { type: 'fleet.evacuations-changed'; dataCentres: readonly string[] }
-  | { type: 'fleet.target-versions-changed'; versions: Readonly<Record<string, number>> }
+  | rollouts.TargetVersionsChanged<'fleet.target-versions-changed'>
   | { type: 'fleet.members-changed'; names: readonly string[] }
   | { type: 'fleet.place'; placementRequest: placement.Request; replyTo: gateway.RequestAddress }
   | {
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -27,6 +27,10 @@
    * Prompt tokens expected to miss the upstream's cache; those fetched from a store count in part.
    */
   tokensToRead: number;
+  /** Weight version that the upstream is believed to have; 0 if unknown, or for a plain request. */
+  weightVersion: number;
+  /** Time since those weights were replaced; undefined if they are the newest. */
+  replacedForMs: number | undefined;
 };
 
 /** `cold`: the only candidates left are cold upstreams that are at their rate limit. */
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -48,6 +48,11 @@
   isSnapshot: boolean;
   /** The answer is at least as recent as this: mostly the time at which the request was sent. */
   askedAt: task.Instant;
+  /**
+   * The newest moment at which the store is known not to have had these changes. They may have been made
+   * at any time since, however late this instance hears of them.
+   */
+  unchangedAt: task.Instant;
 };
 
 /** A watch request failed. */
--- a/packages/core/src/messages/rollouts.ts
+++ b/packages/core/src/messages/rollouts.ts
@@ -3,6 +3,7 @@
  * sender.
  */
 import type * as gateway from '../gateway/routes.js';
+import type * as task from '../kernel/task.js';
 import type * as inputs from '../rollouts/inputs.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 import type * as platform from './platform.js';
@@ -39,11 +40,19 @@
   expectedAcceptedOrders: number;
 };
 
+export type TargetVersionsChanged<Type extends string> = {
+  type: Type;
+  /** Newest weight version of each model. */
+  versions: Readonly<Record<string, number>>;
+  /** The versions that are new here were named after this moment; before all time if that is unknown. */
+  namedAfter: task.Instant;
+};
+
 export type RolloutsMessage =
   | taskLifecycle.LifecycleMessage
   | platform.PlatformAnswered
   | { type: 'rollouts.members-changed'; names: readonly string[] }
-  | { type: 'rollouts.target-versions-changed'; versions: Readonly<Record<string, number>> }
+  | TargetVersionsChanged<'rollouts.target-versions-changed'>
   | { type: 'rollouts.upstreams-changed'; upstreams: readonly inputs.Upstream[] }
   | {
       type: 'rollouts.stores-changed';
--- a/packages/core/test/configuration/adoption.test.ts
+++ b/packages/core/test/configuration/adoption.test.ts
@@ -114,6 +114,7 @@
   removed: [],
   isSnapshot: false,
   askedAt: fixtures.anInstant(),
+  unchangedAt: fixtures.anInstant(),
 };
 const TICK: Message = { type: 'configuration.tick' };
 
--- a/packages/core/test/fleet/placement.test.ts
+++ b/packages/core/test/fleet/placement.test.ts
@@ -195,10 +195,11 @@
       given: core.fleet.state.State,
       versions: Record<string, number>,
       atMs: number,
+      namedAfter = fixtures.anInstant(atMs),
     ) =>
       core.fleet.decide(
         given,
-        { type: 'fleet.target-versions-changed', versions },
+        { type: 'fleet.target-versions-changed', versions, namedAfter },
         fixtures.anInstant(atMs),
       ).state;
     const rolled = applyTargets(applyTargets(state, {}, 0), { 'model-1': 2 }, 20_000);
@@ -206,7 +207,7 @@
       fixtures.placedUpstream(rolled, fixtures.aPlacementRequest(), fixtures.anInstant(20_100)),
       'u-1',
     );
-    const started = applyTargets(state, { 'model-1': 2 }, 20_000);
+    const started = applyTargets(state, { 'model-1': 2 }, 20_000, fixtures.BEFORE_ALL_TIME);
     assert.is(
       fixtures.placedUpstream(started, fixtures.aPlacementRequest(), fixtures.anInstant(20_100)),
       'none-usable',
--- a/packages/core/test/rollouts/rollouts.test.ts
+++ b/packages/core/test/rollouts/rollouts.test.ts
@@ -69,11 +69,20 @@
 
 const IDS = ['u-1', 'u-2', 'u-3', 'u-4', 'u-5', 'u-6', 'u-7', 'u-8', 'u-9', 'u-10', 'u-11', 'u-12'];
 
+function name({ rollout, send }: Rollout, version: number): readonly Command[] {
+  const namedAfter = fixtures.anInstant(rollout.nowMs);
+  return send({
+    type: 'rollouts.target-versions-changed',
+    versions: { 'model-1': version },
+    namedAfter,
+  });
+}
+
 /** Sets a new target version; returns the upstreams asked for a status once the wave has quiesced. */
 function begin(given: Rollout): readonly string[] {
   const upstreams = IDS.map((id) => anUpstream(id, 1));
   given.send({ type: 'rollouts.upstreams-changed', upstreams });
-  given.send({ type: 'rollouts.target-versions-changed', versions: { 'model-1': 2 } });
+  name(given, 2);
   const commands = given.send({ type: 'rollouts.tick' }, 700);
   return commands.flatMap((each) => (each.kind === 'request-report' ? [each.upstream] : []));
 }
@@ -102,7 +111,7 @@
   const given = aRollout();
   acquire(given);
   given.send({ type: 'rollouts.upstreams-changed', upstreams: IDS.map((id) => anUpstream(id, 1)) });
-  given.send({ type: 'rollouts.target-versions-changed', versions: { 'model-1': 2 } });
+  name(given, 2);
   const commands = given.send({ type: 'rollouts.tick' }, 600);
   assert.not.ok(commands.some(({ kind }) => kind === 'request-report'));
 });
@@ -132,7 +141,7 @@
   const given = aRollout();
   acquire(given);
   const [first = ''] = begin(given);
-  given.send({ type: 'rollouts.target-versions-changed', versions: { 'model-1': 3 } });
+  name(given, 3);
   assert.is(orders(given.send(report(first, 1)))[0]?.version, 3);
 });
 
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -99,7 +99,7 @@
       return;
     }
     case 'record-target-versions':
-      record({ name: 'weightsNamed', details: { ...command.versions } });
+      recordTargetVersions(context, command);
       return;
     case 'record-evacuation':
       record({ name: 'dataCentresEvacuated', details: { dataCentres: command.dataCentres } });
@@ -109,6 +109,17 @@
   }
 }
 
+/** Journal value of a time that is not known. */
+const UNKNOWN_MS = -1;
+
+function recordTargetVersions(
+  { record }: TaskContext,
+  { versions, unseenMs }: Extract<Command, { kind: 'record-target-versions' }>,
+): void {
+  const unseen = Number.isFinite(unseenMs) ? Math.round(unseenMs) : UNKNOWN_MS;
+  record({ name: 'weightsNamed', details: { ...versions, unseenMs: unseen } });
+}
+
 function recordPlacement(
   { record }: TaskContext,
   { placementRequest, decision }: Extract<Command, { kind: 'record-placement' }>,
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -180,6 +180,11 @@
   context.send('metrics', { type: 'metrics.timing', name: 'gateway.first_event', ms });
 }
 
+/** Time for which an attempt's weights had been replaced when it was placed; `-` for the newest. */
+function replacedForText({ replacedForMs }: core.messages.ExpectedWork): string {
+  return replacedForMs === undefined ? '-' : String(Math.round(replacedForMs));
+}
+
 function recordRequestEnd(
   { routed, context, history }: RequestContext,
   { result, status, reason }: core.gateway.lifecycleState.RequestOutcome,
@@ -202,6 +207,8 @@
       upstreams: history.upstreams,
       expectedWaitMs: history.expectedWork.map(({ waitMs }) => String(waitMs)),
       tokensToRead: history.expectedWork.map(({ tokensToRead }) => String(tokensToRead)),
+      weightVersions: history.expectedWork.map(({ weightVersion }) => String(weightVersion)),
+      replacedForMs: history.expectedWork.map(replacedForText),
       outcomes: history.outcomes,
       tableVersion,
       tableAgeMs,
