The bound on replaced weights counts from when a version can have been named

Cause: callers got answers from weights that had been replaced for longer than the bound. An instance counted from the moment it learned of a version, on its monotonic clock. Frozen from 11.9 to 15.9 s while version 2 was named at 12.0 s, front-manteigas-2 went on using upstreams on version 1 until 19.5 s, when the others had stopped; two requests began there 8.0 and 8.2 s after the naming. A suspension, a lost watch, a forgotten history and a skipped version act alike: knowledge that comes late was taken for new.

Change: each version keeps the newest moment at which the store surely did not have it yet: the sending of the last call that was answered without it, plus the whole wait if the store held the call that long. Ages are the larger of both clocks' ages. An issuer of orders that finds a version at its start still sets its pace from then.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -191,16 +191,14 @@
   };
 }
 
-/** Versions in the first read may have been set long before this process started, so they count as old. */
 function onTargetVersionsChanged(
   state: fleet.State,
   { versions, namedAfter }: MessageOf<'fleet.target-versions-changed'>,
   now: task.Instant,
 ): Step {
-  const sinceMs = state.hasReadTargetVersions ? now.monotonicMs : -Infinity;
-  const targetVersions = targets.update(state.targetVersions, versions, sinceMs);
+  const targetVersions = targets.update(state.targetVersions, versions, namedAfter);
   return {
-    state: { ...state, targetVersions, hasReadTargetVersions: true },
+    state: { ...state, targetVersions },
     commands: [
       { kind: 'record-target-versions', versions, unseenMs: staleness.ageMs(namedAfter, now) },
     ],
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -48,8 +48,7 @@
 ): number | undefined {
   if (!prompt) return undefined;
   const target = state.targetVersions.get(prompt.model);
-  const sinceMs = targets.outdatedSinceMs(target, versions.get(prompt.model) ?? 0);
-  return sinceMs === undefined ? undefined : now.monotonicMs - sinceMs;
+  return targets.outdatedForMs(target, versions.get(prompt.model) ?? 0, now);
 }
 
 function servesModel({ prompt }: placement.Request, { models }: upstreams.Registration): boolean {
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -169,7 +169,7 @@
     id: each.registration.id,
     version: each.versions.get(model) ?? 0,
   }));
-  const moment = { nowMs: now.monotonicMs, rolloutMs: state.bounds.rolloutMs };
+  const moment = { now, rolloutMs: state.bounds.rolloutMs };
   const { current, next } = wave.chooseWaves(model, target, candidates, moment);
   return { current: new Set(current), next: new Set(next) };
 }
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -33,12 +33,10 @@
   inventory: inventory.Inventory;
   /** Data centres that receive no new work. */
   evacuatedDataCentres: ReadonlySet<string>;
-  /** Newest weight version of each model, and the monotonic times at which this instance learned them. */
+  /** Newest weight version of each model; those of the first read can have been named at any time before. */
   targetVersions: targets.Targets;
   /** Lowest weight version of each model that an upstream may still have, and since when. */
   oldestInUse: { versions: ReadonlyMap<string, number>; sinceMs: number };
-  /** Whether the target versions have been read at least once. */
-  hasReadTargetVersions: boolean;
   /** Names of the instances that may send, including this one; empty while unknown. */
   members: readonly string[];
   peerWork: peerWork.ReportsByPeer;
@@ -65,7 +63,6 @@
     evacuatedDataCentres: new Set(),
     targetVersions: new Map(),
     oldestInUse: { versions: new Map(), sinceMs: 0 },
-    hasReadTargetVersions: false,
     members: [],
     peerWork: new Map(),
     sharing: 'with-all',
--- a/packages/core/src/rollouts/decide.ts
+++ b/packages/core/src/rollouts/decide.ts
@@ -91,7 +91,7 @@
       return { state: { ...state, lease }, commands: [] };
     }
     case 'rollouts.target-versions-changed':
-      return onTargets(state, message.versions, now);
+      return onTargets(state, message, now);
     case 'rollouts.upstreams-changed':
       return reconcile({ ...state, upstreams: message.upstreams }, now);
     case 'rollouts.stores-changed':
@@ -110,15 +110,17 @@
   }
 }
 
+/** Versions that were there when this process started set no pace: when they were named is not known. */
 function onTargets(
   state: State,
-  versions: Readonly<Record<string, number>>,
+  {
+    versions,
+    namedAfter,
+  }: Extract<messages.RolloutsMessage, { type: 'rollouts.target-versions-changed' }>,
   now: task.Instant,
 ): Step {
-  return reconcile(
-    { ...state, targets: targets.update(state.targets, versions, now.monotonicMs) },
-    now,
-  );
+  const since = Number.isFinite(namedAfter.monotonicMs) ? namedAfter : now;
+  return reconcile({ ...state, targets: targets.update(state.targets, versions, since) }, now);
 }
 
 function onLease(state: State, { state: lease, commands }: leases.Step): Step {
--- a/packages/core/src/rollouts/schedule.ts
+++ b/packages/core/src/rollouts/schedule.ts
@@ -28,7 +28,7 @@
   const candidates = upstreams
     .filter(({ isReachable, versions }) => isReachable && versions[model] !== undefined)
     .map(({ id, versions }) => ({ id, version: versions[model] ?? 0 }));
-  return waves.chooseWaves(model, target, candidates, { nowMs: now.monotonicMs, rolloutMs });
+  return waves.chooseWaves(model, target, candidates, { now, rolloutMs });
 }
 
 export function quiescingUpstreams(
--- a/packages/core/src/rollouts/wave.ts
+++ b/packages/core/src/rollouts/wave.ts
@@ -3,6 +3,7 @@
  * Every instance computes them from the versions that it sees, so all avoid both waves without
  * coordination, and the next wave drains while the current one loads.
  */
+import type * as task from '../kernel/task.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import * as targets from './targets.js';
 
@@ -23,7 +24,7 @@
 export type Waves = { current: readonly string[]; next: readonly string[] };
 
 /** `rolloutMs`: time from the naming of a version until no request may begin on older ones. */
-export type Moment = { nowMs: number; rolloutMs: number };
+export type Moment = { now: task.Instant; rolloutMs: number };
 
 /** Returns the ids of both waves, chosen from all upstreams in service of one model. */
 export function chooseWaves(
@@ -45,11 +46,10 @@
 function growth(
   target: targets.Target,
   behind: readonly Candidate[],
-  { nowMs, rolloutMs }: Moment,
+  { now, rolloutMs }: Moment,
 ): number {
   const lowest = Math.min(...behind.map(({ version }) => version));
-  const sinceMs = targets.outdatedSinceMs(target, lowest) ?? nowMs;
-  const elapsedShare = (nowMs - sinceMs) / rolloutMs;
+  const elapsedShare = (targets.outdatedForMs(target, lowest, now) ?? 0) / rolloutMs;
   const grown = (elapsedShare - GROWTH_START_SHARE) / (GROWTH_END_SHARE - GROWTH_START_SHARE);
   return Math.min(1, Math.max(0, grown));
 }
--- a/packages/core/test/fleet/placement.test.ts
+++ b/packages/core/test/fleet/placement.test.ts
@@ -13,7 +13,7 @@
 }
 
 function targets(version: number, sinceMs: number) {
-  return new Map([['model-1', core.rollouts.targets.create(version, sinceMs)]]);
+  return new Map([['model-1', core.rollouts.targets.create(version, fixtures.anInstant(sinceMs))]]);
 }
 
 function other(id: string): string {
@@ -124,9 +124,9 @@
   const candidates = listed.map(({ id }) => ({ id, version: 1 }));
   const { current, next } = core.rollouts.chooseWaves(
     'model-1',
-    core.rollouts.targets.create(2, 0),
+    core.rollouts.targets.create(2, fixtures.anInstant()),
     candidates,
-    { nowMs: 0, rolloutMs: fixtures.FLEET_BOUNDS.rolloutMs },
+    { now: fixtures.anInstant(), rolloutMs: fixtures.FLEET_BOUNDS.rolloutMs },
   );
   const places = Array.from({ length: 12 }, (_, at) => {
     const prompt = fixtures.aPrompt(`p-${at}`, 'own');
@@ -155,7 +155,11 @@
  * bound: the second version, named two seconds later, had started the time anew.
  */
 suite('a second version does not extend the time on weights that the first one replaced', () => {
-  const named = core.rollouts.targets.update(targets(2, 0), { 'model-1': 3 }, 2_000);
+  const named = core.rollouts.targets.update(
+    targets(2, 0),
+    { 'model-1': 3 },
+    fixtures.anInstant(2_000),
+  );
   const state = fixtures.aFleet([listedWith('u-1', 1), listedWith('u-2', 2)], {
     targetVersions: named,
   });
--- a/packages/core/test/rollouts/waves.test.ts
+++ b/packages/core/test/rollouts/waves.test.ts
@@ -19,8 +19,8 @@
 }
 
 function wavesAt(nowMs: number, count = 69) {
-  const moment = { nowMs, rolloutMs: ROLLOUT_MS };
-  return chooseWaves('model-1', targets.create(2, 0), candidates(count), moment);
+  const moment = { now: fixtures.anInstant(nowMs), rolloutMs: ROLLOUT_MS };
+  return chooseWaves('model-1', targets.create(2, fixtures.anInstant()), candidates(count), moment);
 }
 
 suite('waves grow until all upstreams that are left are in one, well before the bound', () => {
@@ -39,8 +39,13 @@
     (behind, ahead, nowMs) => {
       const newer = candidates(ahead, 2).map((each) => ({ ...each, id: `n-${each.id}` }));
       const all = [...candidates(behind), ...newer];
-      const moment = { nowMs, rolloutMs: ROLLOUT_MS };
-      const { current, next } = chooseWaves('model-1', targets.create(2, 0), all, moment);
+      const moment = { now: fixtures.anInstant(nowMs), rolloutMs: ROLLOUT_MS };
+      const { current, next } = chooseWaves(
+        'model-1',
+        targets.create(2, fixtures.anInstant()),
+        all,
+        moment,
+      );
       const chosen = [...current, ...next];
       assert.ok(current.length > 0);
       assert.is(new Set(chosen).size, chosen.length);
@@ -55,8 +60,13 @@
   const versions = new Map(candidates(count).map(({ id }) => [id, 1]));
   for (let nowMs = 0; nowMs < ROLLOUT_MS; nowMs += LOAD_MS) {
     const all = [...versions].map(([id, version]) => ({ id, version }));
-    const moment = { nowMs, rolloutMs: ROLLOUT_MS };
-    const { current } = chooseWaves('model-1', targets.create(2, 0), all, moment);
+    const moment = { now: fixtures.anInstant(nowMs), rolloutMs: ROLLOUT_MS };
+    const { current } = chooseWaves(
+      'model-1',
+      targets.create(2, fixtures.anInstant()),
+      all,
+      moment,
+    );
     current.filter((id) => !isStuck(id)).forEach((id) => versions.set(id, 2));
   }
   return [...versions].filter(([id, version]) => version === 1 && !isStuck(id)).length;
@@ -68,11 +78,12 @@
 });
 
 suite('an upstream is outdated from the first version that is newer than its own', () => {
-  const first = targets.update(new Map(), { 'model-1': 2 }, 1_000);
-  const second = targets.update(first, { 'model-1': 3 }, 3_000).get('model-1');
-  assert.is(targets.outdatedSinceMs(second, 1), 1_000);
-  assert.is(targets.outdatedSinceMs(second, 2), 3_000);
-  assert.is(targets.outdatedSinceMs(second, 3), undefined);
+  const first = targets.update(new Map(), { 'model-1': 2 }, fixtures.anInstant(1_000));
+  const second = targets.update(first, { 'model-1': 3 }, fixtures.anInstant(3_000)).get('model-1');
+  const now = fixtures.anInstant(5_000);
+  assert.is(targets.outdatedForMs(second, 1, now), 4_000);
+  assert.is(targets.outdatedForMs(second, 2, now), 2_000);
+  assert.is(targets.outdatedForMs(second, 3, now), undefined);
 });
 
 suite.run();
