A request that has not begun when its upstream's weights expire is withdrawn

Cause: placement compares the bound on replaced weights with an estimate of the wait. Nothing withdrew a request that waited on past the bound, and a process that stood still between placement and sending did not look again.

Change: a destination says until when a prompt may begin there. The task of the request asks the fleet 200 ms before that moment, and withdraws an attempt that has not begun: it goes to another upstream if its route allows a second run, and ends as possibly run otherwise. The fixture of a request's lifecycle moved to a file that two tests use.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -11,6 +11,7 @@
 import * as upstreamHealth from './upstream-health.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
+import * as eligibility from './eligibility.js';
 import type * as peerWork from './peer-work.js';
 import * as placement from './placement.js';
 import * as prefillRate from './prefill-rate.js';
@@ -66,6 +67,8 @@
       return onResponse(state, message, now);
     case 'fleet.check-liveness':
       return liveness.check(state, message, now);
+    case 'fleet.check-begin':
+      return onCheckBegin(state, message, now);
     case 'fleet.probe-finished':
       return liveness.onProbeFinished(state, message, now);
     case 'fleet.upstream-list-read':
@@ -127,6 +130,17 @@
   };
 }
 
+function onCheckBegin(
+  state: fleet.State,
+  { attempt, upstream: id, model, replyTo }: MessageOf<'fleet.check-begin'>,
+  now: task.Instant,
+): Step {
+  const upstream = state.registry.upstreams.get(id);
+  const beginBy = upstream && eligibility.beginBy(state, upstream, model, now);
+  const message = { type: 'fleet.begin-checked' as const, attempt, beginBy };
+  return { state, commands: [{ kind: 'reply', replyTo, message }] };
+}
+
 function onOutcome(
   state: fleet.State,
   { requestId, upstream: id, outcome }: MessageOf<'fleet.attempt-ended'>,
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -1,7 +1,9 @@
 /** Whether an upstream may take a request at all: registered, answering, and with weights that are still valid. */
+import * as task from '../kernel/task.js';
 import * as targets from '../rollouts/targets.js';
 import * as coldRateLimit from './cold-rate-limit.js';
 import type * as placement from './placement.js';
+import type * as fleet from './state.js';
 import type * as upstreams from './upstream.js';
 
 /** Subtracted from the rollout bound: a request needs some time to reach its upstream. */
@@ -44,11 +46,31 @@
 /** Time since the weights of the upstream were replaced; undefined if they are the newest. */
 export function outdatedForMs(
   { state, placementRequest: { prompt }, now }: placement.Inputs,
+  upstream: upstreams.Upstream,
+): number | undefined {
+  return prompt && modelOutdatedForMs(state, upstream, prompt.model, now);
+}
+
+function modelOutdatedForMs(
+  { targetVersions }: fleet.State,
   { versions }: upstreams.Upstream,
+  model: string,
+  now: task.Instant,
 ): number | undefined {
-  if (!prompt) return undefined;
-  const target = state.targetVersions.get(prompt.model);
-  return targets.outdatedForMs(target, versions.get(prompt.model) ?? 0, now);
+  return targets.outdatedForMs(targetVersions.get(model), versions.get(model) ?? 0, now);
+}
+
+/** Until when a prompt may begin on weights that were replaced; undefined on the newest. */
+export function beginBy(
+  state: fleet.State,
+  upstream: upstreams.Upstream,
+  model: string,
+  now: task.Instant,
+): task.Instant | undefined {
+  const outdatedMs = modelOutdatedForMs(state, upstream, model, now);
+  return outdatedMs === undefined
+    ? undefined
+    : task.later(now, state.bounds.rolloutMs - outdatedMs);
 }
 
 function servesModel({ prompt }: placement.Request, { models }: upstreams.Registration): boolean {
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -1,7 +1,7 @@
 /** Chooses the upstream for a request: the candidate with the lowest expected time to first byte. */
 import type * as request from '../gateway/request.js';
 import type * as routes from '../gateway/routes.js';
-import type * as task from '../kernel/task.js';
+import * as task from '../kernel/task.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type * as messages from '../messages/gateway.js';
 import * as wave from '../rollouts/wave.js';
@@ -245,9 +245,20 @@
       weightVersion: upstream.versions.get(placementRequest.prompt?.model ?? '') ?? 0,
       replacedForMs: eligibility.outdatedForMs(inputs, upstream),
     },
+    beginBy: beginBy(inputs, upstream),
   };
 }
 
+/** On the newest weights, a version that is named from now on leaves the whole bound. */
+function beginBy(
+  { state, placementRequest: { prompt }, now }: Inputs,
+  upstream: upstreams.Upstream,
+): task.Instant | undefined {
+  if (!prompt) return undefined;
+  const whole = task.later(now, state.bounds.rolloutMs);
+  return eligibility.beginBy(state, upstream, prompt.model, now) ?? whole;
+}
+
 function contextPlanFor(
   { state, service, placementRequest, now }: Inputs,
   upstream: upstreams.Upstream,
--- a/packages/core/src/gateway/attempt-result.ts
+++ b/packages/core/src/gateway/attempt-result.ts
@@ -17,8 +17,11 @@
   /** The request was sent, and no complete response arrived. */
   | { kind: 'broken'; reason: InterruptionReason; detail: string };
 
-/** `no-connection`: all of this instance's share of the upstream's connections is in use. */
-export type UnsentReason = 'unreachable' | 'no-connection' | 'out-of-time';
+/**
+ * `no-connection`: all of this instance's share of the upstream's connections is in use. `weights-expired`:
+ * the process stood still after the placement, and the request would begin on replaced weights too late.
+ */
+export type UnsentReason = 'unreachable' | 'no-connection' | 'out-of-time' | 'weights-expired';
 
 export type InterruptionReason = 'connection-lost' | 'foreign-answer' | 'malformed' | 'too-large';
 
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -21,6 +21,8 @@
   id: string;
   destination: messages.Destination;
   startedAtMs: number;
+  /** Whether the upstream has begun to answer. */
+  hasBegun: boolean;
 };
 
 export type Phase =
@@ -55,6 +57,7 @@
   | { kind: 'abort'; attempt: string }
   | { kind: 'ask-retry-budget' }
   | { kind: 'check-liveness'; attempt: Attempt }
+  | { kind: 'check-begin'; attempt: Attempt }
   | { kind: 'reply'; reply: request.Reply }
   | { kind: 'schedule'; timer: messages.RequestTimer; delayMs: number }
   | { kind: 'unschedule'; timer: messages.RequestTimer }
--- /dev/null
+++ b/packages/core/src/gateway/lifecycle-withdrawal.ts
@@ -0,0 +1,93 @@
+/**
+ * Withdraws an attempt that waits at its upstream for longer than its weights may be used. An estimate of
+ * the wait can be wrong: the upstream serves other instances' work too, and preempts.
+ */
+import * as task from '../kernel/task.js';
+import type * as messages from '../messages/gateway.js';
+import * as results from '../results/index.js';
+import type * as lifecycleState from './lifecycle-state.js';
+import * as retry from './lifecycle-retry.js';
+
+type State = lifecycleState.State;
+type Step = lifecycleState.Step;
+
+/** An attempt is withdrawn this long before the bound: its end has to reach the upstream. */
+const WITHDRAWAL_MARGIN_MS = 200;
+/** Delay of the next check at an upstream that turned out to have the newest weights. */
+const NEWEST_RECHECK_MS = 1_000;
+/** Delay of the next check while the retry budget is asked about the attempt. */
+const RECHECK_MS = 50;
+
+export function armTimer(
+  beginBy: task.Instant | undefined,
+  now: task.Instant,
+): readonly lifecycleState.Command[] {
+  if (!beginBy) return [];
+  const delayMs = Math.max(0, beginBy.monotonicMs - now.monotonicMs - WITHDRAWAL_MARGIN_MS);
+  return [{ kind: 'schedule', timer: 'begin', delayMs }];
+}
+
+/** The weights may have become the newest meanwhile, or newer ones may have been named: the fleet knows. */
+export function onTimer(state: State): Step {
+  const { phase } = state;
+  switch (phase.kind) {
+    case 'attempting':
+      return phase.attempt.hasBegun
+        ? { state, commands: [] }
+        : { state, commands: [{ kind: 'check-begin', attempt: phase.attempt }] };
+    case 'asking':
+      return { state, commands: [{ kind: 'schedule', timer: 'begin', delayMs: RECHECK_MS }] };
+    case 'placing':
+    case 'ended':
+      return { state, commands: [] };
+    default:
+      return results.assertNever(phase);
+  }
+}
+
+export function onChecked(
+  state: State,
+  {
+    attempt: attemptId,
+    beginBy,
+  }: Extract<messages.RequestMessage, { type: 'fleet.begin-checked' }>,
+  now: task.Instant,
+): Step {
+  const { phase } = state;
+  if (phase.kind !== 'attempting' || phase.attempt.id !== attemptId || phase.attempt.hasBegun) {
+    return { state, commands: [] };
+  }
+  if (!beginBy) {
+    return { state, commands: [{ kind: 'schedule', timer: 'begin', delayMs: NEWEST_RECHECK_MS }] };
+  }
+  if (!task.hasCome(task.later(beginBy, -WITHDRAWAL_MARGIN_MS), now)) {
+    return { state, commands: armTimer(beginBy, now) };
+  }
+  return withdraw(state, phase.attempt, 'not begun before its weights expired', now);
+}
+
+function withdraw(
+  state: State,
+  attempt: lifecycleState.Attempt,
+  reason: string,
+  now: task.Instant,
+): Step {
+  const { upstream } = attempt.destination;
+  const next: State = {
+    ...state,
+    phase: { kind: 'placing' },
+    excluded: [...state.excluded, upstream],
+    lastFailureReason: reason,
+  };
+  const step = retry.afterPossibleRun(next, now);
+  return {
+    state: step.state,
+    commands: [
+      { kind: 'abort', attempt: attempt.id },
+      { kind: 'report', attempt, outcome: 'cancelled' },
+      { kind: 'unschedule', timer: 'idle' },
+      { kind: 'record-failed-attempt', upstream, reason },
+      ...step.commands,
+    ],
+  };
+}
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -8,8 +8,10 @@
 import * as attemptResult from './attempt-result.js';
 import * as endings from './lifecycle-endings.js';
 import * as lifecycleState from './lifecycle-state.js';
+import * as retry from './lifecycle-retry.js';
 import * as search from './lifecycle-search.js';
 import * as timers from './lifecycle-timers.js';
+import * as withdrawal from './lifecycle-withdrawal.js';
 
 type State = lifecycleState.State;
 type Step = lifecycleState.Step;
@@ -38,6 +40,8 @@
       return search.onNotPlaced(state, message, now);
     case 'fleet.liveness-checked':
       return onLiveness(state, message.attempt, message.isSilent);
+    case 'fleet.begin-checked':
+      return withdrawal.onChecked(state, message, now);
     case 'retry-budget.decided':
       return onRetryDecided(state, message.isGranted);
     case 'attempt.head-received':
@@ -65,6 +69,7 @@
     id: `${request.requestId}/${state.sentAttempts + 1}`,
     destination,
     startedAtMs: now.monotonicMs,
+    hasBegun: false,
   };
   const next: State = {
     ...state,
@@ -77,7 +82,11 @@
   const deadlineAtMs = lifecycleState.deadlineAtMs(state.routed);
   return {
     state: next,
-    commands: [{ kind: 'send', attempt, lastEventId, deadlineAtMs }, ...timers.armIdleTimer(next)],
+    commands: [
+      { kind: 'send', attempt, lastEventId, deadlineAtMs },
+      ...timers.armIdleTimer(next),
+      ...withdrawal.armTimer(destination.beginBy, now),
+    ],
   };
 }
 
@@ -91,6 +100,8 @@
         : { state, commands: [] };
     case 'idle':
       return onIdle(state, now);
+    case 'begin':
+      return withdrawal.onTimer(state);
     default:
       return results.assertNever(timer);
   }
@@ -105,7 +116,7 @@
   const { attempt } = state.phase;
   switch (state.routed.route.responseMode) {
     case 'whole':
-      return askRetry({ ...state, lastFailureReason: 'no answer in time' }, attempt);
+      return retry.askBudget({ ...state, lastFailureReason: 'no answer in time' }, attempt);
     case 'stream':
       return { state, commands: [{ kind: 'check-liveness', attempt }] };
     default:
@@ -119,14 +130,10 @@
   }
   if (!timers.mayRetryElsewhere(state)) return { state, commands: [] };
   if (!isSilent) return { state, commands: timers.armIdleTimer(state, LIVENESS_RECHECK_MS) };
-  return askRetry({ ...state, lastFailureReason: 'upstream is silent' }, state.phase.attempt);
-}
-
-function askRetry(state: State, attempt: lifecycleState.Attempt | undefined): Step {
-  return {
-    state: { ...state, phase: { kind: 'asking', attempt } },
-    commands: [{ kind: 'ask-retry-budget' }],
-  };
+  return retry.askBudget(
+    { ...state, lastFailureReason: 'upstream is silent' },
+    state.phase.attempt,
+  );
 }
 
 function onRetryDecided(state: State, isGranted: boolean): Step {
@@ -158,17 +165,26 @@
   return phase.attempt?.id === attemptId ? phase.attempt : undefined;
 }
 
+function withBegun(state: State): State {
+  const { phase } = state;
+  if (phase.kind !== 'attempting') return state;
+  return { ...state, phase: { ...phase, attempt: { ...phase.attempt, hasBegun: true } } };
+}
+
 function onHead(
   state: State,
   { attempt, head }: Extract<messages.RequestMessage, { type: 'attempt.head-received' }>,
 ): Step {
   if (!currentAttempt(state, attempt)) return { state, commands: [] };
-  const next: State = { ...state, isHeadSent: true };
-  const idleTimer = timers.armIdleTimer(next);
-  if (state.isHeadSent) return { state: next, commands: idleTimer };
+  const next: State = { ...withBegun(state), isHeadSent: true };
+  const timerCommands: readonly lifecycleState.Command[] = [
+    { kind: 'unschedule', timer: 'begin' },
+    ...timers.armIdleTimer(next),
+  ];
+  if (state.isHeadSent) return { state: next, commands: timerCommands };
   return {
     state: next,
-    commands: [{ kind: 'reply', reply: { type: 'reply.head', head } }, ...idleTimer],
+    commands: [{ kind: 'reply', reply: { type: 'reply.head', head } }, ...timerCommands],
   };
 }
 
@@ -196,10 +212,13 @@
     attempt,
     outcome: endings.outcomeOf(result),
   };
-  const stopIdleTimer: lifecycleState.Command = { kind: 'unschedule', timer: 'idle' };
+  const stopTimers = (['idle', 'begin'] as const).map((timer): lifecycleState.Command => ({
+    kind: 'unschedule',
+    timer,
+  }));
   return {
     state: step.state,
-    commands: [report, stopIdleTimer, ...logCommands(attempt, result), ...step.commands],
+    commands: [report, ...stopTimers, ...logCommands(attempt, result), ...step.commands],
   };
 }
 
@@ -232,14 +251,14 @@
         now,
       );
     case 'unknown':
-      return afterPossibleRun({ ...state, lastFailureReason: lastReason, excluded }, now);
+      return retry.afterPossibleRun({ ...state, lastFailureReason: lastReason, excluded }, now);
     case 'failed':
       return result.kind === 'answered' && !state.isHeadSent
-        ? afterPossibleRun(
+        ? retry.afterPossibleRun(
             { ...state, lastFailureReason: lastReason, excluded, failure: result },
             now,
           )
-        : afterPossibleRun({ ...state, lastFailureReason: lastReason, excluded }, now);
+        : retry.afterPossibleRun({ ...state, lastFailureReason: lastReason, excluded }, now);
     default:
       return results.assertNever(classification);
   }
@@ -254,12 +273,5 @@
   }
   return result.kind === 'unsent'
     ? { state, commands: [search.place(state)] }
-    : askRetry(state, undefined);
-}
-
-function afterPossibleRun(state: State, now: task.Instant): Step {
-  if (timers.mayRetryElsewhere(state) && timers.remainingMs(state, now) >= timers.MIN_ATTEMPT_MS) {
-    return askRetry(state, undefined);
-  }
-  return endings.giveUp(state, 'answerLost');
+    : retry.askBudget(state, undefined);
 }
--- a/packages/core/src/kernel/task.ts
+++ b/packages/core/src/kernel/task.ts
@@ -15,6 +15,16 @@
   wallMs: number;
 };
 
+/** The moment that is this much later, by both clocks. */
+export function later({ monotonicMs, wallMs }: Instant, ms: number): Instant {
+  return { monotonicMs: monotonicMs + ms, wallMs: wallMs + ms };
+}
+
+/** Whether a moment has come by either clock: the monotonic one stands still in a suspension. */
+export function hasCome(moment: Instant, now: Instant): boolean {
+  return now.monotonicMs >= moment.monotonicMs || now.wallMs >= moment.wallMs;
+}
+
 /** The result of a decision: the next state, and the commands for the shell in order. */
 export type Step<State, Command> = { state: State; commands: readonly Command[] };
 
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -38,6 +38,14 @@
       upstream: string;
       replyTo: gateway.RequestAddress;
     }
+  /** Asks until when a prompt that waits at the upstream may still begin there. */
+  | {
+      type: 'fleet.check-begin';
+      attempt: string;
+      upstream: string;
+      model: string;
+      replyTo: gateway.RequestAddress;
+    }
   | { type: 'fleet.probe-finished'; probe: gateway.Probe; result: ProbeResult }
   | { type: 'fleet.store-changed'; store: string; update: inventory.StoreUpdate }
   | { type: 'fleet.sharing-changed'; sharing: peerWork.Sharing }
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -17,6 +17,11 @@
   service: string;
   context: context.ContextPlan | undefined;
   expected: ExpectedWork;
+  /**
+   * The last moment at which a prompt may begin there, since the weights may be replaced by then;
+   * undefined for a plain request.
+   */
+  beginBy: task.Instant | undefined;
 };
 
 /** The estimates that the placement was based on, for the journal. */
@@ -36,7 +41,7 @@
 /** `cold`: the only candidates left are cold upstreams that are at their rate limit. */
 export type PlacementRefusal = 'unknown-service' | 'none-usable' | 'cold' | 'full';
 
-export type RequestTimer = 'deadline' | 'idle' | 'place';
+export type RequestTimer = 'deadline' | 'idle' | 'place' | 'begin';
 
 /** Messages to the task of one request. */
 export type RequestMessage =
@@ -49,6 +54,8 @@
       freeInMs: number | undefined;
     }
   | { type: 'fleet.liveness-checked'; attempt: string; isSilent: boolean }
+  /** `beginBy` is undefined if the upstream has the newest weights, or is not known any more. */
+  | { type: 'fleet.begin-checked'; attempt: string; beginBy: task.Instant | undefined }
   | { type: 'retry-budget.decided'; isGranted: boolean }
   | { type: 'attempt.head-received'; attempt: string; head: request.ResponseHead }
   | {
--- a/packages/core/test/gateway/lifecycle.test.ts
+++ b/packages/core/test/gateway/lifecycle.test.ts
@@ -12,57 +12,9 @@
 
 type Message = core.messages.RequestMessage;
 type Command = core.gateway.lifecycleState.Command;
-type Route = core.gateway.routes.Route;
+type Lifecycle = fixtures.lifecycle.Lifecycle;
 
-/** The lifecycle of one request; the test sends what the fleet and the upstreams would. */
-function aLifecycle(changed: Partial<Route> = {}) {
-  const routed: core.gateway.lifecycleState.RoutedRequest = {
-    request: fixtures.aGatewayRequest({ callerTimeoutMs: undefined }),
-    route: fixtures.aRoute(changed),
-    service: 'models',
-    clientAccount: undefined,
-    tableVersion: 1,
-    tableAgeMs: 0,
-  };
-  const lifecycle = {
-    state: core.gateway.lifecycleState.initial(routed),
-    commands: [] as Command[],
-    nowMs: 0,
-  };
-  const send = (message: Message, afterMs = 0) => {
-    lifecycle.nowMs += afterMs;
-    const now = fixtures.anInstant(lifecycle.nowMs);
-    const step = core.gateway.lifecycle.decide(lifecycle.state, message, now);
-    lifecycle.state = step.state;
-    lifecycle.commands.push(...step.commands);
-    return step.commands;
-  };
-  send({ type: 'task.start' });
-  return { lifecycle, send };
-}
-
-type Lifecycle = ReturnType<typeof aLifecycle>;
-
-function attemptOf({ lifecycle }: Lifecycle): string {
-  const { phase } = lifecycle.state;
-  return phase.kind === 'attempting' || phase.kind === 'asking' ? (phase.attempt?.id ?? '') : '';
-}
-
-function place(given: Lifecycle, upstream: string): void {
-  given.send({ type: 'fleet.placed', destination: fixtures.aDestination(upstream) });
-}
-
-function end(given: Lifecycle, result: core.gateway.attemptResult.Result, afterMs = 0) {
-  return given.send({ type: 'attempt.ended', attempt: attemptOf(given), end: result }, afterMs);
-}
-
-function replies({ lifecycle }: Lifecycle): readonly core.gateway.request.Reply[] {
-  return lifecycle.commands.flatMap((each) => (each.kind === 'reply' ? [each.reply] : []));
-}
-
-function sends({ lifecycle }: Lifecycle): number {
-  return lifecycle.commands.filter(({ kind }) => kind === 'send').length;
-}
+const { aLifecycle, attemptOf, place, end, replies, sends } = fixtures.lifecycle;
 
 const REJECTED: core.gateway.attemptResult.Result = { kind: 'rejected', status: 503 };
 const BROKEN: core.gateway.attemptResult.Result = {
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -85,6 +85,9 @@
       send('fleet', { type: 'fleet.check-liveness', attempt: id, upstream, replyTo: self });
       return;
     }
+    case 'check-begin':
+      checkBegin(scope, command);
+      return;
     case 'reply':
       if (command.reply.type === 'reply.head') recordFirstEvent(scope);
       scope.caller.send(command.reply);
@@ -164,6 +167,21 @@
   });
 }
 
+function checkBegin(
+  { routed, context }: RequestContext,
+  { attempt: { id: attempt, destination } }: Extract<Command, { kind: 'check-begin' }>,
+): void {
+  const model = routed.request.prompt?.model ?? '';
+  const { upstream } = destination;
+  context.send('fleet', {
+    type: 'fleet.check-begin',
+    attempt,
+    upstream,
+    model,
+    replyTo: context.self,
+  });
+}
+
 function reportOutcome(
   { routed, context, history }: RequestContext,
   { attempt, outcome }: Extract<Command, { kind: 'report' }>,
