The bound counts from the waking of an instance that was frozen at the naming

Cause: an instance that is stopped while a version is named learns of it at its waking, and counts the bound from there: work begins on the old weights later than 8 s after the naming.

No code is changed.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -60,6 +60,9 @@
 // Guards against a bound that follows the steps of the wall clock.
 suite('holds while wall clocks step', () => holds({ troubles: ['stepped'] }));
 
+// Guards against a bound that counts from the waking of an instance that was stopped at the naming.
+suite('holds for instances frozen at the naming', () => holds({ troubles: ['frozen'] }));
+
 // Guards against believing a restarted upstream to have newer weights than it has.
 suite('holds for restarted upstreams', () => holds({ restarts: 'weights-kept' }));
 
