The age of a replaced version lacks the time of a suspension

Cause: the age of a version is a difference of monotonic times, and the monotonic clock stands while the machine is suspended.

No code is changed.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -63,6 +63,11 @@
 // Guards against a bound that counts from the waking of an instance that was stopped at the naming.
 suite('holds for instances frozen at the naming', () => holds({ troubles: ['frozen'] }));
 
+// Guards against an age that lacks the time for which a suspended machine's monotonic clock stood.
+suite('holds for suspended clocks', () =>
+  holdsWhere(weightsSchedule.suspendedLater(), (schedule) => breachesOf(schedule)),
+);
+
 // Guards against believing a restarted upstream to have newer weights than it has.
 suite('holds for restarted upstreams', () => holds({ restarts: 'weights-kept' }));
 
