After a lost watch the bound counts from the next answer

Cause: an instance whose watch is lost over a naming hears of the version when it asks again, and counts the bound from there.

No code is changed.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -68,6 +68,9 @@
   holdsWhere(weightsSchedule.suspendedLater(), (schedule) => breachesOf(schedule)),
 );
 
+// Guards against a lost watch, after which the bound counts from the next answer.
+suite('holds for lost watches', () => holds({ troubles: ['reset', 'cut'] }));
+
 // Guards against believing a restarted upstream to have newer weights than it has.
 suite('holds for restarted upstreams', () => holds({ restarts: 'weights-kept' }));
 
