A version that was replaced unseen gives the one before it the time of the next

Cause: an instance that hears of version 3 in time and never of 2 knows no time for 2, so an upstream on 1 is given the time of 3.

No code is changed.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -71,6 +71,11 @@
 // Guards against a lost watch, after which the bound counts from the next answer.
 suite('holds for lost watches', () => holds({ troubles: ['reset', 'cut'] }));
 
+// Guards against a version that was replaced unseen, so that the one before it gets the time of the next.
+suite('holds for skipped versions', () =>
+  holdsWhere(weightsSchedule.skippedVersions(), (schedule) => breachesOf(schedule)),
+);
+
 // Guards against believing a restarted upstream to have newer weights than it has.
 suite('holds for restarted upstreams', () => holds({ restarts: 'weights-kept' }));
 
