A request that waits at its upstream begins after the bound

Cause: the bound is checked when a request is placed, with an estimate; nothing withdraws one that has not begun when the bound comes.

No code is changed.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -76,6 +76,9 @@
   holdsWhere(weightsSchedule.skippedVersions(), (schedule) => breachesOf(schedule)),
 );
 
+// Guards against requests that wait at the upstream until the bound has passed.
+suite('holds for waits beyond the estimate', () => holds({ maxExcessMs: 3_000 }));
+
 // Guards against believing a restarted upstream to have newer weights than it has.
 suite('holds for restarted upstreams', () => holds({ restarts: 'weights-kept' }));
 
