A sender that freezes after sending cannot withdraw a request before the bound

Cause: the rule asks for touch at the sending. A request that was sent in touch begins past the bound while its sender is frozen. The test counts only breaches of senders that were disturbed between sending and beginning.

No code is changed.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -85,6 +85,22 @@
 // Guards against believing weights that an upstream lost in a restart that its entry does not show yet.
 suite('holds for upstreams that lose weights', () => holds({ restarts: 'weights-lost' }));
 
+// Guards against requests that begin late at an upstream because their sender froze and could not withdraw them.
+suite('holds for senders frozen after sending', () =>
+  holdsWhere(
+    weightsSchedule.schedules(
+      weightsSchedule.variations({ troubles: ['frozen'], maxExcessMs: 3_000 }),
+    ),
+    (schedule) => {
+      const begun = fixtures.playWeights(schedule);
+      const others = weightsJudge.breaches(schedule, begun, 'until-begun').map(({ atMs }) => atMs);
+      return weightsJudge
+        .breaches(schedule, begun, 'at-sending')
+        .filter(({ atMs }) => !others.includes(atMs));
+    },
+  ),
+);
+
 type Guard = {
   name: string;
   takenOut: Partial<fixtures.weightsWorld.Guards>;
