A request placed before its instance hears of a version has no bound

Cause: a request that is placed while its instance has not heard of a version yet is checked against no bound, and is not looked at again when the version is heard of. Behind long prompts it begins past the bound.

No code is changed.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -101,6 +101,11 @@
   ),
 );
 
+// Guards against requests that were placed before their instance heard of the version, and that wait beyond the bound.
+suite('holds for requests placed before the version is heard of', () =>
+  holds({ troubles: ['cut'], maxOwnTokens: 80_000, maxExcessMs: 3_000 }),
+);
+
 type Guard = {
   name: string;
   takenOut: Partial<fixtures.weightsWorld.Guards>;
