The rule on replaced weights under all troubles together

Cause: the single causes above also combine, and combinations may break the rule in ways that no single one shows.

No code is changed.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -106,6 +106,18 @@
   holds({ troubles: ['cut'], maxOwnTokens: 80_000, maxExcessMs: 3_000 }),
 );
 
+// Guards against combinations of troubles that none of the schedules above has.
+suite('holds for all together', () =>
+  holds({
+    troubles: ['frozen', 'killed', 'reset', 'cut', 'stepped'],
+    monotonic: 'either',
+    maxExcessMs: 3_000,
+    maxOwnTokens: 80_000,
+    skipsVersions: true,
+    restarts: 'weights-kept',
+  }),
+);
+
 type Guard = {
   name: string;
   takenOut: Partial<fixtures.weightsWorld.Guards>;
