A request that waits is judged again as versions are named, or heard of

Cause: a request that was placed before its instance heard of a version was checked only after the whole bound, counted from its placement, and could begin on replaced weights past the bound. Found by the property test, for prompts of 80,000 tokens and a watch that was lost.

Change: while an attempt has not begun, its task asks the fleet each second, and at the moment that the fleet gave.

--- a/packages/core/src/gateway/lifecycle-withdrawal.ts
+++ b/packages/core/src/gateway/lifecycle-withdrawal.ts
@@ -13,18 +13,22 @@
 
 /** An attempt is withdrawn this long before the bound: its end has to reach the upstream. */
 const WITHDRAWAL_MARGIN_MS = 200;
-/** Delay of the next check at an upstream that turned out to have the newest weights. */
-const NEWEST_RECHECK_MS = 1_000;
+/** A version may be named, or heard of, while the attempt waits, so the fleet is asked this often. */
+const CHECK_INTERVAL_MS = 1_000;
 /** Delay of the next check while the retry budget is asked about the attempt. */
-const RECHECK_MS = 50;
+const BUDGET_RECHECK_MS = 50;
 
 export function armTimer(
   beginBy: task.Instant | undefined,
   now: task.Instant,
 ): readonly lifecycleState.Command[] {
   if (!beginBy) return [];
-  const delayMs = Math.max(0, beginBy.monotonicMs - now.monotonicMs - WITHDRAWAL_MARGIN_MS);
-  return [{ kind: 'schedule', timer: 'begin', delayMs }];
+  const untilMs = beginBy.monotonicMs - now.monotonicMs - WITHDRAWAL_MARGIN_MS;
+  return [checkIn(Math.max(0, Math.min(untilMs, CHECK_INTERVAL_MS)))];
+}
+
+function checkIn(delayMs: number): lifecycleState.Command {
+  return { kind: 'schedule', timer: 'begin', delayMs };
 }
 
 /** The weights may have become the newest meanwhile, or newer ones may have been named: the fleet knows. */
@@ -36,7 +40,7 @@
         ? { state, commands: [] }
         : { state, commands: [{ kind: 'check-begin', attempt: phase.attempt }] };
     case 'asking':
-      return { state, commands: [{ kind: 'schedule', timer: 'begin', delayMs: RECHECK_MS }] };
+      return { state, commands: [checkIn(BUDGET_RECHECK_MS)] };
     case 'placing':
     case 'ended':
       return { state, commands: [] };
@@ -57,9 +61,7 @@
   if (phase.kind !== 'attempting' || phase.attempt.id !== attemptId || phase.attempt.hasBegun) {
     return { state, commands: [] };
   }
-  if (!beginBy) {
-    return { state, commands: [{ kind: 'schedule', timer: 'begin', delayMs: NEWEST_RECHECK_MS }] };
-  }
+  if (!beginBy) return { state, commands: [checkIn(CHECK_INTERVAL_MS)] };
   if (!task.hasCome(task.later(beginBy, -WITHDRAWAL_MARGIN_MS), now)) {
     return { state, commands: armTimer(beginBy, now) };
   }
