Weights of an upstream are not learned from its earlier incarnation

Cause: an answer that comes late, after the upstream has started again under the same id, raised the version that the new incarnation is believed to have. Requests then meet 421, and the upstream is never ordered to load the newest weights, so the roll ends late.

Change: versions in answers count only for attempts of this incarnation, and for status reports.

--- a/packages/core/src/fleet/upstream-health.ts
+++ b/packages/core/src/fleet/upstream-health.ts
@@ -85,8 +85,12 @@
   if (info.coldMs !== undefined && info.coldMs > 0) {
     Object.assign(upstream, { coldUntilMs: now.monotonicMs + info.coldMs });
   }
-  if (info.version) upstreams.recordVersion(upstream, info.version.model, info.version.version);
   const work = requestId === undefined ? undefined : upstream.inFlight.get(requestId);
+  // An answer to any other request may be of an earlier incarnation with other weights.
+  const isOfThisIncarnation = requestId === undefined || work !== undefined;
+  if (info.version && isOfThisIncarnation) {
+    upstreams.recordVersion(upstream, info.version.model, info.version.version);
+  }
   if (!work || work.hasFirstByte) return undefined;
   work.hasFirstByte = true;
   const measuredMs = now.monotonicMs - work.startedAtMs;
--- /dev/null
+++ b/packages/core/test/fleet/believed-weights.test.ts
@@ -0,0 +1,48 @@
+/** Which weights an upstream is believed to have: a wrong belief leaves it out of a rollout. */
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('fleet: believed weights');
+
+type State = core.fleet.state.State;
+
+const NOW = fixtures.anInstant(1_000);
+
+function entryOf(version: number, incarnationStartedAtMs = 1): core.fleet.upstream.Registration {
+  const models = [{ model: 'model-1', version }];
+  return fixtures.aListedUpstream('u-1', { models, incarnationStartedAtMs });
+}
+
+function list(state: State, entry: core.fleet.upstream.Registration): void {
+  const update = { changed: [entry], removed: [], isSnapshot: false };
+  core.fleet.decide(state, { type: 'fleet.upstream-list-read', update }, NOW);
+}
+
+function answer(state: State, version: number, requestId: string | undefined): void {
+  const selfReport = { load: undefined, coldMs: undefined, version: { model: 'model-1', version } };
+  core.fleet.decide(
+    state,
+    { type: 'fleet.upstream-responded', upstream: 'u-1', requestId, selfReport },
+    NOW,
+  );
+}
+
+function believed(state: State): number | undefined {
+  return state.registry.upstreams.get('u-1')?.versions.get('model-1');
+}
+
+/** Guards against an upstream that is never ordered to load: its earlier incarnation had newer weights. */
+suite('an answer to a request of an earlier incarnation says nothing about the weights', () => {
+  const state = fixtures.aFleet([entryOf(2)]);
+  fixtures.placedUpstream(state);
+  list(state, entryOf(1, 2));
+  answer(state, 2, 'request-1');
+  assert.is(believed(state), 1);
+  fixtures.placedUpstream(state);
+  answer(state, 2, 'request-1');
+  assert.is(believed(state), 2);
+});
+
+suite.run();
