An upstream whose entry falls back to older weights is believed

Cause: the believed version only grew. An order that is carried out late, after the upstream has restarted and forgotten its count of orders, brings older weights back; the fleet went on expecting the newer ones, met 421, and did not order the upstream again.

Change: entries of one incarnation come in order, so a version below that of the entry before replaces what is believed. One that is below what an answer told, but not below the entry before, is still taken for late.

--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -108,9 +108,13 @@
   return hasNewStart || entry.address !== address;
 }
 
-/** Applies a changed entry of a known upstream. A draining one stays so in this incarnation. */
+/**
+ * Applies a changed entry of a known upstream. A draining one stays so in this incarnation. Entries come in
+ * order, so one that names older weights than the one before tells of a late order that was carried out.
+ */
 export function applyRegistration(known: Upstream, entry: Registration, now: task.Instant): void {
   if (known.registrationState.kind === 'gone' && entry.presence === 'ready') requireProbe(known);
+  const previous = known.registration.models;
   Object.assign(known, {
     registration: entry,
     registrationState:
@@ -120,7 +124,11 @@
     coldUntilMs:
       entry.coldRemainingMs > 0 ? now.monotonicMs + entry.coldRemainingMs : known.coldUntilMs,
   });
-  entry.models.forEach(({ model, version }) => recordVersion(known, model, version));
+  entry.models.forEach(({ model, version }) => {
+    const before = previous.find((each) => each.model === model)?.version ?? 0;
+    if (version < before) known.versions.set(model, version);
+    else recordVersion(known, model, version);
+  });
 }
 
 /** A returning entry may be a late write of an upstream that left, so a probe has to succeed first. */
@@ -128,7 +136,7 @@
   Object.assign(upstream, { reachability: { kind: 'silent' } });
 }
 
-/** Raises the known version. Versions only grow; a stale list entry never lowers one. */
+/** Raises the known version: an answer may be newer than the entry that arrives after it. */
 export function recordVersion(upstream: Upstream, model: string, version: number): void {
   if (version <= (upstream.versions.get(model) ?? 0)) return;
   upstream.versions.set(model, version);
--- a/packages/core/test/fleet/believed-weights.test.ts
+++ b/packages/core/test/fleet/believed-weights.test.ts
@@ -45,4 +45,18 @@
   assert.is(believed(state), 2);
 });
 
+/** Guards against an upstream that is never ordered to load: a late order brought older weights back. */
+suite(
+  'an entry that names older weights than the entry before is believed, a late entry is not',
+  () => {
+    const state = fixtures.aFleet([entryOf(1)]);
+    answer(state, 2, undefined);
+    list(state, entryOf(1));
+    assert.is(believed(state), 2, 'the entry was written before the answer');
+    list(state, entryOf(2));
+    list(state, entryOf(1));
+    assert.is(believed(state), 1);
+  },
+);
+
 suite.run();
