A wall clock that is set ahead does not hurry a rollout

Cause: since ages of named versions are taken from both clocks, a wall clock that is set ahead by some seconds made waves grow: 13 of 13 upstreams in one wave a second after the naming. Found in review.

Change: the pace of waves follows the monotonic clock alone; the bound on replaced weights keeps the larger age.

--- a/packages/core/src/rollouts/targets.ts
+++ b/packages/core/src/rollouts/targets.ts
@@ -33,16 +33,30 @@
   return new Map([...known, ...entries]);
 }
 
-/**
- * For how long a version newer than this one can have been named, by both clocks; undefined if there is
- * none. Versions in between that were never seen have been named since the same moment at the earliest.
- */
+/** The versions newer than this one; those in between that were never seen have been named with them. */
+function newerThan(target: Target | undefined, version: number): readonly Named[] {
+  if (!target || version >= target.version) return [];
+  return [...target.replaced, target].filter((each) => each.version > version);
+}
+
+/** For how long a newer version can have been named, by both clocks; undefined if there is none. */
 export function outdatedForMs(
   target: Target | undefined,
   version: number,
   now: task.Instant,
 ): number | undefined {
-  if (!target || version >= target.version) return undefined;
-  const newer = [...target.replaced, target].filter((each) => each.version > version);
+  const newer = newerThan(target, version);
+  if (newer.length === 0) return undefined;
   return Math.max(...newer.map(({ namedAfter }) => staleness.ageMs(namedAfter, now)));
 }
+
+/**
+ * The same by the monotonic clock alone, 0 if there is none. For the pace of a rollout, which a wall clock
+ * that is set ahead must not hurry.
+ */
+export function elapsedMs(target: Target, version: number, now: task.Instant): number {
+  const ages = newerThan(target, version).map(
+    ({ namedAfter }) => now.monotonicMs - namedAfter.monotonicMs,
+  );
+  return Math.max(0, ...ages);
+}
--- a/packages/core/src/rollouts/wave.ts
+++ b/packages/core/src/rollouts/wave.ts
@@ -49,7 +49,7 @@
   { now, rolloutMs }: Moment,
 ): number {
   const lowest = Math.min(...behind.map(({ version }) => version));
-  const elapsedShare = (targets.outdatedForMs(target, lowest, now) ?? 0) / rolloutMs;
+  const elapsedShare = targets.elapsedMs(target, lowest, now) / rolloutMs;
   const grown = (elapsedShare - GROWTH_START_SHARE) / (GROWTH_END_SHARE - GROWTH_START_SHARE);
   return Math.min(1, Math.max(0, grown));
 }
--- a/packages/core/test/rollouts/waves.test.ts
+++ b/packages/core/test/rollouts/waves.test.ts
@@ -31,6 +31,14 @@
   assert.is(wavesAt(7_500).current.length, 69);
 });
 
+/** Guards against loading all upstreams at once since somebody set the wall clock. */
+suite('a wall clock that is set ahead does not hurry a rollout', () => {
+  const { monotonicMs, wallMs } = fixtures.anInstant(1_000);
+  const moment = { now: { monotonicMs, wallMs: wallMs + 5_000 }, rolloutMs: ROLLOUT_MS };
+  const target = targets.create(2, fixtures.anInstant());
+  assert.is(chooseWaves('model-1', target, candidates(13), moment).current.length, 2);
+});
+
 suite('both waves are disjoint and hold only upstreams with older weights', () => {
   const property = fc.property(
     fc.integer({ min: 1, max: 100 }),
