A late entry of an upstream's earlier incarnation is ignored

Cause: an entry with an earlier start than the one known was applied: its weights were believed, and the next true entry was taken for a new incarnation, which lost the work in flight. Found in review.

Change: such an entry changes nothing.

Measured: npm test -- core/test/fleet: 45 passed, this one failed before.

--- a/packages/core/src/fleet/discovery.ts
+++ b/packages/core/src/fleet/discovery.ts
@@ -83,6 +83,7 @@
   now: task.Instant,
 ): readonly string[] {
   const upstream = registry.upstreams.get(registration.id);
+  if (upstream && upstreams.isEarlierIncarnation(upstream, registration)) return [];
   if (!upstream || upstreams.isNewIncarnation(upstream, registration)) {
     registry.upstreams.set(registration.id, upstreams.fromRegistration(registration, now));
     return [registration.id];
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -98,6 +98,13 @@
   return presence === 'draining' ? { kind: 'draining' } : { kind: 'listed' };
 }
 
+/** Whether the entry is of an earlier incarnation and came late. */
+export function isEarlierIncarnation({ registration }: Upstream, entry: Registration): boolean {
+  const { incarnationStartedAtMs: knownMs } = registration;
+  const { incarnationStartedAtMs: entryMs } = entry;
+  return knownMs !== undefined && entryMs !== undefined && entryMs < knownMs;
+}
+
 /** Whether the entry is of a new incarnation, which has none of the previous one's work or context. */
 export function isNewIncarnation(upstream: Upstream, entry: Registration): boolean {
   const { incarnationStartedAtMs, address } = upstream.registration;
--- a/packages/core/test/fleet/believed-weights.test.ts
+++ b/packages/core/test/fleet/believed-weights.test.ts
@@ -59,4 +59,14 @@
   },
 );
 
+/** Guards against weights, and work in flight, that are taken from an upstream's earlier incarnation. */
+suite('an entry of an earlier incarnation changes nothing', () => {
+  const state = fixtures.aFleet([entryOf(1, 2)]);
+  fixtures.placedUpstream(state);
+  list(state, entryOf(2, 1));
+  list(state, entryOf(1, 2));
+  assert.is(believed(state), 1);
+  assert.is(state.registry.upstreams.get('u-1')?.inFlight.size, 1);
+});
+
 suite.run();
