A stream without a length that broke off is no answer

Cause: a stream without length or chunks ends with its connection, and a crash ends it like a proper end. One that ended before its first event was taken for a complete answer, as was one that ended inside an event where the answer is passed on as a whole.

The stand-in upstream ends streams in these ways.

--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -6,12 +6,15 @@
 import type * as net from 'node:net';
 
 import * as endless from './endless.js';
+import * as eventStreams from './event-streams.js';
 
 /**
  * `not-executed`: 503 with the header that confirms that the request did not run. `foreign-answer`:
  * carries another request's id. `no-request-id`: carries none. `cut`: the connection closes in the
  * middle of the response. `close-delimited`: no length; the end of the connection ends the response.
- * `close-delimited-reset`: the same, but the connection is reset. `malformed-response`: bytes that are
+ * `close-delimited-reset`: the same, but the connection is reset. `close-delimited-empty` and
+ * `close-delimited-half`: a stream without a length that ends properly before or inside an event.
+ * `malformed-response`: bytes that are
  * not an HTTP response. `unrequested-encoding`: a content encoding that was not requested.
  * `unconfirmed-503`: 503 without that header. `silent`: never responds. `error`: 500.
  * `extra-response`: a second response after the first. `no-seal`: 200 without the seal header.
@@ -26,6 +29,8 @@
   | 'cut'
   | 'close-delimited'
   | 'close-delimited-reset'
+  | 'close-delimited-empty'
+  | 'close-delimited-half'
   | 'malformed-response'
   | 'unrequested-encoding'
   | 'unconfirmed-503'
@@ -174,6 +179,8 @@
         response.writeHead(503, headers).end('busy');
         return;
       case 'none':
+      case 'close-delimited-empty':
+      case 'close-delimited-half':
       case 'not-executed':
       case 'foreign-answer':
       case 'no-request-id':
@@ -195,24 +202,11 @@
     }
   }
 
-  /** Streams the events after `Last-Event-Id`; the fault `cut` closes in the middle of an event. */
   function stream(received: ReceivedRequest, response: http.ServerResponse): void {
-    const first = Number(received.headers['last-event-id'] ?? 0) + 1;
-    response.writeHead(200, { ...headersOf(received), 'content-type': 'text/event-stream' });
-    const send = (at: number) => {
-      if (response.destroyed) return;
-      if (state.fault === 'cut' && at === first + 1) {
-        response.write(`id: ${at}\ndata: half`, () => response.destroy());
-        return;
-      }
-      if (at > state.events) {
-        response.end();
-        return;
-      }
-      response.write(`id: ${at}\ndata: ${at}\n\n`);
-      setTimeout(() => send(at + 1), state.pauseMs);
-    };
-    send(first);
+    const { fault, events, pauseMs } = state;
+    const after = Number(received.headers['last-event-id'] ?? 0);
+    const ending = eventStreams.endingOf(fault);
+    eventStreams.write(response, headersOf(received), { after, events, pauseMs, ending });
   }
 
   function order(text: string, response: http.ServerResponse): void {
