Quarantine: types and messages

A part of a prompt may crash each upstream that begins to answer it; nothing in the messages between tasks and instances can tell which part that is, or keep it from upstreams.

No behaviour has changed.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -84,6 +84,11 @@
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
+    case 'fleet.attempt-begun':
+    case 'fleet.quarantine-update':
+    case 'fleet.verdicts-read':
+    case 'fleet.verdict-stored':
+      return { state, commands: [] };
     case 'fleet.tick':
       return onTick(state, now);
     case 'task.start':
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -19,6 +19,8 @@
   requestId: string;
   service: string;
   prompt: request.Prompt | undefined;
+  /** Empty without one. */
+  clientAccount: string;
   /** Name of the client account if it shares no context with others. */
   isolatedAccount: string | undefined;
   excludedUpstreams: readonly string[];
@@ -26,6 +28,8 @@
   latencyTargetMs: number;
   /** Whether the request may be refused; false once an answer has begun. */
   mayRefuse: boolean;
+  /** Whether an attempt before this one may have run. */
+  isRepeat: boolean;
 };
 
 export type Decision =
--- a/packages/core/src/gateway/decide.ts
+++ b/packages/core/src/gateway/decide.ts
@@ -81,6 +81,8 @@
       return { state: { ...state, instances: message.instances + SPARE_INSTANCES }, commands: [] };
     case 'gateway.upstreams-known':
       return updateReadiness({ ...state, hasUpstreamList: true }, now);
+    case 'gateway.verdicts-known':
+      return { state, commands: [] };
     case 'gateway.tick':
       return onTick(state, now);
     case 'task.start':
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -17,7 +17,8 @@
 const STREAM_PLACEMENT_TIMEOUT_MS = 1_500;
 
 export function place({ excluded, isHeadSent, possibleRuns }: State): lifecycleState.Command {
-  return { kind: 'place', excluded, mayRefuse: !isHeadSent && possibleRuns === 0 };
+  const isRepeat = possibleRuns > 0;
+  return { kind: 'place', excluded, mayRefuse: !isHeadSent && !isRepeat, isRepeat };
 }
 
 export function onNotPlaced(
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -50,7 +50,7 @@
 };
 
 export type Command =
-  | { kind: 'place'; excluded: readonly string[]; mayRefuse: boolean }
+  | { kind: 'place'; excluded: readonly string[]; mayRefuse: boolean; isRepeat: boolean }
   | { kind: 'send'; attempt: Attempt; lastEventId: string | undefined; deadlineAtMs: number }
   | { kind: 'abort'; attempt: string }
   | { kind: 'ask-retry-budget' }
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -50,6 +50,7 @@
       return endings.onCallerDisconnected(state);
     case 'request.timer-fired':
       return onTimer(state, message.timer, now);
+    case 'fleet.attempt-withdrawn':
     case 'task.drain':
     case 'task.stop':
       return { state, commands: [] };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export * as membership from './membership/index.js';
 export * as messages from './messages/index.js';
 export * as metrics from './metrics/index.js';
+export * as quarantine from './quarantine/index.js';
 export * as readers from './readers/index.js';
 export * as results from './results/index.js';
 export * as rollouts from './rollouts/index.js';
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -5,6 +5,7 @@
 import type * as placement from '../fleet/placement.js';
 import type * as lifecycle from '../gateway/lifecycle-state.js';
 import type * as routes from '../gateway/routes.js';
+import type * as quarantine from '../quarantine/types.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as gateway from './gateway.js';
 import type * as taskLifecycle from './task-lifecycle.js';
@@ -25,6 +26,8 @@
       upstream: string;
       outcome: lifecycle.AttemptOutcome;
     }
+  /** The first complete event of an attempt, or its whole answer, has arrived. */
+  | { type: 'fleet.attempt-begun'; upstream: string; requestId: string }
   | {
       type: 'fleet.upstream-responded';
       upstream: string;
@@ -42,6 +45,22 @@
   | { type: 'fleet.sharing-changed'; sharing: peerWork.Sharing }
   /** Another instance's summary of its work in flight. */
   | { type: 'fleet.peer-update'; update: peerWork.Update }
+  /** What another instance knows of parts that crash upstreams. */
+  | { type: 'fleet.quarantine-update'; update: quarantine.Update }
+  /** Verdicts in the platform's store; `removed` holds names of objects. */
+  | {
+      type: 'fleet.verdicts-read';
+      verdicts: readonly quarantine.StoredVerdict[];
+      removed: readonly string[];
+      isSnapshot: boolean;
+    }
+  /** Answer to a write of a verdict; `version` is undefined if it was refused or lost. */
+  | {
+      type: 'fleet.verdict-stored';
+      name: string;
+      version: number | undefined;
+      isTrial: boolean;
+    }
   /** This instance's peer update is due. */
   | { type: 'fleet.publish-work' }
   | { type: 'fleet.tick' };
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -29,8 +29,12 @@
   tokensToRead: number;
 };
 
-/** `cold`: the only candidates left are cold upstreams that are at their rate limit. */
-export type PlacementRefusal = 'unknown-service' | 'none-usable' | 'cold' | 'full';
+/**
+ * `cold`: the only candidates left are cold upstreams that are at their rate limit. `quarantined`: a
+ * part of the prompt crashes upstreams. `suspected`: one may, and the request may have run already.
+ */
+export type PlacementRefusal =
+  'unknown-service' | 'none-usable' | 'cold' | 'full' | 'quarantined' | 'suspected';
 
 export type RequestTimer = 'deadline' | 'idle' | 'place';
 
@@ -44,6 +48,8 @@
       /** Expected time until an upstream can take the request, where that can be told. */
       freeInMs: number | undefined;
     }
+  /** A part of the prompt was found to crash upstreams while the attempt had not begun. */
+  | { type: 'fleet.attempt-withdrawn'; upstream: string; reason: string }
   | { type: 'fleet.liveness-checked'; attempt: string; isSilent: boolean }
   | { type: 'retry-budget.decided'; isGranted: boolean }
   | { type: 'attempt.head-received'; attempt: string; head: request.ResponseHead }
@@ -77,6 +83,8 @@
   | { type: 'gateway.members-changed'; instances: number }
   /** The list of upstreams has been read for the first time. */
   | { type: 'gateway.upstreams-known' }
+  /** The list of quarantined parts has been read for the first time. */
+  | { type: 'gateway.verdicts-known' }
   | { type: 'gateway.ask-retry-budget'; service: string; replyTo: RequestAddress }
   | { type: 'gateway.tick' };
 
--- a/packages/core/src/messages/index.ts
+++ b/packages/core/src/messages/index.ts
@@ -18,5 +18,6 @@
 export * from './readers.js';
 export * from './rollouts.js';
 export * from './routing.js';
+export * from './sources.js';
 export * from './stores.js';
 export * from './upstreams.js';
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -29,5 +29,7 @@
   | 'gateway.denied'
   | 'gateway.whole'
   | 'gateway.first_event'
+  | 'gateway.quarantine'
+  | 'gateway.quarantined_parts'
   | 'transport.connections'
   | 'platform.answered';
--- a/packages/core/src/messages/mailboxes.ts
+++ b/packages/core/src/messages/mailboxes.ts
@@ -18,6 +18,7 @@
 import type * as readers from './readers.js';
 import type * as rollouts from './rollouts.js';
 import type * as routing from './routing.js';
+import type * as sources from './sources.js';
 import type * as stores from './stores.js';
 import type * as upstreams from './upstreams.js';
 
@@ -43,6 +44,7 @@
   readers: readers.ReadersMessage;
   rollouts: rollouts.RolloutsMessage;
   routing: routing.RoutingMessage;
+  sources: sources.SourcesMessage;
   stores: stores.StoresMessage;
   transport: gateway.TransportMessage;
   upstreams: upstreams.UpstreamsMessage;
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -1,5 +1,6 @@
 /** Messages to the task that exchanges peer updates with the other instances of the platform. */
 import type * as peerWork from '../fleet/peer-work.js';
+import type * as quarantine from '../quarantine/types.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as readers from './readers.js';
 import type * as taskLifecycle from './task-lifecycle.js';
@@ -24,6 +25,11 @@
   | { type: 'peer-updates.members-changed'; members: readonly PeerEndpoint[] }
   | { type: 'peer-updates.audiences-changed'; audiences: Audiences }
   | { type: 'peer-updates.publish-work'; update: peerWork.Update }
+  | {
+      type: 'peer-updates.publish-quarantine';
+      update: quarantine.Update;
+      audience: quarantine.Audience;
+    }
   | { type: 'peer-updates.send'; update: PeerUpdate; to: readonly string[] };
 
 /** Updates of context stores that one instance read for others. */
@@ -32,6 +38,7 @@
 /** An update that one instance sends to another. */
 export type PeerUpdate =
   | { kind: 'work'; update: peerWork.Update }
+  | { kind: 'quarantine'; update: quarantine.Update }
   | { kind: 'stores'; from: string; updates: StoreUpdates }
   | { kind: 'question'; from: string; question: readers.Question }
   | {
--- /dev/null
+++ b/packages/core/src/quarantine/index.ts
@@ -0,0 +1,3 @@
+/** Exports the quarantine of prompt parts that crash upstreams. */
+export * from './names.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/core/src/quarantine/types.ts
@@ -0,0 +1,41 @@
+/** What instances tell each other and the platform about parts of prompts that crash upstreams. */
+
+/** A request that had no event yet when its upstream went down. `parts` holds those not known to be sound. */
+export type Suspect = {
+  /** The same for all suspects of one crash: the upstream and the start of its incarnation. */
+  crash: string;
+  upstream: string;
+  requestId: string;
+  clientAccount: string;
+  model: string;
+  parts: readonly string[];
+  /** Time since the crash when the update was sent; instances share no monotonic clock. */
+  ageMs: number;
+};
+
+export type PartOfModel = { model: string; part: string };
+
+/** A part that reaches no upstream any more, with its evidence. */
+export type Verdict = {
+  model: string;
+  part: string;
+  /** Whose requests it refuses; those of all once two client accounts are named. */
+  clientAccounts: readonly string[];
+  crashes: readonly { upstream: string; requestId: string }[];
+  /** Wall clock, Unix ms. */
+  condemnedAtMs: number;
+  /** Trials after which the part was let through once. */
+  trials: number;
+};
+
+export type StoredVerdict = { verdict: Verdict; name: string; version: number };
+
+export type Update = {
+  from: string;
+  suspects: readonly Suspect[];
+  cleared: readonly PartOfModel[];
+  verdicts: readonly Verdict[];
+};
+
+/** `some`: a few members, others each time, which replaces lost updates. */
+export type Audience = 'all' | 'some';
--- a/packages/core/src/results/request-codes.ts
+++ b/packages/core/src/results/request-codes.ts
@@ -92,6 +92,13 @@
   title: 'instance is leaving',
   hint: 'Not run. Connect again; the balancer chooses another instance.',
 };
+/** A part of the prompt crashed upstreams repeatedly, so the request is kept from them. */
+const promptQuarantined: code.Code = {
+  number: 2007,
+  status: 422,
+  title: 'prompt part in quarantine',
+  hint: 'Do not repeat it. Send the prompt without the part, or ask the operators to lift the quarantine.',
+};
 /** The right to send to a cold upstream expired before the send. */
 const coldRightLapsed: code.Code = {
   number: 2101,
@@ -163,6 +170,7 @@
   notStartedInTime,
   deadlineUnreachable,
   leaving,
+  promptQuarantined,
   coldRightLapsed,
   inProgress,
   outcomeUnknown,
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -118,7 +118,7 @@
 
 function requestPlacement(
   { routed, context }: RequestContext,
-  { excluded, mayRefuse }: Extract<Command, { kind: 'place' }>,
+  { excluded, mayRefuse, isRepeat }: Extract<Command, { kind: 'place' }>,
 ): void {
   const { request, route, service, clientAccount } = routed;
   const { latencyTargetMs } = route;
@@ -130,10 +130,12 @@
       requestId,
       service,
       prompt,
+      clientAccount: clientAccount?.name ?? '',
       isolatedAccount,
       excludedUpstreams: excluded,
       latencyTargetMs,
       mayRefuse,
+      isRepeat,
     },
     replyTo: context.self,
   });
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -38,6 +38,8 @@
         sentParts.map(({ upstream, salt, parts }) => [upstream, salt, [...parts]]),
       ];
     }
+    case 'quarantine':
+      throw new Error('not encoded yet');
     case 'stores':
       return ['stores', peerUpdate.from, storeRows.toRows(peerUpdate.updates)];
     case 'question':
--- a/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
@@ -73,6 +73,8 @@
       const audience = audienceOf(state, name, dataCentre, update.scope);
       return { state, commands: sendCommands(state, name, { kind: 'work', update }, audience) };
     }
+    case 'peer-updates.publish-quarantine':
+      return { state, commands: [] };
     case 'peer-updates.send':
       return { state, commands: sendCommands(state, name, message.update, message.to) };
     case 'peer-updates.received':
@@ -187,6 +189,9 @@
     case 'work':
       send('fleet', { type: 'fleet.peer-update', update: update.update });
       return;
+    case 'quarantine':
+      send('fleet', { type: 'fleet.quarantine-update', update: update.update });
+      return;
     case 'stores':
       update.updates.forEach(({ store, update: storeUpdate }) =>
         send('fleet', { type: 'fleet.store-changed', store, update: storeUpdate }),
