--- a/packages/core/src/gateway/decide.ts
+++ b/packages/core/src/gateway/decide.ts
@@ -24,6 +24,7 @@
   bounds: Bounds;
   table: access.ActiveTable;
   hasUpstreamList: boolean;
+  hasVerdictList: boolean;
   isReady: boolean;
   instances: number;
   startedAtMs: number;
@@ -59,6 +60,7 @@
     bounds,
     table: { index: undefined, confirmedAt: undefined },
     hasUpstreamList: false,
+    hasVerdictList: false,
     isReady: false,
     instances: 1,
     startedAtMs: now.monotonicMs,
@@ -82,7 +84,7 @@
     case 'gateway.upstreams-known':
       return updateReadiness({ ...state, hasUpstreamList: true }, now);
     case 'gateway.verdicts-known':
-      return { state, commands: [] };
+      return updateReadiness({ ...state, hasVerdictList: true }, now);
     case 'gateway.tick':
       return onTick(state, now);
     case 'task.start':
@@ -230,6 +232,7 @@
   if (state.isDraining) return { isReady: false, reason: 'leaving' };
   if (!state.table.index) return { isReady: false, reason: 'no configuration' };
   if (!state.hasUpstreamList) return { isReady: false, reason: 'no list of upstreams' };
+  if (!state.hasVerdictList) return { isReady: false, reason: 'no list of quarantined parts' };
   if (freshness === 'expired') return { isReady: false, reason: 'configuration not confirmed' };
   return { isReady: true, reason: 'configuration confirmed' };
 }
--- /dev/null
+++ b/packages/core/test/gateway/readiness.test.ts
@@ -0,0 +1,40 @@
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('readiness of a gateway');
+
+const TABLE = fixtures.aRoutingTable();
+const STEPS: readonly core.messages.GatewayMessage[] = [
+  { type: 'gateway.table-read', table: TABLE, askedAt: fixtures.anInstant() },
+  { type: 'gateway.upstreams-known' },
+  { type: 'gateway.verdicts-known' },
+];
+
+const BOUNDS: core.gateway.decide.Bounds = {
+  revocationMs: 5_000,
+  adoptionMs: 2_000,
+  retryWindowMs: 1_000,
+  retryRatio: 0.1,
+  retryExtra: 1,
+};
+
+function readinessAfter(messages: readonly core.messages.GatewayMessage[]): boolean {
+  const now = fixtures.anInstant(10);
+  return messages.reduce(
+    (state, message) => core.gateway.decide.decide(state, message, now).state,
+    core.gateway.decide.initial(BOUNDS, now),
+  ).isReady;
+}
+
+/**
+ * Guards against an instance that starts anew, takes requests before it has read the verdicts of others,
+ * and sends a part that crashes upstreams once more.
+ */
+suite('an instance is ready once it has read routes, upstreams and quarantined parts', () => {
+  assert.ok(readinessAfter(STEPS));
+  STEPS.forEach((left) => assert.not(readinessAfter(STEPS.filter((each) => each !== left))));
+});
+
+suite.run();
