Quarantine: suspects, tallies and verdicts in the fleet task

Nothing kept a request from upstreams whose prompt had crashed others: each repeat took the next upstream along.

The fleet task follows its attempts with prompts. Those that broke before an event at an upstream that is then found down are suspects; parts that got through lately are cleared, the others are counted; three counted crashes condemn a part. Placement refuses it, attempts in flight are withdrawn, peers are told at once and by gossip, and the platform's store keeps the verdict.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -3,6 +3,7 @@
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import type * as gatewayMessages from '../messages/gateway.js';
+import type * as quarantine from '../quarantine/index.js';
 import * as results from '../results/index.js';
 import type * as inputs from '../rollouts/inputs.js';
 import * as targets from '../rollouts/targets.js';
@@ -17,6 +18,7 @@
 import * as liveness from './liveness.js';
 import * as peerUpdates from './peer-updates.js';
 import * as publishing from './publishing.js';
+import * as quarantineSteps from './quarantine-steps.js';
 import * as reports from './reports.js';
 
 export type Command =
@@ -39,7 +41,8 @@
   | { kind: 'record-placement'; placementRequest: placement.Request; decision: placement.Decision }
   | { kind: 'record-upstream-change'; id: string; text: string; ageMs: number }
   | { kind: 'record-target-versions'; versions: Readonly<Record<string, number>> }
-  | { kind: 'record-evacuation'; dataCentres: readonly string[] };
+  | { kind: 'record-evacuation'; dataCentres: readonly string[] }
+  | Exclude<quarantine.Command, { kind: 'withdraw' | 'probe-liveness' }>;
 
 export type Step = task.Step<fleet.State, Command>;
 
@@ -85,9 +88,13 @@
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
+      return { state, commands: quarantineSteps.onBegun(state, message, now) };
     case 'fleet.quarantine-update':
+      return { state, commands: quarantineSteps.onUpdate(state, message, now) };
     case 'fleet.verdicts-read':
+      return { state, commands: quarantineSteps.onVerdictsRead(state, message, now) };
     case 'fleet.verdict-stored':
+      quarantineSteps.onVerdictStored(state, message);
       return { state, commands: [] };
     case 'fleet.tick':
       return onTick(state, now);
@@ -111,6 +118,8 @@
   { placementRequest, replyTo }: MessageOf<'fleet.place'>,
   now: task.Instant,
 ): Step {
+  const checked = quarantineSteps.check(state, placementRequest, now);
+  if (checked.kind === 'refused') return refuse(state, placementRequest, replyTo, checked, now);
   const placed = placement.place(state, placementRequest, now);
   const message: gatewayMessages.RequestMessage =
     placed.kind === 'placed'
@@ -122,20 +131,57 @@
       { kind: 'record-placement', placementRequest, decision: placed },
       { kind: 'reply', replyTo, message },
       ...(placed.kind === 'placed' ? publishing.schedule(state, placed.destination) : []),
+      ...(placed.kind === 'placed'
+        ? quarantineSteps.onPlaced(
+            state,
+            placementRequest,
+            placed.destination.upstream,
+            checked.trialOf,
+            replyTo,
+          )
+        : []),
+    ],
+  };
+}
+
+/** A part of the prompt crashes upstreams, or may. */
+function refuse(
+  state: fleet.State,
+  placementRequest: placement.Request,
+  replyTo: gatewayMessages.RequestAddress,
+  { reason, detail, commands }: Extract<quarantine.Decision, { kind: 'refused' }>,
+  now: task.Instant,
+): Step {
+  const decision: placement.Decision = { kind: 'none', reason, freeInMs: undefined, detail };
+  return {
+    state,
+    commands: [
+      { kind: 'record-placement', placementRequest, decision },
+      {
+        kind: 'reply',
+        replyTo,
+        message: { type: 'fleet.not-placed', reason, freeInMs: undefined, detail },
+      },
+      ...quarantineSteps.toCommands(state, commands, now),
     ],
   };
 }
 
 function onOutcome(
   state: fleet.State,
-  { requestId, upstream: id, outcome }: MessageOf<'fleet.attempt-ended'>,
+  message: MessageOf<'fleet.attempt-ended'>,
   now: task.Instant,
 ): Step {
+  const suspicions = quarantineSteps.onAttemptEnded(state, message, now);
+  const { requestId, upstream: id, outcome } = message;
   const upstream = state.registry.upstreams.get(id);
-  if (!upstream) return { state, commands: [] };
+  if (!upstream) return { state, commands: suspicions };
   const before = upstream.reachability.kind;
   upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
-  const scheduled = publishing.schedule(state, { upstream: id, context: undefined });
+  const scheduled = [
+    ...publishing.schedule(state, { upstream: id, context: undefined }),
+    ...suspicions,
+  ];
   if (before === upstream.reachability.kind) return { state, commands: scheduled };
   const text = `does not answer: ${outcome}`;
   const ageMs = now.monotonicMs - upstream.lastByteAtMs;
@@ -166,7 +212,11 @@
   const changed = discovery.applyUpdate(state.registry, update, now);
   return {
     state,
-    commands: [...reports.recordChanges(state, changed), ...reportIfChanged(state, changed)],
+    commands: [
+      ...reports.recordChanges(state, changed),
+      ...reportIfChanged(state, changed),
+      ...quarantineSteps.onListApplied(state, now),
+    ],
   };
 }
 
@@ -217,6 +267,7 @@
       { kind: 'schedule-tick' },
       ...publishing.snapshots(state, now),
       ...reports.recordChanges(state, expired),
+      ...quarantineSteps.onTick(state, now),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
       reports.reportToRollouts(state),
       {
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -5,6 +5,7 @@
 export * as discovery from './discovery.js';
 export * as peerWork from './peer-work.js';
 export * as placement from './placement.js';
+export * as quarantineSteps from './quarantine-steps.js';
 export * as queue from './queue.js';
 export * as prefillRate from './prefill-rate.js';
 export * as state from './state.js';
--- a/packages/core/src/fleet/liveness.ts
+++ b/packages/core/src/fleet/liveness.ts
@@ -3,6 +3,7 @@
 import type * as fleetMessages from '../messages/fleet.js';
 import * as results from '../results/index.js';
 import type * as decide from './decide.js';
+import * as quarantineSteps from './quarantine-steps.js';
 import type * as fleet from './state.js';
 import * as upstreamHealth from './upstream-health.js';
 
@@ -46,13 +47,18 @@
   const ageMs = now.monotonicMs - upstream.lastByteAtMs;
   const id = probe.upstream;
   switch (result.kind) {
-    case 'no-response':
-      if (reachability.kind === 'silent') return { state, commands: [] };
+    case 'no-response': {
+      const suspicions = quarantineSteps.onDown(state, upstream, now);
+      if (reachability.kind === 'silent') return { state, commands: suspicions };
       Object.assign(upstream, { reachability: { kind: 'silent' } });
       return {
         state,
-        commands: [{ kind: 'record-upstream-change', id, text: 'a probe got no answer', ageMs }],
+        commands: [
+          { kind: 'record-upstream-change', id, text: 'a probe got no answer', ageMs },
+          ...suspicions,
+        ],
       };
+    }
     case 'unhealthy':
       return { state, commands: [] };
     case 'healthy': {
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -39,6 +39,8 @@
       reason: messages.PlacementRefusal;
       /** Expected time until an upstream can take the request, where that can be told. */
       freeInMs: number | undefined;
+      /** The evidence against a part of the prompt. */
+      detail?: string;
     };
 
 /** Round trip to another data centre, plus the price of the bytes between data centres. */
--- /dev/null
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -0,0 +1,222 @@
+/** Connects the quarantine of prompt parts with attempts, probes and the list of upstreams. */
+import type * as task from '../kernel/task.js';
+import type * as fleetMessages from '../messages/fleet.js';
+import type * as gatewayMessages from '../messages/gateway.js';
+import * as quarantine from '../quarantine/index.js';
+import * as results from '../results/index.js';
+import type * as decide from './decide.js';
+import type * as placement from './placement.js';
+import type * as fleet from './state.js';
+import type * as upstreams from './upstream.js';
+
+type MessageOf<Type extends fleetMessages.FleetMessage['type']> = Extract<
+  fleetMessages.FleetMessage,
+  { type: Type }
+>;
+
+/** More attempts are never in flight at one instance. */
+const MAX_ATTEMPTS = 16_384;
+
+/** An upstream that goes down and returns has another incarnation. */
+export function crashOf({ registration }: upstreams.Upstream): string {
+  const { id, address, incarnationStartedAtMs } = registration;
+  return `${id}@${incarnationStartedAtMs ?? address}`;
+}
+
+export function check(
+  state: fleet.State,
+  { prompt, requestId, clientAccount, isRepeat }: placement.Request,
+  now: task.Instant,
+): quarantine.Decision {
+  if (!prompt) return { kind: 'allowed', trialOf: [] };
+  const request = { requestId, clientAccount, isRepeat, ...sharedParts(prompt) };
+  return quarantine.check(state.quarantine, request, now);
+}
+
+function sharedParts({ model, parts }: NonNullable<placement.Request['prompt']>) {
+  return { model, parts: [...new Set(parts.slice(0, -1).map(({ id }) => id))] };
+}
+
+/** Records the attempt, which spends the trial that let it through. */
+export function onPlaced(
+  state: fleet.State,
+  { prompt, requestId, clientAccount }: placement.Request,
+  id: string,
+  trialOf: readonly string[],
+  replyTo: gatewayMessages.RequestAddress,
+): readonly decide.Command[] {
+  const upstream = state.registry.upstreams.get(id);
+  if (!prompt || !upstream) return [];
+  const { model, parts } = sharedParts(prompt);
+  const isTrial = trialOf.length > 0;
+  const attempt: quarantine.ledger.Attempt = {
+    requestId,
+    upstream: id,
+    crash: crashOf(upstream),
+    clientAccount,
+    model,
+    parts,
+    hasBegun: false,
+    isTrial,
+    replyTo,
+  };
+  const { attempts } = state.quarantine;
+  quarantine.ledger.setBounded(attempts, requestId, attempt, MAX_ATTEMPTS);
+  if (!isTrial) return [];
+  quarantine.trials.spend(state.quarantine, model, trialOf);
+  return [{ kind: 'record-trial', requestId, model, parts: trialOf }];
+}
+
+export function onBegun(
+  state: fleet.State,
+  { requestId, upstream }: MessageOf<'fleet.attempt-begun'>,
+  now: task.Instant,
+): readonly decide.Command[] {
+  const ledger = state.quarantine;
+  const attempt = ledger.attempts.get(requestId);
+  if (!attempt || attempt.upstream !== upstream || attempt.hasBegun) return [];
+  ledger.attempts.set(requestId, { ...attempt, hasBegun: true });
+  const { model, parts } = attempt;
+  return toCommands(state, quarantine.evidence.addSuccess(ledger, model, parts, now), now);
+}
+
+export function onAttemptEnded(
+  state: fleet.State,
+  { requestId, upstream: id, outcome }: MessageOf<'fleet.attempt-ended'>,
+  now: task.Instant,
+): readonly decide.Command[] {
+  const ledger = state.quarantine;
+  const attempt = ledger.attempts.get(requestId);
+  if (attempt?.upstream === id) ledger.attempts.delete(requestId);
+  const upstream = state.registry.upstreams.get(id);
+  if (!upstream) return [];
+  switch (outcome) {
+    case 'broken':
+      return attempt?.upstream === id ? onBroken(state, attempt, upstream, now) : [];
+    case 'unreachable':
+      return onDown(state, upstream, now);
+    case 'answered':
+    case 'failed':
+    case 'rejected':
+    case 'no-connection':
+    case 'silent':
+    case 'cancelled':
+      return [];
+    default:
+      return results.assertNever(outcome);
+  }
+}
+
+/** An upstream that announced its end closes its connections without a crash. */
+function onBroken(
+  state: fleet.State,
+  attempt: quarantine.ledger.Attempt,
+  upstream: upstreams.Upstream,
+  now: task.Instant,
+): readonly decide.Command[] {
+  const { kind } = upstream.registrationState;
+  if (kind === 'draining' || kind === 'gone') return [];
+  const { suspicion } = quarantine;
+  const hasReturned = crashOf(upstream) !== attempt.crash;
+  const confirmed = hasReturned ? suspicion.onDown(state.quarantine, attempt.crash, now) : [];
+  const commands = [...confirmed, ...suspicion.onBroken(state.quarantine, attempt, now)];
+  return toCommands(state, commands, now);
+}
+
+/** Connections to the upstream are refused, or a probe got no answer. */
+export function onDown(
+  state: fleet.State,
+  upstream: upstreams.Upstream,
+  now: task.Instant,
+): readonly decide.Command[] {
+  const down = quarantine.suspicion.onDown(state.quarantine, crashOf(upstream), now);
+  return toCommands(state, down, now);
+}
+
+/** The list tells of upstreams that are gone or have returned in a new incarnation. */
+export function onListApplied(state: fleet.State, now: task.Instant): readonly decide.Command[] {
+  const { broken } = state.quarantine;
+  const crashes = broken.flatMap(({ attempt }) => {
+    const upstream = state.registry.upstreams.get(attempt.upstream);
+    const isDown =
+      !upstream ||
+      upstream.registrationState.kind === 'gone' ||
+      crashOf(upstream) !== attempt.crash;
+    return isDown ? [attempt.crash] : [];
+  });
+  const commands = [...new Set(crashes)].flatMap((crash) =>
+    quarantine.suspicion.onDown(state.quarantine, crash, now),
+  );
+  return toCommands(state, commands, now);
+}
+
+export function onUpdate(
+  state: fleet.State,
+  { update }: MessageOf<'fleet.quarantine-update'>,
+  now: task.Instant,
+): readonly decide.Command[] {
+  return toCommands(state, quarantine.evidence.receive(state.quarantine, update, now), now);
+}
+
+export function onVerdictsRead(
+  state: fleet.State,
+  { verdicts, removed, isSnapshot }: MessageOf<'fleet.verdicts-read'>,
+  now: task.Instant,
+): readonly decide.Command[] {
+  const read = quarantine.evidence.readStore(state.quarantine, verdicts, removed, isSnapshot, now);
+  return toCommands(state, read, now);
+}
+
+export function onVerdictStored(
+  { quarantine: ledger }: fleet.State,
+  { name, version, isTrial }: MessageOf<'fleet.verdict-stored'>,
+): void {
+  if (isTrial) quarantine.trials.onClaimAnswered(ledger, name, version);
+  quarantine.storing.onWritten(ledger, name, version, isTrial);
+}
+
+export function onTick(state: fleet.State, now: task.Instant): readonly decide.Command[] {
+  const ledger = state.quarantine;
+  quarantine.tally.expire(ledger, now);
+  return toCommands(
+    state,
+    [...quarantine.suspicion.onTick(ledger, now), ...quarantine.publishing.repeat(ledger, now)],
+    now,
+  );
+}
+
+/** With the writes that have become due. */
+export function toCommands(
+  state: fleet.State,
+  given: readonly quarantine.Command[],
+  now: task.Instant,
+): readonly decide.Command[] {
+  const commands = [...given, ...quarantine.storing.takeDue(state.quarantine, now)];
+  return commands.flatMap((command): readonly decide.Command[] => {
+    switch (command.kind) {
+      case 'withdraw': {
+        const { replyTo, upstream, reason } = command;
+        const message = { type: 'fleet.attempt-withdrawn' as const, upstream, reason };
+        return [{ kind: 'reply', replyTo, message }];
+      }
+      case 'probe-liveness':
+        return livenessProbe(state, command.upstream);
+      case 'send-quarantine-update':
+      case 'store-verdict':
+      case 'record-crash-suspects':
+      case 'record-verdict':
+      case 'record-verdict-lifted':
+      case 'record-trial':
+        return [command];
+      default:
+        return results.assertNever(command);
+    }
+  });
+}
+
+function livenessProbe({ registry }: fleet.State, id: string): readonly decide.Command[] {
+  const upstream = registry.upstreams.get(id);
+  if (!upstream) return [];
+  const { address } = upstream.registration;
+  return [{ kind: 'probe', probe: { kind: 'liveness', upstream: id, address } }];
+}
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,6 +1,7 @@
 /** State of the fleet task: all upstreams, and the other inputs of placement. */
 import type * as routes from '../gateway/routes.js';
 import type * as targets from '../rollouts/targets.js';
+import * as ledger from '../quarantine/ledger.js';
 import * as inventory from '../shared-context/inventory.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
@@ -46,6 +47,8 @@
   /** Tokens per millisecond that an engine reads, by service. Updated in place. */
   prefillRates: Map<string, number>;
   outbox: Outbox;
+  /** Updated in place. */
+  quarantine: ledger.Ledger;
 };
 
 export function initial(
@@ -71,5 +74,6 @@
     sharing: 'with-all',
     prefillRates: new Map(),
     outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
+    quarantine: ledger.create(instance),
   };
 }
--- a/packages/core/src/gateway/attempt-result.ts
+++ b/packages/core/src/gateway/attempt-result.ts
@@ -60,6 +60,16 @@
   return { kind: status >= FIRST_ERROR ? 'failed' : 'deliver' };
 }
 
+/** Whether the whole answer shows that the upstream survived it: its end is marked, and its id is sealed. */
+export function isWholeSuccess(result: Result): boolean {
+  return (
+    result.kind === 'answered' &&
+    result.isSealed &&
+    result.head.isFramed &&
+    result.head.status < FIRST_FAILURE
+  );
+}
+
 /** Whether a request that may have run may be sent again. */
 export function mayRetryAfterRun(retryPolicy: routes.RetryPolicy): boolean {
   switch (retryPolicy) {
--- a/packages/core/src/gateway/lifecycle-endings.ts
+++ b/packages/core/src/gateway/lifecycle-endings.ts
@@ -39,9 +39,24 @@
   return refuse(state, code === 'answerLost' ? 'noUpstream' : code, retryAfterMs);
 }
 
+/** Ends a request with a part that crashes upstreams. An answer of an upstream goes before the refusal. */
+export function quarantine(state: State, evidence: string): Step {
+  const runs = state.possibleRuns > 0 ? 'the request may have run' : 'the request was not run';
+  const next = { ...state, lastFailureReason: `${evidence}; ${runs}` };
+  if (state.isHeadSent) return abort(next);
+  if (state.failure) return deliver(next, state.failure);
+  return refuse(next, 'promptQuarantined', undefined);
+}
+
 function refuse(
   state: State,
-  code: 'outOfTime' | 'notStartedInTime' | 'noUpstream' | 'retriesExhausted' | 'answerLost',
+  code:
+    | 'outOfTime'
+    | 'notStartedInTime'
+    | 'noUpstream'
+    | 'retriesExhausted'
+    | 'answerLost'
+    | 'promptQuarantined',
   retryAfterMs: number | undefined,
 ): Step {
   const { status } = results.resultCodes[code];
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -23,10 +23,14 @@
 
 export function onNotPlaced(
   state: State,
-  { reason, freeInMs }: Extract<messages.RequestMessage, { type: 'fleet.not-placed' }>,
+  { reason, freeInMs, detail = '' }: Extract<messages.RequestMessage, { type: 'fleet.not-placed' }>,
   now: task.Instant,
 ): Step {
   if (state.phase.kind !== 'placing') return { state, commands: [] };
+  if (reason === 'quarantined') return endings.quarantine(state, detail);
+  if (reason === 'suspected') {
+    return endings.giveUp({ ...state, lastFailureReason: detail }, 'answerLost');
+  }
   const noPlacementSinceMs = state.noPlacementSinceMs ?? now.monotonicMs;
   const next = { ...state, noPlacementSinceMs, lastFailureReason: `no upstream: ${reason}` };
   const verdict = judgeUnplaced(next, freeInMs, now);
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -59,6 +59,8 @@
   | { kind: 'schedule'; timer: messages.RequestTimer; delayMs: number }
   | { kind: 'unschedule'; timer: messages.RequestTimer }
   | { kind: 'report'; attempt: Attempt; outcome: AttemptOutcome }
+  /** The attempt got through to its upstream’s answer. */
+  | { kind: 'report-begun'; attempt: Attempt }
   | { kind: 'record-failed-attempt'; upstream: string; reason: string }
   | { kind: 'record-request-end'; outcome: RequestOutcome };
 
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -36,6 +36,8 @@
       return onPlaced(state, message.destination, now);
     case 'fleet.not-placed':
       return search.onNotPlaced(state, message, now);
+    case 'fleet.attempt-withdrawn':
+      return onWithdrawn(state, message);
     case 'fleet.liveness-checked':
       return onLiveness(state, message.attempt, message.isSilent);
     case 'retry-budget.decided':
@@ -50,7 +52,6 @@
       return endings.onCallerDisconnected(state);
     case 'request.timer-fired':
       return onTimer(state, message.timer, now);
-    case 'fleet.attempt-withdrawn':
     case 'task.drain':
     case 'task.stop':
       return { state, commands: [] };
@@ -154,6 +155,18 @@
   return { state: next, commands: [...abandonment, search.place(next)] };
 }
 
+/** The attempt would crash its upstream, and no other may take the request. */
+function onWithdrawn(
+  state: State,
+  { upstream, reason }: Extract<messages.RequestMessage, { type: 'fleet.attempt-withdrawn' }>,
+): Step {
+  const { phase } = state;
+  const attempt =
+    phase.kind === 'attempting' || phase.kind === 'asking' ? phase.attempt : undefined;
+  if (attempt?.destination.upstream !== upstream) return { state, commands: [] };
+  return endings.quarantine(state, reason);
+}
+
 function currentAttempt({ phase }: State, attemptId: string): lifecycleState.Attempt | undefined {
   if (phase.kind !== 'attempting' && phase.kind !== 'asking') return undefined;
   return phase.attempt?.id === attemptId ? phase.attempt : undefined;
@@ -198,9 +211,12 @@
     outcome: endings.outcomeOf(result),
   };
   const stopIdleTimer: lifecycleState.Command = { kind: 'unschedule', timer: 'idle' };
+  const begun: readonly lifecycleState.Command[] = attemptResult.isWholeSuccess(result)
+    ? [{ kind: 'report-begun', attempt }]
+    : [];
   return {
     state: step.state,
-    commands: [report, stopIdleTimer, ...logCommands(attempt, result), ...step.commands],
+    commands: [...begun, report, stopIdleTimer, ...logCommands(attempt, result), ...step.commands],
   };
 }
 
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -47,6 +47,8 @@
       reason: PlacementRefusal;
       /** Expected time until an upstream can take the request, where that can be told. */
       freeInMs: number | undefined;
+      /** The evidence against a part of the prompt. */
+      detail?: string;
     }
   /** A part of the prompt was found to crash upstreams while the attempt had not begun. */
   | { type: 'fleet.attempt-withdrawn'; upstream: string; reason: string }
--- /dev/null
+++ b/packages/core/src/quarantine/check.ts
@@ -0,0 +1,61 @@
+/** Whether a request may go to an upstream, as far as the parts of its prompt are concerned. */
+import type * as task from '../kernel/task.js';
+import * as clearing from './clearing.js';
+import type * as command from './command.js';
+import type * as ledgers from './ledger.js';
+import * as names from './names.js';
+import * as tally from './tally.js';
+import * as trials from './trials.js';
+import * as verdicts from './verdicts.js';
+
+export type Request = {
+  requestId: string;
+  clientAccount: string;
+  model: string;
+  /** Without the last part. */
+  parts: readonly string[];
+  /** Whether an attempt before this one may have run. */
+  isRepeat: boolean;
+};
+
+export type Decision =
+  /** `trialOf`: quarantined parts that this request may try. */
+  | { kind: 'allowed'; trialOf: readonly string[] }
+  | {
+      kind: 'refused';
+      reason: 'quarantined' | 'suspected';
+      detail: string;
+      commands: readonly command.Command[];
+    };
+
+export function check(ledger: ledgers.Ledger, request: Request, now: task.Instant): Decision {
+  const { model, parts, clientAccount } = request;
+  const condemned = parts.flatMap((part) => {
+    const known = ledger.verdicts.get(names.partKey(model, part));
+    return known && verdicts.binds(known.verdict, clientAccount) ? [known] : [];
+  });
+  const [first] = condemned;
+  if (first && condemned.some(({ trial }) => trial.kind !== 'granted')) {
+    const detail = verdicts.describe(first.verdict);
+    const commands = trials.claim(ledger, condemned, now);
+    return { kind: 'refused', reason: 'quarantined', detail, commands };
+  }
+  const suspected = request.isRepeat ? suspectedPart(ledger, request, now) : undefined;
+  if (suspected !== undefined) {
+    const detail = `part ${suspected} of ${model} is suspected of a crash`;
+    return { kind: 'refused', reason: 'suspected', detail, commands: [] };
+  }
+  return { kind: 'allowed', trialOf: condemned.map(({ verdict }) => verdict.part) };
+}
+
+/** The first request with a part may be sent again, beside others that the part also crashed it may not. */
+function suspectedPart(
+  ledger: ledgers.Ledger,
+  { requestId, model, parts }: Request,
+  now: task.Instant,
+): string | undefined {
+  return parts.find((part) => {
+    const key = names.partKey(model, part);
+    return !clearing.isCleared(ledger, key, now) && tally.isCountedForOther(ledger, key, requestId);
+  });
+}
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -1,6 +1,8 @@
 /** Task that owns the state of the upstreams and the inventory of the context stores. */
 import * as core from '@medlarweir/core';
 
+import * as quarantineCommands from './quarantine-commands.js';
+
 type Message = core.messages.FleetMessage;
 type State = core.fleet.state.State;
 type Command = core.fleet.Command;
@@ -28,6 +30,7 @@
   targetVersions,
   peerWork,
   prefillRates,
+  quarantine,
 }: State): unknown {
   const upstreams = [...registry.upstreams.values()].map((each) => ({
     id: each.registration.id,
@@ -51,6 +54,7 @@
     heardPeers: [...peerWork.keys()],
     tokensReadPerMs: Object.fromEntries(prefillRates),
     named: Object.fromEntries(targetVersions),
+    quarantined: [...quarantine.verdicts.values()].map(({ verdict }) => verdict),
   };
 }
 
@@ -104,15 +108,24 @@
     case 'record-evacuation':
       record({ name: 'dataCentresEvacuated', details: { dataCentres: command.dataCentres } });
       return;
+    case 'send-quarantine-update':
+    case 'store-verdict':
+    case 'record-crash-suspects':
+    case 'record-verdict':
+    case 'record-verdict-lifted':
+    case 'record-trial':
+      quarantineCommands.perform(context, command);
+      return;
     default:
       core.results.assertNever(command);
   }
 }
 
 function recordPlacement(
-  { record }: TaskContext,
+  context: TaskContext,
   { placementRequest, decision }: Extract<Command, { kind: 'record-placement' }>,
 ): void {
+  const { record } = context;
   const { requestId, service } = placementRequest;
   switch (decision.kind) {
     case 'placed': {
@@ -122,9 +135,14 @@
       record({ name: 'requestPlaced', requestId, details });
       return;
     }
-    case 'none':
-      record({ name: 'requestPlaced', requestId, details: { service, reason: decision.reason } });
+    case 'none': {
+      const { reason, detail = '' } = decision;
+      record({ name: 'requestPlaced', requestId, details: { service, reason, detail } });
+      if (reason === 'quarantined' || reason === 'suspected') {
+        quarantineCommands.count(context, 'refused');
+      }
       return;
+    }
     default:
       core.results.assertNever(decision);
   }
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -101,6 +101,11 @@
     case 'report':
       reportOutcome(scope, command);
       return;
+    case 'report-begun': {
+      const { upstream } = command.attempt.destination;
+      send('fleet', { type: 'fleet.attempt-begun', requestId, upstream });
+      return;
+    }
     case 'record-failed-attempt':
       context.record({
         name: 'attemptFailed',
