--- a/packages/core/test/gateway/lifecycle.test.ts
+++ b/packages/core/test/gateway/lifecycle.test.ts
@@ -211,6 +211,78 @@
   assert.ok(commands.some(({ kind }) => kind === 'abort'));
 });
 
+function notPlaced(reason: 'quarantined' | 'suspected'): Message {
+  return { type: 'fleet.not-placed', reason, freeInMs: undefined, detail: 'part p of model-1' };
+}
+
+suite('a request with a quarantined part is refused at once, as not run and for good', () => {
+  const lifecycle = aLifecycle();
+  lifecycle.send(notPlaced('quarantined'));
+  const [reply] = replies(lifecycle);
+  assert.ok(reply?.type === 'reply.refuse' && reply.status === 422);
+  assert.ok(reply.retryAfterMs === undefined && /part p .*was not run/.test(reply.detail));
+});
+
+/** Guards against a false "not run": the attempt before the refusal reached its upstream. */
+suite('a repeat with a quarantined part is not said to be not run', () => {
+  const lifecycle = aLifecycle({ retryPolicy: 'retryable', maxRuns: 2 });
+  place(lifecycle, 'u-1');
+  end(lifecycle, BROKEN);
+  lifecycle.send({ type: 'retry-budget.decided', isGranted: true });
+  lifecycle.send(notPlaced('quarantined'));
+  const [reply] = replies(lifecycle);
+  assert.ok(reply?.type === 'reply.refuse' && reply.status === 422);
+  assert.ok(/may have run/.test(reply.detail) && !/not run/.test(reply.detail));
+});
+
+suite('a repeat with a suspected part ends as a lost answer', () => {
+  const lifecycle = aLifecycle({ retryPolicy: 'retryable', maxRuns: 2 });
+  place(lifecycle, 'u-1');
+  end(lifecycle, BROKEN);
+  lifecycle.send({ type: 'retry-budget.decided', isGranted: true });
+  lifecycle.send(notPlaced('suspected'));
+  const ended = lifecycle.lifecycle.commands.at(-1);
+  assert.is(ended?.kind === 'record-request-end' && ended.outcome.result, 'answerLost');
+});
+
+suite('a withdrawn attempt is aborted and ends its request', () => {
+  const lifecycle = aLifecycle();
+  place(lifecycle, 'u-1');
+  const withdrawn = { type: 'fleet.attempt-withdrawn' as const, reason: 'part p' };
+  assert.equal(lifecycle.send({ ...withdrawn, upstream: 'u-2' }), []);
+  const commands = lifecycle.send({ ...withdrawn, upstream: 'u-1' });
+  assert.ok(commands.some(({ kind }) => kind === 'abort'));
+  const [reply] = replies(lifecycle);
+  assert.ok(reply?.type === 'reply.refuse' && reply.status === 422);
+  assert.ok(/may have run/.test(reply.detail));
+});
+
+suite('a stream with a quarantined part is aborted once its head was sent', () => {
+  const lifecycle = aLifecycle({ retryPolicy: 'resumable', responseMode: 'stream', maxRuns: 2 });
+  place(lifecycle, 'u-1');
+  const attempt = attemptOf(lifecycle);
+  lifecycle.send({ type: 'attempt.head-received', attempt, head: fixtures.aResponseHead() });
+  end(lifecycle, BROKEN);
+  lifecycle.send({ type: 'retry-budget.decided', isGranted: true });
+  lifecycle.send(notPlaced('quarantined'));
+  assert.is(replies(lifecycle).at(-1)?.type, 'reply.abort');
+});
+
+/** Guards against an answer that its upstream broke off and that counts as a success for its parts. */
+suite('a whole answer tells the fleet that its parts got through only if its end is marked', () => {
+  const hasBegun = (result: core.gateway.attemptResult.Result) => {
+    const lifecycle = aLifecycle();
+    place(lifecycle, 'u-1');
+    return end(lifecycle, result).some(({ kind }) => kind === 'report-begun');
+  };
+  const unframed = { ...fixtures.aResponseHead(), isFramed: false };
+  const body = Buffer.from('answer');
+  assert.ok(hasBegun(fixtures.anAnsweredAttempt(200)));
+  assert.not.ok(hasBegun(fixtures.anAnsweredAttempt(200, false)));
+  assert.not.ok(hasBegun(fixtures.anAnsweredAttempt(500)));
+  assert.not.ok(hasBegun({ kind: 'answered', head: unframed, body, isSealed: true }));
+});
+
 /** One random input to a request, as numbers that `play` turns into a message. */
 type Move = { kind: number; value: number; afterMs: number };
 
@@ -242,6 +314,8 @@
     { type: 'request.timer-fired', timer: 'idle' },
     { type: 'fleet.liveness-checked', attempt, isSilent: value % 2 === 0 },
     { type: 'request.timer-fired', timer: value === 0 ? 'deadline' : 'place' },
+    { type: 'fleet.attempt-withdrawn', upstream: `u-${value}`, reason: 'withdrawn' },
+    notPlaced(value % 2 === 0 ? 'quarantined' : 'suspected'),
   ];
   const message = messages[kind % messages.length];
   if (message) given.send(message, afterMs);
@@ -260,7 +334,7 @@
 suite('for any input, runs stay within the route’s bound and a 503 means "not run"', () => {
   const moves = fastCheck.array(
     fastCheck.record({
-      kind: fastCheck.nat(8),
+      kind: fastCheck.nat(10),
       value: fastCheck.nat(9),
       afterMs: fastCheck.nat(200),
     }),
--- /dev/null
+++ b/packages/core/test/quarantine/verdicts.test.ts
@@ -0,0 +1,199 @@
+/** Guards against prompts that take one upstream after the other down, and against sound ones shut out for it. */
+import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+
+const suite = uvu.suite('quarantine: verdicts');
+
+function having(part: string, requestId = 'later', changed = {}) {
+  return { requestId, parts: [part], ...changed };
+}
+
+function kinds(commands: readonly core.fleet.Command[]) {
+  return commands.map(({ kind }) => kind);
+}
+
+suite('after three crashes, requests with the part are refused, and others are not', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const commands = fixtures.condemn(fleet);
+  assert.is(kinds(commands).filter((kind) => kind === 'record-verdict').length, 1);
+  assert.is(fleet.place(having('deadly'), 3_000), 'quarantined');
+  assert.match(fleet.place(having('sound'), 3_000), /^u-/);
+});
+
+suite('the last part of a prompt never counts', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  [0, 1, 2, 3].forEach((at) =>
+    fleet.crash({ requestId: 'same', parts: [], isRepeat: at > 0 }, 1_000 * at),
+  );
+  assert.is(fleet.state.quarantine.tallies.size, 0);
+});
+
+suite('parts that got through within a minute are not suspected', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  fleet.succeed({ requestId: 'first', parts: ['sound'] }, 0);
+  fixtures.condemn(fleet, 'sound');
+  assert.match(fleet.place(having('sound'), 3_000), /^u-/);
+  fixtures.condemn(fleet, 'sound', {}, 61_000);
+  assert.is(fleet.place(having('sound', 'last'), 64_000), 'quarantined');
+});
+
+suite('a success clears what was counted before', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  fleet.crash({ requestId: 'a', parts: ['rare'] }, 0);
+  fleet.crash({ requestId: 'b', parts: ['rare'] }, 500);
+  fleet.succeed({ requestId: 'c', parts: ['rare'] }, 1_000);
+  fleet.crash({ requestId: 'd', parts: ['rare'] }, 62_000);
+  assert.match(fleet.place(having('rare'), 63_000), /^u-/);
+});
+
+/** Guards against a data centre that goes down with requests in it: its upstreams are one event. */
+suite('crashes less than 250 ms apart count once', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  [0, 100, 200].forEach((atMs) => fleet.crash({ requestId: `r-${atMs}`, parts: ['p'] }, atMs));
+  assert.match(fleet.place(having('p'), 1_000), /^u-/);
+});
+
+/** Guards against a request that is unlucky three times and takes its own parts along. */
+suite('one request counts once, however many upstreams go down with it', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  [0, 1, 2, 3].forEach((at) =>
+    fleet.crash({ requestId: 'same', parts: ['p'], isRepeat: at > 0 }, at * 1_000),
+  );
+  assert.match(fleet.place(having('p'), 5_000), /^u-/);
+});
+
+suite('several requests at one upstream count once when it goes down', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const suspects = [0, 300, 600].map((ageMs) =>
+    fixtures.aSuspect({ requestId: `r-${ageMs}`, ageMs }),
+  );
+  const update = fixtures.aQuarantineUpdate({ suspects });
+  fleet.send({ type: 'fleet.quarantine-update', update }, 1_000);
+  assert.match(fleet.place(having('deadly'), 1_100), /^u-/);
+});
+
+suite('a verdict binds the client account of its crashes, and all from the second one on', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  fixtures.condemn(fleet, 'deadly', { clientAccount: 'account-1' });
+  const other = { clientAccount: 'account-2' };
+  assert.is(fleet.place(having('deadly', 'r-1'), 3_000), 'quarantined');
+  assert.match(fleet.place(having('deadly', 'r-2', other), 3_000), /^u-/);
+  fleet.crash(having('deadly', 'r-3', other), 4_000);
+  assert.is(fleet.place(having('deadly', 'r-4', other), 5_000), 'quarantined');
+  assert.is(
+    fleet.place(having('deadly', 'r-5', { clientAccount: 'account-3' }), 5_000),
+    'quarantined',
+  );
+});
+
+/** Guards against a request that takes the next upstream along when it is sent again. */
+suite('a repeat with a part that was counted for another request is not placed', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  fleet.crash({ requestId: 'a', parts: ['p'] }, 0);
+  fleet.crash({ requestId: 'b', parts: ['p', 'other'] }, 500);
+  assert.is(
+    fleet.place({ requestId: 'b', parts: ['p', 'other'], isRepeat: true }, 600),
+    'suspected',
+  );
+  assert.match(fleet.place({ requestId: 'c', parts: ['p'] }, 600), /^u-/);
+});
+
+suite('an innocent request that shared an upstream with a suspect is placed again', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  fleet.succeed({ requestId: 'first', parts: ['shared'] }, 0);
+  fleet.crash({ requestId: 'a', parts: ['shared', 'deadly'] }, 1_000);
+  fleet.crash({ requestId: 'b', parts: ['shared', 'own'] }, 1_000);
+  const again = { requestId: 'b', parts: ['shared', 'own'], isRepeat: true };
+  assert.match(fleet.place(again, 1_100), /^u-/);
+});
+
+suite('a verdict withdraws attempts that have not begun, and leaves the others', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  fleet.place({ requestId: 'waits', parts: ['deadly'] }, 0);
+  fleet.place({ requestId: 'other', parts: ['sound'] }, 0);
+  const withdrawn = fixtures
+    .condemn(fleet)
+    .filter((each) => each.kind === 'reply' && each.message.type === 'fleet.attempt-withdrawn');
+  assert.is(withdrawn.length, 1);
+});
+
+suite('an attempt that broke counts only if its upstream is found down soon', () => {
+  const breakAt = (requestId: string, atMs: number, downAfterMs: number) => {
+    const fleet = fixtures.aQuarantineFleet();
+    const upstream = fleet.place({ requestId, parts: ['p'] }, atMs);
+    const broken = fleet.end(requestId, upstream, 'broken', atMs);
+    assert.ok(broken.some((each) => each.kind === 'probe' && each.probe.kind === 'liveness'));
+    fleet.probe(upstream, { kind: 'healthy', coldMs: undefined }, atMs + 5);
+    fleet.send({ type: 'fleet.tick' }, atMs + downAfterMs - 1);
+    fleet.end('another', upstream, 'unreachable', atMs + downAfterMs);
+    return fleet.state.quarantine.tallies.size;
+  };
+  assert.is(breakAt('a', 0, 1_000), 1);
+  assert.is(breakAt('b', 0, 1_600), 0);
+});
+
+suite('a new incarnation and a removed entry show that the upstream went down', () => {
+  const after = (message: (upstream: string) => core.messages.FleetMessage) => {
+    const fleet = fixtures.aQuarantineFleet();
+    const upstream = fleet.place({ requestId: 'a', parts: ['p'] }, 0);
+    fleet.end('a', upstream, 'broken', 0);
+    fleet.send(message(upstream), 500);
+    return fleet.state.quarantine.tallies.size;
+  };
+  const list = (update: Partial<core.fleet.discovery.Update>): core.messages.FleetMessage => ({
+    type: 'fleet.upstream-list-read',
+    update: { changed: [], removed: [], isSnapshot: false, ...update },
+  });
+  const returned = (id: string) => fixtures.aListedUpstream(id, { incarnationStartedAtMs: 2 });
+  assert.is(
+    after((id) => list({ changed: [returned(id)] })),
+    1,
+  );
+  assert.is(
+    after((id) => list({ removed: [id] })),
+    1,
+  );
+  assert.is(
+    after(() => list({})),
+    0,
+  );
+});
+
+/** Guards against a release: an upstream that leaves closes its connections. */
+suite('attempts that broke at a draining or removed upstream are no suspects', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const upstream = fleet.place({ requestId: 'a', parts: ['p'] }, 0);
+  const update = { changed: [], removed: [upstream], isSnapshot: false };
+  fleet.send({ type: 'fleet.upstream-list-read', update }, 100);
+  fleet.end('a', upstream, 'broken', 200);
+  fleet.probe(upstream, { kind: 'no-response' }, 300);
+  assert.is(fleet.state.quarantine.tallies.size, 0);
+});
+
+/** Guards against breaks whose time is that of the instance’s return from a suspension. */
+suite('what broke while the instance itself was suspended is not suspected', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  fleet.send({ type: 'fleet.tick' }, 0);
+  const upstream = fleet.place({ requestId: 'a', parts: ['p'] }, 100);
+  fleet.end('a', upstream, 'broken', 5_000);
+  fleet.probe(upstream, { kind: 'no-response' }, 5_100);
+  assert.is(fleet.state.quarantine.tallies.size, 0);
+});
+
+suite('a success of an attempt in flight lifts the verdict and tells all', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const upstream = fleet.place({ requestId: 'early', parts: ['p'] }, 0);
+  fixtures.condemn(fleet, 'p');
+  const commands = fleet.begin('early', upstream, 3_000);
+  assert.ok(kinds(commands).includes('record-verdict-lifted'));
+  const told = commands.find((each) => each.kind === 'send-quarantine-update');
+  assert.equal(told?.kind === 'send-quarantine-update' && [told.audience, told.update.cleared], [
+    'all',
+    [{ model: 'model-1', part: 'p' }],
+  ]);
+  assert.match(fleet.place(having('p'), 3_100), /^u-/);
+});
+
+suite.run();
