News about quarantined parts travel between instances

Cause: a verdict must be known to all instances within moments; the update about it had no encoding and no receivers.

Change: one more body of datagrams, with its schema. It is split by size so that each datagram fits into a packet; a suspect that is larger by itself goes alone. The choice of receivers moves to `audiences.ts`.

Measured: `npm test -- peer-notes`: 10 passed, of these a burst of 32 suspects, 64 cleared parts and 64 verdicts in packets. Without the encoding the round trip threw `not encoded yet`.

--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -6,6 +6,7 @@
 
 import * as core from '@medlarweir/core';
 
+import * as quarantineRows from './quarantine-rows.js';
 import * as schemas from './schemas.js';
 import * as storeRows from './store-rows.js';
 
@@ -39,7 +40,7 @@
       ];
     }
     case 'quarantine':
-      throw new Error('not encoded yet');
+      return ['quarantine', peerUpdate.update.from, quarantineRows.toRows(peerUpdate.update)];
     case 'stores':
       return ['stores', peerUpdate.from, storeRows.toRows(peerUpdate.updates)];
     case 'question':
@@ -96,6 +97,10 @@
         update: { from, incarnation, sentAtMs, scope, instances, isSnapshot, work, sentParts },
       };
     }
+    case 'quarantine': {
+      const [kind, from, rows] = tuple;
+      return { kind, update: quarantineRows.fromRows(from, rows) };
+    }
     case 'stores': {
       const [kind, from, rows] = tuple;
       return { kind, from, updates: storeRows.fromRows(rows) };
--- a/packages/plugins/peer-notes-udp/src/index.ts
+++ b/packages/plugins/peer-notes-udp/src/index.ts
@@ -8,6 +8,8 @@
 import * as readersTask from './readers-task.js';
 
 export * as datagram from './datagram.js';
+export * as audiences from './audiences.js';
+export * as quarantineRows from './quarantine-rows.js';
 
 core.kernel.register<core.settings.gateway.GatewaySettings>({
   name: 'peer-notes-udp',
--- a/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
@@ -6,7 +6,9 @@
 
 import * as core from '@medlarweir/core';
 
+import * as audiences from './audiences.js';
 import * as datagram from './datagram.js';
+import * as quarantineRows from './quarantine-rows.js';
 
 type PeerEndpoint = core.messages.PeerEndpoint;
 type Message = core.messages.PeerUpdatesMessage | { type: 'peer-updates.received'; bytes: Buffer };
@@ -16,6 +18,8 @@
   audiences: core.messages.Audiences;
   addresses: ReadonlyMap<string, string>;
   keys: ReadonlyMap<string, string>;
+  /** Updates about quarantined parts that went to some members only. */
+  rounds: number;
 };
 type Command =
   | { kind: 'listen' }
@@ -31,8 +35,6 @@
 type Settings = core.settings.gateway.GatewaySettings;
 type TaskContext = core.kernel.TaskContext<Message, Settings>;
 
-/** Limits the traffic to 10 KB/s, at four updates of 150 bytes per second to each receiver. */
-const MAX_RECEIVERS = 16;
 export function definition(
   address: string,
 ): core.kernel.TaskDefinition<State, Message, Command, Settings> {
@@ -47,10 +49,11 @@
           audiences: { own: [], group: [], fleet: [] },
           addresses: new Map(),
           keys: new Map(),
+          rounds: 0,
         },
         decide: (state, message) => decide(name, dataCentre, state, message),
         perform: (command) => perform(context, socket, address, command),
-        dump: ({ audiences }) => ({ audiences }),
+        dump: (state) => ({ audiences: state.audiences }),
       };
     },
   };
@@ -70,11 +73,11 @@
       return { state: { ...state, audiences: message.audiences }, commands: [] };
     case 'peer-updates.publish-work': {
       const { update } = message;
-      const audience = audienceOf(state, name, dataCentre, update.scope);
+      const audience = audiences.ofWork(state, name, dataCentre, update.scope);
       return { state, commands: sendCommands(state, name, { kind: 'work', update }, audience) };
     }
     case 'peer-updates.publish-quarantine':
-      return { state, commands: [] };
+      return publishQuarantine(name, state, message);
     case 'peer-updates.send':
       return { state, commands: sendCommands(state, name, message.update, message.to) };
     case 'peer-updates.received':
@@ -84,6 +87,21 @@
   }
 }
 
+function publishQuarantine(
+  name: string,
+  state: State,
+  { update, audience }: Extract<Message, { type: 'peer-updates.publish-quarantine' }>,
+): Step {
+  const receivers = audiences.ofQuarantine(state, name, audience);
+  const rounds = audience === 'some' ? state.rounds + 1 : state.rounds;
+  const commands = quarantineRows
+    .split(update)
+    .flatMap((piece) =>
+      sendCommands(state, name, { kind: 'quarantine', update: piece }, receivers),
+    );
+  return { state: { ...state, rounds }, commands };
+}
+
 function sendCommands(
   { keys, addresses }: State,
   name: string,
@@ -97,25 +115,6 @@
     : [{ kind: 'send', update, key, receivers }];
 }
 
-/** Without a reader, own work goes to all members; if they are too many, to those nearby first. */
-function audienceOf(
-  { members, audiences }: State,
-  name: string,
-  dataCentre: string,
-  scope: core.fleet.peerWork.Scope,
-): readonly string[] {
-  const named = audiences[scope];
-  if (named.length > 0 || scope !== 'own') return named;
-  const others = members.filter((each) => each.name !== name);
-  const local = others.filter((each) => each.dataCentre === dataCentre);
-  const remote = others.filter((each) => each.dataCentre !== dataCentre);
-  const ranked = core.membership.rank(
-    name,
-    remote.map((each) => each.name),
-  );
-  return [...local.map((each) => each.name), ...ranked].slice(0, MAX_RECEIVERS);
-}
-
 function withMembers(state: State, members: readonly PeerEndpoint[]): State {
   const pairs = <Value>(valueOf: (member: PeerEndpoint) => Value | undefined) =>
     new Map(
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -27,6 +27,36 @@
 /** Key, version, value, write id. */
 const objectRow = zod.tuple([zod.string(), zod.number(), zod.unknown(), zod.string()]);
 
+/** Model and part id. */
+const partOfModelRow = zod.tuple([zod.string(), zod.string()]);
+/** Crash, upstream, request id, client account, model, part ids, age in ms. */
+const suspectRow = zod.tuple([
+  zod.string(),
+  zod.string(),
+  zod.string(),
+  zod.string(),
+  zod.string(),
+  zod.array(zod.string()),
+  amount,
+]);
+/** Upstream and request id. */
+const crashRow = zod.tuple([zod.string(), zod.string()]);
+/** Model, part id, client accounts, crashes, wall time in ms, trials. */
+const verdictRow = zod.tuple([
+  zod.string(),
+  zod.string(),
+  zod.array(zod.string()),
+  zod.array(crashRow),
+  amount,
+  zod.number().int().nonnegative(),
+]);
+/** Suspects, cleared parts, verdicts. */
+const quarantineRows = zod.tuple([
+  zod.array(suspectRow),
+  zod.array(partOfModelRow),
+  zod.array(verdictRow),
+]);
+
 /** By kind, so that an update is checked against one schema only. */
 const bodies = {
   /** Kind, sender, incarnation, send time, scope, instances, is a snapshot, work, sent parts. */
@@ -41,6 +71,7 @@
     zod.array(workRow),
     zod.array(sentRow),
   ]),
+  quarantine: zod.tuple([zod.literal('quarantine'), zod.string(), quarantineRows]),
   stores: zod.tuple([zod.literal('stores'), zod.string(), zod.array(storeRow)]),
   question: zod.tuple([zod.literal('question'), zod.string(), question]),
   answer: zod.tuple([zod.literal('answer'), zod.string(), question, zod.array(position)]),
@@ -56,7 +87,9 @@
   ]),
 };
 
-const kinds = zod.tuple([zod.enum(['work', 'stores', 'question', 'answer', 'changes'])]);
+const kinds = zod.tuple([
+  zod.enum(['work', 'quarantine', 'stores', 'question', 'answer', 'changes']),
+]);
 const anyBody = kinds.rest(zod.unknown());
 
 export type Body = zod.infer<(typeof bodies)[keyof typeof bodies]>;
@@ -67,6 +100,9 @@
 }
 
 export type QuestionTuple = zod.infer<typeof question>;
+export type QuarantineRows = zod.infer<typeof quarantineRows>;
+export type SuspectRow = zod.infer<typeof suspectRow>;
+export type VerdictRow = zod.infer<typeof verdictRow>;
 export type StoreTuple = zod.infer<typeof storeRow>;
 
 /** Token count that marks a part which the store no longer holds. */
--- a/packages/plugins/peer-notes-udp/test/datagram.test.ts
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -53,10 +53,50 @@
   return { kind: 'changes' as const, from: 'instance-2', changes };
 }
 
+function aQuarantineUpdate(changed: Partial<core.quarantine.Update> = {}) {
+  const update = {
+    from: 'instance-2',
+    suspects: [aSuspect(0)],
+    cleared: [{ model: 'model-1', part: 'b2' }],
+    verdicts: [aVerdict(0)],
+    ...changed,
+  };
+  return { kind: 'quarantine' as const, update };
+}
+
+/** Names as long as those of the platform. */
+function aSuspect(at: number): core.quarantine.Suspect {
+  const upstream = `i-${String(at).padStart(10, 'a')}`;
+  return {
+    crash: `${upstream}@1790000000000`,
+    upstream,
+    requestId: String(at).padStart(16, 'b'),
+    clientAccount: 'an-account-1',
+    model: 'model-1234567',
+    parts: Array.from({ length: 12 }, (_, part) => `${at}${part}`.padStart(8, 'c')),
+    ageMs: 12,
+  };
+}
+
+function aVerdict(at: number): core.quarantine.Verdict {
+  const crashes = [0, 1, 2].map(aSuspect).map(({ upstream, requestId }) => ({
+    upstream,
+    requestId,
+  }));
+  return {
+    model: 'model-1234567',
+    part: String(at).padStart(8, 'd'),
+    clientAccounts: ['an-account-1', 'an-account-2'],
+    crashes,
+    condemnedAtMs: 1_790_000_000_000,
+    trials: 1,
+  };
+}
+
 suite('decoding an encoded update returns the same update', () => {
   const { encode, decode } = peerNotes.datagram;
-  [aWorkUpdate(), aStoreUpdate(), aQuestion(), anAnswer(), aChange()].forEach((update) =>
-    assert.equal(decode(encode(update, KEY), keyOf), update),
+  [aWorkUpdate(), aQuarantineUpdate(), aStoreUpdate(), aQuestion(), anAnswer(), aChange()].forEach(
+    (update) => assert.equal(decode(encode(update, KEY), keyOf), update),
   );
 });
 
@@ -105,6 +145,48 @@
   );
 });
 
+/** Guards against a burst of crashes whose evidence is lost because it does not fit into a packet. */
+suite('all evidence of a burst of crashes arrives, in datagrams that fit into packets', () => {
+  const { update } = aQuarantineUpdate({
+    suspects: Array.from({ length: 32 }, (_, at) => aSuspect(at)),
+    cleared: Array.from({ length: 64 }, (_, at) => ({ model: 'model-1', part: String(at) })),
+    verdicts: Array.from({ length: 64 }, (_, at) => aVerdict(at)),
+  });
+  const pieces = peerNotes.quarantineRows.split(update);
+  const received = pieces.map((each) => {
+    const bytes = peerNotes.datagram.encode({ kind: 'quarantine', update: each }, KEY);
+    assert.ok(bytes.length <= MAX_PACKET_BYTES);
+    const decoded = peerNotes.datagram.decode(bytes, keyOf);
+    return decoded?.kind === 'quarantine' ? decoded.update : undefined;
+  });
+  assert.equal(
+    received.flatMap((each) => each?.suspects ?? []),
+    update.suspects,
+  );
+  assert.equal(
+    received.flatMap((each) => each?.cleared ?? []),
+    update.cleared,
+  );
+  assert.equal(
+    received.flatMap((each) => each?.verdicts ?? []),
+    update.verdicts,
+  );
+});
+
+suite('a suspect with names as long as a header goes alone and keeps its neighbours whole', () => {
+  const large = { ...aSuspect(1), parts: ['x'.repeat(5_000)] };
+  const { update } = aQuarantineUpdate({ suspects: [aSuspect(0), large, aSuspect(2)] });
+  const sizes = peerNotes.quarantineRows
+    .split(update)
+    .map((each) => peerNotes.datagram.encode({ kind: 'quarantine', update: each }, KEY).length);
+  assert.is(sizes.filter((size) => size > MAX_PACKET_BYTES).length, 1);
+});
+
+suite('an update without content needs no datagram', () => {
+  const nothing = aQuarantineUpdate({ suspects: [], cleared: [], verdicts: [] });
+  assert.equal(peerNotes.quarantineRows.split(nothing.update), []);
+});
+
 suite('rejects an update from an unknown sender or signed with another key', () => {
   const fromStranger = {
     kind: 'work' as const,
