A refused request is explained by the verdict and its evidence

Cause: `explain` showed lines of a request, its instance and its upstreams; a verdict on a part of the prompt, which another instance may have reached a minute before, was not among them.

Change: if the reason of a request names a part and its model, the explanation holds the verdicts on that part (and their ends) from all journals up to the end of the request, and the suspicions of the requests that they name.

--- a/packages/core/src/events/explain.ts
+++ b/packages/core/src/events/explain.ts
@@ -14,8 +14,14 @@
 
 export type JournalLine = zod.infer<typeof lineSchema>;
 
-/** `request`: a line of the request itself; the others are about its instance and its upstreams. */
-export type RelatedLine = { line: JournalLine; about: 'request' | 'upstream' | 'instance' };
+/**
+ * `request`: a line of the request itself; the others are about its instance, its upstreams, and the
+ * quarantine of a part of its prompt with the evidence for it.
+ */
+export type RelatedLine = {
+  line: JournalLine;
+  about: 'request' | 'upstream' | 'instance' | 'quarantine';
+};
 
 const { catalogue: table } = catalogue;
 /** Events about an instance's state that can affect the outcome of a request. */
@@ -32,6 +38,10 @@
     table.linesDropped,
   ].map(({ number }) => number),
 );
+/** Events about a prompt part, which any instance may have recorded at any time before. */
+const QUARANTINE_EVENTS: ReadonlySet<number> = new Set(
+  [table.partCondemned, table.verdictLifted].map(({ number }) => number),
+);
 /** Events up to this long before the start of the request are included. */
 const LOOKBACK_MS = 5_000;
 
@@ -71,10 +81,44 @@
     ...near
       .filter((line) => upstreamsOf(line).some((id) => upstreams.has(id)))
       .map((line): RelatedLine => ({ line, about: 'upstream' })),
+    ...quarantineOf(lines, own, endMs).map((line): RelatedLine => ({ line, about: 'quarantine' })),
   ];
   return [...explained].sort((a, b) => timeOf(a.line) - timeOf(b.line));
 }
 
+/** The verdicts that the request's own lines give as a reason, and the crashes that led to them. */
+function quarantineOf(
+  lines: readonly JournalLine[],
+  own: readonly JournalLine[],
+  endMs: number,
+): readonly JournalLine[] {
+  const reasons = own.flatMap(({ reason }) => (typeof reason === 'string' ? [reason] : []));
+  const verdicts = lines.filter(
+    (line) =>
+      QUARANTINE_EVENTS.has(line.event) &&
+      timeOf(line) <= endMs &&
+      reasons.some((reason) => names(reason, line.part) && names(reason, line.model)),
+  );
+  const requests = new Set(verdicts.flatMap(({ requests: named }) => stringsIn(named)));
+  const evidence = lines.filter(
+    (line) =>
+      line.event === table.crashSuspected.number &&
+      line.requestId !== undefined &&
+      requests.has(line.requestId) &&
+      !own.includes(line),
+  );
+  return [...verdicts, ...evidence];
+}
+
+/** Whether the text names a part or a model as a word of its own. */
+function names(text: string, name: unknown): boolean {
+  return typeof name === 'string' && text.split(/[\s,;]+/).includes(name);
+}
+
+function stringsIn(found: unknown): readonly string[] {
+  return Array.isArray(found) ? found.map(String) : [];
+}
+
 function timeOf({ time }: JournalLine): number {
   return Date.parse(time);
 }
@@ -85,5 +129,5 @@
 
 function upstreamsOf({ upstream, upstreams }: JournalLine): readonly string[] {
   if (typeof upstream === 'string') return [upstream];
-  return Array.isArray(upstreams) ? upstreams.map(String) : [];
+  return stringsIn(upstreams);
 }
--- a/packages/core/test/events/explain.test.ts
+++ b/packages/core/test/events/explain.test.ts
@@ -29,8 +29,8 @@
   aLine(30_000, 'dependencyBack', { dependency: 'store' }),
 ];
 
-function explained(id: string) {
-  const lines = JOURNAL.flatMap((text) => core.events.parseLine(text) ?? []);
+function explained(id: string, journal = JOURNAL) {
+  const lines = journal.flatMap((text) => core.events.parseLine(text) ?? []);
   return core.events.explain(lines, id).map(({ line, about }) => [line.event, about]);
 }
 
@@ -43,6 +43,37 @@
   ]);
 });
 
+/** A request refused at one instance for a verdict that another one reached a minute before. */
+const QUARANTINE_JOURNAL = [
+  aLine(0, 'crashSuspected', { requestId: 'r-7', upstream: 'u-7', model: 'm', parts: ['a1'] }),
+  aLine(10, 'crashSuspected', { requestId: 'r-8', upstream: 'u-8', model: 'm', parts: ['b2'] }),
+  aLine(20, 'partCondemned', {
+    instance: 'instance-2',
+    ...{ model: 'm', part: 'a1', clientAccounts: ['a'], upstreams: ['u-7'], requests: ['r-7'] },
+  }),
+  aLine(30, 'partCondemned', { model: 'm', part: 'a', upstreams: [], requests: [] }),
+  aLine(40, 'partCondemned', { model: 'other', part: 'a1', upstreams: [], requests: [] }),
+  aLine(60_000, 'requestFinished', {
+    requestId: 'r-9',
+    result: 'promptQuarantined',
+    reason: 'part a1 of m is in quarantine after crashes of u-7; the request was not run',
+  }),
+  aLine(70_000, 'partCondemned', { model: 'm', part: 'a1', upstreams: [], requests: [] }),
+];
+
+/** Guards against a refusal that cannot be traced to the crashes behind it. */
+suite(
+  'a request refused for a quarantined part is explained by the verdict and its evidence',
+  () => {
+    const { crashSuspected, partCondemned, requestFinished } = core.events.catalogue;
+    assert.equal(explained('r-9', QUARANTINE_JOURNAL), [
+      [crashSuspected.number, 'quarantine'],
+      [partCondemned.number, 'quarantine'],
+      [requestFinished.number, 'request'],
+    ]);
+  },
+);
+
 suite('a request that no line names has an empty explanation', () => {
   assert.equal(explained('r-3'), []);
 });
