medlarctl quarantine: see and lift verdicts on prompt parts

Cause: an operator could neither see which parts are kept from upstreams, nor let one in again.

Change: `quarantine list` and `quarantine lift MODEL PART`, which shows the evidence and asks before it removes the verdict's object.

--- a/packages/medlarctl/src/commands/index.ts
+++ b/packages/medlarctl/src/commands/index.ts
@@ -9,3 +9,4 @@
 import './diff.js';
 import './revert.js';
 import './explain.js';
+import './quarantine.js';
