--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as crashes from './crashes.js';
 import * as endless from './endless.js';
 import * as eventStreams from './event-streams.js';
 
@@ -62,6 +63,11 @@
   /** Connections on which an answer without end has not been closed. */
   countEndless(): number;
   setFault(fault: Fault): void;
+  /** From now on, a prompt with the part makes the upstream crash as it begins to answer. */
+  setDeadlyPart(part: string, downMs: number): void;
+  /** Called with the time of each start after a crash. */
+  onRestart(listener: (startedAtMs: number) => Promise<void>): void;
+  countCrashes(): number;
   /** Sets the number of events in a stream and the pause between them. */
   setStream(events: number, pauseMs: number): void;
   version(): number;
@@ -116,6 +122,12 @@
     response.on('close', () => {
       if (!response.writableFinished) state.abandoned += 1;
     });
+    if (crasher.isDeadly(received)) {
+      response.writeHead(200, { ...headersOf(received), 'content-type': 'text/event-stream' });
+      response.flushHeaders();
+      setTimeout(crasher.crash, state.pauseMs);
+      return;
+    }
     if (state.fault === 'silent') return;
     if (endless.isEndless(state.fault)) {
       state.endless += 1;
@@ -242,6 +254,7 @@
       }
     });
   });
+  const crasher = crashes.create(server);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -256,12 +269,11 @@
     setFault: (fault) => {
       state.fault = fault;
     },
+    setDeadlyPart: crasher.setDeadlyPart,
+    onRestart: crasher.onRestart,
+    countCrashes: crasher.count,
     setStream: (events, pauseMs) => Object.assign(state, { events, pauseMs }),
     version: () => state.version,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    close: crasher.close,
   };
 }
