--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -19,6 +19,8 @@
   requestId: string;
   service: string;
   prompt: request.Prompt | undefined;
+  /** Empty without one. */
+  clientAccount: string;
   /** Name of the client account if it shares no context with others. */
   isolatedAccount: string | undefined;
   excludedUpstreams: readonly string[];
@@ -26,6 +28,8 @@
   latencyTargetMs: number;
   /** Whether the request may be refused; false once an answer has begun. */
   mayRefuse: boolean;
+  /** Whether an attempt before this one may have run. */
+  isRepeat: boolean;
 };
 
 export type Decision =
@@ -35,6 +39,8 @@
       reason: messages.PlacementRefusal;
       /** Expected time until an upstream can take the request, where that can be told. */
       freeInMs: number | undefined;
+      /** The evidence against a part of the prompt. */
+      detail?: string;
     };
 
 /** Round trip to another data centre, plus the price of the bytes between data centres. */
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -17,15 +17,20 @@
 const STREAM_PLACEMENT_TIMEOUT_MS = 1_500;
 
 export function place({ excluded, isHeadSent, possibleRuns }: State): lifecycleState.Command {
-  return { kind: 'place', excluded, mayRefuse: !isHeadSent && possibleRuns === 0 };
+  const isRepeat = possibleRuns > 0;
+  return { kind: 'place', excluded, mayRefuse: !isHeadSent && !isRepeat, isRepeat };
 }
 
 export function onNotPlaced(
   state: State,
-  { reason, freeInMs }: Extract<messages.RequestMessage, { type: 'fleet.not-placed' }>,
+  { reason, freeInMs, detail = '' }: Extract<messages.RequestMessage, { type: 'fleet.not-placed' }>,
   now: task.Instant,
 ): Step {
   if (state.phase.kind !== 'placing') return { state, commands: [] };
+  if (reason === 'quarantined') return endings.quarantine(state, detail);
+  if (reason === 'suspected') {
+    return endings.giveUp({ ...state, lastFailureReason: detail }, 'answerLost');
+  }
   const noPlacementSinceMs = state.noPlacementSinceMs ?? now.monotonicMs;
   const next = { ...state, noPlacementSinceMs, lastFailureReason: `no upstream: ${reason}` };
   const verdict = judgeUnplaced(next, freeInMs, now);
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -52,7 +52,7 @@
 };
 
 export type Command =
-  | { kind: 'place'; excluded: readonly string[]; mayRefuse: boolean }
+  | { kind: 'place'; excluded: readonly string[]; mayRefuse: boolean; isRepeat: boolean }
   | { kind: 'send'; attempt: Attempt; lastEventId: string | undefined; deadlineAtMs: number }
   | { kind: 'abort'; attempt: string }
   | { kind: 'ask-retry-budget' }
@@ -62,6 +62,8 @@
   | { kind: 'schedule'; timer: messages.RequestTimer; delayMs: number }
   | { kind: 'unschedule'; timer: messages.RequestTimer }
   | { kind: 'report'; attempt: Attempt; outcome: AttemptOutcome }
+  /** The attempt got through to its upstream’s answer. */
+  | { kind: 'report-begun'; attempt: Attempt }
   | { kind: 'record-failed-attempt'; upstream: string; reason: string }
   | { kind: 'record-request-end'; outcome: RequestOutcome };
 
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -38,8 +38,12 @@
   replacedForMs: number | undefined;
 };
 
-/** `cold`: the only candidates left are cold upstreams that are at their rate limit. */
-export type PlacementRefusal = 'unknown-service' | 'none-usable' | 'cold' | 'full';
+/**
+ * `cold`: the only candidates left are cold upstreams that are at their rate limit. `quarantined`: a
+ * part of the prompt crashes upstreams. `suspected`: one may, and the request may have run already.
+ */
+export type PlacementRefusal =
+  'unknown-service' | 'none-usable' | 'cold' | 'full' | 'quarantined' | 'suspected';
 
 export type RequestTimer = 'deadline' | 'idle' | 'place' | 'begin';
 
@@ -52,7 +56,11 @@
       reason: PlacementRefusal;
       /** Expected time until an upstream can take the request, where that can be told. */
       freeInMs: number | undefined;
+      /** The evidence against a part of the prompt. */
+      detail?: string;
     }
+  /** A part of the prompt was found to crash upstreams while the attempt had not begun. */
+  | { type: 'fleet.attempt-withdrawn'; upstream: string; reason: string }
   | { type: 'fleet.liveness-checked'; attempt: string; isSilent: boolean }
   /** `beginBy` is undefined if the upstream has the newest weights, or is not known any more. */
   | { type: 'fleet.begin-checked'; attempt: string; beginBy: task.Instant | undefined }
@@ -88,6 +96,8 @@
   | { type: 'gateway.members-changed'; instances: number }
   /** The list of upstreams has been read for the first time. */
   | { type: 'gateway.upstreams-known' }
+  /** The list of quarantined parts has been read for the first time. */
+  | { type: 'gateway.verdicts-known' }
   | { type: 'gateway.ask-retry-budget'; service: string; replyTo: RequestAddress }
   | { type: 'gateway.tick' };
 
--- a/packages/core/test/gateway/lifecycle.test.ts
+++ b/packages/core/test/gateway/lifecycle.test.ts
@@ -12,48 +12,44 @@
 
 type Message = core.messages.RequestMessage;
 type Command = core.gateway.lifecycleState.Command;
-type Lifecycle = fixtures.lifecycle.Lifecycle;
-
-const { aLifecycle, attemptOf, place, end, replies, sends } = fixtures.lifecycle;
 
 const REJECTED: core.gateway.attemptResult.Result = { kind: 'rejected', status: 503 };
-const BROKEN: core.gateway.attemptResult.Result = {
-  kind: 'broken',
-  reason: 'connection-lost',
-  detail: 'reset',
-};
 
 suite('a complete response is delivered to the caller', () => {
-  const lifecycle = aLifecycle();
-  place(lifecycle, 'u-1');
-  end(lifecycle, fixtures.anAnsweredAttempt(200));
+  const lifecycle = fixtures.aLifecycle();
+  fixtures.placeAttempt(lifecycle, 'u-1');
+  fixtures.endAttempt(lifecycle, fixtures.anAnsweredAttempt(200));
   assert.equal(
-    replies(lifecycle).map(({ type }) => type),
+    fixtures.repliesOf(lifecycle).map(({ type }) => type),
     ['reply.complete'],
   );
 });
 
 suite('an at-most-once request is sent again after a confirmed rejection', () => {
-  const lifecycle = aLifecycle();
-  place(lifecycle, 'u-1');
-  end(lifecycle, REJECTED);
+  const lifecycle = fixtures.aLifecycle();
+  fixtures.placeAttempt(lifecycle, 'u-1');
+  fixtures.endAttempt(lifecycle, REJECTED);
   lifecycle.send({ type: 'retry-budget.decided', isGranted: true });
-  place(lifecycle, 'u-2');
-  assert.is(sends(lifecycle), 2);
+  fixtures.placeAttempt(lifecycle, 'u-2');
+  assert.is(fixtures.countSends(lifecycle), 2);
 });
 
 suite('an at-most-once request is not sent again after its connection broke', () => {
-  const lifecycle = aLifecycle();
-  place(lifecycle, 'u-1');
-  end(lifecycle, BROKEN);
-  assert.is(sends(lifecycle), 1);
-  const [reply] = replies(lifecycle);
+  const lifecycle = fixtures.aLifecycle();
+  fixtures.placeAttempt(lifecycle, 'u-1');
+  fixtures.endAttempt(lifecycle, fixtures.BROKEN_ATTEMPT);
+  assert.is(fixtures.countSends(lifecycle), 1);
+  const [reply] = fixtures.repliesOf(lifecycle);
   assert.is(reply?.type === 'reply.refuse' && reply.status, 502);
 });
 
 suite('a retryable request is retried at another upstream when the response is late', () => {
-  const lifecycle = aLifecycle({ retryPolicy: 'retryable', maxRuns: 2, latencyTargetMs: 100 });
-  place(lifecycle, 'u-1');
+  const lifecycle = fixtures.aLifecycle({
+    retryPolicy: 'retryable',
+    maxRuns: 2,
+    latencyTargetMs: 100,
+  });
+  fixtures.placeAttempt(lifecycle, 'u-1');
   lifecycle.send({ type: 'request.timer-fired', timer: 'idle' }, 250);
   const commands = lifecycle.send({ type: 'retry-budget.decided', isGranted: true });
   assert.ok(commands.some(({ kind }) => kind === 'abort'));
@@ -62,27 +58,35 @@
 });
 
 suite('a late attempt stays in flight when the retry budget refuses', () => {
-  const lifecycle = aLifecycle({ retryPolicy: 'retryable', maxRuns: 2, latencyTargetMs: 100 });
-  place(lifecycle, 'u-1');
+  const lifecycle = fixtures.aLifecycle({
+    retryPolicy: 'retryable',
+    maxRuns: 2,
+    latencyTargetMs: 100,
+  });
+  fixtures.placeAttempt(lifecycle, 'u-1');
   lifecycle.send({ type: 'request.timer-fired', timer: 'idle' }, 250);
   lifecycle.send({ type: 'retry-budget.decided', isGranted: false });
-  end(lifecycle, fixtures.anAnsweredAttempt(200));
-  assert.is(replies(lifecycle)[0]?.type, 'reply.complete');
+  fixtures.endAttempt(lifecycle, fixtures.anAnsweredAttempt(200));
+  assert.is(fixtures.repliesOf(lifecycle)[0]?.type, 'reply.complete');
 });
 
 suite('an upstream’s error response is delivered if no other upstream answers', () => {
-  const lifecycle = aLifecycle({ retryPolicy: 'retryable', maxRuns: 2 });
-  place(lifecycle, 'u-1');
-  end(lifecycle, fixtures.anAnsweredAttempt(500));
+  const lifecycle = fixtures.aLifecycle({ retryPolicy: 'retryable', maxRuns: 2 });
+  fixtures.placeAttempt(lifecycle, 'u-1');
+  fixtures.endAttempt(lifecycle, fixtures.anAnsweredAttempt(500));
   lifecycle.send({ type: 'retry-budget.decided', isGranted: false });
-  const [reply] = replies(lifecycle);
+  const [reply] = fixtures.repliesOf(lifecycle);
   assert.is(reply?.type === 'reply.complete' && reply.head.status, 500);
 });
 
 suite('a resumable stream resumes after the last event that was forwarded', () => {
-  const lifecycle = aLifecycle({ retryPolicy: 'resumable', responseMode: 'stream', maxRuns: 2 });
-  place(lifecycle, 'u-1');
-  const attempt = attemptOf(lifecycle);
+  const lifecycle = fixtures.aLifecycle({
+    retryPolicy: 'resumable',
+    responseMode: 'stream',
+    maxRuns: 2,
+  });
+  fixtures.placeAttempt(lifecycle, 'u-1');
+  const attempt = fixtures.attemptOf(lifecycle);
   lifecycle.send({ type: 'attempt.head-received', attempt, head: fixtures.aResponseHead() });
   lifecycle.send({
     type: 'attempt.events-received',
@@ -90,75 +94,75 @@
     bytes: Buffer.from('e'),
     lastEventId: '7',
   });
-  end(lifecycle, BROKEN);
+  fixtures.endAttempt(lifecycle, fixtures.BROKEN_ATTEMPT);
   lifecycle.send({ type: 'retry-budget.decided', isGranted: true });
-  place(lifecycle, 'u-2');
+  fixtures.placeAttempt(lifecycle, 'u-2');
   const last = lifecycle.lifecycle.commands.filter((each) => each.kind === 'send').at(-1);
   assert.is(last?.kind === 'send' && last.lastEventId, '7');
   lifecycle.send({
     type: 'attempt.head-received',
-    attempt: attemptOf(lifecycle),
+    attempt: fixtures.attemptOf(lifecycle),
     head: fixtures.aResponseHead(),
   });
-  assert.is(replies(lifecycle).filter(({ type }) => type === 'reply.head').length, 1);
+  assert.is(fixtures.repliesOf(lifecycle).filter(({ type }) => type === 'reply.head').length, 1);
 });
 
 suite('an at-most-once stream is aborted when its upstream breaks off', () => {
-  const lifecycle = aLifecycle({ responseMode: 'stream' });
-  place(lifecycle, 'u-1');
+  const lifecycle = fixtures.aLifecycle({ responseMode: 'stream' });
+  fixtures.placeAttempt(lifecycle, 'u-1');
   lifecycle.send({
     type: 'attempt.head-received',
-    attempt: attemptOf(lifecycle),
+    attempt: fixtures.attemptOf(lifecycle),
     head: fixtures.aResponseHead(),
   });
-  end(lifecycle, BROKEN);
-  assert.is(replies(lifecycle).at(-1)?.type, 'reply.abort');
+  fixtures.endAttempt(lifecycle, fixtures.BROKEN_ATTEMPT);
+  assert.is(fixtures.repliesOf(lifecycle).at(-1)?.type, 'reply.abort');
 });
 
 suite('a stream that has begun is aborted after two seconds without a placement', () => {
-  const lifecycle = aLifecycle({
+  const lifecycle = fixtures.aLifecycle({
     retryPolicy: 'resumable',
     responseMode: 'stream',
     maxRuns: 2,
     timeoutMs: 15_000,
   });
-  place(lifecycle, 'u-1');
-  const attempt = attemptOf(lifecycle);
+  fixtures.placeAttempt(lifecycle, 'u-1');
+  const attempt = fixtures.attemptOf(lifecycle);
   lifecycle.send({ type: 'attempt.head-received', attempt, head: fixtures.aResponseHead() });
-  end(lifecycle, BROKEN);
+  fixtures.endAttempt(lifecycle, fixtures.BROKEN_ATTEMPT);
   lifecycle.send({ type: 'retry-budget.decided', isGranted: true });
   Array.from({ length: 80 }).forEach(() => {
     lifecycle.send({ type: 'fleet.not-placed', reason: 'none-usable', freeInMs: undefined });
     lifecycle.send({ type: 'request.timer-fired', timer: 'place' }, 25);
   });
-  assert.is(replies(lifecycle).at(-1)?.type, 'reply.abort');
+  assert.is(fixtures.repliesOf(lifecycle).at(-1)?.type, 'reply.abort');
 });
 
 suite('at the deadline the status tells whether the request may have run', () => {
-  const sent = aLifecycle();
-  place(sent, 'u-1');
+  const sent = fixtures.aLifecycle();
+  fixtures.placeAttempt(sent, 'u-1');
   sent.send({ type: 'request.timer-fired', timer: 'deadline' }, 3_000);
-  const unsent = aLifecycle();
+  const unsent = fixtures.aLifecycle();
   unsent.send({ type: 'request.timer-fired', timer: 'deadline' }, 3_000);
   const statuses = [sent, unsent].map((lifecycle) => {
-    const reply = replies(lifecycle).at(-1);
+    const reply = fixtures.repliesOf(lifecycle).at(-1);
     return reply?.type === 'reply.refuse' && reply.status;
   });
   assert.equal(statuses, [504, 503]);
 });
 
 suite('a request that no upstream takes is refused early, with a retry delay', () => {
-  const lifecycle = aLifecycle();
+  const lifecycle = fixtures.aLifecycle();
   lifecycle.send({ type: 'fleet.not-placed', reason: 'none-usable', freeInMs: undefined });
   lifecycle.send({ type: 'request.timer-fired', timer: 'place' }, 25);
   lifecycle.send({ type: 'fleet.not-placed', reason: 'none-usable', freeInMs: undefined }, 100);
-  const [reply] = replies(lifecycle);
+  const [reply] = fixtures.repliesOf(lifecycle);
   assert.ok(reply?.type === 'reply.refuse' && reply.status === 503 && reply.retryAfterMs);
 });
 
 suite('a caller that disconnects aborts the attempt', () => {
-  const lifecycle = aLifecycle();
-  place(lifecycle, 'u-1');
+  const lifecycle = fixtures.aLifecycle();
+  fixtures.placeAttempt(lifecycle, 'u-1');
   const commands = lifecycle.send({ type: 'caller.disconnected' });
   assert.ok(commands.some(({ kind }) => kind === 'abort'));
 });
@@ -168,7 +172,7 @@
 
 const RESULTS: readonly core.gateway.attemptResult.Result[] = [
   REJECTED,
-  BROKEN,
+  fixtures.BROKEN_ATTEMPT,
   fixtures.anAnsweredAttempt(200),
   fixtures.anAnsweredAttempt(200, false),
   fixtures.anAnsweredAttempt(500),
@@ -176,8 +180,8 @@
   { kind: 'unsent', reason: 'unreachable', detail: '' },
 ];
 
-function play(given: Lifecycle, { kind, value, afterMs }: Move): void {
-  const attempt = attemptOf(given);
+function play(given: fixtures.Lifecycle, { kind, value, afterMs }: Move): void {
+  const attempt = fixtures.attemptOf(given);
   const head = fixtures.aResponseHead();
   const messages: readonly Message[] = [
     { type: 'fleet.placed', destination: fixtures.aDestination(`u-${value}`) },
@@ -194,6 +198,8 @@
     { type: 'request.timer-fired', timer: 'idle' },
     { type: 'fleet.liveness-checked', attempt, isSilent: value % 2 === 0 },
     { type: 'request.timer-fired', timer: value === 0 ? 'deadline' : 'place' },
+    { type: 'fleet.attempt-withdrawn', upstream: `u-${value}`, reason: 'withdrawn' },
+    fixtures.aPartRefusal(value % 2 === 0 ? 'quarantined' : 'suspected'),
   ];
   const message = messages[kind % messages.length];
   if (message) given.send(message, afterMs);
@@ -212,7 +218,7 @@
 suite('for any input, runs stay within the route’s bound and a 503 means "not run"', () => {
   const moves = fastCheck.array(
     fastCheck.record({
-      kind: fastCheck.nat(8),
+      kind: fastCheck.nat(10),
       value: fastCheck.nat(9),
       afterMs: fastCheck.nat(200),
     }),
@@ -227,14 +233,16 @@
       responseMode,
       fastCheck.integer({ min: 1, max: 3 }),
       (given, policy, mode, maxRuns) => {
-        const lifecycle = aLifecycle({ retryPolicy: policy, responseMode: mode, maxRuns });
+        const lifecycle = fixtures.aLifecycle({ retryPolicy: policy, responseMode: mode, maxRuns });
         given.forEach((move) => play(lifecycle, move));
         const runs = possibleRuns(lifecycle.lifecycle.commands);
         assert.ok(runs <= (policy === 'at-most-once' ? 1 : maxRuns), `${runs} runs`);
-        const refusal = replies(lifecycle).find((each) => each.type === 'reply.refuse');
+        const refusal = fixtures.repliesOf(lifecycle).find((each) => each.type === 'reply.refuse');
         if (refusal?.type === 'reply.refuse' && refusal.status === 503) assert.is(runs, 0);
         const finals = ['reply.complete', 'reply.end', 'reply.abort', 'reply.refuse'];
-        assert.ok(replies(lifecycle).filter(({ type }) => finals.includes(type)).length <= 1);
+        assert.ok(
+          fixtures.repliesOf(lifecycle).filter(({ type }) => finals.includes(type)).length <= 1,
+        );
       },
     ),
     { ...fixtures.seeded(), numRuns: 2_000 },
--- a/packages/core/test/gateway/withdrawal.test.ts
+++ b/packages/core/test/gateway/withdrawal.test.ts
@@ -6,15 +6,13 @@
 
 const suite = uvu.suite('gateway: withdrawal of attempts');
 
-const { aLifecycle, attemptOf, place, replies, sends } = fixtures.lifecycle;
-
 const BEGIN_BY = fixtures.anInstant(1_000);
 const RESUMABLE = { responseMode: 'stream', retryPolicy: 'resumable', maxRuns: 2 } as const;
 
 /** A request at an upstream where it may begin for another second, when its timer has fired. */
 function aWaitingRequest(route: Partial<core.gateway.routes.Route>) {
-  const given = aLifecycle({ timeoutMs: 15_000, ...route });
-  const armed = place(given, 'u-1', { beginBy: BEGIN_BY });
+  const given = fixtures.aLifecycle({ timeoutMs: 15_000, ...route });
+  const armed = fixtures.placeAttempt(given, 'u-1', { beginBy: BEGIN_BY });
   const delayMs = armed.flatMap((each) =>
     each.kind === 'schedule' && each.timer === 'begin' ? [each.delayMs] : [],
   );
@@ -26,10 +24,10 @@
 }
 
 function answerCheck(
-  given: fixtures.lifecycle.Lifecycle,
+  given: fixtures.Lifecycle,
   beginBy: core.kernel.Instant | undefined,
 ): readonly core.gateway.lifecycleState.Command[] {
-  return given.send({ type: 'fleet.begin-checked', attempt: attemptOf(given), beginBy });
+  return given.send({ type: 'fleet.begin-checked', attempt: fixtures.attemptOf(given), beginBy });
 }
 
 /** Guards against a request that begins on replaced weights after the bound since it waited longer than expected. */
@@ -48,9 +46,9 @@
   const given = aWaitingRequest({ responseMode: 'stream' });
   fireTimer(given);
   answerCheck(given, BEGIN_BY);
-  const [reply] = replies(given);
+  const [reply] = fixtures.repliesOf(given);
   assert.ok(reply?.type === 'reply.refuse' && reply.status === 502);
-  assert.is(sends(given), 1);
+  assert.is(fixtures.countSends(given), 1);
 });
 
 suite(
@@ -58,7 +56,7 @@
   () => {
     const begun = aWaitingRequest(RESUMABLE);
     const head = fixtures.aResponseHead();
-    begun.send({ type: 'attempt.head-received', attempt: attemptOf(begun), head });
+    begun.send({ type: 'attempt.head-received', attempt: fixtures.attemptOf(begun), head });
     assert.equal(fireTimer(begun), []);
     const loaded = aWaitingRequest(RESUMABLE);
     fireTimer(loaded);
@@ -75,7 +73,7 @@
 suite('a request that is not sent since its time is over is no fault of its upstream', () => {
   const given = aWaitingRequest(RESUMABLE);
   const end = { kind: 'unsent', reason: 'weights-expired', detail: '' } as const;
-  const commands = given.send({ type: 'attempt.ended', attempt: attemptOf(given), end });
+  const commands = given.send({ type: 'attempt.ended', attempt: fixtures.attemptOf(given), end });
   const [report] = commands.filter(({ kind }) => kind === 'report');
   assert.ok(report?.kind === 'report' && report.outcome === 'cancelled');
 });
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -104,6 +104,11 @@
     case 'report':
       reportOutcome(scope, command);
       return;
+    case 'report-begun': {
+      const { upstream } = command.attempt.destination;
+      send('fleet', { type: 'fleet.attempt-begun', requestId, upstream });
+      return;
+    }
     case 'record-failed-attempt':
       context.record({
         name: 'attemptFailed',
@@ -121,7 +126,7 @@
 
 function requestPlacement(
   { routed, context }: RequestContext,
-  { excluded, mayRefuse }: Extract<Command, { kind: 'place' }>,
+  { excluded, mayRefuse, isRepeat }: Extract<Command, { kind: 'place' }>,
 ): void {
   const { request, route, service, clientAccount } = routed;
   const { latencyTargetMs } = route;
@@ -133,10 +138,12 @@
       requestId,
       service,
       prompt,
+      clientAccount: clientAccount?.name ?? '',
       isolatedAccount,
       excludedUpstreams: excluded,
       latencyTargetMs,
       mayRefuse,
+      isRepeat,
     },
     replyTo: context.self,
   });
--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -5,13 +5,17 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as crashes from './crashes.js';
 import * as endless from './endless.js';
+import * as eventStreams from './event-streams.js';
 
 /**
  * `not-executed`: 503 with the header that confirms that the request did not run. `foreign-answer`:
  * carries another request's id. `no-request-id`: carries none. `cut`: the connection closes in the
  * middle of the response. `close-delimited`: no length; the end of the connection ends the response.
- * `close-delimited-reset`: the same, but the connection is reset. `malformed-response`: bytes that are
+ * `close-delimited-reset`: the same, but the connection is reset. `close-delimited-empty` and
+ * `close-delimited-half`: a stream without a length that ends properly before or inside an event.
+ * `malformed-response`: bytes that are
  * not an HTTP response. `unrequested-encoding`: a content encoding that was not requested.
  * `unconfirmed-503`: 503 without that header. `silent`: never responds. `error`: 500.
  * `extra-response`: a second response after the first. `no-seal`: 200 without the seal header.
@@ -26,6 +30,8 @@
   | 'cut'
   | 'close-delimited'
   | 'close-delimited-reset'
+  | 'close-delimited-empty'
+  | 'close-delimited-half'
   | 'malformed-response'
   | 'unrequested-encoding'
   | 'unconfirmed-503'
@@ -57,6 +63,11 @@
   /** Connections on which an answer without end has not been closed. */
   countEndless(): number;
   setFault(fault: Fault): void;
+  /** From now on, a prompt with the part makes the upstream crash as it begins to answer. */
+  setDeadlyPart(part: string, downMs: number): void;
+  /** Called with the time of each start after a crash. */
+  onRestart(listener: (startedAtMs: number) => Promise<void>): void;
+  countCrashes(): number;
   /** Sets the number of events in a stream and the pause between them. */
   setStream(events: number, pauseMs: number): void;
   version(): number;
@@ -111,6 +122,12 @@
     response.on('close', () => {
       if (!response.writableFinished) state.abandoned += 1;
     });
+    if (crasher.isDeadly(received)) {
+      response.writeHead(200, { ...headersOf(received), 'content-type': 'text/event-stream' });
+      response.flushHeaders();
+      setTimeout(crasher.crash, state.pauseMs);
+      return;
+    }
     if (state.fault === 'silent') return;
     if (endless.isEndless(state.fault)) {
       state.endless += 1;
@@ -174,6 +191,8 @@
         response.writeHead(503, headers).end('busy');
         return;
       case 'none':
+      case 'close-delimited-empty':
+      case 'close-delimited-half':
       case 'not-executed':
       case 'foreign-answer':
       case 'no-request-id':
@@ -195,24 +214,11 @@
     }
   }
 
-  /** Streams the events after `Last-Event-Id`; the fault `cut` closes in the middle of an event. */
   function stream(received: ReceivedRequest, response: http.ServerResponse): void {
-    const first = Number(received.headers['last-event-id'] ?? 0) + 1;
-    response.writeHead(200, { ...headersOf(received), 'content-type': 'text/event-stream' });
-    const send = (at: number) => {
-      if (response.destroyed) return;
-      if (state.fault === 'cut' && at === first + 1) {
-        response.write(`id: ${at}\ndata: half`, () => response.destroy());
-        return;
-      }
-      if (at > state.events) {
-        response.end();
-        return;
-      }
-      response.write(`id: ${at}\ndata: ${at}\n\n`);
-      setTimeout(() => send(at + 1), state.pauseMs);
-    };
-    send(first);
+    const { fault, events, pauseMs } = state;
+    const after = Number(received.headers['last-event-id'] ?? 0);
+    const ending = eventStreams.endingOf(fault);
+    eventStreams.write(response, headersOf(received), { after, events, pauseMs, ending });
   }
 
   function order(text: string, response: http.ServerResponse): void {
@@ -248,6 +254,7 @@
       }
     });
   });
+  const crasher = crashes.create(server);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -262,12 +269,11 @@
     setFault: (fault) => {
       state.fault = fault;
     },
+    setDeadlyPart: crasher.setDeadlyPart,
+    onRestart: crasher.onRestart,
+    countCrashes: crasher.count,
     setStream: (events, pauseMs) => Object.assign(state, { events, pauseMs }),
     version: () => state.version,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    close: crasher.close,
   };
 }
