Verdicts on prompt parts follow the store's order, not the instances' clocks

Cause: an instance whose clock runs ahead took a verdict that was stored after a lift for one from before it, marked it as lifted in the store, and so undid it for all. Found in review.

Change: a stored verdict is in force unless a success here refutes it; a lift in the store ends the known verdict unless one waits to be written.

Measured: npm test -- core/test/quarantine/exchange: 17 passed, this one failed before.

--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -127,14 +127,13 @@
   storing.onStored(ledger, stored);
   const known = ledger.verdicts.get(key)?.verdict;
   if (storing.isLifted(verdict)) {
-    const isNewer = known && verdict.condemnedAtMs >= known.condemnedAtMs;
-    return isNewer ? verdicts.lift(ledger, verdict, 'success elsewhere', now) : [];
-  }
-  const liftedWallMs = ledger.lifts.get(key)?.wallMs ?? -Infinity;
-  const isRefuted = clearing.isCleared(ledger, key, now);
-  if (!isRefuted && verdict.condemnedAtMs > liftedWallMs) {
-    return verdicts.adopt(ledger, verdict, 'shown', now);
+    // The store's order decides, not the clocks of instances. A verdict that waits to be written is newer.
+    const isCondemnedAgain = storing.isWriteDue(ledger, key);
+    return known && !isCondemnedAgain
+      ? verdicts.lift(ledger, verdict, 'success elsewhere', now)
+      : [];
   }
+  if (!clearing.isCleared(ledger, key, now)) return verdicts.adopt(ledger, verdict, 'shown', now);
   storing.plan(ledger, storing.lifted(verdict, now), 'later', now);
   return [];
 }
--- a/packages/core/src/quarantine/ledger.ts
+++ b/packages/core/src/quarantine/ledger.ts
@@ -60,7 +60,7 @@
   tallies: Map<string, Tally>;
   verdicts: Map<string, Quarantined>;
   /** When verdicts were lifted, by part key. */
-  lifts: Map<string, { atMs: number; wallMs: number }>;
+  lifts: Map<string, number>;
   /** Known objects of the store, by name. `isShown`: by a watch, and not only by the answer to a write. */
   stored: Map<string, { version: number; key: string; isShown: boolean }>;
   writes: Map<string, PendingWrite>;
--- a/packages/core/src/quarantine/storing.ts
+++ b/packages/core/src/quarantine/storing.ts
@@ -56,6 +56,12 @@
   return clientAccounts.length === 0;
 }
 
+/** Whether a verdict on the part waits to be written. */
+export function isWriteDue({ writes }: ledgers.Ledger, key: string): boolean {
+  const wanted = writes.get(key)?.verdict;
+  return wanted !== undefined && !isLifted(wanted);
+}
+
 /** The writes that are due; each is sent again until the store shows it. */
 export function takeDue(ledger: ledgers.Ledger, now: task.Instant): readonly command.Command[] {
   return [...ledger.writes]
--- a/packages/core/src/quarantine/verdicts.ts
+++ b/packages/core/src/quarantine/verdicts.ts
@@ -62,8 +62,7 @@
 }
 
 export function mayAdoptFromPeer(ledger: ledgers.Ledger, key: string, now: task.Instant): boolean {
-  const { atMs = -Infinity } = ledger.lifts.get(key) ?? {};
-  return now.monotonicMs - atMs >= LIFTED_FOR_MS;
+  return now.monotonicMs - (ledger.lifts.get(key) ?? -Infinity) >= LIFTED_FOR_MS;
 }
 
 function merge(known: types.Verdict, given: types.Verdict): types.Verdict {
@@ -113,7 +112,7 @@
   ledger.verdicts.delete(key);
   ledger.tallies.delete(key);
   ledger.news.verdicts.delete(key);
-  ledger.lifts.set(key, { atMs: now.monotonicMs, wallMs: now.wallMs });
+  ledger.lifts.set(key, now.monotonicMs);
   storing.onLift(ledger, known.verdict, reason, now);
   const quarantinedParts = ledger.verdicts.size;
   return [{ kind: 'record-verdict-lifted', model, part, reason, quarantinedParts }];
--- a/packages/core/test/quarantine/exchange.test.ts
+++ b/packages/core/test/quarantine/exchange.test.ts
@@ -208,4 +208,15 @@
   assert.equal(trials, ['none']);
 });
 
+/** Guards against a clock that runs ahead: its instance took each new verdict for one from before the lift. */
+suite('a verdict that is stored after a lift is in force, whatever the clocks say', () => {
+  const ahead = fixtures.aQuarantineFleet();
+  const stored = fixtures.aStoredVerdict({ condemnedAtMs: WALL_MS - 3_600_000 });
+  read(ahead, [stored], 0);
+  read(ahead, [], 1_000, [stored.name]);
+  read(ahead, [{ ...stored, version: 5 }], 2_000);
+  assert.is(ahead.place(REQUEST, 2_100), 'quarantined');
+  assert.equal(writes(tick(ahead, 10_000)), []);
+});
+
 suite.run();
