Who holds a verdict on a prompt part tells peers that lack it

Cause: news of a verdict are repeated for ten seconds. An instance that missed them, and read the store before the verdict was written, suspected the part again, and was answered with successes only, so it needed three crashes of its own. Found in review.

Change: a suspect with a part under a verdict, and a change of the members, make the verdict news again.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -4,7 +4,7 @@
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import type * as gatewayMessages from '../messages/gateway.js';
-import type * as quarantine from '../quarantine/index.js';
+import * as quarantine from '../quarantine/index.js';
 import * as results from '../results/index.js';
 import type * as inputs from '../rollouts/inputs.js';
 import * as targets from '../rollouts/targets.js';
@@ -82,6 +82,7 @@
     case 'fleet.table-adopted':
       return onTableAdopted(state, message.table);
     case 'fleet.members-changed':
+      quarantine.publishing.renewVerdicts(state.quarantine, now);
       return connectionLimits.withConnectionLimits({ ...state, members: message.names });
     case 'fleet.evacuations-changed':
       return onEvacuationsChanged(state, message.dataCentres);
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -53,7 +53,7 @@
   now: task.Instant,
 ): readonly command.Command[] {
   const lifted = update.cleared.flatMap((cleared) => receiveCleared(ledger, cleared, now));
-  answerWithSuccesses(ledger, update, now);
+  answerWithKnowledge(ledger, update, now);
   const adopted = update.verdicts.flatMap((verdict) => {
     const key = names.partKey(verdict.model, verdict.part);
     const isRefuted = storing.isLifted(verdict) || clearing.isCleared(ledger, key, now);
@@ -76,13 +76,16 @@
   return verdicts.lift(ledger, cleared, 'success elsewhere', now);
 }
 
-/** Peers that suspect a part of which this instance knows better are told with the next update. */
-function answerWithSuccesses(
+/** Peers that suspect a part of which this instance knows more are told with the next update. */
+function answerWithKnowledge(
   ledger: ledgers.Ledger,
   { suspects, verdicts: condemned }: types.Update,
   now: task.Instant,
 ): void {
   const suspected = suspects.flatMap(({ model, parts }) => parts.map((part) => ({ model, part })));
+  suspected.forEach(({ model, part }) =>
+    publishing.renewVerdict(ledger, names.partKey(model, part), now),
+  );
   [...suspected, ...condemned]
     .filter(({ model, part }) => clearing.isCleared(ledger, names.partKey(model, part), now))
     .forEach(({ model, part }) => publishing.addCleared(ledger.news, { model, part }, now));
--- a/packages/core/src/quarantine/publishing.ts
+++ b/packages/core/src/quarantine/publishing.ts
@@ -27,6 +27,16 @@
   ledgers.setBounded(news.cleared, key, { part, atMs: now.monotonicMs }, MAX_KNOWN);
 }
 
+/** A verdict that a peer may not know is news again. */
+export function renewVerdict(ledger: ledgers.Ledger, key: string, now: task.Instant): void {
+  if (ledger.verdicts.has(key)) ledger.news.verdicts.set(key, now.monotonicMs);
+}
+
+/** Members that have just joined know no verdict that the store does not hold yet. */
+export function renewVerdicts(ledger: ledgers.Ledger, now: task.Instant): void {
+  [...ledger.verdicts.keys()].forEach((key) => renewVerdict(ledger, key, now));
+}
+
 /** Tells all members at once. */
 export function announce(
   { instance }: ledgers.Ledger,
--- a/packages/core/test/quarantine/exchange.test.ts
+++ b/packages/core/test/quarantine/exchange.test.ts
@@ -219,4 +219,17 @@
   assert.equal(writes(tick(ahead, 10_000)), []);
 });
 
+/** Guards against an instance that missed the news of a verdict and needs three crashes of its own. */
+suite('who holds a verdict tells peers that suspect its part, and members that join', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  hear(fleet, { verdicts: [fixtures.aVerdict()] }, 0);
+  const told = (atMs: number) => updates(tick(fleet, atMs)).flatMap((each) => each.update.verdicts);
+  assert.equal(told(30_000), []);
+  hear(fleet, { suspects: [fixtures.aSuspect()] }, 30_100);
+  assert.is(told(30_500).length, 1);
+  assert.equal(told(60_000), []);
+  fleet.send({ type: 'fleet.members-changed', names: ['instance-1', 'instance-3'] }, 60_100);
+  assert.is(told(60_500).length, 1);
+});
+
 suite.run();
