Trials of a quarantined part: not spent without a run, claimed once

Cause: a trial whose request was rejected, or found no connection, was spent though nothing ran, and a part has two trials only. While the store turned claims away, each refused request made a call. Both found in review.

Change: a trial that did not run is granted again; a claim without success is repeated after its timeout of 10 s.

Measured: packages/core/test/quarantine/exchange.test.ts: 20 passed, the two new ones failed before.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -129,7 +129,10 @@
   now: task.Instant,
 ): Step {
   const checked = quarantineSteps.check(state, placementRequest, now);
-  if (checked.kind === 'refused') return refuse(state, placementRequest, replyTo, checked, now);
+  if (checked.kind === 'refused') {
+    const commands = quarantineSteps.refuse(state, placementRequest, replyTo, checked, now);
+    return { state, commands };
+  }
   const placed = placement.place(state, placementRequest, now);
   const message: gatewayMessages.RequestMessage =
     placed.kind === 'placed'
@@ -140,41 +143,24 @@
     commands: [
       { kind: 'record-placement', placementRequest, decision: placed },
       { kind: 'reply', replyTo, message },
-      ...(placed.kind === 'placed' ? publishing.schedule(state, placed.destination) : []),
-      ...(placed.kind === 'placed'
-        ? quarantineSteps.onPlaced(
-            state,
-            placementRequest,
-            placed.destination.upstream,
-            checked.trialOf,
-            replyTo,
-          )
-        : []),
+      ...afterPlacement(state, placementRequest, placed, checked.trialOf, replyTo),
     ],
   };
 }
 
-/** A part of the prompt crashes upstreams, or may. */
-function refuse(
+function afterPlacement(
   state: fleet.State,
-  placementRequest: placement.Request,
+  asked: placement.Request,
+  placed: placement.Decision,
+  trialOf: readonly string[],
   replyTo: gatewayMessages.RequestAddress,
-  { reason, detail, commands }: Extract<quarantine.Decision, { kind: 'refused' }>,
-  now: task.Instant,
-): Step {
-  const decision: placement.Decision = { kind: 'none', reason, freeInMs: undefined, detail };
-  return {
-    state,
-    commands: [
-      { kind: 'record-placement', placementRequest, decision },
-      {
-        kind: 'reply',
-        replyTo,
-        message: { type: 'fleet.not-placed', reason, freeInMs: undefined, detail },
-      },
-      ...quarantineSteps.toCommands(state, commands, now),
-    ],
-  };
+): readonly Command[] {
+  if (placed.kind === 'none') return [];
+  const { destination } = placed;
+  return [
+    ...publishing.schedule(state, destination),
+    ...quarantineSteps.onPlaced(state, asked, destination.upstream, trialOf, replyTo),
+  ];
 }
 
 function onCheckBegin(
--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -94,11 +94,14 @@
     case 'broken':
       return attempt?.upstream === id ? onBroken(state, attempt, upstream, now) : [];
     case 'unreachable':
+      restoreTrial(state, attempt);
       return onDown(state, upstream, now);
-    case 'answered':
-    case 'failed':
     case 'rejected':
     case 'no-connection':
+      restoreTrial(state, attempt);
+      return [];
+    case 'answered':
+    case 'failed':
     case 'silent':
     case 'cancelled':
       return [];
@@ -107,6 +110,14 @@
   }
 }
 
+/** A trial whose request did not run is not spent. */
+function restoreTrial(
+  { quarantine: ledger }: fleet.State,
+  attempt: quarantine.ledger.Attempt | undefined,
+): void {
+  if (attempt?.isTrial) quarantine.trials.restore(ledger, attempt.model, attempt.parts);
+}
+
 /** An upstream that announced its end closes its connections without a crash. */
 function onBroken(
   state: fleet.State,
@@ -220,3 +231,20 @@
   const { address } = upstream.registration;
   return [{ kind: 'probe', probe: { kind: 'liveness', upstream: id, address } }];
 }
+
+/** Answers a request with a part that crashes upstreams, or may. */
+export function refuse(
+  state: fleet.State,
+  placementRequest: placement.Request,
+  replyTo: gatewayMessages.RequestAddress,
+  { reason, detail, commands }: Extract<quarantine.Decision, { kind: 'refused' }>,
+  now: task.Instant,
+): readonly decide.Command[] {
+  const decision: placement.Decision = { kind: 'none', reason, freeInMs: undefined, detail };
+  const message = { type: 'fleet.not-placed' as const, reason, freeInMs: undefined, detail };
+  return [
+    { kind: 'record-placement', placementRequest, decision },
+    { kind: 'reply', replyTo, message },
+    ...toCommands(state, commands, now),
+  ];
+}
--- a/packages/core/src/quarantine/trials.ts
+++ b/packages/core/src/quarantine/trials.ts
@@ -51,15 +51,25 @@
 ): void {
   const known = ledger.verdicts.get(storing.keyOf(ledger, name) ?? '');
   if (!known || known.trial.kind !== 'claiming') return;
-  if (version === undefined) {
-    Object.assign(known, { trial: { kind: 'none' } });
-    return;
-  }
+  // A refused or lost claim ends with its timeout, so that not each request makes a call.
+  if (version === undefined) return;
   const { verdict, trial } = known;
   const trials = Math.max(verdict.trials, trial.trials);
   Object.assign(known, { trial: { kind: 'granted' }, verdict: { ...verdict, trials } });
 }
 
+/** The request did not run: the next one may try the parts. */
+export function restore(
+  { verdicts }: ledgers.Ledger,
+  model: string,
+  parts: readonly string[],
+): void {
+  parts.forEach((part) => {
+    const known = verdicts.get(names.partKey(model, part));
+    if (known) Object.assign(known, { trial: { kind: 'granted' } });
+  });
+}
+
 /** The request was placed: the trial is spent. */
 export function spend({ verdicts }: ledgers.Ledger, model: string, parts: readonly string[]): void {
   parts.forEach((part) => {
--- a/packages/core/test/quarantine/exchange.test.ts
+++ b/packages/core/test/quarantine/exchange.test.ts
@@ -200,6 +200,37 @@
   assert.is(fleet.place(REQUEST, 60_700), 'quarantined');
 });
 
+/** Guards against a sound part whose only trials are used up by requests that no upstream ran. */
+suite('a trial whose request did not run is not spent', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const stored = fixtures.aStoredVerdict();
+  read(fleet, [stored], 0);
+  fleet.place(REQUEST, 60_500);
+  const answer = { type: 'fleet.verdict-stored' as const, name: stored.name, isTrial: true };
+  fleet.send({ ...answer, version: 2 }, 60_600);
+  const upstream = fleet.place({ requestId: 'trial', parts: ['deadly'] }, 61_000);
+  fleet.end('trial', upstream, 'rejected', 61_100);
+  assert.match(fleet.place(REQUEST, 61_200), /^u-/);
+});
+
+/** Guards against a write for each refused request while the store turns claims away. */
+suite('a claim without success is not repeated by the next requests', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const stored = fixtures.aStoredVerdict();
+  read(fleet, [stored], 0);
+  const placementRequest = fixtures.aPlacementRequest({
+    prompt: fixtures.aPrompt('deadly', 'own'),
+  });
+  const replyTo = fixtures.aMailbox<core.messages.RequestMessage>();
+  const refuse = (atMs: number) =>
+    writes(fleet.send({ type: 'fleet.place', placementRequest, replyTo }, atMs)).length;
+  assert.is(refuse(60_500), 1);
+  const answer = { type: 'fleet.verdict-stored' as const, name: stored.name, isTrial: true };
+  fleet.send({ ...answer, version: undefined }, 60_600);
+  assert.is(refuse(60_700), 0);
+  assert.is(refuse(71_000), 1);
+});
+
 suite('after two trials there is none', () => {
   const fleet = fixtures.aQuarantineFleet();
   read(fleet, [fixtures.aStoredVerdict({ trials: 2 })], 0);
