A crash after the head of an answer counts at any distance

Cause: upstreams that go down within 250 ms of each other count as one event, so that a pile-up of requests with a deadly part crashed several and yielded one counted crash. An upstream sends the head when it begins an answer.

Change: a suspect says whether its head had come (`hadHead`, in datagrams too); with a head it counts regardless of the distance, once for each request and each crash as before.

Measured: `npm test -- core/test/quarantine`: 41 passed, the known red still red with 9 late requests (its upstreams send no heads). Without the change in tally.ts, `npm test -- core/test/quarantine/verdicts`: 17 passed, 2 failed. `npm test -- peer-notes-udp/test/datagram`: 7 passed, 0 failed.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -210,9 +210,11 @@
 
 function onResponse(
   state: fleet.State,
-  { upstream: id, requestId, selfReport }: MessageOf<'fleet.upstream-responded'>,
+  message: MessageOf<'fleet.upstream-responded'>,
   now: task.Instant,
 ): Step {
+  quarantineSteps.onResponse(state, message);
+  const { upstream: id, requestId, selfReport } = message;
   const upstream = state.registry.upstreams.get(id);
   if (!upstream) return { state, commands: [] };
   const versions = [...upstream.versions.values()].join();
--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -56,6 +56,7 @@
     clientAccount,
     model,
     parts,
+    hasHead: false,
     hasBegun: false,
     isTrial,
     replyTo,
@@ -67,6 +68,15 @@
   return [{ kind: 'record-trial', requestId, model, parts: trialOf }];
 }
 
+/** The upstream has begun to answer, though no event is complete yet. */
+export function onResponse(
+  { quarantine: { attempts } }: fleet.State,
+  { requestId, upstream }: MessageOf<'fleet.upstream-responded'>,
+): void {
+  const attempt = requestId === undefined ? undefined : attempts.get(requestId);
+  if (attempt?.upstream === upstream) Object.assign(attempt, { hasHead: true });
+}
+
 export function onBegun(
   state: fleet.State,
   { requestId, upstream }: MessageOf<'fleet.attempt-begun'>,
--- a/packages/core/src/quarantine/ledger.ts
+++ b/packages/core/src/quarantine/ledger.ts
@@ -12,6 +12,8 @@
   model: string;
   /** Without the last part, which no other request has. */
   parts: readonly string[];
+  /** Whether the head of the answer has come. */
+  hasHead: boolean;
   hasBegun: boolean;
   isTrial: boolean;
   replyTo: gatewayMessages.RequestAddress;
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -58,12 +58,12 @@
 ): readonly command.Command[] {
   const suspects = found
     .map(({ attempt, brokeAtMs }): types.Suspect => {
-      const { crash, upstream, requestId, clientAccount, model } = attempt;
+      const { crash, upstream, requestId, clientAccount, model, hasHead: hadHead } = attempt;
       const parts = attempt.parts.filter(
         (part) => !clearing.isCleared(ledger, names.partKey(model, part), now),
       );
       const ageMs = now.monotonicMs - brokeAtMs;
-      return { crash, upstream, requestId, clientAccount, model, parts, ageMs };
+      return { crash, upstream, requestId, clientAccount, model, parts, hadHead, ageMs };
     })
     .filter(({ parts }) => parts.length > 0);
   if (suspects.length === 0) return [];
--- a/packages/core/src/quarantine/tally.ts
+++ b/packages/core/src/quarantine/tally.ts
@@ -19,7 +19,7 @@
   atMs: number,
   now: task.Instant,
 ): ledgers.Tally | undefined {
-  const { model, crash, upstream, requestId, clientAccount } = suspect;
+  const { model, crash, upstream, requestId, clientAccount, hadHead } = suspect;
   const key = names.partKey(model, part);
   if (clearing.isCleared(ledger, key, now)) return undefined;
   const known = ledger.tallies.get(key)?.crashes ?? [];
@@ -27,7 +27,8 @@
     (each) =>
       each.requestId === requestId ||
       each.crash === crash ||
-      Math.abs(each.atMs - atMs) < MIN_DISTANCE_MS,
+      // Of upstreams that go down together, few had just begun an answer: a head tells such crashes apart.
+      (!hadHead && Math.abs(each.atMs - atMs) < MIN_DISTANCE_MS),
   );
   if (isCounted) return undefined;
   const crashes = [...known, { crash, upstream, requestId, clientAccount, atMs }];
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -9,6 +9,8 @@
   clientAccount: string;
   model: string;
   parts: readonly string[];
+  /** Whether the answer's head had come: the upstream worked on this request, and did not only hold it. */
+  hadHead: boolean;
   /** Time since the crash when the update was sent; instances share no monotonic clock. */
   ageMs: number;
 };
--- a/packages/core/test/quarantine/schedules.test.ts
+++ b/packages/core/test/quarantine/schedules.test.ts
@@ -95,6 +95,7 @@
   lossShare: fastCheck.constantFrom(0, 0.05, 0.3),
   rareParts: fastCheck.constantFrom(20, 400, 2_000),
   burstShare: fastCheck.constantFrom(0, 0.05),
+  sendsHeads: fastCheck.boolean(),
 });
 
 const SHARE = fastCheck.constantFrom(0.005, 0.02, 0.05, 0.1, 0.2);
@@ -151,7 +152,8 @@
 suite('the bound holds where all upstreams are down between two counted crashes', () => {
   const deadly = { deadlyShare: 0.2, deadlyParts: ['deadly-1'], deadlyFromMs: 0 };
   const fleet = { instances: 2, upstreams: 7, requestsPerS: 22, lossShare: 0.3 };
-  const options = { ...deadly, ...fleet, seed: 673_001_910, rareParts: 2_000, burstShare: 0 };
+  const world = { seed: 673_001_910, rareParts: 2_000, burstShare: 0, sendsHeads: false };
+  const options = { ...deadly, ...fleet, ...world };
   const trouble: Trouble = { kind: 'data-centre', atMs: 0, which: 1, forMs: 1_000 };
   checkBudget(play(options, [trouble]), options.deadlyParts);
 });
--- a/packages/core/test/quarantine/verdicts.test.ts
+++ b/packages/core/test/quarantine/verdicts.test.ts
@@ -55,6 +55,37 @@
   assert.match(fleet.place(having('p'), 1_000), /^u-/);
 });
 
+/** Guards against pile-ups that crash one upstream after the other and are counted as one event. */
+suite('crashes of upstreams that had begun to answer count however close they are', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  [0, 100, 200].forEach((atMs) =>
+    fleet.crash({ requestId: `r-${atMs}`, parts: ['p'] }, atMs, 'head'),
+  );
+  assert.is(fleet.place(having('p'), 1_000), 'quarantined');
+});
+
+suite('a request without a head counts only at a distance from crashes with one', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  fleet.crash(having('p', 'r-1'), 0, 'head');
+  fleet.crash(having('p', 'r-2'), 100);
+  fleet.crash(having('p', 'r-3'), 200, 'head');
+  assert.match(fleet.place(having('p', 'r-4'), 1_000), /^u-/);
+  fleet.crash(having('p', 'r-5'), 1_000);
+  assert.is(fleet.place(having('p', 'r-6'), 2_000), 'quarantined');
+});
+
+suite('a request whose head came counts once, and so does its crash', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  [0, 100, 200, 300].forEach((atMs) => fleet.crash(having('p', 'same'), atMs, 'head'));
+  const suspects = ['r-1', 'r-2', 'r-3'].map((requestId) =>
+    fixtures.aSuspect({ requestId, parts: ['q'], hadHead: true }),
+  );
+  const update = fixtures.aQuarantineUpdate({ suspects });
+  fleet.send({ type: 'fleet.quarantine-update', update }, 1_000);
+  assert.match(fleet.place(having('p'), 1_100), /^u-/);
+  assert.match(fleet.place(having('q'), 1_100), /^u-/);
+});
+
 /** Guards against a request that is unlucky three times and takes its own parts along. */
 suite('one request counts once, however many upstreams go down with it', () => {
   const fleet = fixtures.aQuarantineFleet();
--- a/packages/plugins/peer-notes-udp/src/quarantine-rows.ts
+++ b/packages/plugins/peer-notes-udp/src/quarantine-rows.ts
@@ -29,8 +29,9 @@
 }
 
 function toSuspectRow(suspect: core.quarantine.Suspect): schemas.SuspectRow {
-  const { crash, upstream, requestId, clientAccount, model, parts, ageMs } = suspect;
-  return [crash, upstream, requestId, clientAccount, model, [...parts], Math.round(ageMs)];
+  const { crash, upstream, requestId, clientAccount, model, parts, hadHead, ageMs } = suspect;
+  const age = Math.round(ageMs);
+  return [crash, upstream, requestId, clientAccount, model, [...parts], hadHead, age];
 }
 
 function toVerdictRow(verdict: core.quarantine.Verdict): schemas.VerdictRow {
@@ -49,9 +50,10 @@
   clientAccount,
   model,
   parts,
+  hadHead,
   ageMs,
 ]: schemas.SuspectRow): core.quarantine.Suspect {
-  return { crash, upstream, requestId, clientAccount, model, parts, ageMs };
+  return { crash, upstream, requestId, clientAccount, model, parts, hadHead, ageMs };
 }
 
 function fromVerdictRow([
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -29,7 +29,7 @@
 
 /** Model and part id. */
 const partOfModelRow = zod.tuple([zod.string(), zod.string()]);
-/** Crash, upstream, request id, client account, model, part ids, age in ms. */
+/** Crash, upstream, request id, client account, model, part ids, whether a head had come, age in ms. */
 const suspectRow = zod.tuple([
   zod.string(),
   zod.string(),
@@ -37,6 +37,7 @@
   zod.string(),
   zod.string(),
   zod.array(zod.string()),
+  zod.boolean(),
   amount,
 ]);
 /** Upstream and request id. */
--- a/packages/plugins/peer-notes-udp/test/datagram.test.ts
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -74,6 +74,7 @@
     clientAccount: 'an-account-1',
     model: 'model-1234567',
     parts: Array.from({ length: 12 }, (_, part) => `${at}${part}`.padStart(8, 'c')),
+    hadHead: at % 2 === 0,
     ageMs: 12,
   };
 }
