--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -56,6 +56,7 @@
     clientAccount,
     model,
     parts,
+    hasHead: false,
     hasBegun: false,
     isTrial,
     replyTo,
@@ -67,6 +68,15 @@
   return [{ kind: 'record-trial', requestId, model, parts: trialOf }];
 }
 
+/** The upstream has begun to answer, though no event is complete yet. */
+export function onResponse(
+  { quarantine: { attempts } }: fleet.State,
+  { requestId, upstream }: MessageOf<'fleet.upstream-responded'>,
+): void {
+  const attempt = requestId === undefined ? undefined : attempts.get(requestId);
+  if (attempt?.upstream === upstream) Object.assign(attempt, { hasHead: true });
+}
+
 export function onBegun(
   state: fleet.State,
   { requestId, upstream }: MessageOf<'fleet.attempt-begun'>,
@@ -237,14 +247,13 @@
   state: fleet.State,
   placementRequest: placement.Request,
   replyTo: gatewayMessages.RequestAddress,
-  { reason, detail, commands }: Extract<quarantine.Decision, { kind: 'refused' }>,
+  { reason, detail, freeInMs, commands }: Extract<quarantine.Decision, { kind: 'refused' }>,
   now: task.Instant,
 ): readonly decide.Command[] {
-  const decision: placement.Decision = { kind: 'none', reason, freeInMs: undefined, detail };
-  const message = { type: 'fleet.not-placed' as const, reason, freeInMs: undefined, detail };
+  const refusal = { reason, freeInMs, detail };
   return [
-    { kind: 'record-placement', placementRequest, decision },
-    { kind: 'reply', replyTo, message },
+    { kind: 'record-placement', placementRequest, decision: { kind: 'none', ...refusal } },
+    { kind: 'reply', replyTo, message: { type: 'fleet.not-placed', ...refusal } },
     ...toCommands(state, commands, now),
   ];
 }
