A part that was counted for a crash is in flight once at each instance

Cause: where all upstreams are down after two counted crashes, requests that wait pile up at the first one that is back. Several with the deadly part went there at once, and crashed one upstream after the other before a third counted.

Change: placement refuses a request (`one-at-a-time`, 503 with Retry-After, as not run; a repeat as a lost answer) while another with a counted part that is not cleared is in flight and has not begun.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -158,19 +158,16 @@
   state: fleet.State,
   placementRequest: placement.Request,
   replyTo: gatewayMessages.RequestAddress,
-  { reason, detail, commands }: Extract<quarantine.Decision, { kind: 'refused' }>,
+  { reason, detail, freeInMs, commands }: Extract<quarantine.Decision, { kind: 'refused' }>,
   now: task.Instant,
 ): Step {
-  const decision: placement.Decision = { kind: 'none', reason, freeInMs: undefined, detail };
+  const refusal = { reason, freeInMs, detail };
+  const decision: placement.Decision = { kind: 'none', ...refusal };
   return {
     state,
     commands: [
       { kind: 'record-placement', placementRequest, decision },
-      {
-        kind: 'reply',
-        replyTo,
-        message: { type: 'fleet.not-placed', reason, freeInMs: undefined, detail },
-      },
+      { kind: 'reply', replyTo, message: { type: 'fleet.not-placed', ...refusal } },
       ...quarantineSteps.toCommands(state, commands, now),
     ],
   };
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -31,6 +31,11 @@
   if (reason === 'suspected') {
     return endings.giveUp({ ...state, lastFailureReason: detail }, 'answerLost');
   }
+  if (reason === 'one-at-a-time') {
+    const { requestId } = state.routed.request;
+    const retryAfterMs = overload.retryAfterMs({ requestId, freeInMs });
+    return endings.giveUp({ ...state, lastFailureReason: detail }, 'noUpstream', retryAfterMs);
+  }
   const noPlacementSinceMs = state.noPlacementSinceMs ?? now.monotonicMs;
   const next = { ...state, noPlacementSinceMs, lastFailureReason: `no upstream: ${reason}` };
   const verdict = judgeUnplaced(next, freeInMs, now);
--- a/packages/core/src/gateway/overload.ts
+++ b/packages/core/src/gateway/overload.ts
@@ -33,7 +33,11 @@
   return { kind: 'refuse', retryAfterMs: retryAfterMs(unplaced) };
 }
 
-function retryAfterMs({ requestId, freeInMs = 0 }: Unplaced): number {
+/** When the caller of a refused request comes back. */
+export function retryAfterMs({
+  requestId,
+  freeInMs = 0,
+}: Pick<Unplaced, 'requestId' | 'freeInMs'>): number {
   const spread = 1 + RETRY_SPREAD * rendezvous.hashFraction('return', requestId);
   return Math.round(Math.max(MIN_RETRY_AFTER_MS, freeInMs) * spread);
 }
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -41,9 +41,16 @@
 /**
  * `cold`: the only candidates left are cold upstreams that are at their rate limit. `quarantined`: a
  * part of the prompt crashes upstreams. `suspected`: one may, and the request may have run already.
+ * `one-at-a-time`: one may, and another request with it is in flight.
  */
 export type PlacementRefusal =
-  'unknown-service' | 'none-usable' | 'cold' | 'full' | 'quarantined' | 'suspected';
+  | 'unknown-service'
+  | 'none-usable'
+  | 'cold'
+  | 'full'
+  | 'quarantined'
+  | 'suspected'
+  | 'one-at-a-time';
 
 export type RequestTimer = 'deadline' | 'idle' | 'place' | 'begin';
 
--- a/packages/core/src/quarantine/check.ts
+++ b/packages/core/src/quarantine/check.ts
@@ -8,6 +8,9 @@
 import * as trials from './trials.js';
 import * as verdicts from './verdicts.js';
 
+/** Most answers begin within this time, and clear their parts. */
+const ONE_AT_A_TIME_RETRY_MS = 1_000;
+
 export type Request = {
   requestId: string;
   clientAccount: string;
@@ -23,8 +26,10 @@
   | { kind: 'allowed'; trialOf: readonly string[] }
   | {
       kind: 'refused';
-      reason: 'quarantined' | 'suspected';
+      reason: 'quarantined' | 'suspected' | 'one-at-a-time';
       detail: string;
+      /** Expected time until the part is known to be sound or not, where that is awaited. */
+      freeInMs: number | undefined;
       commands: readonly command.Command[];
     };
 
@@ -38,12 +43,18 @@
   if (first && condemned.some(({ trial }) => trial.kind !== 'granted')) {
     const detail = verdicts.describe(first.verdict);
     const commands = trials.claim(ledger, condemned, now);
-    return { kind: 'refused', reason: 'quarantined', detail, commands };
+    return { kind: 'refused', reason: 'quarantined', detail, freeInMs: undefined, commands };
   }
   const suspected = request.isRepeat ? suspectedPart(ledger, request, now) : undefined;
   if (suspected !== undefined) {
     const detail = `part ${suspected} of ${model} is suspected of a crash`;
-    return { kind: 'refused', reason: 'suspected', detail, commands: [] };
+    return { kind: 'refused', reason: 'suspected', detail, freeInMs: undefined, commands: [] };
+  }
+  const awaited = awaitedPart(ledger, request, now);
+  if (awaited !== undefined) {
+    const detail = `part ${awaited} of ${model} is suspected of a crash, and in flight already`;
+    const freeInMs = ONE_AT_A_TIME_RETRY_MS;
+    return { kind: 'refused', reason: 'one-at-a-time', detail, freeInMs, commands: [] };
   }
   return { kind: 'allowed', trialOf: condemned.map(({ verdict }) => verdict.part) };
 }
@@ -59,3 +70,24 @@
     return !clearing.isCleared(ledger, key, now) && tally.isCountedForOther(ledger, key, requestId);
   });
 }
+
+/**
+ * A counted part with which another request is in flight and has not begun. Several would wait at the
+ * upstreams that are left, and crash them before the first crash is counted.
+ */
+function awaitedPart(
+  ledger: ledgers.Ledger,
+  { requestId, model, parts }: Request,
+  now: task.Instant,
+): string | undefined {
+  const counted = parts.filter((part) => {
+    const key = names.partKey(model, part);
+    const isCounted = ledger.tallies.has(key) || ledger.verdicts.has(key);
+    return isCounted && !clearing.isCleared(ledger, key, now);
+  });
+  if (counted.length === 0) return undefined;
+  const waiting = [...ledger.attempts.values()].filter(
+    (each) => !each.hasBegun && each.model === model && each.requestId !== requestId,
+  );
+  return counted.find((part) => waiting.some((each) => each.parts.includes(part)));
+}
--- a/packages/core/test/gateway/quarantined.test.ts
+++ b/packages/core/test/gateway/quarantined.test.ts
@@ -36,6 +36,27 @@
   assert.is(ended?.kind === 'record-request-end' && ended.outcome.result, 'answerLost');
 });
 
+suite(
+  'a request whose part is in flight already is refused at once and told when to return',
+  () => {
+    const lifecycle = fixtures.aLifecycle({ latencyTargetMs: 60_000 });
+    lifecycle.send(fixtures.aPartRefusal('one-at-a-time', 1_000));
+    const [reply] = fixtures.repliesOf(lifecycle);
+    assert.ok(reply?.type === 'reply.refuse' && reply.status === 503);
+    assert.ok((reply.retryAfterMs ?? 0) >= 1_000);
+  },
+);
+
+suite('a repeat whose part is in flight already ends as a lost answer', () => {
+  const lifecycle = fixtures.aLifecycle({ retryPolicy: 'retryable', maxRuns: 2 });
+  fixtures.placeAttempt(lifecycle, 'u-1');
+  fixtures.endAttempt(lifecycle, fixtures.BROKEN_ATTEMPT);
+  lifecycle.send({ type: 'retry-budget.decided', isGranted: true });
+  lifecycle.send(fixtures.aPartRefusal('one-at-a-time', 1_000));
+  const ended = lifecycle.lifecycle.commands.at(-1);
+  assert.is(ended?.kind === 'record-request-end' && ended.outcome.result, 'answerLost');
+});
+
 suite('a withdrawn attempt is aborted and ends its request', () => {
   const lifecycle = fixtures.aLifecycle();
   fixtures.placeAttempt(lifecycle, 'u-1');
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -121,6 +121,11 @@
   }
 }
 
+const REFUSALS_OF_QUARANTINE: readonly core.messages.PlacementRefusal[] = [
+  'quarantined',
+  'suspected',
+  'one-at-a-time',
+];
 /** Journal value of a time that is not known. */
 const UNKNOWN_MS = -1;
 
@@ -149,9 +154,7 @@
     case 'none': {
       const { reason, detail = '' } = decision;
       record({ name: 'requestPlaced', requestId, details: { service, reason, detail } });
-      if (reason === 'quarantined' || reason === 'suspected') {
-        quarantineCommands.count(context, 'refused');
-      }
+      if (REFUSALS_OF_QUARANTINE.includes(reason)) quarantineCommands.count(context, 'refused');
       return;
     }
     default:
