--- a/packages/core/test/quarantine/schedules.test.ts
+++ b/packages/core/test/quarantine/schedules.test.ts
@@ -169,6 +169,15 @@
   );
 });
 
+/** Guards against instances that forget their counted crashes. Found by the property above with seed 905. */
+suite('the bound holds where seven instances are killed before six upstreams', () => {
+  const deadly = { deadlyShare: 0.2, deadlyParts: ['deadly-1'], deadlyFromMs: 0 };
+  const fleet = { instances: 7, upstreams: 6, requestsPerS: 22, lossShare: 0.3 };
+  const world = { seed: 1_872_857_509, rareParts: 2_000, burstShare: 0, sendsHeads: false };
+  const trouble: Trouble = { kind: 'kill-all', atMs: 4_513, which: 0, forMs: 1_000 };
+  checkBudget(play({ ...deadly, ...fleet, ...world }, [trouble]), deadly.deadlyParts);
+});
+
 suite('troubles without a deadly part lead to no verdict', () => {
   fastCheck.assert(
     fastCheck.property(
