An upstream that goes down again under the same entry counts again

Cause: crashes of one incarnation counted once. Where the list shows a return late, or not at all, affinity sent request after request to the same upstream: twelve crashes without a verdict. Found in review.

Change: suspects of one incarnation are of the same crash only within 1.5 s.

Measured: packages/core/test/quarantine/verdicts.test.ts passes, the new test failed before.

--- a/packages/core/src/quarantine/tally.ts
+++ b/packages/core/src/quarantine/tally.ts
@@ -7,6 +7,8 @@
 
 /** Upstreams that go down together are one event: a data centre, a cut. */
 const MIN_DISTANCE_MS = 250;
+/** Suspects of one crash are heard of within this time; later ones are of a crash after an unseen return. */
+const SAME_CRASH_MS = 1_500;
 const MAX_TALLIES = 512;
 const MAX_CRASHES = 8;
 const TALLY_RETENTION_MS = 600_000;
@@ -26,7 +28,7 @@
   const isCounted = known.some(
     (each) =>
       each.requestId === requestId ||
-      each.crash === crash ||
+      (each.crash === crash && Math.abs(each.atMs - atMs) < SAME_CRASH_MS) ||
       // Of upstreams that go down together, few had just begun an answer: a head tells such crashes apart.
       (!hadHead && Math.abs(each.atMs - atMs) < MIN_DISTANCE_MS),
   );
--- a/packages/core/test/quarantine/verdicts.test.ts
+++ b/packages/core/test/quarantine/verdicts.test.ts
@@ -257,4 +257,17 @@
   assert.match(fleet.place(having('p'), 3_100), /^u-/);
 });
 
+/** Guards against crash after crash of one upstream whose return the list does not show. */
+suite('an upstream that goes down again under the same entry counts again', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const crashAt = (atMs: number) => fixtures.aSuspect({ requestId: `r-${atMs}`, ageMs: 0 });
+  [0, 1_000, 6_000, 12_000].forEach((atMs) => {
+    const update = fixtures.aQuarantineUpdate({ suspects: [crashAt(atMs)] });
+    fleet.send({ type: 'fleet.quarantine-update', update }, atMs);
+  });
+  const tallies = [...fleet.state.quarantine.tallies.values()];
+  assert.equal(tallies[0]?.crashes.length, 3, 'the second suspect is of the first crash');
+  assert.is(fleet.place({ requestId: 'later', parts: ['deadly'] }, 12_100), 'quarantined');
+});
+
 suite.run();
