Test of the list of verdicts: entries are written one after the other

Cause: the test wrote 501 entries at once.

Change: the entries are written one after the other. What is checked stays.

--- a/packages/medlarctl/test/quarantine.test.ts
+++ b/packages/medlarctl/test/quarantine.test.ts
@@ -37,6 +37,17 @@
   return storeEntry(client, name, verdict);
 }
 
+/** One after the other: hundreds of connections at once take a busy machine longer than a call may. */
+async function storeVerdicts(
+  client: store.client.Client,
+  verdicts: readonly core.quarantine.Verdict[],
+): Promise<void> {
+  await verdicts.reduce(async (before, verdict) => {
+    await before;
+    await storeVerdict(client, verdict);
+  }, Promise.resolve());
+}
+
 function run(
   platform: store.client.Client,
   positionals: readonly string[],
@@ -59,7 +70,10 @@
 
 suite('list shows verdicts in force with their evidence, beyond one page', async ({ client }) => {
   const parts = Array.from({ length: 501 }, (_, at) => `part-${at}`);
-  await Promise.all(parts.map((part) => storeVerdict(client, aVerdict(part))));
+  await storeVerdicts(
+    client,
+    parts.map((part) => aVerdict(part)),
+  );
   await storeVerdict(client, aVerdict('lifted', []));
   await storeEntry(client, 'malformed', { model: 1 });
   assert.equal([...(await listedParts(client))].sort(), [...parts].sort());
