Front ends check names, values and targets of a request themselves

Cause: Node's HTTP parser on arm64 passes on a header with an empty name and one with a space before its colon; on x86-64 it refuses both. It passes on targets with a tab or bytes beyond ASCII everywhere, on which the HTTP client throws, so that one such request made its upstream look unreachable. A missing Host was answered by Node itself, without a code.

Tried on the parser alone and refused there: both lengths, repeated and listed lengths, folded lines, bare CR and LF, NUL, DEL and controls in values and names. The HTTP client's own parser is the same on all processors and refuses empty names, spaces before the colon, repeated lengths and folded lines.

--- /dev/null
+++ b/packages/http-fields/src/index.ts
@@ -0,0 +1,2 @@
+/** Public exports: checks of the head of a received request. */
+export * from './head.js';
--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -114,17 +114,26 @@
   requestId: string,
   readResult: server.IncomingRequest['readResult'],
 ): Step {
-  if (!state.configuration) {
+  const { configuration } = state;
+  if (!configuration) {
     return refuse(state, requestId, core.results.failure('notConfigured', 'try again soon'));
   }
-  if (readResult.kind === 'too-large') {
-    const detail = `expected at most ${readResult.limitBytes} bytes`;
-    return refuse(state, requestId, core.results.failure('bodyTooLarge', detail));
+  switch (readResult.kind) {
+    case 'malformed':
+      return refuse(state, requestId, core.results.failure('malformedRequest', readResult.detail));
+    case 'too-large': {
+      const detail = `expected at most ${readResult.limitBytes} bytes`;
+      return refuse(state, requestId, core.results.failure('bodyTooLarge', detail));
+    }
+    case 'whole': {
+      const accepted = requests.accept(configuration, readResult.request, requestId);
+      if (accepted.isErr()) return refuse(state, requestId, accepted.error);
+      state.openRequestIds.add(requestId);
+      return { state, commands: [{ kind: 'begin', accepted: accepted.value }] };
+    }
+    default:
+      return core.results.assertNever(readResult);
   }
-  const accepted = requests.accept(state.configuration, readResult.request, requestId);
-  if (accepted.isErr()) return refuse(state, requestId, accepted.error);
-  state.openRequestIds.add(requestId);
-  return { state, commands: [{ kind: 'begin', accepted: accepted.value }] };
 }
 
 function refuse(state: State, requestId: string, failure: core.results.Failure): Step {
--- a/packages/plugins/callers-http/src/connections.ts
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -65,7 +65,7 @@
     });
     response.on('drain', () => handlers.onFlowControl(requestId, 'open'));
     response.on('error', () => undefined);
-    if (readResult.kind === 'too-large') response.setHeader('connection', 'close');
+    if (readResult.kind !== 'whole') response.setHeader('connection', 'close');
     handlers.onRequest(requestId, readResult);
   }
 
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 
 import * as core from '@medlarweir/core';
+import * as httpFields from '@medlarweir/http-fields';
 
 import type * as decode from './decode.js';
 import * as encode from './encode.js';
@@ -15,7 +16,9 @@
 export type IncomingRequest = {
   response: http.ServerResponse;
   readResult:
-    { kind: 'whole'; request: decode.RawRequest } | { kind: 'too-large'; limitBytes: number };
+    | { kind: 'whole'; request: decode.RawRequest }
+    | { kind: 'too-large'; limitBytes: number }
+    | { kind: 'malformed'; detail: string };
 };
 
 export type Handlers = {
@@ -27,7 +30,8 @@
 
 export function listen(address: string, handlers: Handlers): http.Server {
   const { host, port } = core.settings.address.split(address);
-  const server = http.createServer((request, response) => {
+  // Node answers a missing host itself, without a code; the check of the head covers it.
+  const server = http.createServer({ requireHostHeader: false }, (request, response) => {
     void readRequest(request, response, handlers.maxBodyBytes()).then((incoming) => {
       if (incoming) handlers.onRequest(incoming);
     });
@@ -65,6 +69,9 @@
   response: http.ServerResponse,
   limitBytes: number,
 ): Promise<IncomingRequest | undefined> {
+  const { httpVersion, url: target = '/', rawHeaders } = request;
+  const head = httpFields.check({ httpVersion, target, rawHeaders });
+  if (head.isErr()) return { response, readResult: { kind: 'malformed', detail: head.error } };
   const chunks: Buffer[] = [];
   let length = 0;
   try {
@@ -78,7 +85,7 @@
   }
   const received: decode.RawRequest = {
     method: request.method ?? 'GET',
-    path: request.url ?? '/',
+    path: target,
     headers: firstValues(request.headers),
     body: Buffer.concat(chunks),
   };
