--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -2,6 +2,7 @@
 export * from './decide.js';
 export * as coldRateLimit from './cold-rate-limit.js';
 export * as upstreamHealth from './upstream-health.js';
+export * as namedLimit from './named-limit.js';
 export * as discovery from './discovery.js';
 export * as peerWork from './peer-work.js';
 export * as placement from './placement.js';
--- a/packages/core/src/fleet/reports.ts
+++ b/packages/core/src/fleet/reports.ts
@@ -43,6 +43,17 @@
   });
 }
 
+/** A command that records that the limit that the upstream names has changed. */
+export function recordLimit(
+  { registration: { id }, namedLimit }: upstreams.Upstream,
+  perSBefore: number | undefined,
+): readonly decide.Command[] {
+  const perS = namedLimit?.perS;
+  if (perS === perSBefore) return [];
+  const text = perS === undefined ? 'names no limit any more' : `names a limit of ${perS}/s`;
+  return [{ kind: 'record-upstream-change', id, text, ageMs: 0 }];
+}
+
 function describeRegistrationState({ registrationState, versions }: upstreams.Upstream): string {
   return [
     registrationState.kind,
--- a/packages/core/src/fleet/upstream-health.ts
+++ b/packages/core/src/fleet/upstream-health.ts
@@ -2,6 +2,7 @@
 import type * as lifecycle from '../gateway/lifecycle-state.js';
 import type * as task from '../kernel/task.js';
 import * as results from '../results/index.js';
+import * as namedLimit from './named-limit.js';
 import * as upstreams from './upstream.js';
 
 /** Fault score of each outcome. `failed` counts little: the caller's request may have caused it. */
@@ -64,32 +65,32 @@
   return now.monotonicMs - lastByteAtMs >= SILENCE_TIMEOUT_MS;
 }
 
+/** What an upstream says of itself in the head of an answer. */
 export type Signals = {
   load: upstreams.ReportedLoad | undefined;
   /** Reported time for which it stays cold. */
   coldMs: number | undefined;
   version: upstreams.ModelVersion | undefined;
+  /** Requests a second that it takes from all instances together, if it names a limit. */
+  limitPerS: number | undefined;
 };
 
-/** Records a byte from the upstream. Returns the request whose first byte it is, if any. */
+/**
+ * Records a byte from the upstream; `signals` are those of a head, and undefined for the bytes after
+ * it. Returns the request whose first byte it is, if any.
+ */
 export function recordResponse(
   upstream: upstreams.Upstream,
   requestId: string | undefined,
-  info: Signals,
+  signals: Signals | undefined,
   now: task.Instant,
 ): upstreams.InFlightRequest | undefined {
-  Object.assign(upstream, {
-    lastByteAtMs: now.monotonicMs,
-    reportedLoad: info.load ?? upstream.reportedLoad,
-  });
-  if (info.coldMs !== undefined && info.coldMs > 0) {
-    Object.assign(upstream, { coldUntilMs: now.monotonicMs + info.coldMs });
-  }
+  Object.assign(upstream, { lastByteAtMs: now.monotonicMs });
   const work = requestId === undefined ? undefined : upstream.inFlight.get(requestId);
-  // An answer to any other request may be of an earlier incarnation with other weights.
-  const isOfThisIncarnation = requestId === undefined || work !== undefined;
-  if (info.version && isOfThisIncarnation) {
-    upstreams.recordVersion(upstream, info.version.model, info.version.version);
+  if (signals) recordSignals(upstream, signals, now);
+  // An answer to any other request may be of an earlier incarnation.
+  if (signals && (requestId === undefined || work)) {
+    recordOwnSignals(upstream, signals, work, now);
   }
   if (!work || work.hasFirstByte) return undefined;
   work.hasFirstByte = true;
@@ -100,6 +101,29 @@
   return work;
 }
 
+function recordSignals(
+  upstream: upstreams.Upstream,
+  { load, coldMs = 0 }: Signals,
+  now: task.Instant,
+): void {
+  Object.assign(upstream, { reportedLoad: load ?? upstream.reportedLoad });
+  if (coldMs > 0) Object.assign(upstream, { coldUntilMs: now.monotonicMs + coldMs });
+}
+
+/** Records what holds for one incarnation of the upstream. */
+function recordOwnSignals(
+  upstream: upstreams.Upstream,
+  { version, limitPerS }: Signals,
+  work: upstreams.InFlightRequest | undefined,
+  now: task.Instant,
+): void {
+  if (version) upstreams.recordVersion(upstream, version.model, version.version);
+  const heard = { perS: limitPerS, sentAtMs: work?.startedAtMs };
+  Object.assign(upstream, {
+    namedLimit: namedLimit.afterAnswer(upstream.namedLimit, heard, now.monotonicMs),
+  });
+}
+
 /** Marks the upstream as answering again. It may have restarted, so it counts as cold for `coldMs`. */
 export function recordRecovery(
   upstream: upstreams.Upstream,
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -1,6 +1,7 @@
 /** State that an instance keeps for one upstream. Updated in place, since only the fleet task sees it. */
 import type * as task from '../kernel/task.js';
 import * as inventory from '../shared-context/inventory.js';
+import type * as namedLimit from './named-limit.js';
 import * as peerWork from './peer-work.js';
 
 export type ModelVersion = { model: string; version: number };
@@ -42,6 +43,7 @@
   registrationState: RegistrationState;
   reachability: Reachability;
   coldUntilMs: number;
+  namedLimit: namedLimit.NamedLimit | undefined;
   /** Earliest next send of this instance while the upstream is cold. */
   nextColdSendAtMs: number;
   versions: Map<string, number>;
@@ -80,6 +82,7 @@
     registrationState: registrationStateOf(entry),
     reachability: { kind: 'answers' },
     coldUntilMs: now.monotonicMs + entry.coldRemainingMs,
+    namedLimit: undefined,
     nextColdSendAtMs: 0,
     versions: new Map(entry.models.map(({ model, version }) => [model, version])),
     inFlight: new Map(),
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -33,7 +33,8 @@
       type: 'fleet.upstream-responded';
       upstream: string;
       requestId: string | undefined;
-      selfReport: upstreamHealth.Signals;
+      /** What the head of the answer says; undefined for the bytes after it. */
+      selfReport: upstreamHealth.Signals | undefined;
     }
   | {
       type: 'fleet.check-liveness';
--- a/packages/core/test/fleet/believed-weights.test.ts
+++ b/packages/core/test/fleet/believed-weights.test.ts
@@ -21,7 +21,7 @@
 }
 
 function answer(state: State, version: number, requestId: string | undefined): void {
-  const selfReport = { load: undefined, coldMs: undefined, version: { model: 'model-1', version } };
+  const selfReport = fixtures.signals({ version: { model: 'model-1', version } });
   core.fleet.decide(
     state,
     { type: 'fleet.upstream-responded', upstream: 'u-1', requestId, selfReport },
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -40,6 +40,7 @@
     underWay: each.inFlight.size,
     peerWork: each.peerWork,
     versions: Object.fromEntries(each.versions),
+    limitPerS: each.namedLimit?.perS,
   }));
   const stores = [...inventory.stores].map(([name, { isReachable, parts, usedTokens }]) => ({
     name,
--- a/packages/plugins/rollouts/src/rollouts-task.ts
+++ b/packages/plugins/rollouts/src/rollouts-task.ts
@@ -59,7 +59,12 @@
       return;
     case 'report-version': {
       const { upstream, model, version } = command;
-      const report = { load: undefined, coldMs: undefined, version: { model, version } };
+      const report = {
+        load: undefined,
+        coldMs: undefined,
+        version: { model, version },
+        limitPerS: undefined,
+      };
       send('fleet', {
         type: 'fleet.upstream-responded',
         upstream,
