One place says why an upstream gets no request, and until when

Cause: the rate of a cold upstream was limited by a mechanism of its own, outside the other reasons why an upstream gets no request, which were a boolean.

Change: `eligibility` gives the first exclusion as a union with an exhaustive switch; a placement that finds nothing records how many upstreams were left out for each reason, and when the first may be sent to.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -22,6 +22,7 @@
 import * as publishing from './publishing.js';
 import * as quarantineSteps from './quarantine-steps.js';
 import * as reports from './reports.js';
+import * as senders from './senders.js';
 
 export type Command =
   | {
@@ -83,7 +84,7 @@
       return onTableAdopted(state, message.table);
     case 'fleet.members-changed':
       quarantine.publishing.renewVerdicts(state.quarantine, now);
-      return connectionLimits.withConnectionLimits({ ...state, members: message.names });
+      return connectionLimits.withConnectionLimits(senders.withMembers(state, message.names, now));
     case 'fleet.evacuations-changed':
       return onEvacuationsChanged(state, message.dataCentres);
     case 'fleet.target-versions-changed':
@@ -267,7 +268,10 @@
 
 /** Probes silent upstreams, since no request is sent to them that would show their recovery. */
 function onTick(given: fleet.State, now: task.Instant): Step {
-  const state = peerUpdates.expirePeers(reports.withOldestInUse(given, now), now);
+  const state = senders.expire(
+    peerUpdates.expirePeers(reports.withOldestInUse(given, now), now),
+    now,
+  );
   const expired = discovery.expire(state.registry, now);
   const all = [...state.registry.upstreams.values()];
   all.forEach((upstream) => upstreamHealth.trimHistory(upstream, now.monotonicMs));
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -1,8 +1,9 @@
-/** Whether an upstream may take a request at all: registered, answering, and with weights that are still valid. */
+/** Whether a request may be sent to an upstream, why not, and until when. */
 import * as task from '../kernel/task.js';
 import * as targets from '../rollouts/targets.js';
-import * as coldRateLimit from './cold-rate-limit.js';
 import type * as placement from './placement.js';
+import * as rateLimit from './rate-limit.js';
+import * as results from '../results/index.js';
 import type * as fleet from './state.js';
 import type * as upstreams from './upstream.js';
 
@@ -11,22 +12,99 @@
 /** By how much the wait at an upstream may exceed its estimate. */
 const MAX_WAIT_FACTOR = 2;
 
-/** Whether new work may be sent to the upstream at all. */
-export function isEligible(inputs: placement.Inputs, upstream: upstreams.Upstream): boolean {
+/** Why the upstream gets no request. `untilMs`: when it may, in monotonic ms; infinite if that is not known. */
+export type Exclusion =
+  | { kind: 'other-service' }
+  | { kind: 'other-model' }
+  /** The request has been there already. */
+  | { kind: 'tried' }
+  | { kind: 'not-listed' }
+  | { kind: 'silent' }
+  | { kind: 'evacuated' }
+  | { kind: 'replaced-weights' }
+  | { kind: rateLimit.Reason; untilMs: number };
+
+/** The first reason that holds; undefined if the request may be sent there. */
+export function findExclusion(
+  inputs: placement.Inputs,
+  upstream: upstreams.Upstream,
+): Exclusion | undefined {
   const { state, placementRequest, now } = inputs;
-  const { registration, registrationState, reachability } = upstream;
-  const isRegistered =
-    registrationState.kind === 'listed' ||
-    (registrationState.kind === 'missing' && now.monotonicMs < registrationState.untilMs);
-  return (
-    isRegistered &&
-    reachability.kind === 'answers' &&
-    registration.service === placementRequest.service &&
-    !state.evacuatedDataCentres.has(registration.dataCentre) &&
-    !placementRequest.excludedUpstreams.includes(registration.id) &&
-    servesModel(placementRequest, registration) &&
-    mayStillBegin(inputs, upstream, 0)
-  );
+  const { registration, reachability } = upstream;
+  if (registration.service !== placementRequest.service) return { kind: 'other-service' };
+  if (!isListed(upstream, now)) return { kind: 'not-listed' };
+  if (state.evacuatedDataCentres.has(registration.dataCentre)) return { kind: 'evacuated' };
+  if (placementRequest.excludedUpstreams.includes(registration.id)) return { kind: 'tried' };
+  if (!servesModel(placementRequest, registration)) return { kind: 'other-model' };
+  if (reachability.kind === 'silent') return { kind: 'silent' };
+  if (!mayStillBegin(inputs, upstream, 0)) return { kind: 'replaced-weights' };
+  return rateExclusion(inputs, upstream);
+}
+
+export type PassingExclusion = Extract<Exclusion, { untilMs: number }>;
+
+/** Whether the upstream may get such a request now or soon. */
+export function isEligible(exclusion: Exclusion | undefined): boolean {
+  return exclusion === undefined || isPassing(exclusion);
+}
+
+function isPassing(exclusion: Exclusion): exclusion is PassingExclusion {
+  switch (exclusion.kind) {
+    case 'cold':
+      return true;
+    case 'other-service':
+    case 'other-model':
+    case 'tried':
+    case 'not-listed':
+    case 'silent':
+    case 'evacuated':
+    case 'replaced-weights':
+      return false;
+    default:
+      return results.assertNever(exclusion);
+  }
+}
+
+export function firstToEnd(exclusions: readonly Exclusion[]): PassingExclusion | undefined {
+  return exclusions.filter(isPassing).sort((a, b) => a.untilMs - b.untilMs)[0];
+}
+
+/** How many upstreams of the service are excluded for each reason, for the journal. */
+export function summarize(exclusions: readonly Exclusion[]): string {
+  const counts = new Map<Exclusion['kind'], number>();
+  exclusions
+    .filter(({ kind }) => kind !== 'other-service')
+    .forEach(({ kind }) => counts.set(kind, (counts.get(kind) ?? 0) + 1));
+  return [...counts].map(([kind, count]) => `${count} ${kind}`).join(', ');
+}
+
+function isListed({ registrationState }: upstreams.Upstream, now: task.Instant): boolean {
+  switch (registrationState.kind) {
+    case 'listed':
+      return true;
+    case 'missing':
+      return now.monotonicMs < registrationState.untilMs;
+    case 'draining':
+    case 'gone':
+      return false;
+    default:
+      return results.assertNever(registrationState);
+  }
+}
+
+/** The limit that holds the request back for longest. */
+function rateExclusion(
+  { state, service, now: { monotonicMs } }: placement.Inputs,
+  upstream: upstreams.Upstream,
+): Exclusion | undefined {
+  return rateLimit
+    .limitsOf(upstream, service, state.bounds, monotonicMs)
+    .map((limit) => ({
+      kind: limit.reason,
+      untilMs: monotonicMs + rateLimit.waitMs(state, upstream, limit, monotonicMs),
+    }))
+    .filter(({ untilMs }) => untilMs > monotonicMs)
+    .sort((a, b) => b.untilMs - a.untilMs)[0];
 }
 
 /**
@@ -76,11 +154,3 @@
 function servesModel({ prompt }: placement.Request, { models }: upstreams.Registration): boolean {
   return !prompt || models.some(({ model }) => model === prompt.model);
 }
-
-export function isWithinColdRate(
-  { state, service, now }: placement.Inputs,
-  upstream: upstreams.Upstream,
-): boolean {
-  if (!coldRateLimit.isCold(upstream, now.monotonicMs) || service.coldPerS <= 0) return true;
-  return coldRateLimit.maySend(state, service, upstream, now.monotonicMs);
-}
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,6 +1,6 @@
 /** Public exports of the fleet: upstream discovery, health, placement and peer updates. */
 export * from './decide.js';
-export * as coldRateLimit from './cold-rate-limit.js';
+export * as rateLimit from './rate-limit.js';
 export * as upstreamHealth from './upstream-health.js';
 export * as namedLimit from './named-limit.js';
 export * as discovery from './discovery.js';
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -6,11 +6,12 @@
 import type * as messages from '../messages/gateway.js';
 import * as wave from '../rollouts/wave.js';
 import * as sharedContext from '../shared-context/index.js';
-import * as coldRateLimit from './cold-rate-limit.js';
 import * as eligibility from './eligibility.js';
 import * as queue from './queue.js';
 import * as prefillRate from './prefill-rate.js';
 import * as promptPrefill from './prompt-prefill.js';
+import * as rateLimit from './rate-limit.js';
+import * as refusals from './refusals.js';
 import * as sampling from './sampling.js';
 import type * as fleet from './state.js';
 import * as upstreams from './upstream.js';
@@ -34,14 +35,7 @@
 
 export type Decision =
   | { kind: 'placed'; destination: messages.Destination; costMs: number; candidates: number }
-  | {
-      kind: 'none';
-      reason: messages.PlacementRefusal;
-      /** Expected time until an upstream can take the request, where that can be told. */
-      freeInMs: number | undefined;
-      /** The evidence against a part of the prompt. */
-      detail?: string;
-    };
+  | refusals.Refusal;
 
 /** Round trip to another data centre, plus the price of the bytes between data centres. */
 const OTHER_DATA_CENTRE_COST_MS = 10;
@@ -85,14 +79,24 @@
 
 export function place(state: fleet.State, placementRequest: Request, now: task.Instant): Decision {
   const service = state.services.get(placementRequest.service);
-  if (!service) return none('unknown-service');
+  if (!service) return refusals.none('unknown-service');
   const inputs: Inputs = { state, service, placementRequest, now };
-  const eligible = [...state.registry.upstreams.values()].filter((each) =>
-    eligibility.isEligible(inputs, each),
-  );
-  if (eligible.length === 0) return none('none-usable');
-  const available = eligible.filter((each) => eligibility.isWithinColdRate(inputs, each));
-  if (available.length === 0) return none('cold');
+  const judged = [...state.registry.upstreams.values()].map((upstream) => ({
+    upstream,
+    exclusion: eligibility.findExclusion(inputs, upstream),
+  }));
+  const available = judged
+    .filter(({ exclusion }) => exclusion === undefined)
+    .map(({ upstream }) => upstream);
+  if (available.length === 0) {
+    return refusals.noneAvailable(
+      judged.flatMap(({ exclusion }) => exclusion ?? []),
+      now,
+    );
+  }
+  const eligible = judged
+    .filter(({ exclusion }) => eligibility.isEligible(exclusion))
+    .map(({ upstream }) => upstream);
   const waves = rolloutWaves(inputs, eligible);
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
   const sampled = sampling.select(inputs, available, affinityKey(placementRequest), isInWave);
@@ -104,8 +108,8 @@
       ? rankCandidates(inputs, available, waves)
       : compared;
   const best = ranked[0];
-  if (!best) return none('none-usable');
-  if (exceedsWaitLimit(inputs, best)) return none('full', freeInMs(inputs, ranked));
+  if (!best) return refusals.none('none-usable');
+  if (exceedsWaitLimit(inputs, best)) return refusals.none('full', freeInMs(inputs, ranked));
   return {
     kind: 'placed',
     destination: reserve(inputs, best),
@@ -114,10 +118,6 @@
   };
 }
 
-function none(reason: messages.PlacementRefusal, free?: number): Decision {
-  return { kind: 'none', reason, freeInMs: free };
-}
-
 /** Time until the least busy upstream has little enough work ahead. */
 function freeInMs({ placementRequest }: Inputs, ranked: readonly Candidate[]): number {
   const leastMs = Math.min(...ranked.map(({ ahead }) => ahead.waitMs));
@@ -214,7 +214,7 @@
     upstreams.currentFaultScore(upstream, now.monotonicMs) * FAULT_COST_MS +
     (isElsewhere ? OTHER_DATA_CENTRE_COST_MS : 0) +
     (upstream.backoffUntilMs > now.monotonicMs ? BACKOFF_COST_MS : 0) +
-    (coldRateLimit.isCold(upstream, now.monotonicMs) ? COLD_COST_MS : 0) +
+    (rateLimit.isCold(upstream, now.monotonicMs) ? COLD_COST_MS : 0) +
     outdatedWeightsCostMs(inputs, upstream) +
     (waves.current.has(registration.id) ? CURRENT_WAVE_COST_MS : 0) +
     (waves.next.has(registration.id) ? NEXT_WAVE_COST_MS : 0)
@@ -230,9 +230,9 @@
 function reserve(inputs: Inputs, { upstream, ahead, tokens }: Candidate): messages.Destination {
   const { state, service, placementRequest, now } = inputs;
   const { id, address } = upstream.registration;
-  if (service.coldPerS > 0 && coldRateLimit.isCold(upstream, now.monotonicMs)) {
-    coldRateLimit.recordSend(state, service, upstream, now.monotonicMs);
-  }
+  rateLimit
+    .limitsOf(upstream, service, state.bounds, now.monotonicMs)
+    .forEach((limit) => rateLimit.spend(state, upstream, limit, now.monotonicMs));
   upstream.inFlight.set(placementRequest.requestId, {
     startedAtMs: now.monotonicMs,
     tokensToRead: tokens,
--- /dev/null
+++ b/packages/core/src/fleet/refusals.ts
@@ -0,0 +1,30 @@
+/** Placements that found no upstream: the reason, and when to ask again. */
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/gateway.js';
+import * as eligibility from './eligibility.js';
+
+export type Refusal = {
+  kind: 'none';
+  reason: messages.PlacementRefusal;
+  /** Expected time until an upstream can take the request, where that can be told. */
+  freeInMs: number | undefined;
+  /** Why upstreams were left out, or the evidence against a part of the prompt. */
+  detail?: string;
+};
+
+export function none(reason: messages.PlacementRefusal, freeInMs?: number): Refusal {
+  return { kind: 'none', reason, freeInMs };
+}
+
+/** No upstream may get the request at present; the first that may soon gives the reason. */
+export function noneAvailable(
+  exclusions: readonly eligibility.Exclusion[],
+  now: task.Instant,
+): Refusal {
+  const detail = eligibility.summarize(exclusions);
+  const next = eligibility.firstToEnd(exclusions);
+  if (!next) return { ...none('none-usable'), detail };
+  const isKnown = Number.isFinite(next.untilMs);
+  const freeInMs = isKnown ? Math.ceil(next.untilMs - now.monotonicMs) : undefined;
+  return { ...none(next.kind, freeInMs), detail };
+}
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -40,6 +40,10 @@
   oldestInUse: { versions: ReadonlyMap<string, number>; sinceMs: number };
   /** Names of the instances that may send, including this one; empty while unknown. */
   members: readonly string[];
+  /** When each instance that has left the list of members recently left it, in monotonic ms. */
+  formerMembers: ReadonlyMap<string, number>;
+  /** The members and the former ones, among which the rates of upstreams are divided. */
+  senders: readonly string[];
   peerWork: peerWork.ReportsByPeer;
   sharing: peerWork.Sharing;
   /** Tokens per millisecond that an engine reads, by service. Updated in place. */
@@ -67,6 +71,8 @@
     targetVersions: new Map(),
     oldestInUse: { versions: new Map(), sinceMs: 0 },
     members: [],
+    formerMembers: new Map(),
+    senders: [],
     peerWork: new Map(),
     sharing: 'with-all',
     prefillRates: new Map(),
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -3,6 +3,7 @@
 import * as inventory from '../shared-context/inventory.js';
 import type * as namedLimit from './named-limit.js';
 import * as peerWork from './peer-work.js';
+import type * as rateLimit from './rate-limit.js';
 
 export type ModelVersion = { model: string; version: number };
 
@@ -44,8 +45,8 @@
   reachability: Reachability;
   coldUntilMs: number;
   namedLimit: namedLimit.NamedLimit | undefined;
-  /** Earliest next send of this instance while the upstream is cold. */
-  nextColdSendAtMs: number;
+  /** This instance's parts of the limits on the rate of requests. Updated in place. */
+  buckets: Map<rateLimit.Reason, rateLimit.Bucket>;
   versions: Map<string, number>;
   /** This instance's attempts in flight, by request id. */
   inFlight: Map<string, InFlightRequest>;
@@ -83,7 +84,7 @@
     reachability: { kind: 'answers' },
     coldUntilMs: now.monotonicMs + entry.coldRemainingMs,
     namedLimit: undefined,
-    nextColdSendAtMs: 0,
+    buckets: new Map(),
     versions: new Map(entry.models.map(({ model, version }) => [model, version])),
     inFlight: new Map(),
     peerWork: peerWork.NONE,
