Upstreams that name a limit get no more than that from all instances

Callers saw: an engine that had named 3.8 requests a second got 45 in 4 s, where 28 are allowed.

Cause: nobody read the header. The class of the fault: what an upstream says of its own capacity is not part of placement unless it is load or cold-start time.

Fix: a named limit is one more reason of the one mechanism that divides rates among instances; the reserve is taken in the same step as the placement, which every attempt passes: repeats, resumed streams, requests that were sent back.

--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -51,6 +51,7 @@
 function isPassing(exclusion: Exclusion): exclusion is PassingExclusion {
   switch (exclusion.kind) {
     case 'cold':
+    case 'limited':
       return true;
     case 'other-service':
     case 'other-model':
--- a/packages/core/src/fleet/rate-limit.ts
+++ b/packages/core/src/fleet/rate-limit.ts
@@ -9,7 +9,7 @@
 import type * as upstreams from './upstream.js';
 
 /** Why the rate is limited. Several limits may hold at once. */
-export type Reason = 'cold';
+export type Reason = 'cold' | 'limited';
 
 /** The rate of all instances together. In any window, `overrun` times as many and `slack` are allowed. */
 export type RateLimit = {
@@ -37,9 +37,13 @@
  * members, and links may bunch requests; the rest leaves room for that.
  */
 const BURST_SHARE = 0.6;
+/** Requests that a sender may have saved up; with one, a sender that is idle for a moment loses its part. */
+const CAPACITY = 1.5;
 const MAX_CAPACITY = 2;
 /** A new bucket: the bound has room for one request of each sender. */
 const INITIAL_TOKENS = 1;
+/** What upstreams bear beyond the limit that they name. */
+const NAMED_LIMIT_BOUND = { windowS: 4, overrun: 1.5, slack: 5 };
 const NO_SHARE: Share = { perS: 0, capacity: 0 };
 /** Tolerance for sums of fractions of a request. */
 const EPSILON = 1e-6;
@@ -51,8 +55,14 @@
   { coldOverrun, coldSlack }: fleet.Bounds,
   nowMs: number,
 ): readonly RateLimit[] {
-  if (coldPerS <= 0 || !isCold(upstream, nowMs)) return [];
-  return [{ reason: 'cold', perS: coldPerS, windowS: 1, overrun: coldOverrun, slack: coldSlack }];
+  const { namedLimit } = upstream;
+  const cold: readonly RateLimit[] =
+    coldPerS > 0 && isCold(upstream, nowMs)
+      ? [{ reason: 'cold', perS: coldPerS, windowS: 1, overrun: coldOverrun, slack: coldSlack }]
+      : [];
+  return namedLimit
+    ? [...cold, { reason: 'limited', perS: namedLimit.perS, ...NAMED_LIMIT_BOUND }]
+    : cold;
 }
 
 export function isCold({ coldUntilMs }: upstreams.Upstream, nowMs: number): boolean {
@@ -114,7 +124,7 @@
   names: readonly string[],
 ): Share {
   const burst = (perS * windowS * (overrun - 1) + slack) * BURST_SHARE;
-  const count = Math.min(names.length, Math.max(1, Math.floor(burst)));
+  const count = Math.min(names.length, Math.max(1, Math.floor(burst / CAPACITY)));
   const isSender =
     count === names.length
       ? names.includes(instance)
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -39,7 +39,8 @@
 };
 
 /**
- * `cold`: the only candidates left are cold upstreams that are at their rate limit. `quarantined`: a
+ * `cold`, `limited`: the only candidates left are upstreams that are cold or name a limit, and are at
+ * that rate. `quarantined`: a
  * part of the prompt crashes upstreams. `suspected`: one may, and the request may have run already.
  * `one-at-a-time`: one may, and another request with it is in flight.
  */
@@ -47,6 +48,7 @@
   | 'unknown-service'
   | 'none-usable'
   | 'cold'
+  | 'limited'
   | 'full'
   | 'quarantined'
   | 'suspected'
