Test of named rates: instances that see only half of the members, shares that change

Cause: trials with a guard taken out passed: former members that are forgotten at once, a bucket that is new after each change of the share.

Change: schedules in which two halves see only each other, for up to 6 s; a test with a share that changes every 10 ms. The bucket fills at the rate of the share that held, without a minimum.

--- a/packages/core/src/fleet/rate-limit.ts
+++ b/packages/core/src/fleet/rate-limit.ts
@@ -93,7 +93,7 @@
   bucket.tokens -= 1;
 }
 
-/** The bucket with the tokens that have come since; at the lower rate if the share has changed meanwhile. */
+/** The bucket with the tokens that have come since, at the rate of the share that held meanwhile. */
 function fill(
   { instance, senders }: fleet.State,
   { buckets, registration: { id } }: upstreams.Upstream,
@@ -105,7 +105,7 @@
   const isCurrent = known?.basis.perS === perS && known.basis.senders === senders;
   const share = isCurrent ? known.share : shareOf(limit, id, instance, senders);
   const filled = known
-    ? known.tokens + ((nowMs - known.filledAtMs) / 1_000) * Math.min(known.share.perS, share.perS)
+    ? known.tokens + ((nowMs - known.filledAtMs) / 1_000) * known.share.perS
     : INITIAL_TOKENS;
   const bucket: Bucket = {
     tokens: Math.min(filled, share.capacity),
--- a/packages/core/test/fleet/named-rate.test.ts
+++ b/packages/core/test/fleet/named-rate.test.ts
@@ -98,6 +98,12 @@
       atMs: aMoment,
       forMs: fastCheck.integer({ min: 20, max: 400 }),
     }),
+    fastCheck.record({
+      kind: fastCheck.constant('split' as const),
+      instance,
+      atMs: aMoment,
+      forMs: fastCheck.integer({ min: 500, max: 6_000 }),
+    }),
     fastCheck.record({
       kind: fastCheck.constantFrom('leave' as const, 'join' as const),
       instance,
@@ -155,6 +161,30 @@
   });
 });
 
+/** Guards against a share that is spent anew after each change of the members or of the limit. */
+suite('what is spent stays spent when the share changes', () => {
+  const upstream = fixtures.aListedUpstream('u-1');
+  const initial = fixtures.aFleet([upstream], { members: ['instance-1', 'instance-2'] });
+  const moments = Array.from({ length: 400 }, (_, at) => fixtures.anInstant(at * 10));
+  const last = moments.reduce(
+    ({ state, sent }, now, at) => {
+      const names = at % 2 === 0 ? ['instance-1'] : ['instance-1', 'instance-2'];
+      const known = state.registry.upstreams.get('u-1') as core.fleet.upstream.Upstream;
+      Object.assign(known, { namedLimit: { perS: 2 + (at % 3), heardAtMs: 0 } });
+      const { state: next } = core.fleet.decide(
+        state,
+        { type: 'fleet.members-changed', names },
+        now,
+      );
+      const request = fixtures.aPlacementRequest({ requestId: `request-${at}`, mayRefuse: false });
+      const placed = fixtures.placedUpstream(next, request, now) === 'u-1';
+      return { state: next, sent: sent + (placed ? 1 : 0) };
+    },
+    { state: initial, sent: 0 },
+  );
+  assert.ok(last.sent <= 4 * 4 + 2, `${last.sent} in 4 s`);
+});
+
 /** Guards against callers who wait for an upstream that may not be sent to for longer than they wait. */
 suite('a refusal for want of places tells when the next one comes', () => {
   const state = fixtures.aFleet([fixtures.aListedUpstream('u-1')]);
