The few places of upstreams that name limits go to the largest prompts first

Cause: a place at a limited upstream counts a request, whatever its size, and small prompts took as many as large ones. A candidate over the wait limit hid others that were not, if it was cheaper.

Change: a place has a price that falls with the size of the prompt; the first candidate within the wait limit is taken.

--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -7,6 +7,7 @@
 import * as wave from '../rollouts/wave.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as eligibility from './eligibility.js';
+import * as placeCost from './place-cost.js';
 import * as queue from './queue.js';
 import * as prefillRate from './prefill-rate.js';
 import * as promptPrefill from './prompt-prefill.js';
@@ -81,6 +82,7 @@
   const service = state.services.get(placementRequest.service);
   if (!service) return refusals.none('unknown-service');
   const inputs: Inputs = { state, service, placementRequest, now };
+  placeCost.recordPrompt(inputs);
   const judged = [...state.registry.upstreams.values()].map((upstream) => ({
     upstream,
     exclusion: eligibility.findExclusion(inputs, upstream),
@@ -101,15 +103,14 @@
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
   const sampled = sampling.select(inputs, available, affinityKey(placementRequest), isInWave);
   const compared = rankCandidates(inputs, sampled, waves);
-  const first = compared[0];
-  const isSampleFull = !first || exceedsWaitLimit(inputs, first);
+  const isSampleFull = compared.every((each) => exceedsWaitLimit(inputs, each));
   const ranked =
     isSampleFull && sampled.length < available.length
       ? rankCandidates(inputs, available, waves)
       : compared;
-  const best = ranked[0];
-  if (!best) return refusals.none('none-usable');
-  if (exceedsWaitLimit(inputs, best)) return refusals.none('full', freeInMs(inputs, ranked));
+  if (ranked.length === 0) return refusals.none('none-usable');
+  const best = ranked.find((each) => !exceedsWaitLimit(inputs, each));
+  if (!best) return refusals.none('full', freeInMs(inputs, ranked));
   return {
     kind: 'placed',
     destination: reserve(inputs, best),
@@ -213,6 +214,7 @@
     firstByteLatencyMs * (inputs.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
     upstreams.currentFaultScore(upstream, now.monotonicMs) * FAULT_COST_MS +
     (isElsewhere ? OTHER_DATA_CENTRE_COST_MS : 0) +
+    placeCost.costMs(inputs, upstream) +
     (upstream.backoffUntilMs > now.monotonicMs ? BACKOFF_COST_MS : 0) +
     (rateLimit.isCold(upstream, now.monotonicMs) ? COLD_COST_MS : 0) +
     outdatedWeightsCostMs(inputs, upstream) +
--- a/packages/core/src/fleet/rate-limit.ts
+++ b/packages/core/src/fleet/rate-limit.ts
@@ -38,8 +38,7 @@
  */
 const BURST_SHARE = 0.6;
 /** Requests that a sender may have saved up; with one, a sender that is idle for a moment loses its part. */
-const CAPACITY = 1.5;
-const MAX_CAPACITY = 2;
+const CAPACITY = 2;
 /** A new bucket: the bound has room for one request of each sender. */
 const INITIAL_TOKENS = 1;
 /** What upstreams bear beyond the limit that they name. */
@@ -130,5 +129,5 @@
       ? names.includes(instance)
       : rendezvous.selectTop(upstream, names, count).includes(instance);
   if (!isSender) return NO_SHARE;
-  return { perS: perS / count, capacity: Math.min(MAX_CAPACITY, Math.max(1, burst / count)) };
+  return { perS: perS / count, capacity: Math.min(CAPACITY, Math.max(1, burst / count)) };
 }
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -48,6 +48,8 @@
   sharing: peerWork.Sharing;
   /** Tokens per millisecond that an engine reads, by service. Updated in place. */
   prefillRates: Map<string, number>;
+  /** Mean tokens of a prompt, by service. Updated in place. */
+  meanPromptTokens: Map<string, number>;
   outbox: Outbox;
   /** Updated in place. */
   quarantine: ledger.Ledger;
@@ -76,6 +78,7 @@
     peerWork: new Map(),
     sharing: 'with-all',
     prefillRates: new Map(),
+    meanPromptTokens: new Map(),
     outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
     quarantine: ledger.create(instance),
   };
