Upstreams that say that they leave get no further request

Change: the news in an answer's head holds for that incarnation at this instance, whatever the list says later. Broken connections of an upstream that leaves are no crash.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -206,7 +206,7 @@
   const upstream = state.registry.upstreams.get(id);
   if (!upstream) return { state, commands: [] };
   const versions = [...upstream.versions.values()].join();
-  const limitBefore = upstream.namedLimit?.perS;
+  const before = reports.selfReportOf(upstream);
   const begun = upstreamHealth.recordResponse(upstream, requestId, selfReport, now);
   if (begun) prefillRate.recordSample(state, upstream.registration.service, begun, now);
   const hasChanged = versions !== [...upstream.versions.values()].join();
@@ -215,7 +215,7 @@
     commands: [
       ...(begun ? publishing.schedule(state, { upstream: id, context: undefined }) : []),
       ...(hasChanged ? [reports.reportToRollouts(state)] : []),
-      ...reports.recordLimit(upstream, limitBefore),
+      ...reports.recordSelfReport(upstream, before),
     ],
   };
 }
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -19,6 +19,8 @@
   /** The request has been there already. */
   | { kind: 'tried' }
   | { kind: 'not-listed' }
+  /** It has said that it is leaving. */
+  | { kind: 'leaving' }
   | { kind: 'silent' }
   | { kind: 'evacuated' }
   | { kind: 'replaced-weights' }
@@ -30,9 +32,10 @@
   upstream: upstreams.Upstream,
 ): Exclusion | undefined {
   const { state, placementRequest, now } = inputs;
-  const { registration, reachability } = upstream;
+  const { registration, reachability, isLeaving } = upstream;
   if (registration.service !== placementRequest.service) return { kind: 'other-service' };
   if (!isListed(upstream, now)) return { kind: 'not-listed' };
+  if (isLeaving) return { kind: 'leaving' };
   if (state.evacuatedDataCentres.has(registration.dataCentre)) return { kind: 'evacuated' };
   if (placementRequest.excludedUpstreams.includes(registration.id)) return { kind: 'tried' };
   if (!servesModel(placementRequest, registration)) return { kind: 'other-model' };
@@ -57,6 +60,7 @@
     case 'other-model':
     case 'tried':
     case 'not-listed':
+    case 'leaving':
     case 'silent':
     case 'evacuated':
     case 'replaced-weights':
--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -136,7 +136,7 @@
   now: task.Instant,
 ): readonly decide.Command[] {
   const { kind } = upstream.registrationState;
-  if (kind === 'draining' || kind === 'gone') return [];
+  if (upstream.isLeaving || kind === 'draining' || kind === 'gone') return [];
   const { suspicion } = quarantine;
   const hasReturned = crashOf(upstream) !== attempt.crash;
   const confirmed = hasReturned ? suspicion.onDown(state.quarantine, attempt.crash, now) : [];
--- a/packages/core/src/fleet/reports.ts
+++ b/packages/core/src/fleet/reports.ts
@@ -43,15 +43,20 @@
   });
 }
 
-/** A command that records that the limit that the upstream names has changed. */
-export function recordLimit(
-  { registration: { id }, namedLimit }: upstreams.Upstream,
-  perSBefore: number | undefined,
+/** What the upstream says of itself, for the journal. */
+export function selfReportOf({ namedLimit, isLeaving }: upstreams.Upstream): string {
+  const limit = namedLimit ? `names a limit of ${namedLimit.perS}/s` : 'names no limit';
+  return isLeaving ? `${limit}, says that it is leaving` : limit;
+}
+
+/** A command that records what the upstream says of itself, if that has changed. */
+export function recordSelfReport(
+  upstream: upstreams.Upstream,
+  before: string,
 ): readonly decide.Command[] {
-  const perS = namedLimit?.perS;
-  if (perS === perSBefore) return [];
-  const text = perS === undefined ? 'names no limit any more' : `names a limit of ${perS}/s`;
-  return [{ kind: 'record-upstream-change', id, text, ageMs: 0 }];
+  const text = selfReportOf(upstream);
+  const { id } = upstream.registration;
+  return text === before ? [] : [{ kind: 'record-upstream-change', id, text, ageMs: 0 }];
 }
 
 function describeRegistrationState({ registrationState, versions }: upstreams.Upstream): string {
--- a/packages/core/src/fleet/upstream-health.ts
+++ b/packages/core/src/fleet/upstream-health.ts
@@ -73,6 +73,7 @@
   version: upstreams.ModelVersion | undefined;
   /** Requests a second that it takes from all instances together, if it names a limit. */
   limitPerS: number | undefined;
+  isLeaving: boolean;
 };
 
 /**
@@ -113,7 +114,7 @@
 /** Records what holds for one incarnation of the upstream. */
 function recordOwnSignals(
   upstream: upstreams.Upstream,
-  { version, limitPerS }: Signals,
+  { version, limitPerS, isLeaving }: Signals,
   work: upstreams.InFlightRequest | undefined,
   now: task.Instant,
 ): void {
@@ -121,6 +122,7 @@
   const heard = { perS: limitPerS, sentAtMs: work?.startedAtMs };
   Object.assign(upstream, {
     namedLimit: namedLimit.afterAnswer(upstream.namedLimit, heard, now.monotonicMs),
+    isLeaving: upstream.isLeaving || isLeaving,
   });
 }
 
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -45,6 +45,8 @@
   reachability: Reachability;
   coldUntilMs: number;
   namedLimit: namedLimit.NamedLimit | undefined;
+  /** It has said so itself; the platform's list may not tell yet, or tell old news. */
+  isLeaving: boolean;
   /** This instance's parts of the limits on the rate of requests. Updated in place. */
   buckets: Map<rateLimit.Reason, rateLimit.Bucket>;
   versions: Map<string, number>;
@@ -84,6 +86,7 @@
     reachability: { kind: 'answers' },
     coldUntilMs: now.monotonicMs + entry.coldRemainingMs,
     namedLimit: undefined,
+    isLeaving: false,
     buckets: new Map(),
     versions: new Map(entry.models.map(({ model, version }) => [model, version])),
     inFlight: new Map(),
--- a/packages/plugins/rollouts/src/rollouts-task.ts
+++ b/packages/plugins/rollouts/src/rollouts-task.ts
@@ -64,6 +64,7 @@
         coldMs: undefined,
         version: { model, version },
         limitPerS: undefined,
+        isLeaving: false,
       };
       send('fleet', {
         type: 'fleet.upstream-responded',
