Upstreams that turn a request away and name a time get nothing until then

Cause: a 503 with `Retry-After` counted as any rejection: the upstream was avoided for 0.7 s by its cost alone, and probed every half second when silent.

Change: the time holds for requests and probes of this instance; a shorter one that is named later does not end it. A placement that finds only such upstreams tells when the first may be sent to.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -275,7 +275,7 @@
   const expired = discovery.expire(state.registry, now);
   const all = [...state.registry.upstreams.values()];
   all.forEach((upstream) => upstreamHealth.trimHistory(upstream, now.monotonicMs));
-  const probes = all.flatMap((upstream) => reports.probeFor(state, upstream));
+  const probes = all.flatMap((upstream) => reports.probeFor(state, upstream, now));
   return {
     state,
     commands: [
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -5,7 +5,7 @@
 import * as rateLimit from './rate-limit.js';
 import * as results from '../results/index.js';
 import type * as fleet from './state.js';
-import type * as upstreams from './upstream.js';
+import * as upstreams from './upstream.js';
 
 /** Subtracted from the rollout bound: a request needs some time to reach its upstream. */
 const ROLLOUT_MARGIN_MS = 700;
@@ -24,6 +24,8 @@
   | { kind: 'silent' }
   | { kind: 'evacuated' }
   | { kind: 'replaced-weights' }
+  /** It has turned a request away and named a time; until then it wants none. */
+  | { kind: 'paused'; untilMs: number }
   | { kind: rateLimit.Reason; untilMs: number };
 
 /** The first reason that holds; undefined if the request may be sent there. */
@@ -41,6 +43,7 @@
   if (!servesModel(placementRequest, registration)) return { kind: 'other-model' };
   if (reachability.kind === 'silent') return { kind: 'silent' };
   if (!mayStillBegin(inputs, upstream, 0)) return { kind: 'replaced-weights' };
+  if (upstreams.isPaused(upstream, now)) return { kind: 'paused', untilMs: upstream.pausedUntilMs };
   return rateExclusion(inputs, upstream);
 }
 
@@ -53,6 +56,7 @@
 
 function isPassing(exclusion: Exclusion): exclusion is PassingExclusion {
   switch (exclusion.kind) {
+    case 'paused':
     case 'cold':
     case 'limited':
       return true;
--- a/packages/core/src/fleet/liveness.ts
+++ b/packages/core/src/fleet/liveness.ts
@@ -5,6 +5,7 @@
 import type * as decide from './decide.js';
 import * as quarantineSteps from './quarantine-steps.js';
 import type * as fleet from './state.js';
+import * as upstreams from './upstream.js';
 import * as upstreamHealth from './upstream-health.js';
 
 type MessageOf<Type extends fleetMessages.FleetMessage['type']> = Extract<
@@ -25,7 +26,9 @@
     replyTo,
     message: { type: 'fleet.liveness-checked', attempt, isSilent },
   };
-  if (!upstream || isSilent || !upstreamHealth.isSilent(upstream, now)) {
+  const isProbeDue =
+    !isSilent && upstreamHealth.isSilent(upstream, now) && !upstreams.isPaused(upstream, now);
+  if (!isProbeDue) {
     return { state, commands: [reply] };
   }
   const { address } = upstream.registration;
@@ -60,6 +63,7 @@
       };
     }
     case 'unhealthy':
+      if (result.pauseMs !== undefined) upstreams.pause(upstream, result.pauseMs, now);
       return { state, commands: [] };
     case 'healthy': {
       if (probe.kind === 'liveness') Object.assign(upstream, { lastByteAtMs: now.monotonicMs });
--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -7,7 +7,7 @@
 import type * as decide from './decide.js';
 import type * as placement from './placement.js';
 import type * as fleet from './state.js';
-import type * as upstreams from './upstream.js';
+import * as upstreams from './upstream.js';
 
 type MessageOf<Type extends fleetMessages.FleetMessage['type']> = Extract<
   fleetMessages.FleetMessage,
@@ -221,7 +221,7 @@
         return [{ kind: 'reply', replyTo, message }];
       }
       case 'probe-liveness':
-        return livenessProbe(state, command.upstream);
+        return livenessProbe(state, command.upstream, now);
       case 'send-quarantine-update':
       case 'store-verdict':
       case 'record-crash-suspects':
@@ -235,9 +235,13 @@
   });
 }
 
-function livenessProbe({ registry }: fleet.State, id: string): readonly decide.Command[] {
+function livenessProbe(
+  { registry }: fleet.State,
+  id: string,
+  now: task.Instant,
+): readonly decide.Command[] {
   const upstream = registry.upstreams.get(id);
-  if (!upstream) return [];
+  if (!upstream || upstreams.isPaused(upstream, now)) return [];
   const { address } = upstream.registration;
   return [{ kind: 'probe', probe: { kind: 'liveness', upstream: id, address } }];
 }
--- a/packages/core/src/fleet/reports.ts
+++ b/packages/core/src/fleet/reports.ts
@@ -5,7 +5,7 @@
 import * as sharedContext from '../shared-context/index.js';
 import type * as decide from './decide.js';
 import type * as fleet from './state.js';
-import type * as upstreams from './upstream.js';
+import * as upstreams from './upstream.js';
 
 type RolloutReport = Extract<decide.Command, { kind: 'report-to-rollouts' }>;
 
@@ -66,15 +66,18 @@
   ].join(' ');
 }
 
-/** A health probe for an upstream that is listed and silent; none otherwise. */
+/** A health probe for an upstream that is listed, silent and not paused; none otherwise. */
 export function probeFor(
   { services }: fleet.State,
-  { registration, registrationState, reachability }: upstreams.Upstream,
+  upstream: upstreams.Upstream,
+  now: task.Instant,
 ): readonly gatewayMessages.Probe[] {
+  const { registration, registrationState, reachability } = upstream;
+  if (upstreams.isPaused(upstream, now)) return [];
   const service = services.get(registration.service);
   if (!service || registrationState.kind !== 'listed' || reachability.kind !== 'silent') return [];
-  const { id: upstream, address } = registration;
-  return [{ kind: 'health', upstream, address, path: service.healthPath }];
+  const { id, address } = registration;
+  return [{ kind: 'health', upstream: id, address, path: service.healthPath }];
 }
 
 /**
--- a/packages/core/src/fleet/upstream-health.ts
+++ b/packages/core/src/fleet/upstream-health.ts
@@ -74,6 +74,8 @@
   /** Requests a second that it takes from all instances together, if it names a limit. */
   limitPerS: number | undefined;
   isLeaving: boolean;
+  /** For how long it wants no further request from this instance, as it has turned one away. */
+  pauseMs: number | undefined;
 };
 
 /**
@@ -114,7 +116,7 @@
 /** Records what holds for one incarnation of the upstream. */
 function recordOwnSignals(
   upstream: upstreams.Upstream,
-  { version, limitPerS, isLeaving }: Signals,
+  { version, limitPerS, isLeaving, pauseMs }: Signals,
   work: upstreams.InFlightRequest | undefined,
   now: task.Instant,
 ): void {
@@ -124,6 +126,7 @@
     namedLimit: namedLimit.afterAnswer(upstream.namedLimit, heard, now.monotonicMs),
     isLeaving: upstream.isLeaving || isLeaving,
   });
+  if (pauseMs !== undefined) upstreams.pause(upstream, pauseMs, now);
 }
 
 /** Marks the upstream as answering again. It may have restarted, so it counts as cold for `coldMs`. */
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -64,6 +64,8 @@
   firstByteLatencyMs: number | undefined;
   /** Send time by part key, oldest first; the upstream may still have these parts cached. */
   recentlySentParts: Map<string, number>;
+  /** Until when it wants no request from this instance, in monotonic ms. */
+  pausedUntilMs: number;
   /** After rejecting work, the upstream is avoided until this time. */
   backoffUntilMs: number;
 };
@@ -97,10 +99,21 @@
     faultScoreAtMs: now.monotonicMs,
     firstByteLatencyMs: undefined,
     recentlySentParts: new Map(),
+    pausedUntilMs: 0,
     backoffUntilMs: 0,
   };
 }
 
+export function isPaused({ pausedUntilMs }: Upstream, now: task.Instant): boolean {
+  return now.monotonicMs < pausedUntilMs;
+}
+
+/** Holds back requests and probes for that long; an answer that came before cannot shorten it. */
+export function pause(upstream: Upstream, pauseMs: number, now: task.Instant): void {
+  const untilMs = Math.max(upstream.pausedUntilMs, now.monotonicMs + pauseMs);
+  Object.assign(upstream, { pausedUntilMs: untilMs });
+}
+
 function registrationStateOf({ presence }: Registration): RegistrationState {
   return presence === 'draining' ? { kind: 'draining' } : { kind: 'listed' };
 }
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -78,7 +78,7 @@
 export type ProbeResult =
   | { kind: 'healthy'; coldMs: number | undefined }
   /** The upstream answers but accepts no work, or another upstream answers at its address. */
-  | { kind: 'unhealthy'; reason: string }
+  | { kind: 'unhealthy'; reason: string; pauseMs: number | undefined }
   | { kind: 'no-response' };
 
 /** Messages to the task that reads the context stores' events. */
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -40,7 +40,7 @@
 
 /**
  * `cold`, `limited`: the only candidates left are upstreams that are cold or name a limit, and are at
- * that rate. `quarantined`: a
+ * that rate; `paused`: or have turned a request away and want none yet. `quarantined`: a
  * part of the prompt crashes upstreams. `suspected`: one may, and the request may have run already.
  * `one-at-a-time`: one may, and another request with it is in flight.
  */
@@ -49,6 +49,7 @@
   | 'none-usable'
   | 'cold'
   | 'limited'
+  | 'paused'
   | 'full'
   | 'quarantined'
   | 'suspected'
--- a/packages/plugins/rollouts/src/rollouts-task.ts
+++ b/packages/plugins/rollouts/src/rollouts-task.ts
@@ -65,6 +65,7 @@
         version: { model, version },
         limitPerS: undefined,
         isLeaving: false,
+        pauseMs: undefined,
       };
       send('fleet', {
         type: 'fleet.upstream-responded',
