--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -111,11 +111,13 @@
     const weights = received.headers['x-medlarweir-expect-version'];
     const isOther = expected !== undefined && expected !== id;
     if (isOther || (weights !== undefined && weights !== String(state.version))) {
-      response.writeHead(421, { 'x-medlarweir-instance-id': id }).end();
+      const headers = { [REQUEST_ID]: received.requestId, 'x-medlarweir-instance-id': id };
+      response.writeHead(421, headers).end();
       return;
     }
     if (state.fault === 'not-executed') {
-      response.writeHead(503, { 'x-medlarweir-not-executed': '1' }).end();
+      const headers = { [REQUEST_ID]: received.requestId, 'x-medlarweir-not-executed': '1' };
+      response.writeHead(503, headers).end();
       return;
     }
     ran.push(received);
