Only an attempt that goes on with a stream ends it for the caller

Callers saw (other operators): their stream ended as if it were complete after another upstream had answered with something else.

Cause: once the head of a stream was sent, any sealed answer below 300 of the next upstream ended it: a JSON body, 204, an event stream with a length and no event. Errors were handled: the stream is cut.

Change: the request keeps which attempt streams to its caller; the end of any other cuts the stream.

--- a/packages/core/src/gateway/lifecycle-endings.ts
+++ b/packages/core/src/gateway/lifecycle-endings.ts
@@ -74,9 +74,9 @@
 
 /**
  * Delivers an upstream's response. If the head of a stream was already sent, only the end of the
- * stream can follow it; an error response aborts the stream.
+ * stream can follow it, from an attempt that went on with it; anything else aborts the stream.
  */
-export function deliver(state: State, result: attemptResult.Result): Step {
+export function deliver(state: State, result: attemptResult.Result, attempt?: string): Step {
   if (result.kind !== 'answered') return abort(state);
   const { head, body } = result;
   if (!state.isHeadSent) {
@@ -84,7 +84,7 @@
       { kind: 'reply', reply: { type: 'reply.complete', head, body } },
     ]);
   }
-  if (head.status >= 300) return abort(state);
+  if (head.status >= 300 || state.streamedBy !== attempt) return abort(state);
   return end(state, { result: 'answered', status: head.status }, [
     { kind: 'reply', reply: { type: 'reply.end' } },
   ]);
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -42,6 +42,11 @@
   /** Upstreams that get no further attempt. */
   excluded: readonly string[];
   isHeadSent: boolean;
+  /**
+   * The attempt whose end may end the caller's stream: the one that began it, or the last one that went
+   * on with an event.
+   */
+  streamedBy: string | undefined;
   /** When the current placement first found no upstream. */
   noPlacementSinceMs: number | undefined;
   lastEventId: string | undefined;
@@ -96,6 +101,7 @@
     possibleRuns: 0,
     excluded: [],
     isHeadSent: false,
+    streamedBy: undefined,
     noPlacementSinceMs: undefined,
     lastEventId: routed.request.lastEventId,
     failure: undefined,
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -190,7 +190,8 @@
   { attempt, head }: Extract<messages.RequestMessage, { type: 'attempt.head-received' }>,
 ): Step {
   if (!currentAttempt(state, attempt)) return { state, commands: [] };
-  const next: State = { ...withBegun(state), isHeadSent: true };
+  const streamedBy = state.isHeadSent ? state.streamedBy : attempt;
+  const next: State = { ...withBegun(state), isHeadSent: true, streamedBy };
   const timerCommands: readonly lifecycleState.Command[] = [
     { kind: 'unschedule', timer: 'begin' },
     ...timers.armIdleTimer(next),
@@ -208,7 +209,9 @@
 ): Step {
   if (!currentAttempt(state, message.attempt)) return { state, commands: [] };
   const lastEventId = message.lastEventId ?? state.lastEventId;
-  const next: State = { ...state, lastEventId };
+  const goesOn = lastEventId !== state.lastEventId;
+  const streamedBy = goesOn ? message.attempt : state.streamedBy;
+  const next: State = { ...state, lastEventId, streamedBy };
   const reply = { type: 'reply.events' as const, bytes: message.bytes };
   return { state: next, commands: [{ kind: 'reply', reply }, ...timers.armIdleTimer(next)] };
 }
@@ -260,7 +263,7 @@
   const classification = attemptResult.classify(result);
   switch (classification.kind) {
     case 'deliver':
-      return endings.deliver(state, result);
+      return endings.deliver(state, result, attempt.id);
     case 'not-run':
       return afterNotRun(
         { ...state, lastFailureReason: lastReason, excluded, possibleRuns: state.possibleRuns - 1 },
--- a/packages/stand-ins/src/replica/event-streams.ts
+++ b/packages/stand-ins/src/replica/event-streams.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 
 import type * as replica from './replica.js';
+import * as resumptions from './resumptions.js';
 
 /**
  * `proper`: chunked, with its end. `reset-inside`: chunked, and destroyed inside the second event. The
@@ -12,7 +13,7 @@
 export type Stream = { after: number; events: number; pauseMs: number; ending: Ending };
 
 export function endingOf(fault: replica.Fault): Ending {
-  if (fault === 'cut') return 'reset-inside';
+  if (fault === 'cut' || resumptions.isResumption(fault)) return 'reset-inside';
   if (fault === 'close-delimited') return 'unframed';
   if (fault === 'close-delimited-empty') return 'unframed-empty';
   return fault === 'close-delimited-half' ? 'unframed-inside' : 'proper';
--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -8,6 +8,7 @@
 import * as crashes from './crashes.js';
 import * as endless from './endless.js';
 import * as eventStreams from './event-streams.js';
+import * as resumptions from './resumptions.js';
 
 /**
  * `not-executed`: 503 with the header that confirms that the request did not run. `foreign-answer`:
@@ -21,6 +22,7 @@
  * `extra-response`: a second response after the first. `no-seal`: 200 without the seal header.
  */
 export { ENDLESS_FAULTS } from './endless.js';
+export { RESUMPTION_FAULTS } from './resumptions.js';
 
 export type Fault =
   | 'none'
@@ -39,6 +41,7 @@
   | 'error'
   | 'extra-response'
   | 'no-seal'
+  | resumptions.ResumptionFault
   | endless.EndlessFault;
 
 export type ReceivedRequest = {
@@ -140,6 +143,10 @@
       return;
     }
     const isStream = received.headers['x-medlarweir-model'] !== undefined;
+    if (resumptions.isResumption(state.fault) && received.headers['last-event-id'] !== undefined) {
+      resumptions.answer(response, state.fault, headersOf(received));
+      return;
+    }
     if (isStream) stream(received, response);
     else whole(received, request.socket, response);
   }
@@ -201,6 +208,10 @@
       case 'unrequested-encoding':
       case 'silent':
       case 'no-seal':
+      case 'resumed-by-error':
+      case 'resumed-by-body':
+      case 'resumed-by-no-content':
+      case 'resumed-by-no-event':
         response.writeHead(200, headers).end(body);
         return;
       case 'endless-head':
