A lease is not taken at once from what an old copy of the store says

Cause: a lease that was missing or released in the copy was taken at once, beside a holder whose record the copy had lost.

Change: after a restore, and where an instance cannot tell because it has just started, such a lease is taken after a whole term.

--- a/packages/core/src/leases/decide.ts
+++ b/packages/core/src/leases/decide.ts
@@ -119,9 +119,13 @@
 ): lease.Step {
   switch (answer.kind) {
     case 'missing':
-      return takeOver(given, 0, now);
-    case 'object':
-      return evaluateRecord(given, phase.observation, answer.object, now);
+      return answer.isFromCopy
+        ? evaluateRecord(given, phase.observation, missingRecord(given.options), true, now)
+        : takeOver(given, 0, now);
+    case 'object': {
+      const { object, isFromCopy = false } = answer;
+      return evaluateRecord(given, phase.observation, object, isFromCopy, now);
+    }
     case 'unavailable':
     case 'written':
     case 'conflict':
@@ -131,11 +135,20 @@
   }
 }
 
-/** Takes the lease over if it has expired, was released, or is held by this process itself. */
+/** A record that is missing in an old copy: its holder may not have noticed, and counts its term. */
+function missingRecord({ key }: lease.Options): messages.StoredObject {
+  return { key, version: 0, value: undefined, writeId: '' };
+}
+
+/**
+ * Takes the lease over if it has expired, was released, or is held by this process itself. What an old
+ * copy has may have been followed by another holder, so only its expiry counts then.
+ */
 function evaluateRecord(
   given: lease.Lease,
   before: lease.Observation | undefined,
   object: messages.StoredObject,
+  isFromCopy: boolean,
   now: task.Instant,
 ): lease.Step {
   const checked = lease.recordSchema.safeParse(object.value);
@@ -143,7 +156,9 @@
     ? checked.data
     : placeholderRecord(given.options);
   const isOwn = record.incarnation === given.options.incarnation;
-  if (isOwn || record.state === 'released') return takeOver(given, object.version, now);
+  if (!isFromCopy && (isOwn || record.state === 'released')) {
+    return takeOver(given, object.version, now);
+  }
   const isUnchanged = before?.version === object.version;
   const observation = isUnchanged
     ? before
--- a/packages/core/test/leases/leases.test.ts
+++ b/packages/core/test/leases/leases.test.ts
@@ -21,6 +21,11 @@
   fastCheck.record({ kind: fastCheck.constant('pause' as const), atMs, forMs, who }),
   fastCheck.record({ kind: fastCheck.constant('restart' as const), atMs, who }),
   fastCheck.record({ kind: fastCheck.constant('release' as const), atMs, who }),
+  fastCheck.record({
+    kind: fastCheck.constant('restore' as const),
+    atMs,
+    agoMs: fastCheck.integer({ min: 100, max: 12_000 }),
+  }),
   fastCheck.record({
     kind: fastCheck.constantFrom('outage' as const, 'lost-answers' as const, 'slow' as const),
     atMs,
