A holder whose record an old copy lacks takes its lease again at once

Cause: after a restore a missing lease was taken after a whole term, also by its own holder. All others wait for that term, so the holder may take it again until its own has ended. Where the copy lacks the record, the time for effects of a predecessor did not count.

Change: a lease remembers until when it was held; the grace period holds after a restore as well.

Measured: the property test of leases passes with restores; a test of a lost record.

--- a/packages/core/src/leases/decide.ts
+++ b/packages/core/src/leases/decide.ts
@@ -4,7 +4,7 @@
  * from before it sends its write and stops a margin early. Clocks of two instances are never
  * compared.
  */
-import type * as task from '../kernel/task.js';
+import * as task from '../kernel/task.js';
 import type * as messages from '../messages/index.js';
 import * as results from '../results/index.js';
 import * as platformCalls from './platform-calls.js';
@@ -31,7 +31,8 @@
     return { state: { ...given, phase: { kind: 'idle' } }, commands: [] };
   }
   const { version } = given.phase.grant;
-  const { state, write } = platformCalls.newWrite(given, version, now);
+  const ended = { ...given, heldUntil: undefined };
+  const { state, write } = platformCalls.newWrite(ended, version, now);
   return platformCalls.send({ ...state, phase: { kind: 'releasing', write } }, write, 'released');
 }
 
@@ -142,7 +143,8 @@
 
 /**
  * Takes the lease over if it has expired, was released, or is held by this process itself. What an old
- * copy has may have been followed by another holder, so only its expiry counts then.
+ * copy has may have been followed by another holder, so only its expiry counts then, or that the term of
+ * this process has not ended: all others wait for a whole one.
  */
 function evaluateRecord(
   given: lease.Lease,
@@ -156,15 +158,14 @@
     ? checked.data
     : placeholderRecord(given.options);
   const isOwn = record.incarnation === given.options.incarnation;
-  if (!isFromCopy && (isOwn || record.state === 'released')) {
-    return takeOver(given, object.version, now);
-  }
+  const isFree = isFromCopy ? holdsTerm(given, now) : isOwn || record.state === 'released';
+  if (isFree) return takeOver(given, object.version, now, isFromCopy);
   const isUnchanged = before?.version === object.version;
   const observation = isUnchanged
     ? before
     : { version: object.version, record, seenAtMs: now.monotonicMs };
   const waitMs = takeOverAtMs(given, observation) - now.monotonicMs;
-  if (waitMs <= 0) return takeOver(given, object.version, now);
+  if (waitMs <= 0) return takeOver(given, object.version, now, isFromCopy);
   const waiting: lease.Lease = { ...given, phase: { kind: 'waiting', observation } };
   return platformCalls.wakeAfter(waiting, waitMs + given.standbyDelayMs);
 }
@@ -178,8 +179,18 @@
   return seenAtMs + record.termMs * (1 + MAX_CLOCK_DRIFT) + options.marginMs;
 }
 
-function takeOver(given: lease.Lease, version: number, now: task.Instant): lease.Step {
-  const { state, write } = platformCalls.newWrite(given, version, now);
+function holdsTerm({ heldUntil }: lease.Lease, now: task.Instant): boolean {
+  return heldUntil !== undefined && !task.hasCome(heldUntil, now);
+}
+
+function takeOver(
+  given: lease.Lease,
+  version: number,
+  now: task.Instant,
+  isFromCopy = false,
+): lease.Step {
+  const hasPredecessor = isFromCopy || version > 0;
+  const { state, write } = platformCalls.newWrite(given, version, now, hasPredecessor);
   return platformCalls.send({ ...state, phase: { kind: 'acquiring', write } }, write, 'held');
 }
 
@@ -199,6 +210,7 @@
     };
     const held: lease.Lease = {
       ...given,
+      heldUntil: grant.expiresAt,
       phase: { kind: 'held', grant, renewal: undefined },
     };
     const next = renewIfDue(held, grant, now);
@@ -226,7 +238,7 @@
       expiresAt: platformCalls.expiryOf(given.options, renewal),
     };
     const phase: lease.Phase = { kind: 'held', grant: renewed, renewal: undefined };
-    return renewIfDue({ ...given, phase }, renewed, now);
+    return renewIfDue({ ...given, heldUntil: renewed.expiresAt, phase }, renewed, now);
   }
   if (answer.kind !== 'conflict') return platformCalls.retryWriteLater(given, renewal, now);
   const next = platformCalls.read(given, undefined, now);
@@ -252,5 +264,5 @@
 
 /** Stops holding the lease without a write to the platform: an upstream has seen a later holder. */
 export function stepDown(given: lease.Lease, now: task.Instant): lease.Step {
-  return platformCalls.read(given, undefined, now);
+  return platformCalls.read({ ...given, heldUntil: undefined }, undefined, now);
 }
--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -60,6 +60,8 @@
 export type PendingWrite = {
   writeId: string;
   expectedVersion: number;
+  /** Whether effects of another holder may still be on their way. */
+  hasPredecessor: boolean;
   attempt: number;
   /**
    * When the first attempt was sent: the earliest time at which the write can have taken effect.
@@ -105,6 +107,8 @@
   options: Options;
   phase: Phase;
   nextId: number;
+  /** End of the term that this process held last, or holds; by its own clocks. */
+  heldUntil: task.Instant | undefined;
   /** Additional time between reads of a lease that another instance holds; the first standbys have none. */
   standbyDelayMs: number;
 };
@@ -128,7 +132,13 @@
 export type Step = task.Step<Lease, Command>;
 
 export function create(given: Options): Lease {
-  return { options: given, phase: { kind: 'idle' }, nextId: 1, standbyDelayMs: 0 };
+  return {
+    options: given,
+    phase: { kind: 'idle' },
+    nextId: 1,
+    heldUntil: undefined,
+    standbyDelayMs: 0,
+  };
 }
 
 /** Converts a read or write command to the message for the platform task. */
--- a/packages/core/src/leases/platform-calls.ts
+++ b/packages/core/src/leases/platform-calls.ts
@@ -44,10 +44,16 @@
 }
 
 /** Creates a conditional update with a new write id. */
-export function newWrite(given: lease.Lease, expectedVersion: number, now: task.Instant) {
+export function newWrite(
+  given: lease.Lease,
+  expectedVersion: number,
+  now: task.Instant,
+  hasPredecessor = expectedVersion > 0,
+) {
   const write: lease.PendingWrite = {
     writeId: `${given.options.key}:${given.options.incarnation}:write-${given.nextId}`,
     expectedVersion,
+    hasPredecessor,
     attempt: 1,
     firstSentAt: now,
     retryAtMs: now.monotonicMs + ANSWER_TIMEOUT_MS,
@@ -132,8 +138,7 @@
  * last effect may still be in flight for up to `maxDeliveryMs`.
  */
 export function graceEndMs({ maxDeliveryMs }: lease.Options, write: lease.PendingWrite): number {
-  const hasPredecessor = write.expectedVersion > 0;
-  return write.firstSentAt.monotonicMs + (hasPredecessor ? maxDeliveryMs : 0);
+  return write.firstSentAt.monotonicMs + (write.hasPredecessor ? maxDeliveryMs : 0);
 }
 
 /** Asks the embedding task to call `wake` after a delay. */
--- a/packages/core/test/leases/leases.test.ts
+++ b/packages/core/test/leases/leases.test.ts
@@ -87,6 +87,16 @@
   assert.is.not(world.acquired[1]?.who, undefined);
 });
 
+suite('a holder whose record is lost in a restore takes the lease again within its term', () => {
+  const restore: fixtures.LeaseFault = { kind: 'restore', atMs: 5_000, agoMs: 4_990 };
+  const world = fixtures.aLeaseSimulation([restore], [0.5]);
+  world.timeline.advance(10_000);
+  assert.equal(
+    world.acquired.map(({ who: holder }) => holder),
+    [0, 0],
+  );
+});
+
 suite('a paused holder that wakes after the next holder has acted sends nothing', () => {
   const pause: fixtures.LeaseFault = { kind: 'pause', atMs: 4_000, forMs: 40_000, who: 0 };
   const world = fixtures.aLeaseSimulation([pause], [0.5]);
