--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -14,7 +14,6 @@
 
 /** Why the upstream gets no request. `untilMs`: when it may, in monotonic ms; infinite if that is not known. */
 export type Exclusion =
-  | { kind: 'other-service' }
   | { kind: 'other-model' }
   /** The request has been there already. */
   | { kind: 'tried' }
@@ -29,13 +28,12 @@
   | { kind: rateLimit.Reason; untilMs: number };
 
 /** The first reason that holds; undefined if the request may be sent there. */
-export function findExclusion(
+function findExclusion(
   inputs: placement.Inputs,
   upstream: upstreams.Upstream,
 ): Exclusion | undefined {
   const { state, placementRequest, now } = inputs;
   const { registration, reachability, isLeaving } = upstream;
-  if (registration.service !== placementRequest.service) return { kind: 'other-service' };
   if (!isListed(upstream, now)) return { kind: 'not-listed' };
   if (isLeaving) return { kind: 'leaving' };
   if (state.evacuatedDataCentres.has(registration.dataCentre)) return { kind: 'evacuated' };
@@ -47,20 +45,35 @@
   return rateExclusion(inputs, upstream);
 }
 
-export type PassingExclusion = Extract<Exclusion, { untilMs: number }>;
+export type Judged = {
+  /** The upstreams that the request may be sent to. */
+  available: upstreams.Upstream[];
+  /** These, and those that it may be sent to soon. */
+  eligible: upstreams.Upstream[];
+  exclusions: Exclusion[];
+};
 
-/** Whether the upstream may get such a request now or soon. */
-export function isEligible(exclusion: Exclusion | undefined): boolean {
-  return exclusion === undefined || isPassing(exclusion);
+/** Judges all upstreams of the request's service. */
+export function judgeAll(inputs: placement.Inputs): Judged {
+  const judged: Judged = { available: [], eligible: [], exclusions: [] };
+  inputs.state.registry.upstreams.forEach((upstream) => {
+    if (upstream.registration.service !== inputs.service.name) return;
+    const exclusion = findExclusion(inputs, upstream);
+    if (exclusion) judged.exclusions.push(exclusion);
+    else judged.available.push(upstream);
+    if (!exclusion || isPassing(exclusion)) judged.eligible.push(upstream);
+  });
+  return judged;
 }
 
+export type PassingExclusion = Extract<Exclusion, { untilMs: number }>;
+
 function isPassing(exclusion: Exclusion): exclusion is PassingExclusion {
   switch (exclusion.kind) {
     case 'paused':
     case 'cold':
     case 'limited':
       return true;
-    case 'other-service':
     case 'other-model':
     case 'tried':
     case 'not-listed':
@@ -78,12 +91,10 @@
   return exclusions.filter(isPassing).sort((a, b) => a.untilMs - b.untilMs)[0];
 }
 
-/** How many upstreams of the service are excluded for each reason, for the journal. */
+/** How many upstreams are excluded for each reason, for the journal. */
 export function summarize(exclusions: readonly Exclusion[]): string {
   const counts = new Map<Exclusion['kind'], number>();
-  exclusions
-    .filter(({ kind }) => kind !== 'other-service')
-    .forEach(({ kind }) => counts.set(kind, (counts.get(kind) ?? 0) + 1));
+  exclusions.forEach(({ kind }) => counts.set(kind, (counts.get(kind) ?? 0) + 1));
   return [...counts].map(([kind, count]) => `${count} ${kind}`).join(', ');
 }
 
@@ -106,8 +117,9 @@
   { state, service, now: { monotonicMs } }: placement.Inputs,
   upstream: upstreams.Upstream,
 ): Exclusion | undefined {
-  return rateLimit
-    .limitsOf(upstream, service, state.bounds, monotonicMs)
+  const limits = rateLimit.limitsOf(upstream, service, state.bounds, monotonicMs);
+  if (limits.length === 0) return undefined;
+  return limits
     .map((limit) => ({
       kind: limit.reason,
       untilMs: monotonicMs + rateLimit.waitMs(state, upstream, limit, monotonicMs),
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -83,22 +83,8 @@
   if (!service) return refusals.none('unknown-service');
   const inputs: Inputs = { state, service, placementRequest, now };
   placeCost.recordPrompt(inputs);
-  const judged = [...state.registry.upstreams.values()].map((upstream) => ({
-    upstream,
-    exclusion: eligibility.findExclusion(inputs, upstream),
-  }));
-  const available = judged
-    .filter(({ exclusion }) => exclusion === undefined)
-    .map(({ upstream }) => upstream);
-  if (available.length === 0) {
-    return refusals.noneAvailable(
-      judged.flatMap(({ exclusion }) => exclusion ?? []),
-      now,
-    );
-  }
-  const eligible = judged
-    .filter(({ exclusion }) => eligibility.isEligible(exclusion))
-    .map(({ upstream }) => upstream);
+  const { available, eligible, exclusions } = eligibility.judgeAll(inputs);
+  if (available.length === 0) return refusals.noneAvailable(exclusions, now);
   const waves = rolloutWaves(inputs, eligible);
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
   const sampled = sampling.select(inputs, available, affinityKey(placementRequest), isInWave);
--- a/packages/core/src/fleet/rate-limit.ts
+++ b/packages/core/src/fleet/rate-limit.ts
@@ -43,11 +43,12 @@
 const INITIAL_TOKENS = 1;
 /** What upstreams bear beyond the limit that they name. */
 const NAMED_LIMIT_BOUND = { windowS: 4, overrun: 1.5, slack: 5 };
+const NONE: readonly RateLimit[] = [];
 const NO_SHARE: Share = { perS: 0, capacity: 0 };
 /** Tolerance for sums of fractions of a request. */
 const EPSILON = 1e-6;
 
-/** The limits that hold for the upstream at present. */
+/** The limits that hold for the upstream at present; most have none. */
 export function limitsOf(
   upstream: upstreams.Upstream,
   { coldPerS }: routes.Service,
@@ -55,13 +56,21 @@
   nowMs: number,
 ): readonly RateLimit[] {
   const { namedLimit } = upstream;
-  const cold: readonly RateLimit[] =
-    coldPerS > 0 && isCold(upstream, nowMs)
-      ? [{ reason: 'cold', perS: coldPerS, windowS: 1, overrun: coldOverrun, slack: coldSlack }]
-      : [];
-  return namedLimit
-    ? [...cold, { reason: 'limited', perS: namedLimit.perS, ...NAMED_LIMIT_BOUND }]
-    : cold;
+  const isLimitedAsCold = coldPerS > 0 && isCold(upstream, nowMs);
+  if (!isLimitedAsCold && !namedLimit) return NONE;
+  const cold: RateLimit = {
+    reason: 'cold',
+    perS: coldPerS,
+    windowS: 1,
+    overrun: coldOverrun,
+    slack: coldSlack,
+  };
+  return [
+    ...(isLimitedAsCold ? [cold] : []),
+    ...(namedLimit
+      ? [{ reason: 'limited' as const, perS: namedLimit.perS, ...NAMED_LIMIT_BOUND }]
+      : []),
+  ];
 }
 
 export function isCold({ coldUntilMs }: upstreams.Upstream, nowMs: number): boolean {
