Tests of the bound on replaced weights in two files

Change: the checks are a fixture; the groups about versions, waits and upstreams are a file of their own.

--- a/packages/core/test/rollouts/weights-bound.test.ts
+++ b/packages/core/test/rollouts/weights-bound.test.ts
@@ -8,33 +8,7 @@
 import * as assert from 'uvu/assert';
 
 const suite = uvu.suite('rollouts: bound on replaced weights');
-const { weightsJudge, weightsSchedule } = fixtures;
-
-const RUNS = 100;
-
-/** What breaks the rule, with a sender that is in touch until the request begins. */
-function breachesOf(
-  schedule: fixtures.weightsSchedule.Schedule,
-  guards: Partial<fixtures.weightsWorld.Guards> = {},
-): readonly fixtures.weightsJudge.Breach[] {
-  const begun = fixtures.playWeights(schedule, guards);
-  return weightsJudge.breaches(schedule, begun, 'until-begun');
-}
-
-function holdsWhere(
-  drawn: fastCheck.Arbitrary<fixtures.weightsSchedule.Schedule>,
-  found: (schedule: fixtures.weightsSchedule.Schedule) => readonly fixtures.weightsJudge.Breach[],
-): void {
-  fastCheck.assert(
-    fastCheck.property(drawn, (schedule) => assert.equal(found(schedule).slice(0, 1), [])),
-    fixtures.seeded(RUNS),
-  );
-}
-
-function holds(changed: Partial<fixtures.weightsSchedule.Variations>): void {
-  const drawn = weightsSchedule.schedules(weightsSchedule.variations(changed));
-  holdsWhere(drawn, (schedule) => breachesOf(schedule));
-}
+const { weightsCheck, weightsSchedule } = fixtures;
 
 // Guards against a model that no schedule exercises: work does begin on old and on new weights.
 suite('play reaches old and new weights', () => {
@@ -49,74 +23,31 @@
 });
 
 // Guards against work on weights that were replaced too long ago, while nothing goes wrong.
-suite('holds without troubles', () => holds({}));
+suite('holds without troubles', () => weightsCheck.holds({}));
 
 // Guards against a bound that leaves out the time to read a long prompt.
-suite('holds for long prompts', () => holds({ maxOwnTokens: 80_000 }));
+suite('holds for long prompts', () => weightsCheck.holds({ maxOwnTokens: 80_000 }));
 
 // Guards against a process that counts the bound from its own start.
-suite('holds for instances started anew', () => holds({ troubles: ['killed'] }));
+suite('holds for instances started anew', () => weightsCheck.holds({ troubles: ['killed'] }));
 
 // Guards against a bound that follows the steps of the wall clock.
-suite('holds while wall clocks step', () => holds({ troubles: ['stepped'] }));
+suite('holds while wall clocks step', () => weightsCheck.holds({ troubles: ['stepped'] }));
 
 // Guards against a bound that counts from the waking of an instance that was stopped at the naming.
-suite('holds for instances frozen at the naming', () => holds({ troubles: ['frozen'] }));
+suite('holds for instances frozen at the naming', () =>
+  weightsCheck.holds({ troubles: ['frozen'] }),
+);
 
 // Guards against an age that lacks the time for which a suspended machine's monotonic clock stood.
 suite('holds for suspended clocks', () =>
-  holdsWhere(weightsSchedule.suspendedLater(), (schedule) => breachesOf(schedule)),
-);
-
-// Guards against a lost watch, after which the bound counts from the next answer.
-suite('holds for lost watches', () => holds({ troubles: ['reset', 'cut'] }));
-
-// Guards against a version that was replaced unseen, so that the one before it gets the time of the next.
-suite('holds for skipped versions', () =>
-  holdsWhere(weightsSchedule.skippedVersions(), (schedule) => breachesOf(schedule)),
-);
-
-// Guards against requests that wait at the upstream until the bound has passed.
-suite('holds for waits beyond the estimate', () => holds({ maxExcessMs: 3_000 }));
-
-// Guards against believing a restarted upstream to have newer weights than it has.
-suite('holds for restarted upstreams', () => holds({ restarts: 'weights-kept' }));
-
-// Guards against believing weights that an upstream lost in a restart that its entry does not show yet.
-suite('holds for upstreams that lose weights', () => holds({ restarts: 'weights-lost' }));
-
-// Guards against requests that begin late at an upstream because their sender froze and could not withdraw them.
-suite('holds for senders frozen after sending', () =>
-  holdsWhere(
-    weightsSchedule.schedules(
-      weightsSchedule.variations({ troubles: ['frozen'], maxExcessMs: 3_000 }),
-    ),
-    (schedule) => {
-      const begun = fixtures.playWeights(schedule);
-      const others = weightsJudge.breaches(schedule, begun, 'until-begun').map(({ atMs }) => atMs);
-      return weightsJudge
-        .breaches(schedule, begun, 'at-sending')
-        .filter(({ atMs }) => !others.includes(atMs));
-    },
+  weightsCheck.holdsWhere(weightsSchedule.suspendedLater(), (schedule) =>
+    weightsCheck.breachesOf(schedule),
   ),
 );
 
-// Guards against requests that were placed before their instance heard of the version, and that wait beyond the bound.
-suite('holds for requests placed before the version is heard of', () =>
-  holds({ troubles: ['cut'], maxOwnTokens: 80_000, maxExcessMs: 3_000 }),
-);
-
-// Guards against combinations of troubles that none of the schedules above has.
-suite('holds for all together', () =>
-  holds({
-    troubles: ['frozen', 'killed', 'reset', 'cut', 'stepped'],
-    monotonic: 'either',
-    maxExcessMs: 3_000,
-    maxOwnTokens: 80_000,
-    skipsVersions: true,
-    restarts: 'weights-kept',
-  }),
-);
+// Guards against a lost watch, after which the bound counts from the next answer.
+suite('holds for lost watches', () => weightsCheck.holds({ troubles: ['reset', 'cut'] }));
 
 type Guard = {
   name: string;
@@ -198,9 +129,9 @@
     const drawn = weightsSchedule.schedules(weightsSchedule.variations(variations));
     const property = fastCheck.property(
       drawn,
-      (schedule) => breachesOf(schedule, takenOut).length === 0,
+      (schedule) => weightsCheck.breachesOf(schedule, takenOut).length === 0,
     );
-    assert.ok(fastCheck.check(property, fixtures.seeded(RUNS)).failed);
+    assert.ok(fastCheck.check(property, fixtures.seeded(weightsCheck.RUNS)).failed);
   }),
 );
 
