Watches of the platform's objects are decided in the core

Cause: position, order and age of what an instance knows were decided inside the platform's adapter, each way in by itself. Change: watches, answers, relayed changes and versions moved to core/knowledge; no decision changes. What only shows that a writer lives is a field of the pacing, so that no name of the wire is needed there. Measured: the tests that used them pass unchanged but for their imports.

--- a/benchmark/src/control-plane/instance.ts
+++ b/benchmark/src/control-plane/instance.ts
@@ -3,6 +3,7 @@
  * in-memory links instead of sockets.
  */
 import * as core from '@medlarweir/core';
+import * as knowledge from '@medlarweir/core/knowledge';
 import * as store from '@medlarweir/platform/store';
 
 import type * as worlds from './world.js';
@@ -32,7 +33,7 @@
     return {
       configuration: core.configuration.initial(name, dataCentre),
       membership: core.membership.initial(name, dataCentre, `${name}#${life.run}`),
-      watches: store.watches.initial(name),
+      watches: knowledge.watches.initial(name),
       list: new Map() as store.instanceList.ByKey,
     };
   }
@@ -61,7 +62,7 @@
     state.membership = step.state;
     step.commands.forEach(performMembership);
   }
-  function takeWatches(step: core.kernel.Step<store.watches.State, WatchCommand>): void {
+  function takeWatches(step: core.kernel.Step<knowledge.watches.State, WatchCommand>): void {
     state.watches = step.state;
     step.commands.forEach(performWatch);
   }
@@ -70,11 +71,13 @@
     switch (command.kind) {
       case 'watch':
         takeWatches(
-          store.watches.addSubscriber(state.watches, kindOf(head), reader, undefined, now()),
+          knowledge.watches.addSubscriber(state.watches, kindOf(head), reader, undefined, now()),
         );
         return;
       case 'unwatch':
-        takeWatches(store.watches.removeSubscriber(state.watches, kindOf(head), reader.changed));
+        takeWatches(
+          knowledge.watches.removeSubscriber(state.watches, kindOf(head), reader.changed),
+        );
         return;
       case 'read':
         readObject(core.configuration.TICKETS[command.what], command.key);
@@ -146,7 +149,7 @@
 
   function takeList(news: core.messages.PlatformWatchUpdated): void {
     state.list = store.instanceList.applyUpdate(state.list, news);
-    if (!store.watchUpdates.hasChanges(news)) return;
+    if (!knowledge.updates.hasChanges(news)) return;
     const instances = [...state.list.values()];
     takeMembership({ type: 'platform.instances-changed', instances });
   }
@@ -156,8 +159,8 @@
     const isKnown = state.watches.watches.has(kind);
     takeWatches(
       isKnown
-        ? store.watches.setPace(state.watches, kind, pace)
-        : store.watches.addSubscriber(state.watches, kind, listReader, pace, now()),
+        ? knowledge.watches.setPace(state.watches, kind, pace)
+        : knowledge.watches.addSubscriber(state.watches, kind, listReader, pace, now()),
     );
   }
 
@@ -189,13 +192,13 @@
         core.results.assertNever(command);
     }
   }
-  function decideWatch(message: store.watches.Message): void {
-    takeWatches(store.watchAnswers.decide(state.watches, message, now()));
+  function decideWatch(message: knowledge.watches.Message): void {
+    takeWatches(knowledge.answers.decide(state.watches, message, now()));
   }
   function ask(kind: string, run: number, call: (answer: (text: string) => void) => void): void {
     if (links.isCut(dataCentre, PLATFORM)) {
       const failure = core.results.failure('platformUnavailable', 'cut');
-      const answer: store.watches.Answer = { kind: 'failed', failure };
+      const answer: knowledge.watches.Answer = { kind: 'failed', failure };
       later(CALL_TIMEOUT_MS, () => decideWatch({ type: 'watch.answered', kind, run, answer }));
       return;
     }
@@ -203,7 +206,7 @@
       call((text) =>
         later(1, () => {
           count(text);
-          const answer = JSON.parse(text) as store.watches.Answer;
+          const answer = JSON.parse(text) as knowledge.watches.Answer;
           decideWatch({ type: 'watch.answered', kind, run, answer });
         }),
       ),
@@ -280,7 +283,7 @@
   };
 }
 
-type WatchCommand = store.watches.Command;
+type WatchCommand = knowledge.watches.Command;
 
 /** Returns the object kind at the start of a key prefix. */
 function kindOf(prefix: string): string {
--- a/benchmark/src/control-plane/platform.ts
+++ b/benchmark/src/control-plane/platform.ts
@@ -1,5 +1,6 @@
 /** Models the platform's service in simulated time: the head, its bases, the list and watches. */
 import type * as core from '@medlarweir/core';
+import * as knowledge from '@medlarweir/core/knowledge';
 import * as store from '@medlarweir/platform/store';
 
 import type * as timelines from './timeline.js';
@@ -40,7 +41,12 @@
   function newsOf(kind: string, since: number): { isNew: boolean; text: string } {
     const found = after(kind, since);
     const { revision } = state;
-    const news: store.watches.Answer = { kind: 'updates', objects: found, removed: [], revision };
+    const news: knowledge.watches.Answer = {
+      kind: 'updates',
+      objects: found,
+      removed: [],
+      revision,
+    };
     return { isNew: found.length > 0, text: JSON.stringify(news) };
   }
 
--- a/platform/src/watch-answers.ts
+++ b/packages/core/src/knowledge/answers.ts
@@ -3,18 +3,19 @@
  * list's revision. An expired revision starts a new listing; failures are retried with backoff and
  * jitter.
  */
-import * as core from '@medlarweir/core';
-
+import type * as task from '../kernel/task.js';
+import type * as platform from '../messages/platform.js';
+import * as results from '../results/index.js';
 import * as backoff from './backoff.js';
-import * as storeVersions from './store-versions.js';
-import * as significantChanges from './significant-changes.js';
-import * as watchUpdates from './watch-updates.js';
+import * as significant from './significant.js';
+import * as updates from './updates.js';
+import * as versions from './versions.js';
 import * as watches from './watches.js';
 
 export function decide(
   state: watches.State,
   message: watches.Message,
-  now: core.kernel.Instant,
+  now: task.Instant,
 ): watches.Step {
   const watch = state.watches.get(message.kind);
   if (!watch || state.isStopped) return { state, commands: [] };
@@ -37,7 +38,7 @@
     case 'watch.answered':
       return onAnswer(state, watch, message.answer, now);
     default:
-      return core.results.assertNever(message);
+      return results.assertNever(message);
   }
 }
 
@@ -49,7 +50,7 @@
   state: watches.State,
   watch: watches.Watch,
   answer: watches.Answer,
-  now: core.kernel.Instant,
+  now: task.Instant,
 ): watches.Step {
   switch (answer.kind) {
     case 'page':
@@ -61,14 +62,14 @@
     case 'failed':
       return onFailed(state, watch, answer.failure, now);
     default:
-      return core.results.assertNever(answer);
+      return results.assertNever(answer);
   }
 }
 
 function relist(
   { state, commands }: watches.Step,
   watch: watches.Watch,
-  now: core.kernel.Instant,
+  now: task.Instant,
 ): watches.Step {
   const relisted: watches.Watch = {
     ...watch,
@@ -82,12 +83,12 @@
 }
 
 /** Whether the store came back from an old copy between two pages, which do not belong together. */
-function isOfLaterEra(found: readonly core.messages.StoredObject[], revision: number): boolean {
-  const era = storeVersions.eraOf(revision);
-  return found.some(({ version }) => storeVersions.eraOf(version) !== era);
+function isOfLaterEra(found: readonly platform.StoredObject[], revision: number): boolean {
+  const era = versions.eraOf(revision);
+  return found.some(({ version }) => versions.eraOf(version) !== era);
 }
 
-function markAvailable(state: watches.State, now: core.kernel.Instant): watches.Step {
+function markAvailable(state: watches.State, now: task.Instant): watches.Step {
   if (state.isAvailable) return { state, commands: [] };
   const awayMs = Math.round(now.monotonicMs - state.unavailableSinceMs);
   return { state: { ...state, isAvailable: true }, commands: [{ kind: 'record-back', awayMs }] };
@@ -97,7 +98,7 @@
   { state, commands }: watches.Step,
   watch: watches.Watch,
   { objects, revision, after }: Extract<watches.Answer, { kind: 'page' }>,
-  now: core.kernel.Instant,
+  now: task.Instant,
 ): watches.Step {
   if (watch.position.kind !== 'listing') return { state, commands };
   if (isOfLaterEra(watch.position.found, revision)) return relist({ state, commands }, watch, now);
@@ -114,7 +115,7 @@
       commands: [...commands, watches.fetchCommand(more)],
     };
   }
-  const updates = watchUpdates.toCommands(watch, {
+  const told = updates.toCommands(watch, {
     objects: found,
     removed: [],
     isSnapshot: true,
@@ -128,32 +129,32 @@
     confirmedAt: askedAt,
     unchangedAt: askedAt,
     changedAt: revision,
-    known: significantChanges.ofSnapshot(watch.kind, found),
+    known: significant.ofSnapshot(watch.pace, found),
     isCatchingUp: false,
     position: { kind: 'watching', askedAt: now, revision },
   };
   const nextFetch = state.isRelayed ? [] : [watches.fetchCommand(next)];
   return {
     state: watches.withWatch(state, next),
-    commands: [...commands, ...updates, ...watches.positionCommands(next, askedAt), ...nextFetch],
+    commands: [...commands, ...told, ...watches.positionCommands(next, askedAt), ...nextFetch],
   };
 }
 
 function isKnownOfEarlierEra({ changedAt }: watches.Watch, revision: number): boolean {
-  return changedAt > 0 && storeVersions.eraOf(changedAt) < storeVersions.eraOf(revision);
+  return changedAt > 0 && versions.eraOf(changedAt) < versions.eraOf(revision);
 }
 
 function onUpdates(
   { state, commands }: watches.Step,
   watch: watches.Watch,
   { objects: read, removed, revision }: Extract<watches.Answer, { kind: 'updates' }>,
-  now: core.kernel.Instant,
+  now: task.Instant,
 ): watches.Step {
   if (watch.position.kind !== 'watching') return { state, commands };
   const { askedAt } = watch.position;
-  const { objects, known } = significantChanges.select(watch.kind, watch.known, read, removed);
+  const { objects, known } = significant.select(watch.pace, watch.known, read, removed);
   const { unchangedAt } = watch;
-  const updates = watchUpdates.toCommands(watch, {
+  const told = updates.toCommands(watch, {
     objects,
     removed,
     isSnapshot: false,
@@ -181,7 +182,7 @@
     state: watches.withWatch(state, next),
     commands: [
       ...commands,
-      ...updates,
+      ...told,
       ...shared,
       ...watches.positionCommands(next, askedAt),
       ...nextPoll(state, next, read.length + removed.length > 0),
@@ -205,11 +206,11 @@
 function onFailed(
   state: watches.State,
   watch: watches.Watch,
-  failure: core.results.Failure,
-  now: core.kernel.Instant,
+  failure: results.Failure,
+  now: task.Instant,
 ): watches.Step {
   const failures = watch.failures + 1;
-  const reason = core.results.describe(failure);
+  const reason = results.describe(failure);
   const failureMessages = watch.subscribers.map((subscriber): watches.Command => {
     const message = { type: 'platform.watch-failed' as const, prefix: subscriber.prefix, reason };
     return { kind: 'send-failure', reader: subscriber, message };
--- a/platform/src/backoff.ts
+++ b/packages/core/src/knowledge/backoff.ts
@@ -1,5 +1,5 @@
 /** The backoff of a watch after failed calls to the store. */
-import * as core from '@medlarweir/core';
+import * as rendezvous from '../membership/rendezvous.js';
 
 const INITIAL_BACKOFF_MS = 80;
 /** Bounds the time from the store's recovery to the next confirmation. */
@@ -11,5 +11,5 @@
  */
 export function delayMs(instance: string, kind: string, failures: number): number {
   const base = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** (failures - 1));
-  return base * (1 + core.membership.hashFraction(instance, `${kind}/${failures}`) / 2);
+  return base * (1 + rendezvous.hashFraction(instance, `${kind}/${failures}`) / 2);
 }
--- a/platform/src/relayed-watches.ts
+++ b/packages/core/src/knowledge/relayed.ts
@@ -2,9 +2,9 @@
  * Watches of an instance for which another one reads. They make no calls of their own, except to catch
  * up on changes that the reader knows of and that did not arrive here.
  */
-import type * as core from '@medlarweir/core';
-
-import * as watchUpdates from './watch-updates.js';
+import type * as task from '../kernel/task.js';
+import type * as readers from '../messages/readers.js';
+import * as updates from './updates.js';
 import * as watches from './watches.js';
 
 /** A catch-up asks for what is there already, and is answered at once. */
@@ -14,7 +14,7 @@
 export function setRelayed(
   state: watches.State,
   isRelayed: boolean,
-  now: core.kernel.Instant,
+  now: task.Instant,
 ): watches.Step {
   if (state.isRelayed === isRelayed) return { state, commands: [] };
   if (isRelayed) return { state: { ...state, isRelayed }, commands: [] };
@@ -37,8 +37,8 @@
 /** Applies what the reader knows: confirms the own position, or catches up with it. */
 export function onPositions(
   state: watches.State,
-  positions: readonly core.messages.WatchPosition[],
-  now: core.kernel.Instant,
+  positions: readonly readers.WatchPosition[],
+  now: task.Instant,
 ): watches.Step {
   if (!state.isRelayed) return { state, commands: [] };
   return positions.reduce<watches.Step>(
@@ -58,7 +58,7 @@
 function confirm(
   state: watches.State,
   watch: watches.Watch,
-  { revision, changedAt, askedAt }: core.messages.WatchPosition,
+  { revision, changedAt, askedAt }: readers.WatchPosition,
 ): watches.Step {
   const { position } = watch;
   if (position.kind !== 'watching' || askedAt.monotonicMs <= watch.confirmedAt.monotonicMs) {
@@ -76,7 +76,7 @@
   return {
     state: watches.withWatch(state, confirmed),
     commands: [
-      ...watchUpdates.toCommands(confirmed, update),
+      ...updates.toCommands(confirmed, update),
       ...watches.positionCommands(confirmed, askedAt),
     ],
   };
@@ -85,8 +85,8 @@
 /** Applies changes that the reader has read, if none is missing before them. */
 export function onChanges(
   state: watches.State,
-  { objectKind, since, revision, objects, removed }: core.messages.WatchChanges,
-  now: core.kernel.Instant,
+  { objectKind, since, revision, objects, removed }: readers.WatchChanges,
+  now: task.Instant,
 ): watches.Step {
   const watch = state.watches.get(objectKind);
   if (!state.isRelayed || watch?.position.kind !== 'watching') return { state, commands: [] };
@@ -103,15 +103,11 @@
   const update = { objects, removed, isSnapshot: false, askedAt, unchangedAt };
   return {
     state: watches.withWatch(state, applied),
-    commands: watchUpdates.toCommands(applied, update),
+    commands: updates.toCommands(applied, update),
   };
 }
 
-function catchUp(
-  state: watches.State,
-  watch: watches.Watch,
-  now: core.kernel.Instant,
-): watches.Step {
+function catchUp(state: watches.State, watch: watches.Watch, now: task.Instant): watches.Step {
   const { catchUpPauseMs = 0 } = watch.pace;
   const isTooEarly = now.monotonicMs - watch.caughtUpAtMs < catchUpPauseMs;
   if (watch.isCatchingUp || isTooEarly) return { state, commands: [] };
--- a/platform/src/watch-updates.ts
+++ b/packages/core/src/knowledge/updates.ts
@@ -1,10 +1,9 @@
 /** Applies the updates of a watched kind of objects and builds the update for each subscriber. */
-import type * as core from '@medlarweir/core';
-
-import * as objectKeys from './object-keys.js';
+import type * as platform from '../messages/platform.js';
+import * as keys from './keys.js';
 import type * as watches from './watches.js';
 
-type Update = Pick<core.messages.PlatformWatchUpdated, 'objects' | 'removed' | 'isSnapshot'>;
+type Update = Pick<platform.PlatformWatchUpdated, 'objects' | 'removed' | 'isSnapshot'>;
 
 /** Whether the update may change the known objects; an empty one only confirms them. */
 export function hasChanges({ objects, removed, isSnapshot }: Update): boolean {
@@ -26,23 +25,23 @@
   before: readonly string[],
   { objects: found, removed, isSnapshot }: Update,
 ): readonly string[] {
-  const removedNames = new Set(removed.map(objectKeys.nameOf));
+  const removedNames = new Set(removed.map(keys.nameOf));
   const kept = isSnapshot ? [] : before.filter((name) => !removedNames.has(name));
-  return [...new Set([...kept, ...found.map(({ key }) => objectKeys.nameOf(key))])].sort();
+  return [...new Set([...kept, ...found.map(({ key }) => keys.nameOf(key))])].sort();
 }
 
 /** The update for each subscriber, with the keys under its prefix only. */
 export function toCommands(
   { kind, subscribers }: watches.Watch,
   update: Pick<
-    core.messages.PlatformWatchUpdated,
+    platform.PlatformWatchUpdated,
     'objects' | 'removed' | 'isSnapshot' | 'isFromCopy' | 'askedAt' | 'unchangedAt'
   >,
 ): readonly watches.Command[] {
   return subscribers.map((subscriber) => {
     const { prefix } = subscriber;
     const isUnderPrefix = (key: string) => `${kind}/` === prefix || key.startsWith(prefix);
-    const message: core.messages.PlatformWatchUpdated = {
+    const message: platform.PlatformWatchUpdated = {
       type: 'platform.watch-updated',
       prefix,
       ...update,
--- a/platform/src/watches.ts
+++ b/packages/core/src/knowledge/watches.ts
@@ -1,40 +1,42 @@
 /** The watches of the kinds of objects: their state, subscribers and calls. */
-import * as core from '@medlarweir/core';
-
-import type * as significantChanges from './significant-changes.js';
+import type * as task from '../kernel/task.js';
+import type * as platform from '../messages/platform.js';
+import type * as readers from '../messages/readers.js';
+import * as results from '../results/index.js';
+import type * as significant from './significant.js';
 
 export type Subscriber = {
   /** Updates of other keys of the kind are not sent to this subscriber. */
   prefix: string;
-  changed: core.kernel.Address<core.messages.PlatformWatchUpdated>;
-  away: core.kernel.Address<core.messages.PlatformWatchFailed> | undefined;
+  changed: task.Address<platform.PlatformWatchUpdated>;
+  away: task.Address<platform.PlatformWatchFailed> | undefined;
 };
 
 export type Position =
   | {
       kind: 'listing';
-      askedAt: core.kernel.Instant;
+      askedAt: task.Instant;
       after: string | undefined;
-      found: readonly core.messages.StoredObject[];
+      found: readonly platform.StoredObject[];
     }
-  | { kind: 'watching'; askedAt: core.kernel.Instant; revision: number };
+  | { kind: 'watching'; askedAt: task.Instant; revision: number };
 
 export type Watch = {
   kind: string;
-  pace: core.messages.WatchPacing;
+  pace: platform.WatchPacing;
   subscribers: readonly Subscriber[];
   /** Identifies one chain of calls to the store; an answer to another chain is dropped. */
   run: number;
   position: Position;
   failures: number;
   /** When the newest question was sent that has been answered; a position may have a later one. */
-  confirmedAt: core.kernel.Instant;
+  confirmedAt: task.Instant;
   /** What this instance knows of the kind was complete at this moment; see `unchangedAt` of an update. */
-  unchangedAt: core.kernel.Instant;
+  unchangedAt: task.Instant;
   /** Revision at or before which the last change took place. */
   changedAt: number;
   /** What matters of each object, by key; see `significantChanges`. */
-  known: significantChanges.Known;
+  known: significant.Known;
   /** Whether a call is on its way while another instance reads for this one. */
   isCatchingUp: boolean;
   caughtUpAtMs: number;
@@ -54,23 +56,23 @@
 export type Answer =
   | {
       kind: 'page';
-      objects: readonly core.messages.StoredObject[];
+      objects: readonly platform.StoredObject[];
       revision: number;
       after: string | undefined;
     }
   | {
       kind: 'updates';
-      objects: readonly core.messages.StoredObject[];
+      objects: readonly platform.StoredObject[];
       removed: readonly string[];
       revision: number;
     }
   | { kind: 'revision-expired' }
-  | { kind: 'failed'; failure: core.results.Failure };
+  | { kind: 'failed'; failure: results.Failure };
 
 export type Message =
   | { type: 'watch.answered'; kind: string; run: number; answer: Answer }
   | { type: 'watch.timer-fired'; kind: string; run: number }
-  | { type: 'watch.set-pace'; kind: string; pace: core.messages.WatchPacing };
+  | { type: 'watch.set-pace'; kind: string; pace: platform.WatchPacing };
 
 export type Command =
   | {
@@ -82,19 +84,19 @@
     }
   | { kind: 'fetch-updates'; objectKind: string; run: number; revision: number; waitMs: number }
   | { kind: 'poll-later'; objectKind: string; run: number; delayMs: number }
-  | { kind: 'tell'; reader: Subscriber; message: core.messages.PlatformWatchUpdated }
-  | { kind: 'send-failure'; reader: Subscriber; message: core.messages.PlatformWatchFailed }
-  | { kind: 'share-position'; position: core.messages.WatchPosition }
-  | { kind: 'share-changes'; changes: core.messages.WatchChanges }
+  | { kind: 'tell'; reader: Subscriber; message: platform.PlatformWatchUpdated }
+  | { kind: 'send-failure'; reader: Subscriber; message: platform.PlatformWatchFailed }
+  | { kind: 'share-position'; position: readers.WatchPosition }
+  | { kind: 'share-changes'; changes: readers.WatchChanges }
   | { kind: 'record-lost'; reason: string }
   | { kind: 'record-back'; awayMs: number };
 
-export type Step = core.kernel.Step<State, Command>;
+export type Step = task.Step<State, Command>;
 
 /** Before any time of either clock. */
-const NEVER: core.kernel.Instant = { monotonicMs: -Infinity, wallMs: -Infinity };
+const NEVER: task.Instant = { monotonicMs: -Infinity, wallMs: -Infinity };
 
-const DEFAULT_PACE: core.messages.WatchPacing = { waitMs: 1_500, pauseMs: 0 };
+const DEFAULT_PACE: platform.WatchPacing = { waitMs: 1_500, pauseMs: 0 };
 
 export function initial(instance: string): State {
   return {
@@ -117,8 +119,8 @@
   state: State,
   kind: string,
   subscriber: Subscriber,
-  pace: core.messages.WatchPacing | undefined,
-  now: core.kernel.Instant,
+  pace: platform.WatchPacing | undefined,
+  now: task.Instant,
 ): Step {
   const known = state.watches.get(kind);
   const watch: Watch = {
@@ -140,7 +142,7 @@
 }
 
 /** Takes effect with the next call to the store. */
-export function setPace(state: State, kind: string, pace: core.messages.WatchPacing): Step {
+export function setPace(state: State, kind: string, pace: platform.WatchPacing): Step {
   const known = state.watches.get(kind);
   return { state: known ? withWatch(state, { ...known, pace }) : state, commands: [] };
 }
@@ -148,7 +150,7 @@
 export function removeSubscriber(
   state: State,
   kind: string,
-  changed: core.kernel.Address<core.messages.PlatformWatchUpdated>,
+  changed: task.Address<platform.PlatformWatchUpdated>,
 ): Step {
   const known = state.watches.get(kind);
   if (!known) return { state, commands: [] };
@@ -180,12 +182,12 @@
         waitMs: pace.waitMs,
       };
     default:
-      return core.results.assertNever(position);
+      return results.assertNever(position);
   }
 }
 
 /** Sets the send time for the first page of a listing and for each watch; later pages keep it. */
-export function withSendTime(watch: Watch, now: core.kernel.Instant): Watch {
+export function withSendTime(watch: Watch, now: task.Instant): Watch {
   const { position } = watch;
   if (position.kind === 'listing' && position.after !== undefined) return watch;
   return { ...watch, position: { ...position, askedAt: now } };
@@ -195,13 +197,13 @@
 const MAX_STALE_MS = 60_000;
 
 /** The time since which the content of a listing is surely known. */
-export function listedSince({ pace }: Watch, askedAt: core.kernel.Instant): core.kernel.Instant {
+export function listedSince({ pace }: Watch, askedAt: task.Instant): task.Instant {
   if (!pace.mayStartStale) return askedAt;
   const { monotonicMs, wallMs } = askedAt;
   return { monotonicMs: monotonicMs - MAX_STALE_MS, wallMs: wallMs - MAX_STALE_MS };
 }
 
-export function startOfListing(now: core.kernel.Instant): Position {
+export function startOfListing(now: task.Instant): Position {
   return { kind: 'listing', askedAt: now, after: undefined, found: [] };
 }
 
@@ -211,10 +213,10 @@
  */
 export function answeredAsOf(
   { pace, isCatchingUp }: Watch,
-  askedAt: core.kernel.Instant,
+  askedAt: task.Instant,
   hasChanges: boolean,
-  now: core.kernel.Instant,
-): core.kernel.Instant {
+  now: task.Instant,
+): task.Instant {
   const { monotonicMs, wallMs } = askedAt;
   const isHeldToTheEnd = now.monotonicMs - monotonicMs >= pace.waitMs;
   if (hasChanges || isCatchingUp || !isHeldToTheEnd) return askedAt;
@@ -227,7 +229,7 @@
 /** Tells the readers task how far this instance knows the kind. */
 export function positionCommands(
   { kind: objectKind, position, changedAt }: Watch,
-  askedAt: core.kernel.Instant,
+  askedAt: task.Instant,
 ): readonly Command[] {
   if (position.kind !== 'watching') return [];
   const { revision } = position;
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -75,6 +75,8 @@
   mayStartStale?: boolean;
   /** Whether changes are small and public enough to be passed on to other instances. */
   relaysContent?: boolean;
+  /** The field that each write of an object changes, also one that only shows that its writer lives. */
+  heartbeatField?: string;
 };
 
 export type PlatformInstancesChanged = {
--- a/platform/test/watches.test.ts
+++ b/packages/core/test/knowledge/watches.test.ts
@@ -1,11 +1,9 @@
 import * as core from '@medlarweir/core';
 import * as fixtures from '@medlarweir/core/fixtures';
+import * as knowledge from '@medlarweir/core/knowledge';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 
-import * as watchAnswers from '../src/watch-answers.js';
-import * as watches from '../src/watches.js';
-
 const suite = uvu.suite('watches of the store');
 
 function anObject(name: string): core.messages.StoredObject {
@@ -21,8 +19,8 @@
     changed: { send: (update: core.messages.PlatformWatchUpdated) => updates.push(update) },
     away: { send: (failure: core.messages.PlatformWatchFailed) => failures.push(failure) },
   };
-  const held = { state: watches.initial('instance-1'), nowMs: 0 };
-  const applyStep = (step: watches.Step) => {
+  const held = { state: knowledge.watches.initial('instance-1'), nowMs: 0 };
+  const applyStep = (step: knowledge.watches.Step) => {
     held.state = step.state;
     step.commands.forEach((command) => {
       if (command.kind === 'tell') command.reader.changed.send(command.message);
@@ -32,7 +30,7 @@
   };
   const add = () =>
     applyStep(
-      watches.addSubscriber(
+      knowledge.watches.addSubscriber(
         held.state,
         'kind',
         subscriber,
@@ -41,31 +39,35 @@
       ),
     );
   const run = () => held.state.watches.get('kind')?.run ?? 0;
-  const answer = (given: watches.Answer, afterMs = 0, ofRun = run()) => {
+  const answer = (given: knowledge.watches.Answer, afterMs = 0, ofRun = run()) => {
     held.nowMs += afterMs;
-    const message: watches.Message = {
+    const message: knowledge.watches.Message = {
       type: 'watch.answered',
       kind: 'kind',
       run: ofRun,
       answer: given,
     };
-    return applyStep(watchAnswers.decide(held.state, message, fixtures.anInstant(held.nowMs)));
+    return applyStep(knowledge.answers.decide(held.state, message, fixtures.anInstant(held.nowMs)));
   };
   const fireTimer = (afterMs: number) => {
     held.nowMs += afterMs;
-    const message: watches.Message = { type: 'watch.timer-fired', kind: 'kind', run: run() };
-    return applyStep(watchAnswers.decide(held.state, message, fixtures.anInstant(held.nowMs)));
+    const message: knowledge.watches.Message = {
+      type: 'watch.timer-fired',
+      kind: 'kind',
+      run: run(),
+    };
+    return applyStep(knowledge.answers.decide(held.state, message, fixtures.anInstant(held.nowMs)));
   };
   const first = add();
   return { updates, failures, add, answer, fireTimer, run, first };
 }
 
-const FAILED: watches.Answer = {
+const FAILED: knowledge.watches.Answer = {
   kind: 'failed',
   failure: core.results.failure('platformUnavailable', 'reset'),
 };
 
-function page(names: readonly string[], after?: string): watches.Answer {
+function page(names: readonly string[], after?: string): knowledge.watches.Answer {
   return { kind: 'page', objects: names.map(anObject), revision: 10, after };
 }
 
@@ -97,8 +99,17 @@
 suite('an update tells since when its changes may have been made', () => {
   const watch = aWatch();
   const unchangedAtMs = () => watch.updates.at(-1)?.unchangedAt.monotonicMs;
-  const updates: watches.Answer = { kind: 'updates', objects: [], removed: [], revision: 11 };
-  const changed: watches.Answer = { ...updates, objects: [anObject('a')], revision: 12 };
+  const updates: knowledge.watches.Answer = {
+    kind: 'updates',
+    objects: [],
+    removed: [],
+    revision: 11,
+  };
+  const changed: knowledge.watches.Answer = {
+    ...updates,
+    objects: [anObject('a')],
+    revision: 12,
+  };
   watch.answer(page([]), 5);
   watch.answer(updates, 1_500);
   watch.answer(changed, 100);
@@ -114,7 +125,7 @@
 /** Guards against upstreams that are all given up as soon as new weights are named after an outage. */
 suite('after an outage, changes count from its last failed call', () => {
   const watch = aWatch();
-  const changed: watches.Answer = {
+  const changed: knowledge.watches.Answer = {
     kind: 'updates',
     objects: [anObject('a')],
     removed: [],
