A listing is never answered from a copy of the store

What callers saw: requests reached a data centre up to 8 s after its evacuation was acknowledged (EVAC). Cause: evacuations and members were listed with allowStale, which was meant for a start, at each listing. After the history was dropped, the copy was seconds behind, and a watch from its revision asked for history that was gone: list, 410, list, and nobody heard of the evacuation until the copy had caught up. Change: no listing allows a copy.

--- a/packages/core/src/knowledge/answers.ts
+++ b/packages/core/src/knowledge/answers.ts
@@ -103,7 +103,7 @@
   if (watch.position.kind !== 'listing') return { state, commands };
   if (isOfLaterEra(watch.position.found, revision)) return relist({ state, commands }, watch, now);
   const found = [...watch.position.found, ...objects];
-  const askedAt = watches.listedSince(watch, watch.position.askedAt);
+  const { askedAt } = watch.position;
   if (after !== undefined) {
     const more: watches.Watch = {
       ...watch,
--- a/packages/core/src/knowledge/watches.ts
+++ b/packages/core/src/knowledge/watches.ts
@@ -80,7 +80,6 @@
       objectKind: string;
       run: number;
       after: string | undefined;
-      isStale: boolean;
     }
   | { kind: 'fetch-updates'; objectKind: string; run: number; revision: number; waitMs: number }
   | { kind: 'poll-later'; objectKind: string; run: number; delayMs: number }
@@ -166,13 +165,7 @@
 export function fetchCommand({ kind, run, position, pace }: Watch): Command {
   switch (position.kind) {
     case 'listing':
-      return {
-        kind: 'fetch-page',
-        objectKind: kind,
-        run,
-        after: position.after,
-        isStale: pace.mayStartStale === true,
-      };
+      return { kind: 'fetch-page', objectKind: kind, run, after: position.after };
     case 'watching':
       return {
         kind: 'fetch-updates',
@@ -193,16 +186,6 @@
   return { ...watch, position: { ...position, askedAt: now } };
 }
 
-/** How old a listing may be that the platform was allowed to answer from a copy. */
-const MAX_STALE_MS = 60_000;
-
-/** The time since which the content of a listing is surely known. */
-export function listedSince({ pace }: Watch, askedAt: task.Instant): task.Instant {
-  if (!pace.mayStartStale) return askedAt;
-  const { monotonicMs, wallMs } = askedAt;
-  return { monotonicMs: monotonicMs - MAX_STALE_MS, wallMs: wallMs - MAX_STALE_MS };
-}
-
 export function startOfListing(now: task.Instant): Position {
   return { kind: 'listing', askedAt: now, after: undefined, found: [] };
 }
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -71,8 +71,6 @@
   pauseMs: number;
   /** Least time between two calls that catch up with the reader. */
   catchUpPauseMs?: number;
-  /** Whether the first listing may be seconds old, which costs the platform less. */
-  mayStartStale?: boolean;
   /** Whether changes are small and public enough to be passed on to other instances. */
   relaysContent?: boolean;
   /** The field that each write of an object changes, also one that only shows that its writer lives. */
