What an instance knows of the platform's objects never goes back

Cause: an answer was applied because it came, not because it was newer. A listing that is behind lifted what was known; pages of one listing took the position of the last page, so changes between the pages were lost; an own answer that was on its way undid what the reader had told since; a second listing after a restore was no longer taken for an old copy; a history that is gone each time was listed at the pace of the answers. Change: each watch keeps the revision that it has reached; a listing behind it is recorded (715) and asked for again; a listing's position is that of its first page; late answers only confirm; all listings within 10 s of a restore count as a copy; repeated listings are paced by the backoff.

--- a/benchmark/src/control-plane/instance.ts
+++ b/benchmark/src/control-plane/instance.ts
@@ -185,6 +185,7 @@
       case 'send-failure':
       case 'share-position':
       case 'share-changes':
+      case 'record-behind':
       case 'record-lost':
       case 'record-back':
         return;
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -98,6 +98,11 @@
     level: 'warn',
     text: 'platform’s store came back from an earlier copy',
   },
+  listingBehind: {
+    number: 715,
+    level: 'warn',
+    text: 'listing of the platform is behind what is known, and is not used',
+  },
   entrySkipped: { number: 713, level: 'warn', text: 'malformed platform entry skipped' },
 } as const satisfies Record<string, EventDefinition>;
 
--- a/packages/core/src/knowledge/answers.ts
+++ b/packages/core/src/knowledge/answers.ts
@@ -7,6 +7,7 @@
 import type * as platform from '../messages/platform.js';
 import * as results from '../results/index.js';
 import * as backoff from './backoff.js';
+import * as failedCalls from './failed-calls.js';
 import * as significant from './significant.js';
 import * as updates from './updates.js';
 import * as versions from './versions.js';
@@ -58,9 +59,9 @@
     case 'updates':
       return onUpdates(markAvailable(state, now), watch, answer, now);
     case 'revision-expired':
-      return relist(markAvailable(state, now), watch, now);
+      return onExpired(markAvailable(state, now), watch, now);
     case 'failed':
-      return onFailed(state, watch, answer.failure, now);
+      return failedCalls.onFailed(state, watch, answer.failure, now);
     default:
       return results.assertNever(answer);
   }
@@ -82,6 +83,19 @@
   };
 }
 
+/** A store that has no history at all is not listed over and over at the pace of its answers. */
+function onExpired(step: watches.Step, watch: watches.Watch, now: task.Instant): watches.Step {
+  const expiries = watch.expiries + 1;
+  if (expiries === 1) return relist(step, { ...watch, expiries }, now);
+  const { kind: objectKind, run } = watch;
+  const delayMs = backoff.delayMs(step.state.instance, objectKind, expiries - 1);
+  const waiting: watches.Watch = { ...watch, expiries, position: watches.startOfListing(now) };
+  return {
+    state: watches.withWatch(step.state, waiting),
+    commands: [...step.commands, { kind: 'poll-later', objectKind, run, delayMs }],
+  };
+}
+
 /** Whether the store came back from an old copy between two pages, which do not belong together. */
 function isOfLaterEra(found: readonly platform.StoredObject[], revision: number): boolean {
   const era = versions.eraOf(revision);
@@ -97,29 +111,35 @@
 function onPage(
   { state, commands }: watches.Step,
   watch: watches.Watch,
-  { objects, revision, after }: Extract<watches.Answer, { kind: 'page' }>,
+  { objects, revision: lastRevision, after }: Extract<watches.Answer, { kind: 'page' }>,
   now: task.Instant,
 ): watches.Step {
   if (watch.position.kind !== 'listing') return { state, commands };
-  if (isOfLaterEra(watch.position.found, revision)) return relist({ state, commands }, watch, now);
+  if (isOfLaterEra(watch.position.found, lastRevision)) {
+    return relist({ state, commands }, watch, now);
+  }
   const found = [...watch.position.found, ...objects];
-  const { askedAt } = watch.position;
+  const { askedAt, revision = lastRevision } = watch.position;
   if (after !== undefined) {
     const more: watches.Watch = {
       ...watch,
       failures: 0,
-      position: { ...watch.position, found, after },
+      position: { ...watch.position, found, after, revision },
     };
     return {
       state: watches.withWatch(state, more),
       commands: [...commands, watches.fetchCommand(more)],
     };
   }
+  if (revision < watch.reached) return onPageBehind({ state, commands }, watch, revision);
+  const copyUntilMs = isKnownOfEarlierEra(watch, revision)
+    ? now.monotonicMs + versions.RESTORED_MS
+    : watch.copyUntilMs;
   const told = updates.toCommands(watch, {
     objects: found,
     removed: [],
     isSnapshot: true,
-    isFromCopy: isKnownOfEarlierEra(watch, revision),
+    isFromCopy: now.monotonicMs < copyUntilMs,
     askedAt,
     unchangedAt: watch.unchangedAt,
   });
@@ -129,6 +149,7 @@
     confirmedAt: askedAt,
     unchangedAt: askedAt,
     changedAt: revision,
+    copyUntilMs,
     known: significant.ofSnapshot(watch.pace, found),
     isCatchingUp: false,
     position: { kind: 'watching', askedAt: now, revision },
@@ -140,6 +161,30 @@
   };
 }
 
+/** What is known is not replaced by what was there before it. */
+function onPageBehind(
+  { state, commands }: watches.Step,
+  watch: watches.Watch,
+  revision: number,
+): watches.Step {
+  const failures = watch.failures + 1;
+  const delayMs = backoff.delayMs(state.instance, watch.kind, failures);
+  const { kind: objectKind, run, position, reached } = watch;
+  const again: watches.Watch = {
+    ...watch,
+    failures,
+    position: watches.startOfListing(position.askedAt),
+  };
+  return {
+    state: watches.withWatch(state, again),
+    commands: [
+      ...commands,
+      { kind: 'record-behind', objectKind, revisions: reached - revision },
+      { kind: 'poll-later', objectKind, run, delayMs },
+    ],
+  };
+}
+
 function isKnownOfEarlierEra({ changedAt }: watches.Watch, revision: number): boolean {
   return changedAt > 0 && versions.eraOf(changedAt) < versions.eraOf(revision);
 }
@@ -147,10 +192,11 @@
 function onUpdates(
   { state, commands }: watches.Step,
   watch: watches.Watch,
-  { objects: read, removed, revision }: Extract<watches.Answer, { kind: 'updates' }>,
+  answer: Extract<watches.Answer, { kind: 'updates' }>,
   now: task.Instant,
 ): watches.Step {
   if (watch.position.kind !== 'watching') return { state, commands };
+  const { objects: read, removed, revision } = withoutKnown(watch.position, answer);
   const { askedAt } = watch.position;
   const { objects, known } = significant.select(watch.pace, watch.known, read, removed);
   const { unchangedAt } = watch;
@@ -166,6 +212,7 @@
   const next: watches.Watch = {
     ...watch,
     failures: 0,
+    expiries: 0,
     confirmedAt: askedAt,
     unchangedAt: watches.answeredAsOf(watch, askedAt, read.length + removed.length > 0, now),
     known,
@@ -190,6 +237,15 @@
   };
 }
 
+/** A reader may have told later changes while the answer was on its way; it then only confirms. */
+function withoutKnown(
+  position: watches.Position,
+  answer: Extract<watches.Answer, { kind: 'updates' }>,
+): Extract<watches.Answer, { kind: 'updates' }> {
+  const isKnown = position.kind === 'watching' && answer.revision < position.revision;
+  return isKnown ? { ...answer, objects: [], removed: [] } : answer;
+}
+
 /** After events, the pause of the kind gathers further ones. */
 function nextPoll(
   state: watches.State,
@@ -202,43 +258,3 @@
     ? [{ kind: 'poll-later', objectKind, run, delayMs: pace.pauseMs }]
     : [watches.fetchCommand(watch)];
 }
-
-function onFailed(
-  state: watches.State,
-  watch: watches.Watch,
-  failure: results.Failure,
-  now: task.Instant,
-): watches.Step {
-  const failures = watch.failures + 1;
-  const reason = results.describe(failure);
-  const failureMessages = watch.subscribers.map((subscriber): watches.Command => {
-    const message = { type: 'platform.watch-failed' as const, prefix: subscriber.prefix, reason };
-    return { kind: 'send-failure', reader: subscriber, message };
-  });
-  const outage: readonly watches.Command[] = state.isAvailable
-    ? [{ kind: 'record-lost', reason }]
-    : [];
-  const unavailableSinceMs = state.isAvailable ? now.monotonicMs : state.unavailableSinceMs;
-  const delayMs = backoff.delayMs(state.instance, watch.kind, failures);
-  return {
-    state: {
-      ...watches.withWatch(state, { ...watch, failures, unchangedAt: unchangedInOutage(watch) }),
-      isAvailable: false,
-      unavailableSinceMs,
-    },
-    commands: [
-      ...outage,
-      ...failureMessages,
-      { kind: 'poll-later', objectKind: watch.kind, run: watch.run, delayMs },
-    ],
-  };
-}
-
-/**
- * The second failure in a row is one on a new connection, so the store is away. Bounds on its changes count
- * only while it is there, and whoever made changes in the meantime is heard of when it is back.
- */
-function unchangedInOutage({ failures, position, unchangedAt }: watches.Watch) {
-  const isKnown = Number.isFinite(unchangedAt.monotonicMs);
-  return failures > 0 && isKnown ? position.askedAt : unchangedAt;
-}
--- a/packages/core/src/knowledge/versions.ts
+++ b/packages/core/src/knowledge/versions.ts
@@ -7,6 +7,9 @@
 /** More revisions than an era has; leaves room for two million eras in a safe integer. */
 const REVISIONS_PER_ERA = 2 ** 32;
 
+/** By then, operators, upstreams and instances have written again what an old copy lacks. */
+export const RESTORED_MS = 10_000;
+
 export function join(era: number, revision: number): number {
   return era * REVISIONS_PER_ERA + revision;
 }
--- a/packages/core/src/knowledge/watches.ts
+++ b/packages/core/src/knowledge/watches.ts
@@ -18,6 +18,8 @@
       askedAt: task.Instant;
       after: string | undefined;
       found: readonly platform.StoredObject[];
+      /** Revision of the first page: later pages may contain changes that earlier ones lack. */
+      revision: number | undefined;
     }
   | { kind: 'watching'; askedAt: task.Instant; revision: number };
 
@@ -35,6 +37,12 @@
   unchangedAt: task.Instant;
   /** Revision at or before which the last change took place. */
   changedAt: number;
+  /** Revision up to which everything is known; never goes back, also not while the kind is listed. */
+  reached: number;
+  /** How often in a row the platform no longer had the history. */
+  expiries: number;
+  /** Until when a listing is taken for an old copy that the platform came back from, in monotonic ms. */
+  copyUntilMs: number;
   /** What matters of each object, by key; see `significantChanges`. */
   known: significant.Known;
   /** Whether a call is on its way while another instance reads for this one. */
@@ -87,6 +95,8 @@
   | { kind: 'send-failure'; reader: Subscriber; message: platform.PlatformWatchFailed }
   | { kind: 'share-position'; position: readers.WatchPosition }
   | { kind: 'share-changes'; changes: readers.WatchChanges }
+  /** A listing that is behind what is known of the kind, by so many revisions. */
+  | { kind: 'record-behind'; objectKind: string; revisions: number }
   | { kind: 'record-lost'; reason: string }
   | { kind: 'record-back'; awayMs: number };
 
@@ -110,7 +120,10 @@
 }
 
 export function withWatch(state: State, watch: Watch): State {
-  return { ...state, watches: new Map(state.watches).set(watch.kind, watch) };
+  const { position } = watch;
+  const reached =
+    position.kind === 'watching' ? Math.max(watch.reached, position.revision) : watch.reached;
+  return { ...state, watches: new Map(state.watches).set(watch.kind, { ...watch, reached }) };
 }
 
 /** Restarts the watch with a listing, so that the new subscriber gets the current objects too. */
@@ -132,6 +145,9 @@
     confirmedAt: NEVER,
     unchangedAt: NEVER,
     changedAt: 0,
+    reached: 0,
+    expiries: 0,
+    copyUntilMs: -Infinity,
     known: new Map(),
     isCatchingUp: false,
     caughtUpAtMs: -Infinity,
@@ -187,7 +203,7 @@
 }
 
 export function startOfListing(now: task.Instant): Position {
-  return { kind: 'listing', askedAt: now, after: undefined, found: [] };
+  return { kind: 'listing', askedAt: now, after: undefined, found: [], revision: undefined };
 }
 
 /**
