A follower asks the platform itself where its reader's knowledge of one kind is old

Cause: a reader counted as fresh by the kind that it knew best, so followers waited for ever for a kind that it no longer followed; an instance that lost its reader first waited a whole watch; removals were only in the last piece of a change, so a follower that missed that piece took the position of the pieces before and never heard of the removal; entries that a reader had told as removed were not told again when they were back unchanged. Change: each kind has an age past which a follower asks itself; the first call of an own watch does not wait; removals are in the first piece; relayed changes are kept with the significant content.

--- a/packages/core/src/knowledge/relayed.ts
+++ b/packages/core/src/knowledge/relayed.ts
@@ -2,8 +2,10 @@
  * Watches of an instance for which another one reads. They make no calls of their own, except to catch
  * up on changes that the reader knows of and that did not arrive here.
  */
+import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as readers from '../messages/readers.js';
+import * as significant from './significant.js';
 import * as updates from './updates.js';
 import * as watches from './watches.js';
 
@@ -27,7 +29,8 @@
         const next = { ...step.state, nextRun: step.state.nextRun + 1 };
         return {
           state: watches.withWatch(next, { ...resumed, isCatchingUp: false }),
-          commands: [...step.commands, watches.fetchCommand(resumed)],
+          // The reader may have been lost for a while, so the first call does not wait for changes.
+          commands: [...step.commands, withoutWait(watches.fetchCommand(resumed))],
         };
       },
       { state: { ...state, isRelayed }, commands: [] },
@@ -41,7 +44,7 @@
   now: task.Instant,
 ): watches.Step {
   if (!state.isRelayed) return { state, commands: [] };
-  return positions.reduce<watches.Step>(
+  const applied = positions.reduce<watches.Step>(
     (step, position) => {
       const watch = step.state.watches.get(position.objectKind);
       if (watch?.position.kind !== 'watching') return step;
@@ -53,6 +56,18 @@
     },
     { state, commands: [] },
   );
+  return askWhereOld(applied, now);
+}
+
+/** A reader can be in touch and yet not follow one kind, so each kind's own age counts. */
+function askWhereOld(step: watches.Step, now: task.Instant): watches.Step {
+  return [...step.state.watches.values()].reduce<watches.Step>((before, watch) => {
+    const { limitMs = Infinity } = watch.pace;
+    const isOld = staleness.ageMs(watch.confirmedAt, now) > limitMs;
+    if (!isOld || watch.position.kind !== 'watching') return before;
+    const asked = catchUp(before.state, watch, now);
+    return { state: asked.state, commands: [...before.commands, ...asked.commands] };
+  }, step);
 }
 
 function confirm(
@@ -93,8 +108,10 @@
   const { position } = watch;
   if (revision <= position.revision) return { state, commands: [] };
   if (since > position.revision) return catchUp(state, watch, now);
+  const { known } = significant.select(watch.pace, watch.known, objects, removed);
   const applied: watches.Watch = {
     ...watch,
+    known,
     changedAt: revision,
     position: { ...position, revision },
   };
@@ -115,9 +132,12 @@
     { ...watch, run: state.nextRun, isCatchingUp: true, caughtUpAtMs: now.monotonicMs },
     now,
   );
-  const fetch = watches.fetchCommand(asking);
   return {
     state: watches.withWatch({ ...state, nextRun: state.nextRun + 1 }, asking),
-    commands: [fetch.kind === 'fetch-updates' ? { ...fetch, waitMs: CATCH_UP_WAIT_MS } : fetch],
+    commands: [withoutWait(watches.fetchCommand(asking))],
   };
 }
+
+function withoutWait(command: watches.Command): watches.Command {
+  return command.kind === 'fetch-updates' ? { ...command, waitMs: CATCH_UP_WAIT_MS } : command;
+}
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -69,6 +69,8 @@
   waitMs: number;
   /** The pause after an update. */
   pauseMs: number;
+  /** Age at which an instance no longer waits for its reader and asks the platform itself, in ms. */
+  limitMs?: number;
   /** Least time between two calls that catch up with the reader. */
   catchUpPauseMs?: number;
   /** Whether changes are small and public enough to be passed on to other instances. */
--- a/packages/core/src/readers/pieces.ts
+++ b/packages/core/src/readers/pieces.ts
@@ -1,6 +1,7 @@
 /**
  * Splits changes into pieces that fit into datagrams. Objects carry the revision of their last change,
  * so each piece covers the revisions up to its newest object, and one that misses a piece notices.
+ * Removals carry none, so they are in the first piece: no piece covers a removal that it lacks.
  */
 import type * as messages from '../messages/readers.js';
 
@@ -21,6 +22,6 @@
     since: at === 0 ? since : endOf(at - 1),
     revision: endOf(at),
     objects: each,
-    removed: at === count - 1 ? removed : [],
+    removed: at === 0 ? removed : [],
   }));
 }
