Each kind of knowledge has a rule for its age and for what is missing

Cause: the age of what the platform says was known at the watches and dropped on the way to the decisions, but for the routing table and weights: an instance that heard nothing of evacuations went on sending everywhere, and one that had listed none yet took that for none. Change: knowledge/rules is one table: wait, pause, absence, what is done past the bound; a kind without a rule does not compile. The gateway gets the moment at which the evacuations were confirmed. Past their bound less the way to an upstream it refuses what has a credential as not run and reports itself not ready, as with the routing table; while the table cannot be confirmed either, the platform is away, and the table's bound decides. An instance is ready once it has listed weights and evacuations too.

--- a/packages/core/src/gateway/access.ts
+++ b/packages/core/src/gateway/access.ts
@@ -5,10 +5,11 @@
 import type * as request from './request.js';
 import * as routes from './routes.js';
 
-export type ActiveTable = {
+export type Known = {
+  /** Of the active routing table. */
   index: routes.Index | undefined;
-  /** When the query was sent whose response showed this table to be the newest. */
-  confirmedAt: task.Instant | undefined;
+  /** When the queries were sent whose responses showed this to be the newest. */
+  confirmations: staleness.Confirmations;
 };
 
 export type AccessDecision =
@@ -16,12 +17,12 @@
   | { kind: 'denied'; code: codes.CodeName; detail: string };
 
 export function check(
-  { index, confirmedAt }: ActiveTable,
+  { index, confirmations }: Known,
   incoming: request.Request,
   bounds: staleness.StalenessBounds,
   now: task.Instant,
 ): AccessDecision {
-  const freshness = staleness.freshness(confirmedAt, bounds, now);
+  const freshness = staleness.freshness(confirmations, bounds, now);
   if (!index) return { kind: 'denied', code: 'configurationUnsure', detail: 'none read yet' };
   const route = routes.matchRoute(index, incoming.host, incoming.path);
   if (!route) return deny('unknownRoute', freshness, `${incoming.host} ${incoming.path}`);
--- a/packages/core/src/gateway/decide.ts
+++ b/packages/core/src/gateway/decide.ts
@@ -22,9 +22,10 @@
 
 export type State = {
   bounds: Bounds;
-  table: access.ActiveTable;
+  known: access.Known;
   hasUpstreamList: boolean;
   hasVerdictList: boolean;
+  hasWeightsList: boolean;
   isReady: boolean;
   instances: number;
   startedAtMs: number;
@@ -58,9 +59,10 @@
 export function initial(bounds: Bounds, now: task.Instant): State {
   return {
     bounds,
-    table: { index: undefined, confirmedAt: undefined },
+    known: { index: undefined, confirmations: { tableAt: undefined, evacuationsAt: undefined } },
     hasUpstreamList: false,
     hasVerdictList: false,
+    hasWeightsList: false,
     isReady: false,
     instances: 1,
     startedAtMs: now.monotonicMs,
@@ -78,7 +80,11 @@
     case 'gateway.table-read':
       return onTable(state, message.table, message.askedAt, now);
     case 'gateway.table-confirmed':
-      return updateReadiness(markConfirmed(state, message.askedAt), now);
+      return updateReadiness(withConfirmation(state, 'tableAt', message.askedAt), now);
+    case 'gateway.evacuations-confirmed':
+      return updateReadiness(withConfirmation(state, 'evacuationsAt', message.askedAt), now);
+    case 'gateway.weights-known':
+      return updateReadiness({ ...state, hasWeightsList: true }, now);
     case 'gateway.members-changed':
       return { state: { ...state, instances: message.instances + SPARE_INSTANCES }, commands: [] };
     case 'gateway.upstreams-known':
@@ -112,7 +118,7 @@
   }: Extract<messages.GatewayMessage, { type: 'gateway.begin-request' }>,
   now: task.Instant,
 ): Step {
-  const decision = access.check(state.table, incoming, state.bounds, now);
+  const decision = access.check(state.known, incoming, state.bounds, now);
   switch (decision.kind) {
     case 'denied':
       return { state, commands: refuse(state, incoming, caller, decision, now) };
@@ -125,7 +131,7 @@
         route,
         service,
         clientAccount,
-        tableVersion: state.table.index?.table.version ?? 0,
+        tableVersion: state.known.index?.table.version ?? 0,
         tableAgeMs: tableAgeMs(state, now),
       };
       return {
@@ -159,8 +165,9 @@
 }
 
 /** Returns milliseconds since the active table was confirmed, -1 if it never was. */
-export function tableAgeMs({ table: { confirmedAt } }: State, now: task.Instant): number {
-  return confirmedAt ? Math.round(staleness.ageMs(confirmedAt, now)) : -1;
+export function tableAgeMs({ known }: State, now: task.Instant): number {
+  const { tableAt } = known.confirmations;
+  return tableAt ? Math.round(staleness.ageMs(tableAt, now)) : -1;
 }
 
 function retryLimits({ bounds, instances, startedAtMs }: State): retryBudget.Limits {
@@ -200,13 +207,14 @@
   askedAt: task.Instant,
   now: task.Instant,
 ): Step {
-  const activeVersion = state.table.index?.table.version;
+  const activeVersion = state.known.index?.table.version;
   if (activeVersion !== undefined && table.version < activeVersion) return { state, commands: [] };
-  if (activeVersion === table.version) return updateReadiness(markConfirmed(state, askedAt), now);
-  const adopted = markConfirmed(
-    { ...state, table: { ...state.table, index: routes.buildIndex(table) } },
-    askedAt,
-  );
+  const confirmed = withConfirmation(state, 'tableAt', askedAt);
+  if (activeVersion === table.version) return updateReadiness(confirmed, now);
+  const adopted = {
+    ...confirmed,
+    known: { ...confirmed.known, index: routes.buildIndex(table) },
+  };
   const step = updateReadiness(adopted, now);
   return {
     state: step.state,
@@ -214,10 +222,16 @@
   };
 }
 
-function markConfirmed(state: State, askedAt: task.Instant): State {
-  const { confirmedAt } = state.table;
-  if (confirmedAt && confirmedAt.monotonicMs >= askedAt.monotonicMs) return state;
-  return { ...state, table: { ...state.table, confirmedAt: askedAt } };
+function withConfirmation(
+  state: State,
+  what: keyof staleness.Confirmations,
+  askedAt: task.Instant,
+): State {
+  const { known } = state;
+  const before = known.confirmations[what];
+  if (before && before.monotonicMs >= askedAt.monotonicMs) return state;
+  const confirmations = { ...known.confirmations, [what]: askedAt };
+  return { ...state, known: { ...known, confirmations } };
 }
 
 /** The instance is ready while it can serve requests with a credential. */
@@ -228,11 +242,19 @@
 }
 
 function readiness(state: State, now: task.Instant): { isReady: boolean; reason: string } {
-  const freshness = staleness.freshness(state.table.confirmedAt, state.bounds, now);
+  const { bounds, known } = state;
+  const freshness = staleness.freshness(known.confirmations, bounds, now);
   if (state.isDraining) return { isReady: false, reason: 'leaving' };
-  if (!state.table.index) return { isReady: false, reason: 'no configuration' };
+  if (!known.index) return { isReady: false, reason: 'no configuration' };
   if (!state.hasUpstreamList) return { isReady: false, reason: 'no list of upstreams' };
   if (!state.hasVerdictList) return { isReady: false, reason: 'no list of quarantined parts' };
-  if (freshness === 'expired') return { isReady: false, reason: 'configuration not confirmed' };
+  if (!state.hasWeightsList) return { isReady: false, reason: 'no list of weights' };
+  if (freshness === 'expired') {
+    const isSure = staleness.isSureOfEvacuations(known.confirmations, bounds, now);
+    return {
+      isReady: false,
+      reason: isSure ? 'configuration not confirmed' : 'evacuations not confirmed',
+    };
+  }
   return { isReady: true, reason: 'configuration confirmed' };
 }
--- a/packages/core/src/gateway/staleness.ts
+++ b/packages/core/src/gateway/staleness.ts
@@ -1,5 +1,5 @@
 /**
- * Age of the last confirmation of the configuration. The monotonic clock stops while a machine is
+ * Age of what the platform last confirmed. The monotonic clock stops while a machine is
  * suspended, and the wall clock may be set, so the larger of both ages counts.
  */
 import type * as task from '../kernel/task.js';
@@ -9,16 +9,24 @@
   return Math.max(now.monotonicMs - since.monotonicMs, now.wallMs - since.wallMs);
 }
 
-/** Subtracted from `revocationMs`: time that a request needs to reach the upstream. */
-export const REVOCATION_MARGIN_MS = 600;
+/** Subtracted from bounds on requests that reach an upstream: the time that they need to get there. */
+const ARRIVAL_MARGIN_MS = 600;
 /** Fraction of `adoptionMs` after which an instance no longer reports a route as unknown. */
 const FRESH_FRACTION = 0.97;
 
+/** When the knowledge was confirmed without which no request with a credential is served. */
+export type Confirmations = {
+  tableAt: task.Instant | undefined;
+  evacuationsAt: task.Instant | undefined;
+};
+
 export type StalenessBounds = {
   /** Longest time that a removed credential may be served, even by a disconnected instance. */
   revocationMs: number;
   /** Time by which a connected instance has adopted a change. */
   adoptionMs: number;
+  /** Time by which an evacuated data centre gets no more work. */
+  evacuationMs: number;
 };
 
 /**
@@ -28,12 +36,35 @@
 export type Freshness = 'fresh' | 'stale' | 'expired';
 
 export function freshness(
-  confirmedAt: task.Instant | undefined,
+  confirmations: Confirmations,
+  bounds: StalenessBounds,
+  now: task.Instant,
+): Freshness {
+  const ofTable = tableFreshness(confirmations, bounds, now);
+  // Where the table cannot be confirmed either, the platform is away, and its own bound decides.
+  return ofTable === 'fresh' && !isSureOfEvacuations(confirmations, bounds, now)
+    ? 'expired'
+    : ofTable;
+}
+
+function tableFreshness(
+  { tableAt }: Confirmations,
   { revocationMs, adoptionMs }: StalenessBounds,
   now: task.Instant,
 ): Freshness {
-  if (!confirmedAt) return 'expired';
-  const age = ageMs(confirmedAt, now);
+  if (!tableAt) return 'expired';
+  const age = ageMs(tableAt, now);
   if (age <= adoptionMs * FRESH_FRACTION) return 'fresh';
-  return age <= revocationMs - REVOCATION_MARGIN_MS ? 'stale' : 'expired';
+  return age <= revocationMs - ARRIVAL_MARGIN_MS ? 'stale' : 'expired';
+}
+
+/** Whether a request that is taken now reaches no data centre whose evacuation has been in force for too long. */
+export function isSureOfEvacuations(
+  { evacuationsAt }: Confirmations,
+  { evacuationMs }: StalenessBounds,
+  now: task.Instant,
+): boolean {
+  return (
+    evacuationsAt !== undefined && ageMs(evacuationsAt, now) <= evacuationMs - ARRIVAL_MARGIN_MS
+  );
 }
--- /dev/null
+++ b/packages/core/src/knowledge/rules.ts
@@ -0,0 +1,116 @@
+/**
+ * What an instance has to know of the platform's objects, and by when. Each kind has its rule, so that a
+ * kind without one does not compile.
+ */
+import type * as platform from '../messages/platform.js';
+
+export type Kind =
+  'routing-table' | 'upstreams' | 'evacuations' | 'weights' | 'verdicts' | 'members';
+
+/** Time limits of the deployment within which a change has to be in force, in ms. */
+export type Bounds = {
+  adoptionMs: number;
+  drainMs: number;
+  evacuationMs: number;
+  rolloutMs: number;
+};
+
+/** What it means that an old copy, from which the platform came back, lacks an object. */
+export type Absence =
+  /** It has been removed. */
+  | 'removed'
+  /** Nothing: only a removal that is told ends it. */
+  | 'kept'
+  /** Nothing, until whoever wrote it has had time to write it again. */
+  | 'kept-until-settled'
+  /** Its writer may be back soon, as after an outage of the platform. */
+  | 'as-after-outage';
+
+/** What is done with knowledge that could not be confirmed for longer than its bound. */
+export type PastBound =
+  /** Requests that depend on it are refused as not run, and the instance is not ready. */
+  | 'refused'
+  /** It stays in use beside the instance's own evidence: refusals, answers, and what peers tell. */
+  | 'own-evidence';
+
+export type Rule = {
+  /** How long the platform may hold a watch. A lost answer is noticed no sooner. */
+  waitMs: (bounds: Bounds) => number;
+  /** For how long further changes are gathered after one. */
+  pauseMs: (bounds: Bounds) => number;
+  /** Whether a reader passes the changes on; they must be small and public. */
+  relaysContent: boolean;
+  absence: Absence;
+  pastBound: PastBound;
+};
+
+const never = () => 0;
+
+export const RULES: Readonly<Record<Kind, Rule>> = {
+  'routing-table': {
+    waitMs: ({ adoptionMs }) => adoptionMs * 0.3,
+    pauseMs: never,
+    relaysContent: false,
+    absence: 'kept',
+    pastBound: 'refused',
+  },
+  upstreams: {
+    waitMs: ({ drainMs }) => drainMs * 0.25,
+    // Upstreams write in bursts.
+    pauseMs: ({ adoptionMs }) => adoptionMs * 0.1,
+    relaysContent: true,
+    absence: 'as-after-outage',
+    pastBound: 'own-evidence',
+  },
+  evacuations: {
+    waitMs: ({ evacuationMs }) => evacuationMs * 0.2,
+    pauseMs: never,
+    relaysContent: true,
+    absence: 'kept-until-settled',
+    pastBound: 'refused',
+  },
+  weights: {
+    // The wait is lost of the bound; see `unchangedAt`.
+    waitMs: ({ rolloutMs }) => rolloutMs * 0.15,
+    pauseMs: never,
+    relaysContent: true,
+    absence: 'kept',
+    pastBound: 'own-evidence',
+  },
+  verdicts: {
+    // Instances tell each other of a new verdict at once; the platform is for those that start later.
+    waitMs: () => 15_000,
+    pauseMs: never,
+    relaysContent: true,
+    absence: 'kept',
+    pastBound: 'own-evidence',
+  },
+  members: {
+    waitMs: () => 15_000,
+    // Members that join together are read together. Their entries hold keys.
+    pauseMs: () => 1_000,
+    relaysContent: false,
+    absence: 'removed',
+    pastBound: 'own-evidence',
+  },
+};
+
+/** Time for two questions to the reader and their answers, as a share of the adoption bound. */
+const RELAY_SHARE = 0.2;
+/** Least time between two calls for members, which join together. */
+const MEMBERS_CATCH_UP_MS = 3_000;
+
+/** How the kind is watched. */
+export function paceOf(kind: Kind, bounds: Bounds): platform.WatchPacing {
+  const { relaysContent, ...rule } = RULES[kind];
+  const waitMs = Math.floor(rule.waitMs(bounds));
+  const pauseMs = Math.floor(rule.pauseMs(bounds));
+  return {
+    waitMs,
+    pauseMs,
+    // A reader that follows the kind has confirmed it within two waits.
+    limitMs: 2 * waitMs + pauseMs + Math.floor(bounds.adoptionMs * RELAY_SHARE),
+    relaysContent,
+    ...(kind === 'members' ? { catchUpPauseMs: MEMBERS_CATCH_UP_MS } : {}),
+  };
+}
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -103,6 +103,10 @@
     }
   | { type: 'gateway.table-read'; table: routes.RoutingTable; askedAt: task.Instant }
   | { type: 'gateway.table-confirmed'; askedAt: task.Instant }
+  /** The evacuations that the fleet task knows were all at that moment. */
+  | { type: 'gateway.evacuations-confirmed'; askedAt: task.Instant }
+  /** The weights that operators named have been listed for the first time. */
+  | { type: 'gateway.weights-known' }
   | { type: 'gateway.members-changed'; instances: number }
   /** The list of upstreams has been read for the first time. */
   | { type: 'gateway.upstreams-known' }
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -41,6 +41,11 @@
     .describe('minimum level of journal events: debug, info, warn or error'),
   revocationMs: milliseconds(5_000, 'longest time that a removed credential is still accepted'),
   adoptionMs: milliseconds(2_000, 'longest time until a new configuration is in force'),
+  drainMs: milliseconds(2_000, 'longest time until an upstream that leaves gets no more work'),
+  evacuationMs: milliseconds(
+    5_000,
+    'longest time until an evacuated data centre gets no more work',
+  ),
   rolloutMs: milliseconds(8_000, 'longest time that requests may still start on replaced weights'),
   leaseTermMs: milliseconds(3_000, 'term of the lease for sending orders'),
   graceMs: milliseconds(8_000, 'time from SIGTERM until the process is killed'),
--- a/packages/core/test/gateway/access.test.ts
+++ b/packages/core/test/gateway/access.test.ts
@@ -8,14 +8,16 @@
 import * as assert from 'uvu/assert';
 
 const suite = uvu.suite('gateway: access');
-const BOUNDS = { revocationMs: 5_000, adoptionMs: 2_000 };
+const BOUNDS = { revocationMs: 5_000, adoptionMs: 2_000, evacuationMs: 5_000 };
 
 type RequestChanges = Partial<core.gateway.request.Request>;
 
-function aTable(): core.gateway.access.ActiveTable {
+function aTable(): core.gateway.access.Known {
   const anonymous = fixtures.aRoute({ pathPrefix: '/open/', isAnonymous: true });
   const table = fixtures.aRoutingTable({ routes: [fixtures.aRoute(), anonymous] });
-  return { index: core.gateway.routes.buildIndex(table), confirmedAt: fixtures.anInstant() };
+  const at = fixtures.anInstant();
+  const confirmations = { tableAt: at, evacuationsAt: at };
+  return { index: core.gateway.routes.buildIndex(table), confirmations };
 }
 
 function outcome(changes: RequestChanges, now: core.kernel.Instant, table = aTable()): string {
@@ -75,7 +77,8 @@
 });
 
 suite('an instance without a configuration refuses temporarily', () => {
-  const table = { index: undefined, confirmedAt: undefined };
+  const confirmations = { tableAt: undefined, evacuationsAt: undefined };
+  const table = { index: undefined, confirmations };
   assert.is(outcome({}, fixtures.anInstant(), table), 'configurationUnsure');
 });
 
@@ -100,7 +103,7 @@
       now,
     ).state;
   const state = [5, 3, 7, 6].reduce(adopt, core.gateway.decide.initial(bounds, now));
-  assert.is(state.table.index?.table.version, 7);
+  assert.is(state.known.index?.table.version, 7);
 });
 
 suite.run();
--- a/packages/core/test/gateway/readiness.test.ts
+++ b/packages/core/test/gateway/readiness.test.ts
@@ -10,11 +10,14 @@
   { type: 'gateway.table-read', table: TABLE, askedAt: fixtures.anInstant() },
   { type: 'gateway.upstreams-known' },
   { type: 'gateway.verdicts-known' },
+  { type: 'gateway.weights-known' },
+  { type: 'gateway.evacuations-confirmed', askedAt: fixtures.anInstant() },
 ];
 
 const BOUNDS: core.gateway.decide.Bounds = {
   revocationMs: 5_000,
   adoptionMs: 2_000,
+  evacuationMs: 5_000,
   retryWindowMs: 1_000,
   retryRatio: 0.1,
   retryExtra: 1,
@@ -29,10 +32,10 @@
 }
 
 /**
- * Guards against an instance that starts anew, takes requests before it has read the verdicts of others,
- * and sends a part that crashes upstreams once more.
+ * Guards against an instance that starts anew, takes what it has not read yet for nothing, and sends to an
+ * evacuated data centre, on replaced weights, or a part that crashes upstreams once more.
  */
-suite('an instance is ready once it has read routes, upstreams and quarantined parts', () => {
+suite('an instance is ready once it has read all that requests depend on', () => {
   assert.ok(readinessAfter(STEPS));
   STEPS.forEach((left) => assert.not(readinessAfter(STEPS.filter((each) => each !== left))));
 });
--- a/packages/plugins/gateway/src/gateway-task.ts
+++ b/packages/plugins/gateway/src/gateway-task.ts
@@ -19,10 +19,10 @@
   }),
 };
 
-function dump({ table, isReady, instances, isDraining }: State): unknown {
+function dump({ known, isReady, instances, isDraining }: State): unknown {
   return {
-    tableVersion: table.index?.table.version,
-    confirmedAt: table.confirmedAt,
+    tableVersion: known.index?.table.version,
+    confirmations: known.confirmations,
     isReady,
     instances,
     isLeaving: isDraining,
