--- a/benchmark/src/control-plane/instance.ts
+++ b/benchmark/src/control-plane/instance.ts
@@ -184,6 +184,8 @@
       case 'share-changes':
       case 'record-lost':
       case 'record-back':
+      case 'record-history-lost':
+      case 'record-history-regained':
         return;
       default:
         core.results.assertNever(command);
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -98,6 +98,16 @@
     level: 'warn',
     text: 'platform’s store came back from an earlier copy',
   },
+  historyLost: {
+    number: 715,
+    level: 'info',
+    text: 'platform’s store dropped the history behind a watch; the kind is listed again',
+  },
+  historyRegained: {
+    number: 716,
+    level: 'info',
+    text: 'watch of a kind goes on after listings',
+  },
   entrySkipped: { number: 713, level: 'warn', text: 'malformed platform entry skipped' },
 } as const satisfies Record<string, EventDefinition>;
 
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -49,7 +49,7 @@
       /** Time since the last answer of the platform without them; infinite if there was none. */
       unseenMs: number;
     }
-  | { kind: 'record-evacuation'; dataCentres: readonly string[] }
+  | { kind: 'record-evacuation'; dataCentres: readonly string[]; unseenMs: number }
   | Exclude<quarantine.Command, { kind: 'withdraw' | 'probe-liveness' }>;
 
 export type Step = task.Step<fleet.State, Command>;
@@ -86,7 +86,7 @@
       quarantine.publishing.renewVerdicts(state.quarantine, now);
       return connectionLimits.withConnectionLimits(senders.withMembers(state, message.names, now));
     case 'fleet.evacuations-changed':
-      return onEvacuationsChanged(state, message.dataCentres);
+      return onEvacuationsChanged(state, message, now);
     case 'fleet.target-versions-changed':
       return onTargetVersionsChanged(state, message, now);
     case 'fleet.store-changed':
@@ -245,10 +245,15 @@
   });
 }
 
-function onEvacuationsChanged(state: fleet.State, dataCentres: readonly string[]): Step {
+function onEvacuationsChanged(
+  state: fleet.State,
+  { dataCentres, unchangedAt }: MessageOf<'fleet.evacuations-changed'>,
+  now: task.Instant,
+): Step {
+  const unseenMs = unchangedAt ? staleness.ageMs(unchangedAt, now) : Infinity;
   return {
     state: { ...state, evacuatedDataCentres: new Set(dataCentres) },
-    commands: [{ kind: 'record-evacuation', dataCentres }],
+    commands: [{ kind: 'record-evacuation', dataCentres, unseenMs }],
   };
 }
 
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -4,6 +4,7 @@
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as placement from '../fleet/placement.js';
 import type * as lifecycle from '../gateway/lifecycle-state.js';
+import type * as task from '../kernel/task.js';
 import type * as routes from '../gateway/routes.js';
 import type * as quarantine from '../quarantine/types.js';
 import type * as inventory from '../shared-context/inventory.js';
@@ -17,7 +18,12 @@
   | { type: 'fleet.upstream-list-read'; update: discovery.Update }
   /** The list of upstreams could not be read. */
   | { type: 'fleet.upstream-list-unavailable' }
-  | { type: 'fleet.evacuations-changed'; dataCentres: readonly string[] }
+  | {
+      type: 'fleet.evacuations-changed';
+      dataCentres: readonly string[];
+      /** See `PlatformWatchUpdated`; undefined if no update brought the change. */
+      unchangedAt: task.Instant | undefined;
+    }
   | rollouts.TargetVersionsChanged<'fleet.target-versions-changed'>
   | { type: 'fleet.members-changed'; names: readonly string[] }
   | { type: 'fleet.place'; placementRequest: placement.Request; replyTo: gateway.RequestAddress }
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -106,9 +106,11 @@
     case 'record-target-versions':
       recordTargetVersions(context, command);
       return;
-    case 'record-evacuation':
-      record({ name: 'dataCentresEvacuated', details: { dataCentres: command.dataCentres } });
+    case 'record-evacuation': {
+      const { dataCentres, unseenMs } = command;
+      record({ name: 'dataCentresEvacuated', details: { dataCentres, unseenMs: known(unseenMs) } });
       return;
+    }
     case 'send-quarantine-update':
     case 'store-verdict':
     case 'record-crash-suspects':
@@ -134,8 +136,11 @@
   { record }: TaskContext,
   { versions, unseenMs }: Extract<Command, { kind: 'record-target-versions' }>,
 ): void {
-  const unseen = Number.isFinite(unseenMs) ? Math.round(unseenMs) : UNKNOWN_MS;
-  record({ name: 'weightsNamed', details: { ...versions, unseenMs: unseen } });
+  record({ name: 'weightsNamed', details: { ...versions, unseenMs: known(unseenMs) } });
+}
+
+function known(ms: number): number {
+  return Number.isFinite(ms) ? Math.round(ms) : UNKNOWN_MS;
 }
 
 function recordPlacement(
