--- a/packages/stand-ins/src/platform/object-store.ts
+++ b/packages/stand-ins/src/platform/object-store.ts
@@ -39,6 +39,17 @@
 
 export type Copy = { objects: ReadonlyMap<string, StoredObject>; revision: number };
 
+/** The objects of the kind with a name greater than `after`, in name order. */
+export function listFrom(
+  objects: Copy['objects'],
+  kind: string,
+  after: string,
+): readonly StoredObject[] {
+  return [...objects.values()]
+    .filter((object) => object.kind === kind && object.name > after)
+    .sort((a, b) => (a.name < b.name ? -1 : 1));
+}
+
 export function create(): ObjectStore {
   const objects = new Map<string, StoredObject>();
   const history: { kind: string; event: ChangeEvent }[] = [];
@@ -62,10 +73,7 @@
   return {
     revision: () => counter.revision,
     read: (kind, name) => objects.get(keyOf(kind, name)),
-    list: (kind, after) =>
-      [...objects.values()]
-        .filter((object) => object.kind === kind && object.name > after)
-        .sort((a, b) => (a.name < b.name ? -1 : 1)),
+    list: (kind, after) => listFrom(objects, kind, after),
     create(kind, name, spec) {
       const current = objects.get(keyOf(kind, name));
       return current ? { kind: 'conflict', current } : put(kind, name, spec);
--- a/packages/stand-ins/src/platform/platform.ts
+++ b/packages/stand-ins/src/platform/platform.ts
@@ -6,6 +6,7 @@
 
 import * as serve from '../http/serve.js';
 import * as objectStore from './object-store.js';
+import * as staleCopies from './stale-copies.js';
 
 /**
  * `lost-answers`: writes take effect, but the connection is closed before the response. `busy`:
@@ -19,6 +20,11 @@
   countCalls(): CallCounts;
   /** Keeps a copy; the function that is returned brings the store back to it. */
   copy(): () => void;
+  /** Answers reads that may be stale from this long ago, without saying so; 0 ends this. */
+  setStaleness(staleMs: number): void;
+  /** While watches are held back, they hear of no change. */
+  holdWatches(areHeld: boolean): void;
+  dropHistory(): void;
 };
 
 /** The platform's limit on the size of an object. */
@@ -35,7 +41,13 @@
   const objects = objectStore.create();
   const changes = new events.EventEmitter();
   changes.setMaxListeners(0);
-  const state = { fault: 'none' as Fault, calls: { reads: 0, writes: 0, watches: 0 } };
+  const copies = staleCopies.create();
+  const state = {
+    fault: 'none' as Fault,
+    calls: { reads: 0, writes: 0, watches: 0 },
+    staleMs: 0,
+    areWatchesHeld: false,
+  };
 
   /** Resolves at the next change, or after `waitMs`. */
   function nextChange(waitMs: number): Promise<void> {
@@ -56,11 +68,16 @@
     const [, , kind = '', name] = path;
     const given = (body.length > 0 ? JSON.parse(body.toString('utf8')) : {}) as WriteBody;
     const written = applyWrite(method, kind, name ?? given.metadata?.name ?? '', given);
-    if (written.kind === 'written') changes.emit('change');
+    if (written.kind === 'written') onWritten();
     if (state.fault === 'lost-answers') return { kind: 'cut' };
     return toReply(written);
   }
 
+  function onWritten(): void {
+    if (state.staleMs > 0) copies.keep(objects.copy(), Date.now());
+    changes.emit('change');
+  }
+
   function applyWrite(
     method: string,
     kind: string,
@@ -84,26 +101,33 @@
     const since = Number(query.get('watch'));
     const waitMs = Math.min(MAX_WATCH_WAIT_MS, Number(query.get('waitMs') ?? 0));
     const deadline = Date.now() + waitMs;
-    let found = objects.eventsSince(kind, since);
+    let found = eventsSince(kind, since);
     while (found?.length === 0 && Date.now() < deadline && state.fault !== 'outage') {
       await nextChange(deadline - Date.now());
-      found = objects.eventsSince(kind, since);
+      found = eventsSince(kind, since);
     }
     if (state.fault === 'outage') return { kind: 'cut' };
     if (!found) return serve.json(410, { error: 'this history is gone' });
     return serve.json(200, {
       events: found.map(({ object, deleted }) => ({ object: toWire(object), deleted })),
-      storeRevision: objects.revision(),
+      storeRevision: state.areWatchesHeld ? since : objects.revision(),
     });
   }
 
+  function eventsSince(kind: string, since: number) {
+    return state.areWatchesHeld ? [] : objects.eventsSince(kind, since);
+  }
+
   function list(kind: string, query: URLSearchParams): serve.Reply {
     state.calls.reads += 1;
-    const found = objects.list(kind, query.get('after') ?? '');
+    const isStale = query.get('allowStale') === '1' && state.staleMs > 0;
+    const copy = isStale ? copies.asOf(Date.now() - state.staleMs) : undefined;
+    const { objects: listed, revision } = copy ?? objects.copy();
+    const found = objectStore.listFrom(listed, kind, query.get('after') ?? '');
     return serve.json(200, {
       items: found.slice(0, PAGE_SIZE).map(toWire),
       hasMore: found.length > PAGE_SIZE,
-      storeRevision: objects.revision(),
+      storeRevision: revision,
     });
   }
 
@@ -169,6 +193,19 @@
         changes.emit('change');
       };
     },
+    setStaleness(staleMs) {
+      copies.clear();
+      copies.keep(objects.copy(), Date.now());
+      state.staleMs = staleMs;
+    },
+    holdWatches(areHeld) {
+      state.areWatchesHeld = areHeld;
+      changes.emit('change');
+    },
+    dropHistory() {
+      objects.dropHistory();
+      changes.emit('change');
+    },
   };
 }
 
