--- a/benchmark/src/control-plane/instance.ts
+++ b/benchmark/src/control-plane/instance.ts
@@ -188,6 +188,8 @@
       case 'record-behind':
       case 'record-lost':
       case 'record-back':
+      case 'record-history-lost':
+      case 'record-history-regained':
         return;
       default:
         core.results.assertNever(command);
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -98,8 +98,18 @@
     level: 'warn',
     text: 'platform’s store came back from an earlier copy',
   },
-  listingBehind: {
+  historyLost: {
     number: 715,
+    level: 'info',
+    text: 'platform’s store dropped the history behind a watch; the kind is listed again',
+  },
+  historyRegained: {
+    number: 716,
+    level: 'info',
+    text: 'watch of a kind goes on after listings',
+  },
+  listingBehind: {
+    number: 717,
     level: 'warn',
     text: 'listing of the platform is behind what is known, and is not used',
   },
--- a/packages/core/src/knowledge/answers.ts
+++ b/packages/core/src/knowledge/answers.ts
@@ -8,6 +8,7 @@
 import * as results from '../results/index.js';
 import * as backoff from './backoff.js';
 import * as failedCalls from './failed-calls.js';
+import * as gaps from './gaps.js';
 import * as significant from './significant.js';
 import * as updates from './updates.js';
 import * as versions from './versions.js';
@@ -83,16 +84,23 @@
   };
 }
 
-/** A store that has no history at all is not listed over and over at the pace of its answers. */
-function onExpired(step: watches.Step, watch: watches.Watch, now: task.Instant): watches.Step {
-  const expiries = watch.expiries + 1;
-  if (expiries === 1) return relist(step, { ...watch, expiries }, now);
-  const { kind: objectKind, run } = watch;
-  const delayMs = backoff.delayMs(step.state.instance, objectKind, expiries - 1);
-  const waiting: watches.Watch = { ...watch, expiries, position: watches.startOfListing(now) };
+/** A platform that has no history at all is not listed over and over at the pace of its answers. */
+function onExpired(
+  { state, commands }: watches.Step,
+  watch: watches.Watch,
+  now: task.Instant,
+): watches.Step {
+  const { kind: objectKind, run, reached: revision } = watch;
+  if (!watch.gap) {
+    const lost: watches.Command = { kind: 'record-history-lost', objectKind, revision };
+    const gap = gaps.begin(revision, now);
+    return relist({ state, commands: [...commands, lost] }, { ...watch, gap }, now);
+  }
+  const delayMs = backoff.delayMs(state.instance, objectKind, watch.gap.listings);
+  const waiting: watches.Watch = { ...watch, position: watches.startOfListing(now) };
   return {
-    state: watches.withWatch(step.state, waiting),
-    commands: [...step.commands, { kind: 'poll-later', objectKind, run, delayMs }],
+    state: watches.withWatch(state, waiting),
+    commands: [...commands, { kind: 'poll-later', objectKind, run, delayMs }],
   };
 }
 
@@ -152,12 +160,20 @@
     copyUntilMs,
     known: significant.ofSnapshot(watch.pace, found),
     isCatchingUp: false,
+    gap: gaps.withListing(watch.gap, revision),
     position: { kind: 'watching', askedAt: now, revision },
   };
-  const nextFetch = state.isRelayed ? [] : [watches.fetchCommand(next)];
+  const positions = watches.positionCommands(next, askedAt);
+  if (state.isRelayed) {
+    // The next watch may be a long time away.
+    return {
+      state: watches.withWatch(state, { ...next, gap: undefined }),
+      commands: [...commands, ...gaps.recordRegained(next, now), ...told, ...positions],
+    };
+  }
   return {
     state: watches.withWatch(state, next),
-    commands: [...commands, ...told, ...watches.positionCommands(next, askedAt), ...nextFetch],
+    commands: [...commands, ...told, ...positions, watches.fetchCommand(next)],
   };
 }
 
@@ -212,12 +228,12 @@
   const next: watches.Watch = {
     ...watch,
     failures: 0,
-    expiries: 0,
     confirmedAt: askedAt,
     unchangedAt: watches.answeredAsOf(watch, askedAt, read.length + removed.length > 0, now),
     known,
     changedAt: hasChanges ? reached : watch.changedAt,
     isCatchingUp: false,
+    gap: undefined,
     position: { kind: 'watching', askedAt: now, revision: reached },
   };
   const changes = { objectKind: watch.kind, since: watch.changedAt, revision: reached };
@@ -229,6 +245,7 @@
     state: watches.withWatch(state, next),
     commands: [
       ...commands,
+      ...gaps.recordRegained(watch, now),
       ...told,
       ...shared,
       ...watches.positionCommands(next, askedAt),
--- a/packages/core/src/knowledge/watches.ts
+++ b/packages/core/src/knowledge/watches.ts
@@ -3,6 +3,7 @@
 import type * as platform from '../messages/platform.js';
 import type * as readers from '../messages/readers.js';
 import * as results from '../results/index.js';
+import type * as gaps from './gaps.js';
 import type * as significant from './significant.js';
 
 export type Subscriber = {
@@ -39,8 +40,6 @@
   changedAt: number;
   /** Revision up to which everything is known; never goes back, also not while the kind is listed. */
   reached: number;
-  /** How often in a row the platform no longer had the history. */
-  expiries: number;
   /** Until when a listing is taken for an old copy that the platform came back from, in monotonic ms. */
   copyUntilMs: number;
   /** What matters of each object, by key; see `significantChanges`. */
@@ -48,6 +47,8 @@
   /** Whether a call is on its way while another instance reads for this one. */
   isCatchingUp: boolean;
   caughtUpAtMs: number;
+  /** Since the store dropped the history behind this watch; undefined while it has it. For the journal. */
+  gap: gaps.Gap | undefined;
 };
 
 export type State = {
@@ -98,7 +99,16 @@
   /** A listing that is behind what is known of the kind, by so many revisions. */
   | { kind: 'record-behind'; objectKind: string; revisions: number }
   | { kind: 'record-lost'; reason: string }
-  | { kind: 'record-back'; awayMs: number };
+  | { kind: 'record-back'; awayMs: number }
+  | { kind: 'record-history-lost'; objectKind: string; revision: number }
+  | {
+      kind: 'record-history-regained';
+      objectKind: string;
+      listings: number;
+      forMs: number;
+      /** By how much the oldest listing was behind what was known; negative if it was ahead. */
+      behind: number;
+    };
 
 export type Step = task.Step<State, Command>;
 
@@ -146,11 +156,11 @@
     unchangedAt: NEVER,
     changedAt: 0,
     reached: 0,
-    expiries: 0,
     copyUntilMs: -Infinity,
     known: new Map(),
     isCatchingUp: false,
     caughtUpAtMs: -Infinity,
+    gap: undefined,
   };
   const next = withWatch({ ...state, nextRun: state.nextRun + 1 }, watch);
   return { state: next, commands: [fetchCommand(watch)] };
--- a/packages/core/test/knowledge/positions.test.ts
+++ b/packages/core/test/knowledge/positions.test.ts
@@ -69,13 +69,13 @@
   const watch = fixtures.aWatch();
   const expire = () => kindsOf(watch.answer({ kind: 'revision-expired' }));
   watch.answer(fixtures.aPage([]));
-  assert.equal(expire(), ['fetch-page']);
+  assert.equal(expire(), ['record-history-lost', 'fetch-page']);
   watch.answer(fixtures.aPage([]));
   assert.equal(expire(), ['poll-later']);
   watch.fireTimer(100);
   watch.answer(fixtures.aPage([]));
   watch.answer(fixtures.anAnswer(11));
-  assert.equal(expire(), ['fetch-page']);
+  assert.equal(expire(), ['record-history-lost', 'fetch-page']);
 });
 
 suite.run();
