A watch that was cut off once is no outage of the platform

Cause: each failed call counted as an outage, after which missing entries are kept as lapsed; a single watch that the platform cuts off, while it is there, is none. Change: a failed call tells whether it was an outage: the second in a row, or one without an answer for longer than its wait.

--- a/packages/core/src/knowledge/failed-calls.ts
+++ b/packages/core/src/knowledge/failed-calls.ts
@@ -17,8 +17,10 @@
       ? watches.startOfListing(watch.position.askedAt)
       : watch.position;
   const reason = results.describe(failure);
+  const isOutage = failures > 1 || wasUnanswered(watch, now);
   const failureMessages = watch.subscribers.map((subscriber): watches.Command => {
-    const message = { type: 'platform.watch-failed' as const, prefix: subscriber.prefix, reason };
+    const { prefix } = subscriber;
+    const message = { type: 'platform.watch-failed' as const, prefix, reason, isOutage };
     return { kind: 'send-failure', reader: subscriber, message };
   });
   const outage: readonly watches.Command[] = state.isAvailable
@@ -45,6 +47,11 @@
   };
 }
 
+/** Whether the call waited for longer than the platform may hold it, rather than being cut off. */
+function wasUnanswered({ pace, position }: watches.Watch, now: task.Instant): boolean {
+  return now.monotonicMs - position.askedAt.monotonicMs > pace.waitMs;
+}
+
 /**
  * The second failure in a row is one on a new connection, so the store is away. Bounds on its changes count
  * only while it is there, and whoever made changes in the meantime is heard of when it is back.
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -61,8 +61,16 @@
   unchangedAt: task.Instant;
 };
 
-/** A watch request failed. */
-export type PlatformWatchFailed = { type: 'platform.watch-failed'; prefix: string; reason: string };
+/**
+ * A watch request failed. `isOutage`: the platform was away, rather than the one call cut off; entries may
+ * have expired meanwhile whose writers live.
+ */
+export type PlatformWatchFailed = {
+  type: 'platform.watch-failed';
+  prefix: string;
+  reason: string;
+  isOutage: boolean;
+};
 
 export type WatchPacing = {
   /** How long the platform may hold a watch request. */
--- a/packages/core/test/knowledge/watches.test.ts
+++ b/packages/core/test/knowledge/watches.test.ts
@@ -115,6 +115,25 @@
   assert.ok(Math.max(...delays) <= 1_050);
 });
 
+/** Guards against removed upstreams that are kept as after an outage, since one watch was cut off. */
+suite(
+  'a single call that was cut off is no outage; one without an answer, or the next one, is',
+  () => {
+    const watch = fixtures.aWatch({ waitMs: 1_000, pauseMs: 0 });
+    const outages = () => watch.failures.map(({ isOutage }) => isOutage);
+    watch.answer(fixtures.aPage(['a']));
+    watch.answer(fixtures.FAILED_CALL, 300);
+    assert.equal(outages(), [false]);
+    watch.fireTimer(100);
+    watch.answer(fixtures.FAILED_CALL, 10);
+    assert.equal(outages(), [false, true]);
+    watch.fireTimer(100);
+    watch.answer(fixtures.anAnswer(11));
+    watch.answer(fixtures.FAILED_CALL, 2_500);
+    assert.equal(outages(), [false, true, true]);
+  },
+);
+
 /** A late answer to the replaced chain must not start a second chain of calls. */
 suite('an answer to a replaced chain of calls changes nothing', () => {
   const watch = fixtures.aWatch();
