Addresses of entries: ports from 1 to 65,535, and only hosts that a URL can name

What callers would see: with one odd entry among those of the upstreams or members, every instance ended as it connected, probed or sent there, and again after each restart.

Cause: HOST:PORT was checked by a pattern only. A port above 65,535, or a host such as 1.2.3.999, a/b, % or [, makes the HTTP client's constructor throw in the transport task (Invalid URL); port 0 in a member's entry makes the UDP socket's send throw (ERR_SOCKET_BAD_PORT).

Port 0 stays allowed for addresses to listen on.

--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -12,11 +12,11 @@
 export const gatewaySchema = zod.strictObject({
   name: zod.string().min(1).describe('name of the instance, unique in the deployment'),
   dataCentre: zod.string().min(1).describe('data centre of the instance'),
-  callers: address.hostAndPort.describe('address on which callers connect (HOST:PORT)'),
-  readiness: address.hostAndPort.describe(
+  callers: address.hostAndAnyPort.describe('address on which callers connect (HOST:PORT)'),
+  readiness: address.hostAndAnyPort.describe(
     'address of the readiness check for the balancer (HOST:PORT)',
   ),
-  metrics: address.hostAndPort
+  metrics: address.hostAndAnyPort
     .optional()
     .describe('address on which metrics are served (HOST:PORT); not served if absent'),
   notes: address.hostAndPort
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -13,10 +13,10 @@
     .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits, -')
     .describe('name of the instance, unique in the deployment'),
   dataCentre: zod.string().min(1).describe('data centre of the instance'),
-  callers: address.hostAndPort
+  callers: address.hostAndAnyPort
     .default('127.0.0.1:8080')
     .describe('address on which callers connect (HOST:PORT); port 0 selects a free port'),
-  peers: address.hostAndPort
+  peers: address.hostAndAnyPort
     .default('127.0.0.1:8081')
     .describe('address on which other instances and operators connect (HOST:PORT)'),
   platform: address.hostAndPort.describe('address of the platform’s object API (HOST:PORT)'),
--- a/packages/medlarctl/src/command-line.ts
+++ b/packages/medlarctl/src/command-line.ts
@@ -49,7 +49,7 @@
 );
 
 /** Placeholder address for commands that do not connect to the platform. */
-const UNUSED_PLATFORM_ADDRESS = '127.0.0.1:0';
+const UNUSED_PLATFORM_ADDRESS = '127.0.0.1:1';
 
 type Environment = Readonly<Record<string, string | undefined>>;
 
