JSON text from outside is cut at a depth of 64 before it is parsed

What callers would see: with one deeply nested entry among those of the upstreams, every instance ended, and so did each one that was started again, as long as the entry stayed.

Cause: JSON.parse does not recurse, but JSON.stringify does. significantChanges writes each upstream's entry again to compare it, and a relayed entry is written into a datagram: at 10,000 levels both throw RangeError in a task's decision, which ends the process.

Evidence: before this change the first nested case of odd-entries.test.ts ended the process with RangeError, and so the process that was started after it; the run was stopped after 200 s. odd-datagrams.test.ts failed (RangeError). Both files pass now. Nested entries of the other kinds passed before with one instance too.

Why this works: core.json scans the text and leaves out what is deeper, so no value in the process is deeper than 65 levels, whoever compares, relays, logs or dumps it. An object with an omission gets the mark of unreadable content in place of its value, which fails every schema with its own reason; the other objects of the page are as before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * as feeds from './feeds/index.js';
 export * as fleet from './fleet/index.js';
 export * as gateway from './gateway/index.js';
+export * as json from './json/index.js';
 export * as keptContext from './kept-context/index.js';
 export * as kernel from './kernel/index.js';
 export * as leases from './leases/index.js';
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -146,21 +146,14 @@
 ): PeerUpdate | undefined {
   const signature = datagram.subarray(0, SIGNATURE_BYTES);
   const body = datagram.subarray(SIGNATURE_BYTES);
-  const parsed = schemas.parse(parseJson(body));
+  const text = core.json.parse(body.toString());
+  const parsed = text.isOk() ? schemas.parse(text.value.value) : undefined;
   if (!parsed) return undefined;
   const key = keyOf(parsed[1]);
   if (key === undefined || !crypto.timingSafeEqual(signature, sign(body, key))) return undefined;
   return fromTuple(parsed);
 }
 
-function parseJson(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString());
-  } catch {
-    return undefined;
-  }
-}
-
 function sign(body: Buffer, key: string): Buffer {
   return crypto.createHmac('sha256', key).update(body).digest().subarray(0, SIGNATURE_BYTES);
 }
