--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -8,12 +8,15 @@
 import type * as task from '../kernel/task.js';
 import type * as platform from '../messages/platform.js';
 
+/** A record with a longer term counts as unreadable: nobody could wait for its end. */
+const MAX_TERM_MS = 600_000;
+
 /** The value that is stored in the lease’s platform object. */
 export const recordSchema = zod.object({
   holder: zod.string(),
   incarnation: zod.string(),
   /** How long the holder may act after each write; contenders wait at least this long. */
-  termMs: zod.number().positive(),
+  termMs: zod.number().positive().max(MAX_TERM_MS),
   state: zod.enum(['held', 'released']),
 });
 
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -9,6 +9,9 @@
 const factor = (fallback: number, text: string) =>
   zod.coerce.number().min(0).max(1_000).default(fallback).describe(text);
 
+/** In cores; beyond any machine's. */
+export const MAX_PROCESSOR_SHARE = 1_024;
+
 export const gatewaySchema = zod.strictObject({
   name: zod.string().min(1).describe('name of the instance, unique in the deployment'),
   dataCentre: zod.string().min(1).describe('data centre of the instance'),
@@ -28,6 +31,7 @@
   processorShare: zod.coerce
     .number()
     .min(0)
+    .max(MAX_PROCESSOR_SHARE)
     .default(0)
     .describe('share of a core that this machine has; the strongest read for others; 0 if unknown'),
   isFirstStart: zod
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -4,8 +4,11 @@
  */
 import * as zod from 'zod';
 
-const amount = zod.number().nonnegative();
-const nullableNumber = zod.number().nullable();
+/** Token count that marks a part which the store no longer holds. */
+export const GONE_TOKENS = -1;
+
+const amount = zod.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
+const nullableNumber = amount.nullable();
 
 /** Upstream, unread tokens, prompt tokens, requests. */
 const workRow = zod.tuple([zod.string(), amount, amount, amount]);
@@ -16,7 +19,7 @@
 /** Kind of objects, revision, revision of the last change, age in ms. */
 const position = zod.tuple([zod.string(), amount, amount, amount]);
 /** Part id and tokens; `GONE_TOKENS` for a part that the store no longer holds. */
-const partRow = zod.tuple([zod.string(), zod.number()]);
+const partRow = zod.tuple([zod.string(), zod.union([zod.literal(GONE_TOKENS), amount])]);
 /** Store, epoch, clock, and the changes of each salt; without an epoch, the store does not answer. */
 const storeRow = zod.tuple([
   zod.string(),
@@ -25,7 +28,7 @@
   zod.array(zod.tuple([zod.string(), zod.array(partRow)])),
 ]);
 /** Key, version, value, write id. */
-const objectRow = zod.tuple([zod.string(), zod.number(), zod.unknown(), zod.string()]);
+const objectRow = zod.tuple([zod.string(), amount, zod.unknown(), zod.string()]);
 
 /** Model and part id. */
 const partOfModelRow = zod.tuple([zod.string(), zod.string()]);
@@ -105,6 +108,3 @@
 export type SuspectRow = zod.infer<typeof suspectRow>;
 export type VerdictRow = zod.infer<typeof verdictRow>;
 export type StoreTuple = zod.infer<typeof storeRow>;
-
-/** Token count that marks a part which the store no longer holds. */
-export const GONE_TOKENS = -1;
