--- a/packages/core/src/knowledge/versions.ts
+++ b/packages/core/src/knowledge/versions.ts
@@ -6,6 +6,8 @@
 
 /** More revisions than an era has; leaves room for two million eras in a safe integer. */
 const REVISIONS_PER_ERA = 2 ** 32;
+export const MAX_REVISION = REVISIONS_PER_ERA - 1;
+export const MAX_ERA = 2 ** 21 - 1;
 
 /** By then, operators, upstreams and instances have written again what an old copy lacks. */
 export const RESTORED_MS = 10_000;
