Late requests of a planned stop end truthfully, or are refused at once

What callers saw: in a planned stop, requests that came late in the grace (on a connection that a stream had held, or after the first half had been sent before the signal) were passed on; 0.5 s before the kill all that was open was closed without an answer, among it requests that may run once, and requests of the first seconds at slow upstreams.

Cause: nothing knew what was left of the grace. The gateway took each request as at any other time, its deadline and that of its upstream came from route and caller alone, and the front end closed all connections at one moment.

Fix: core/drain tells how far the stop is (a union) and decides by the retry policy whether a request can surely end in what is left; the gateway refuses others as not run (2004, 503, Retry-After, Connection: close).

--- /dev/null
+++ b/packages/core/src/drain/index.ts
@@ -0,0 +1,2 @@
+/** Public interface of the decisions about planned stops. */
+export * from './drain.js';
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -11,6 +11,7 @@
   instanceStarted: { number: 101, level: 'info', text: 'instance started' },
   instanceListening: { number: 104, level: 'info', text: 'instance is listening' },
   instanceLeaving: { number: 102, level: 'info', text: 'instance is draining' },
+  graceEnded: { number: 107, level: 'warn', text: 'connections cut at the end of the grace' },
   instanceStopped: { number: 103, level: 'info', text: 'instance stopped' },
   settingsReloaded: { number: 105, level: 'info', text: 'settings reload requested' },
   linesDropped: {
--- a/packages/core/src/gateway/decide.ts
+++ b/packages/core/src/gateway/decide.ts
@@ -2,6 +2,7 @@
  * Decisions of the gateway task: which routing table is active, whether a request is accepted or
  * refused, whether a retry is granted, and whether the instance is ready.
  */
+import * as drain from '../drain/drain.js';
 import type * as task from '../kernel/task.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type * as messages from '../messages/gateway.js';
@@ -9,16 +10,18 @@
 import * as results from '../results/index.js';
 import * as access from './access.js';
 import * as staleness from './staleness.js';
-import type * as lifecycleState from './lifecycle-state.js';
+import * as lifecycleState from './lifecycle-state.js';
+import * as lifecycleTimers from './lifecycle-timers.js';
 import type * as request from './request.js';
 import * as retryBudget from './retry-budget.js';
 import * as routes from './routes.js';
 
-export type Bounds = staleness.StalenessBounds & {
-  retryWindowMs: number;
-  retryRatio: number;
-  retryExtra: number;
-};
+export type Bounds = staleness.StalenessBounds &
+  drain.Bounds & {
+    retryWindowMs: number;
+    retryRatio: number;
+    retryExtra: number;
+  };
 
 export type State = {
   bounds: Bounds;
@@ -29,7 +32,7 @@
   instances: number;
   startedAtMs: number;
   retryUsage: ReadonlyMap<string, retryBudget.Usage>;
-  isDraining: boolean;
+  drain: drain.Drain;
 };
 
 export type Command =
@@ -65,7 +68,7 @@
     instances: 1,
     startedAtMs: now.monotonicMs,
     retryUsage: new Map(),
-    isDraining: false,
+    drain: drain.serving(bounds),
   };
 }
 
@@ -90,7 +93,7 @@
     case 'task.start':
       return { state, commands: [{ kind: 'schedule-tick' }] };
     case 'task.drain':
-      return updateReadiness({ ...state, isDraining: true }, now);
+      return updateReadiness({ ...state, drain: drain.begin(state.drain, now) }, now);
     case 'task.stop':
       return { state, commands: [] };
     default:
@@ -118,6 +121,12 @@
       return { state, commands: refuse(state, incoming, caller, decision, now) };
     case 'allowed': {
       const { route, clientAccount } = decision;
+      const admission = drain.admit(state.drain, workOf(incoming, route, now), now);
+      if (admission.kind === 'refused') {
+        const { retryAfterMs } = admission;
+        const denied = { code: 'leaving' as const, detail: route.name, retryAfterMs };
+        return { state, commands: refuse(state, incoming, caller, denied, now) };
+      }
       const draw = rendezvous.hashFraction(incoming.requestId, route.name);
       const service = routes.chooseService(route, draw);
       const routed = {
@@ -127,6 +136,7 @@
         clientAccount,
         tableVersion: state.table.index?.table.version ?? 0,
         tableAgeMs: tableAgeMs(state, now),
+        drain: state.drain,
       };
       return {
         state: countRequest(state, service, now),
@@ -138,15 +148,25 @@
   }
 }
 
+function workOf(incoming: request.Request, route: routes.Route, now: task.Instant): drain.Work {
+  return {
+    retryPolicy: route.retryPolicy,
+    timeoutMs: lifecycleState.ownDeadlineAtMs(incoming, route) - now.monotonicMs,
+    expectedMs: lifecycleTimers.expectedMs(route),
+  };
+}
+
+type Denial = { code: codes.CodeName; detail: string; retryAfterMs?: number };
+
 function refuse(
   state: State,
   incoming: request.Request,
   caller: messages.ReplyAddress,
-  { code, detail }: Extract<access.AccessDecision, { kind: 'denied' }>,
+  { code, detail, retryAfterMs: comeBackMs = EXPIRED_RETRY_AFTER_MS }: Denial,
   now: task.Instant,
 ): readonly Command[] {
   const { status } = results.resultCodes[code];
-  const retryAfterMs = status === 503 ? EXPIRED_RETRY_AFTER_MS : undefined;
+  const retryAfterMs = status === 503 ? comeBackMs : undefined;
   const description = results.describe(results.failure(code, detail));
   return [
     {
@@ -229,7 +249,7 @@
 
 function readiness(state: State, now: task.Instant): { isReady: boolean; reason: string } {
   const freshness = staleness.freshness(state.table.confirmedAt, state.bounds, now);
-  if (state.isDraining) return { isReady: false, reason: 'leaving' };
+  if (state.drain.kind === 'draining') return { isReady: false, reason: 'leaving' };
   if (!state.table.index) return { isReady: false, reason: 'no configuration' };
   if (!state.hasUpstreamList) return { isReady: false, reason: 'no list of upstreams' };
   if (!state.hasVerdictList) return { isReady: false, reason: 'no list of quarantined parts' };
--- a/packages/core/src/gateway/lifecycle-endings.ts
+++ b/packages/core/src/gateway/lifecycle-endings.ts
@@ -4,7 +4,7 @@
  */
 import * as results from '../results/index.js';
 import type * as attemptResult from './attempt-result.js';
-import type * as lifecycleState from './lifecycle-state.js';
+import * as lifecycleState from './lifecycle-state.js';
 
 type State = lifecycleState.State;
 type Step = lifecycleState.Step;
@@ -16,12 +16,14 @@
   return end(state, { result: 'left', status: 0 }, []);
 }
 
-/** Ends the request when the route's or the caller's timeout has passed. */
-export function onDeadline(state: State): Step {
+/** Ends the request when the route's or the caller's timeout has passed, or the grace of a planned stop. */
+export function onDeadline(given: State): Step {
+  const isCutShort = lifecycleState.isCutShort(given);
+  const state = isCutShort ? { ...given, lastFailureReason: 'the grace ends' } : given;
   if (state.isHeadSent) return abort(state);
   if (state.failure) return deliver(state, state.failure);
   if (state.possibleRuns > 0) return refuse(state, 'outOfTime', undefined);
-  return refuse(state, 'notStartedInTime', RETRY_AFTER_MS);
+  return refuse(state, isCutShort ? 'leaving' : 'notStartedInTime', RETRY_AFTER_MS);
 }
 
 /**
@@ -53,6 +55,7 @@
   code:
     | 'outOfTime'
     | 'notStartedInTime'
+    | 'leaving'
     | 'noUpstream'
     | 'retriesExhausted'
     | 'answerLost'
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -1,4 +1,5 @@
 /** State and commands of one request, from its arrival to its last byte. */
+import * as drain from '../drain/drain.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/gateway.js';
 import type * as codes from '../results/codes.js';
@@ -15,6 +16,8 @@
   /** Routing table that admitted the request, and the age of its confirmation in ms. */
   tableVersion: number;
   tableAgeMs: number;
+  /** The planned stop, if it had begun when the request came. */
+  drain: drain.Drain;
 };
 
 export type Attempt = {
@@ -34,6 +37,7 @@
 
 export type State = {
   routed: RoutedRequest;
+  drain: drain.Drain;
   phase: Phase;
   /** Attempts that left this instance. */
   sentAttempts: number;
@@ -96,6 +100,7 @@
 export function initial(routed: RoutedRequest): State {
   return {
     routed,
+    drain: routed.drain,
     phase: { kind: 'placing' },
     sentAttempts: 0,
     possibleRuns: 0,
@@ -109,10 +114,22 @@
   };
 }
 
-/** Returns the monotonic time by which the request must be answered. */
-export function deadlineAtMs({
-  request: { receivedAt, callerTimeoutMs },
-  route,
-}: RoutedRequest): number {
-  return receivedAt.monotonicMs + Math.min(route.timeoutMs, callerTimeoutMs ?? Infinity);
+/** Returns the monotonic time by which the request must be answered, also by its upstream. */
+export function deadlineAtMs({ routed, drain: planned }: State): number {
+  const { request: incoming, route } = routed;
+  return Math.min(ownDeadlineAtMs(incoming, route), drain.answerAtMs(planned));
+}
+
+/** The same, as the route and the caller have it. */
+export function ownDeadlineAtMs(
+  { receivedAt, callerTimeoutMs }: request.Request,
+  { timeoutMs }: routes.Route,
+): number {
+  return receivedAt.monotonicMs + Math.min(timeoutMs, callerTimeoutMs ?? Infinity);
+}
+
+/** Whether a planned stop ends the request before its own time. */
+export function isCutShort(state: State): boolean {
+  const { request: incoming, route } = state.routed;
+  return deadlineAtMs(state) < ownDeadlineAtMs(incoming, route);
 }
--- a/packages/core/src/gateway/lifecycle-timers.ts
+++ b/packages/core/src/gateway/lifecycle-timers.ts
@@ -1,8 +1,10 @@
 /** Time left to a request, and how long its upstream may be silent before a retry elsewhere. */
+import * as drain from '../drain/drain.js';
 import type * as task from '../kernel/task.js';
 import * as results from '../results/index.js';
 import * as attemptResult from './attempt-result.js';
 import * as lifecycleState from './lifecycle-state.js';
+import type * as routes from './routes.js';
 
 type State = lifecycleState.State;
 
@@ -16,8 +18,30 @@
 /** With less time than this left, no further attempt is made. */
 export const MIN_ATTEMPT_MS = 40;
 
-export function remainingMs({ routed }: State, now: task.Instant): number {
-  return lifecycleState.deadlineAtMs(routed) - now.monotonicMs;
+export function remainingMs(state: State, now: task.Instant): number {
+  return lifecycleState.deadlineAtMs(state) - now.monotonicMs;
+}
+
+export function armDeadline(state: State, now: task.Instant): lifecycleState.Command {
+  return { kind: 'schedule', timer: 'deadline', delayMs: Math.max(0, remainingMs(state, now)) };
+}
+
+/** The end of the grace may come before the request's own deadline. */
+export function onDrain(state: State, now: task.Instant): lifecycleState.Step {
+  const next = { ...state, drain: drain.begin(state.drain, now) };
+  return { state: next, commands: [armDeadline(next, now)] };
+}
+
+/** Time in which a request is usually answered, also by a second upstream; a stream may need all it has. */
+export function expectedMs({ responseMode, latencyTargetMs, timeoutMs }: routes.Route): number {
+  switch (responseMode) {
+    case 'whole':
+      return 2 * BUFFERED_TIMEOUT_TARGETS * latencyTargetMs;
+    case 'stream':
+      return timeoutMs;
+    default:
+      return results.assertNever(responseMode);
+  }
 }
 
 /** Schedules the idle timer, if the request could still be retried at another upstream. */
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -22,11 +22,7 @@
 const LIVENESS_RECHECK_MS = 300;
 
 export function begin(state: State, now: task.Instant): Step {
-  const delayMs = Math.max(0, lifecycleState.deadlineAtMs(state.routed) - now.monotonicMs);
-  return {
-    state,
-    commands: [{ kind: 'schedule', timer: 'deadline', delayMs }, search.place(state)],
-  };
+  return { state, commands: [timers.armDeadline(state, now), search.place(state)] };
 }
 
 export function decide(state: State, message: messages.RequestMessage, now: task.Instant): Step {
@@ -57,6 +53,7 @@
     case 'request.timer-fired':
       return onTimer(state, message.timer, now);
     case 'task.drain':
+      return timers.onDrain(state, now);
     case 'task.stop':
       return { state, commands: [] };
     default:
@@ -81,7 +78,7 @@
     possibleRuns: state.possibleRuns + 1,
   };
   const { lastEventId } = state;
-  const deadlineAtMs = lifecycleState.deadlineAtMs(state.routed);
+  const deadlineAtMs = lifecycleState.deadlineAtMs(state);
   return {
     state: next,
     commands: [
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * as claims from './claims/index.js';
 export * as coldStarts from './cold-starts/index.js';
 export * as configuration from './configuration/index.js';
+export * as drain from './drain/index.js';
 export * as events from './events/index.js';
 export * as exchange from './exchange/index.js';
 export * as feeds from './feeds/index.js';
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -111,12 +111,14 @@
   | { type: 'gateway.ask-retry-budget'; service: string; replyTo: RequestAddress }
   | { type: 'gateway.tick' };
 
+export type FrontDrainStep = 'close-idle' | 'refuse-unread' | 'give-up';
+
 /** Messages to the front end that do not belong to a single request. */
 export type FrontEndMessage =
   | taskLifecycle.LifecycleMessage
   | { type: 'front.limits-changed'; limits: routes.Limits }
   | { type: 'front.readiness-changed'; isReady: boolean; reason: string }
-  | { type: 'front.drain-timer-fired'; step: 'close-idle' | 'give-up' };
+  | { type: 'front.drain-timer-fired'; step: FrontDrainStep };
 
 /** One attempt to send a request to an upstream. */
 export type AttemptRequest = {
--- a/packages/core/src/results/request-codes.ts
+++ b/packages/core/src/results/request-codes.ts
@@ -64,7 +64,7 @@
   title: 'no upstream available',
   hint: 'Not run. Retry after the time in `Retry-After`.',
 };
-/** No answer arrived before the route's or the caller's deadline; the request may have run. */
+/** No answer arrived before the route's or the caller's deadline, or the end of the grace; the request may have run. */
 const outOfTime: code.Code = {
   number: 2005,
   status: 504,
@@ -85,7 +85,7 @@
   title: 'deadline cannot be met',
   hint: 'Not run. Allow more time or retry later.',
 };
-/** The instance is draining and accepts no new requests. */
+/** The instance is draining, and the request cannot be sure to end before it stops. */
 const leaving: code.Code = {
   number: 2004,
   status: 503,
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -44,6 +44,10 @@
   rolloutMs: milliseconds(8_000, 'longest time that requests may still start on replaced weights'),
   leaseTermMs: milliseconds(3_000, 'term of the lease for sending orders'),
   graceMs: milliseconds(8_000, 'time from SIGTERM until the process is killed'),
+  balancerLagMs: milliseconds(
+    2_400,
+    'time for which a draining instance still accepts connections (the balancer’s lag)',
+  ),
   retryWindowMs: milliseconds(10_000, 'time window of the retry budget'),
   retryRatio: factor(0.2, 'retry budget: retries per request, over all instances'),
   retryExtra: factor(50, 'retry budget: additional retries per window, over all instances'),
--- a/packages/core/test/gateway/access.test.ts
+++ b/packages/core/test/gateway/access.test.ts
@@ -92,7 +92,13 @@
 
 suite('an older table never replaces a newer one', () => {
   const now = fixtures.anInstant();
-  const bounds = { ...BOUNDS, retryWindowMs: 10_000, retryRatio: 0.2, retryExtra: 50 };
+  const bounds = {
+    ...BOUNDS,
+    ...fixtures.DRAIN_BOUNDS,
+    retryWindowMs: 10_000,
+    retryRatio: 0.2,
+    retryExtra: 50,
+  };
   const adopt = (state: core.gateway.decide.State, version: number) =>
     core.gateway.decide.decide(
       state,
--- a/packages/core/test/gateway/readiness.test.ts
+++ b/packages/core/test/gateway/readiness.test.ts
@@ -15,6 +15,7 @@
 const BOUNDS: core.gateway.decide.Bounds = {
   revocationMs: 5_000,
   adoptionMs: 2_000,
+  ...fixtures.DRAIN_BOUNDS,
   retryWindowMs: 1_000,
   retryRatio: 0.1,
   retryExtra: 1,
--- a/packages/plugins/gateway/src/gateway-task.ts
+++ b/packages/plugins/gateway/src/gateway-task.ts
@@ -19,13 +19,13 @@
   }),
 };
 
-function dump({ table, isReady, instances, isDraining }: State): unknown {
+function dump({ table, isReady, instances, drain }: State): unknown {
   return {
     tableVersion: table.index?.table.version,
     confirmedAt: table.confirmedAt,
     isReady,
     instances,
-    isLeaving: isDraining,
+    isLeaving: drain.kind === 'draining',
   };
 }
 
--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -8,6 +8,7 @@
 import * as crashes from './crashes.js';
 import * as endless from './endless.js';
 import * as eventStreams from './event-streams.js';
+import * as pacing from './pacing.js';
 import * as resumptions from './resumptions.js';
 
 /**
@@ -22,6 +23,7 @@
  * `extra-response`: a second response after the first. `no-seal`: 200 without the seal header.
  */
 export { ENDLESS_FAULTS } from './endless.js';
+export { PACE_HEADERS } from './pacing.js';
 export { RESUMPTION_FAULTS } from './resumptions.js';
 
 export type Fault =
@@ -147,8 +149,10 @@
       resumptions.answer(response, state.fault, headersOf(received));
       return;
     }
-    if (isStream) stream(received, response);
-    else whole(received, request.socket, response);
+    pacing.afterDelay(received.headers, () => {
+      if (isStream) stream(received, response);
+      else whole(received, request.socket, response);
+    });
   }
 
   function headersOf({ requestId }: ReceivedRequest): Record<string, string> {
@@ -228,7 +232,8 @@
   }
 
   function stream(received: ReceivedRequest, response: http.ServerResponse): void {
-    const { fault, events, pauseMs } = state;
+    const { fault } = state;
+    const { events, pauseMs } = pacing.streamPaceOf(received.headers, state);
     const after = Number(received.headers['last-event-id'] ?? 0);
     const ending = eventStreams.endingOf(fault);
     eventStreams.write(response, headersOf(received), { after, events, pauseMs, ending });
