The product's own front end refuses late requests of a planned stop too

What callers would see: an entry instance that drains went on taking requests on open connections for as long as others were open, with no limit, and without telling callers to leave; what still ran when the process was killed was cut.

Cause: the callers' task knew no grace, took each request while it lived, and kept connections open after each answer.

Fix: the callers' task asks core/drain, as the gateway does. A prompt has a deadline for its first token only, so after the balancer's lag none is taken; a call is taken while its time-out is left. Answers of a draining instance carry Connection: close. Not in this change: an answer for what is open at the end of the grace (a drain still waits for it).

Evidence: `npm test -- examples/test/drain`: a prompt whose rest is sent 300 ms after SIGTERM (lag 100 ms) got 200 before (run against the old build) and is refused now with 503 as not run, with Retry-After and Connection: close; 4 of 4 pass.

--- a/benchmark/src/kernel/index.ts
+++ b/benchmark/src/kernel/index.ts
@@ -23,6 +23,7 @@
   platform: '127.0.0.1:1',
   deploymentKey: 'benchmark-key-benchmark',
   logLevel: 'info',
+  graceMs: 30_000,
   balancerLagMs: 0,
 };
 
--- a/examples/test/drain.test.ts
+++ b/examples/test/drain.test.ts
@@ -3,6 +3,7 @@
  * a second SIGTERM stops at once.
  */
 import * as crypto from 'node:crypto';
+import * as http from 'node:http';
 
 import * as examples from '@medlarweir/examples';
 import * as undici from 'undici';
@@ -16,6 +17,8 @@
 const EXIT_STOPPED_AT_ONCE = 3;
 const DRAINING_EVENT = 102;
 const STOPPED_EVENT = 103;
+/** Well past the lag of the examples' balancer. */
+const LATE_MS = 300;
 
 type Stream = { firstToken: Promise<void>; isComplete: Promise<boolean> };
 
@@ -64,6 +67,47 @@
   return data.at(-1) === 'data: [DONE]' && tokens.length >= MAX_TOKENS;
 }
 
+type Answer = { status: number; connection: string; retryAfter: string; body: string };
+
+/** Begins a prompt now, and sends the rest of it later. */
+function aHalfPrompt(
+  { deployment: { story } }: examples.clusters.Cluster,
+  instance: examples.clusters.Instance,
+): { finish(): Promise<Answer> } {
+  const [host = '', port = ''] = instance.callers.split(':');
+  const body = JSON.stringify({ model: story.promptService, prompt: 'notes', max_tokens: 1 });
+  const request = http.request({
+    host,
+    port: Number(port),
+    path: '/v1/completions',
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${examples.deployments.credentialOf(story.account)}`,
+      'content-type': 'application/json',
+      'content-length': body.length,
+    },
+  });
+  request.write(body.slice(0, 1));
+  const answered = new Promise<Answer>((resolve, reject) => {
+    request.on('error', reject);
+    request.on('response', (response) => {
+      const chunks: string[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk.toString('utf8')));
+      response.on('end', () => {
+        const { connection = '', 'retry-after': retryAfter = '' } = response.headers;
+        const { statusCode: status = 0 } = response;
+        resolve({ status, connection, retryAfter, body: chunks.join('') });
+      });
+    });
+  });
+  return {
+    finish() {
+      request.end(body.slice(1));
+      return answered;
+    },
+  };
+}
+
 type Fixture = {
   cluster: examples.clusters.Cluster;
   instance: examples.clusters.Instance;
@@ -105,6 +149,25 @@
   }),
 );
 
+/** Guards against requests that are taken late in the grace and may not end in it. */
+suite('a prompt that is sent after the balancer’s lag is refused as not run', () =>
+  withStreams(async ({ cluster, instance, streams }) => {
+    const half = aHalfPrompt(cluster, instance);
+    instance.process.signal('SIGTERM');
+    await waitForEvent(instance, DRAINING_EVENT);
+    await new Promise((resolve) => {
+      setTimeout(resolve, LATE_MS);
+    });
+    const { status, connection, retryAfter, body } = await half.finish();
+    assert.is(status, 503);
+    assert.is(connection, 'close');
+    assert.ok(Number(retryAfter) > 0);
+    assert.match(body, '"run":"not-run"');
+    const whole = await Promise.all(streams.map((stream) => stream.isComplete));
+    assert.ok(whole.every((isWhole) => isWhole));
+  }),
+);
+
 suite('a second SIGTERM stops at once and logs how many requests were cut', () =>
   withStreams(async ({ instance, streams }) => {
     instance.process.signal('SIGTERM');
--- a/packages/core/src/exchange/plain.ts
+++ b/packages/core/src/exchange/plain.ts
@@ -12,7 +12,7 @@
 
 export type State = plainState.State;
 type Step = plainState.Step;
-export const { initial } = plainState;
+export const { initial, isSafe } = plainState;
 
 export function decide(state: State, message: messages.ExchangeMessage, now: task.Instant): Step {
   if (state.phase.kind === 'ended') return { state, commands: [] };
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -44,6 +44,15 @@
     .enum(['debug', 'info', 'warn', 'error'])
     .default('info')
     .describe('minimum level of journal events: debug, info, warn or error'),
+  graceMs: zod.coerce
+    .number()
+    .int()
+    .min(0)
+    .max(600_000)
+    .default(30_000)
+    .describe(
+      'time from SIGTERM until the process is killed: late requests that need longer are refused, in ms',
+    ),
   balancerLagMs: zod.coerce
     .number()
     .int()
--- a/packages/core/test/kernel/kernel.test.ts
+++ b/packages/core/test/kernel/kernel.test.ts
@@ -16,6 +16,7 @@
   platform: '127.0.0.1:1',
   deploymentKey: 'a-key-of-sixteen-or-more',
   logLevel: 'info',
+  graceMs: 30_000,
   balancerLagMs: 0,
 };
 
--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -21,6 +21,7 @@
 type Phase = 'serving' | 'leaving' | 'closed';
 type State = {
   phase: Phase;
+  drain: core.drain.Drain;
   configuration: core.configuration.Configuration | undefined;
   /** Ids of accepted requests whose response is not complete. Updated in place. */
   openRequestIds: Set<string>;
@@ -36,7 +37,7 @@
   | { kind: 'flow'; requestId: string; flow: 'open' | 'paused' }
   | { kind: 'cancel'; requestId: string }
   | { kind: 'set-max-body-bytes'; maxBodyBytes: number }
-  | { kind: 'fail-health-checks' }
+  | { kind: 'start-drain' }
   | { kind: 'close' }
   | { kind: 'left' }
   | { kind: 'record-listening'; address: string };
@@ -56,7 +57,12 @@
       onServerClosed: () => context.self.send({ type: 'callers.closed' }),
     });
     return {
-      initial: { phase: 'serving', configuration: undefined, openRequestIds: new Set() },
+      initial: {
+        phase: 'serving',
+        drain: core.drain.serving(context.settings),
+        configuration: undefined,
+        openRequestIds: new Set(),
+      },
       decide,
       perform: (command) => perform(context, sockets, command),
       dump: ({ phase, openRequestIds }) => ({ phase, openRequests: openRequestIds.size }),
@@ -64,7 +70,7 @@
   },
 };
 
-function decide(state: State, message: Message): Step {
+function decide(state: State, message: Message, now: core.kernel.Instant): Step {
   switch (message.type) {
     case 'task.start':
       return { state, commands: [{ kind: 'listen' }] };
@@ -79,7 +85,7 @@
     case 'callers.listening':
       return { state, commands: [{ kind: 'record-listening', address: message.address }] };
     case 'http.request-received':
-      return onRequest(state, message.requestId, message.readResult);
+      return onRequest(state, message, now);
     case 'exchange.begun':
       return { state, commands: [{ kind: 'attach-exchange', begun: message }] };
     case 'http.flow-control':
@@ -97,7 +103,10 @@
     case 'response.refused':
       return onLastResponse(state, message);
     case 'task.drain':
-      return { state: { ...state, phase: 'leaving' }, commands: [{ kind: 'fail-health-checks' }] };
+      return {
+        state: { ...state, phase: 'leaving', drain: core.drain.begin(state.drain, now) },
+        commands: [{ kind: 'start-drain' }],
+      };
     case 'callers.balancer-lag-elapsed':
       return finishDrain({ ...state, phase: 'closed' }, [{ kind: 'close' }]);
     case 'callers.closed':
@@ -111,8 +120,8 @@
 
 function onRequest(
   state: State,
-  requestId: string,
-  readResult: server.IncomingRequest['readResult'],
+  { requestId, readResult }: Extract<Message, { type: 'http.request-received' }>,
+  now: core.kernel.Instant,
 ): Step {
   const { configuration } = state;
   if (!configuration) {
@@ -128,6 +137,11 @@
     case 'whole': {
       const accepted = requests.accept(configuration, readResult.request, requestId);
       if (accepted.isErr()) return refuse(state, requestId, accepted.error);
+      const admission = core.drain.admit(state.drain, workOf(accepted.value.request), now);
+      if (admission.kind === 'refused') {
+        const failure = core.results.failure('leaving', 'it might not end before the instance');
+        return refuse(state, requestId, failure, admission.retryAfterMs);
+      }
       state.openRequestIds.add(requestId);
       return { state, commands: [{ kind: 'begin', accepted: accepted.value }] };
     }
@@ -136,13 +150,34 @@
   }
 }
 
-function refuse(state: State, requestId: string, failure: core.results.Failure): Step {
+/** A prompt has a deadline for its first token only. */
+function workOf(request: core.messages.CallerRequest): core.drain.Work {
+  switch (request.kind) {
+    case 'prompt':
+      return { retryPolicy: 'resumable', timeoutMs: Infinity, expectedMs: Infinity };
+    case 'plain': {
+      const { timeoutMs } = request.service;
+      const isSafe = core.exchange.plain.isSafe(request);
+      const retryPolicy = isSafe ? 'retryable' : 'at-most-once';
+      return { retryPolicy, timeoutMs, expectedMs: timeoutMs };
+    }
+    default:
+      return core.results.assertNever(request);
+  }
+}
+
+function refuse(
+  state: State,
+  requestId: string,
+  failure: core.results.Failure,
+  retryAfterMs = failure.code === 'notConfigured' ? NOT_CONFIGURED_RETRY_MS : undefined,
+): Step {
   const refusal: Refusal = {
     type: 'response.refused',
     requestId,
     failure,
     truth: 'not-run',
-    retryAfterMs: failure.code === 'notConfigured' ? NOT_CONFIGURED_RETRY_MS : undefined,
+    retryAfterMs,
   };
   return { state, commands: [{ kind: 'refuse', refusal }] };
 }
@@ -201,8 +236,8 @@
     case 'set-max-body-bytes':
       sockets.setMaxBodyBytes(command.maxBodyBytes);
       return;
-    case 'fail-health-checks':
-      sockets.failHealthChecks();
+    case 'start-drain':
+      sockets.startDrain();
       context.schedule('balancer-lag', context.settings.balancerLagMs, {
         type: 'callers.balancer-lag-elapsed',
       });
--- a/packages/plugins/callers-http/src/connections.ts
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -33,7 +33,8 @@
   tell(requestId: string, message: core.messages.ExchangeMessage): void;
   write(answer: core.messages.CallerResponse): void;
   setMaxBodyBytes(maxBodyBytes: number): void;
-  failHealthChecks(): void;
+  /** From now on health checks fail, and each answer is the last on its connection. */
+  startDrain(): void;
   close(): void;
 };
 
@@ -94,12 +95,15 @@
       if (!found) return;
       const isLast = answer.type !== 'response.started' && answer.type !== 'response.token';
       if (isLast) pendingResponses.delete(answer.requestId);
+      if (isDraining && !found.response.headersSent) {
+        found.response.setHeader('connection', 'close');
+      }
       writeTo(found, answer, () => handlers.onFlowControl(answer.requestId, 'paused'));
     },
     setMaxBodyBytes(bytes) {
       maxBodyBytes = bytes;
     },
-    failHealthChecks() {
+    startDrain() {
       isDraining = true;
     },
     close() {
--- a/packages/plugins/upstreams-http/test/expired-run.test.ts
+++ b/packages/plugins/upstreams-http/test/expired-run.test.ts
@@ -23,6 +23,7 @@
       platform: '127.0.0.1:1',
       deploymentKey: 'a-key-of-sixteen-or-more',
       logLevel: 'info',
+      graceMs: 30_000,
       balancerLagMs: 0,
     },
     incarnation: 'incarnation-1',
