--- a/packages/core/test/gateway/readiness.test.ts
+++ b/packages/core/test/gateway/readiness.test.ts
@@ -18,6 +18,7 @@
   revocationMs: 5_000,
   adoptionMs: 2_000,
   evacuationMs: 5_000,
+  ...fixtures.DRAIN_BOUNDS,
   retryWindowMs: 1_000,
   retryRatio: 0.1,
   retryExtra: 1,
--- a/packages/plugins/gateway/src/gateway-task.ts
+++ b/packages/plugins/gateway/src/gateway-task.ts
@@ -19,13 +19,13 @@
   }),
 };
 
-function dump({ known, isReady, instances, isDraining }: State): unknown {
+function dump({ known, isReady, instances, drain }: State): unknown {
   return {
     tableVersion: known.index?.table.version,
     confirmations: known.confirmations,
     isReady,
     instances,
-    isLeaving: isDraining,
+    isLeaving: drain.kind === 'draining',
   };
 }
 
