Retries of one deadly content are refused, though its shared parts are sound

Cause: of a prompt, only the shared parts were counted with a crash. A request whose shared parts had got through lately left nothing to suspect, so that its caller's retries, under new ids, were each sent to two upstreams without an end.

Change: the last part counts too, if the head of the answer had come as the upstream went down: it is what the retries of one content share. Without a head the upstream may only have held the request, and the last part stays out, as before; the test of that keeps its assertion and is named for this case.

--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -29,12 +29,13 @@
   now: task.Instant,
 ): quarantine.Decision {
   if (!prompt) return { kind: 'allowed', trialOf: [] };
-  const request = { requestId, clientAccount, isRepeat, ...sharedParts(prompt) };
+  const request = { requestId, clientAccount, isRepeat, ...partsOf(prompt) };
   return quarantine.check(state.quarantine, request, now);
 }
 
-function sharedParts({ model, parts }: NonNullable<placement.Request['prompt']>) {
-  return { model, parts: [...new Set(parts.slice(0, -1).map(({ id }) => id))] };
+function partsOf({ model, parts }: NonNullable<placement.Request['prompt']>) {
+  const ids = parts.map(({ id }) => id);
+  return { model, parts: [...new Set(ids.slice(0, -1)), ...ids.slice(-1)] };
 }
 
 /** Records the attempt, which spends the trial that let it through. */
@@ -47,7 +48,7 @@
 ): readonly decide.Command[] {
   const upstream = state.registry.upstreams.get(id);
   if (!prompt || !upstream) return [];
-  const { model, parts } = sharedParts(prompt);
+  const { model, parts } = partsOf(prompt);
   const isTrial = trialOf.length > 0;
   const attempt: quarantine.ledger.Attempt = {
     requestId,
--- a/packages/core/src/quarantine/check.ts
+++ b/packages/core/src/quarantine/check.ts
@@ -15,7 +15,7 @@
   requestId: string;
   clientAccount: string;
   model: string;
-  /** Without the last part. */
+  /** The last part is that of the request, or of its session. */
   parts: readonly string[];
   /** Whether an attempt before this one may have run. */
   isRepeat: boolean;
--- a/packages/core/src/quarantine/ledger.ts
+++ b/packages/core/src/quarantine/ledger.ts
@@ -10,7 +10,7 @@
   crash: string;
   clientAccount: string;
   model: string;
-  /** Without the last part, which no other request has. */
+  /** The last part is that of the request, or of its session. */
   parts: readonly string[];
   /** Whether the head of the answer has come. */
   hasHead: boolean;
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -21,7 +21,9 @@
   attempt: ledgers.Attempt,
   now: task.Instant,
 ): readonly command.Command[] {
-  if (attempt.hasBegun || attempt.parts.length === 0 || wasSuspended(ledger, now)) return [];
+  if (attempt.hasBegun || suspectedParts(attempt).length === 0 || wasSuspended(ledger, now)) {
+    return [];
+  }
   const broken = { attempt, brokeAtMs: now.monotonicMs };
   const downAtMs = ledger.downAtMs.get(attempt.crash);
   if (downAtMs !== undefined && now.monotonicMs - downAtMs <= CONFIRMATION_MS) {
@@ -32,6 +34,11 @@
   return isProbed ? [] : [{ kind: 'probe-liveness', upstream: attempt.upstream }];
 }
 
+/** Without a head, the last part says nothing: the upstream may only have held the request. */
+function suspectedParts({ parts, hasHead }: ledgers.Attempt): readonly string[] {
+  return hasHead ? parts : parts.slice(0, -1);
+}
+
 /** The instance itself may have been stopped while upstreams came and went. */
 function wasSuspended({ lastTickAtMs, resumedAtMs }: ledgers.Ledger, now: task.Instant): boolean {
   const sinceTickMs = now.monotonicMs - (lastTickAtMs ?? now.monotonicMs);
@@ -59,7 +66,7 @@
   const suspects = found
     .map(({ attempt, brokeAtMs }): types.Suspect => {
       const { crash, upstream, requestId, clientAccount, model, hasHead: hadHead } = attempt;
-      const parts = attempt.parts.filter(
+      const parts = suspectedParts(attempt).filter(
         (part) => !clearing.isCleared(ledger, names.partKey(model, part), now),
       );
       const ageMs = now.monotonicMs - brokeAtMs;
--- a/packages/core/test/quarantine/verdicts.test.ts
+++ b/packages/core/test/quarantine/verdicts.test.ts
@@ -22,7 +22,7 @@
   assert.match(fleet.place(having('sound'), 3_000), /^u-/);
 });
 
-suite('the last part of a prompt never counts', () => {
+suite('the last part of a prompt does not count before the head of an answer', () => {
   const fleet = fixtures.aQuarantineFleet();
   [0, 1, 2, 3].forEach((at) =>
     fleet.crash({ requestId: 'same', parts: [], isRepeat: at > 0 }, 1_000 * at),
@@ -30,6 +30,23 @@
   assert.is(fleet.state.quarantine.tallies.size, 0);
 });
 
+/** Guards against a caller that repeats a request with sound shared parts, and takes upstreams down each time. */
+suite('retries of one content are refused after three crashes with a head', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const deadly = (requestId: string) => ({ requestId, parts: ['sound'], ownPart: 'deadly' });
+  fleet.succeed(having('sound', 'first'), 0);
+  [0, 1, 2].forEach((at) => fleet.crash(deadly(`r-${at}`), 1_000 + at * 500, 'head'));
+  assert.is(fleet.place(deadly('r-3'), 3_000), 'quarantined');
+  assert.match(fleet.place(having('sound', 'other'), 3_000), /^u-/);
+});
+
+suite('a request with a part of its own alone is suspected too', () => {
+  const fleet = fixtures.aQuarantineFleet();
+  const deadly = (requestId: string) => ({ requestId, parts: [], ownPart: 'deadly' });
+  [0, 1, 2].forEach((at) => fleet.crash(deadly(`r-${at}`), 1_000 + at * 500, 'head'));
+  assert.is(fleet.place(deadly('r-3'), 3_000), 'quarantined');
+});
+
 suite('parts that got through within a minute are not suspected', () => {
   const fleet = fixtures.aQuarantineFleet();
   fleet.succeed({ requestId: 'first', parts: ['sound'] }, 0);
