Review of the fix: removals in each piece, no wait after a failed call, evacuations before every route

Change: removals are in each piece; a call after a failed one does not wait; the position keeps the wait that was asked for; confirmations end a row of failures; doubt about evacuations is its own decision, before the anonymous routes. The test that wanted removals in the first piece alone was wrong; the one in its place plays every position and every lost piece.

--- a/packages/core/src/gateway/access.ts
+++ b/packages/core/src/gateway/access.ts
@@ -26,6 +26,9 @@
   if (!index) return { kind: 'denied', code: 'configurationUnsure', detail: 'none read yet' };
   const route = routes.matchRoute(index, incoming.host, incoming.path);
   if (!route) return deny('unknownRoute', freshness, `${incoming.host} ${incoming.path}`);
+  if (staleness.areEvacuationsUnsure(confirmations, bounds, now)) {
+    return { kind: 'denied', code: 'configurationUnsure', detail: 'evacuations not confirmed' };
+  }
   if (route.isAnonymous) return { kind: 'allowed', route, clientAccount: undefined };
   if (freshness === 'expired') return deny('unauthorized', freshness, route.name);
   const clientAccount = index.byCredential.get(incoming.credential ?? '');
--- a/packages/core/src/gateway/decide.ts
+++ b/packages/core/src/gateway/decide.ts
@@ -269,12 +269,9 @@
   if (!state.hasUpstreamList) return { isReady: false, reason: 'no list of upstreams' };
   if (!state.hasVerdictList) return { isReady: false, reason: 'no list of quarantined parts' };
   if (!state.hasWeightsList) return { isReady: false, reason: 'no list of weights' };
-  if (freshness === 'expired') {
-    const isSure = staleness.isSureOfEvacuations(known.confirmations, bounds, now);
-    return {
-      isReady: false,
-      reason: isSure ? 'configuration not confirmed' : 'evacuations not confirmed',
-    };
+  if (freshness === 'expired') return { isReady: false, reason: 'configuration not confirmed' };
+  if (staleness.areEvacuationsUnsure(known.confirmations, bounds, now)) {
+    return { isReady: false, reason: 'evacuations not confirmed' };
   }
   return { isReady: true, reason: 'configuration confirmed' };
 }
--- a/packages/core/src/gateway/staleness.ts
+++ b/packages/core/src/gateway/staleness.ts
@@ -36,18 +36,6 @@
 export type Freshness = 'fresh' | 'stale' | 'expired';
 
 export function freshness(
-  confirmations: Confirmations,
-  bounds: StalenessBounds,
-  now: task.Instant,
-): Freshness {
-  const ofTable = tableFreshness(confirmations, bounds, now);
-  // Where the table cannot be confirmed either, the platform is away, and its own bound decides.
-  return ofTable === 'fresh' && !isSureOfEvacuations(confirmations, bounds, now)
-    ? 'expired'
-    : ofTable;
-}
-
-function tableFreshness(
   { tableAt }: Confirmations,
   { revocationMs, adoptionMs }: StalenessBounds,
   now: task.Instant,
@@ -58,13 +46,17 @@
   return age <= revocationMs - ARRIVAL_MARGIN_MS ? 'stale' : 'expired';
 }
 
-/** Whether a request that is taken now reaches no data centre whose evacuation has been in force for too long. */
-export function isSureOfEvacuations(
-  { evacuationsAt }: Confirmations,
-  { evacuationMs }: StalenessBounds,
+/**
+ * Whether a request that is taken now could reach a data centre whose evacuation has been in force for too
+ * long. Where the table cannot be confirmed either, the platform is away, and the table's own bound decides.
+ */
+export function areEvacuationsUnsure(
+  confirmations: Confirmations,
+  bounds: StalenessBounds,
   now: task.Instant,
 ): boolean {
-  return (
-    evacuationsAt !== undefined && ageMs(evacuationsAt, now) <= evacuationMs - ARRIVAL_MARGIN_MS
-  );
+  const { evacuationsAt } = confirmations;
+  if (!evacuationsAt) return true;
+  const isOld = ageMs(evacuationsAt, now) > bounds.evacuationMs - ARRIVAL_MARGIN_MS;
+  return isOld && freshness(confirmations, bounds, now) === 'fresh';
 }
--- a/packages/core/src/knowledge/answers.ts
+++ b/packages/core/src/knowledge/answers.ts
@@ -29,7 +29,9 @@
       if (isWaitingForReader(state, watch)) {
         return { state: watches.withWatch(state, { ...watch, isCatchingUp: false }), commands: [] };
       }
-      const refetched = watches.withSendTime(watch, now);
+      // After a failed call, what has been missed is asked for before anything is waited for.
+      const waitMs = watch.failures > 0 ? watches.WITHOUT_WAIT_MS : watch.pace.waitMs;
+      const refetched = watches.withSendTime(watch, now, waitMs);
       return {
         state: watches.withWatch(state, refetched),
         commands: [watches.fetchCommand(refetched)],
@@ -161,7 +163,7 @@
     known: significant.ofSnapshot(watch.pace, found),
     isCatchingUp: false,
     gap: gaps.withListing(watch.gap, revision),
-    position: { kind: 'watching', askedAt: now, revision },
+    position: { kind: 'watching', askedAt: now, revision, waitMs: watch.pace.waitMs },
   };
   const positions = watches.positionCommands(next, askedAt);
   if (state.isRelayed) {
@@ -213,7 +215,7 @@
 ): watches.Step {
   if (watch.position.kind !== 'watching') return { state, commands };
   const { objects: read, removed, revision } = withoutKnown(watch.position, answer);
-  const { askedAt } = watch.position;
+  const { askedAt, waitMs } = watch.position;
   const { objects, known } = significant.select(watch.pace, watch.known, read, removed);
   const { unchangedAt } = watch;
   const told = updates.toCommands(watch, {
@@ -229,12 +231,12 @@
     ...watch,
     failures: 0,
     confirmedAt: askedAt,
-    unchangedAt: watches.answeredAsOf(watch, askedAt, read.length + removed.length > 0, now),
+    unchangedAt: watches.answeredAsOf(waitMs, askedAt, read.length + removed.length > 0, now),
     known,
     changedAt: hasChanges ? reached : watch.changedAt,
     isCatchingUp: false,
     gap: undefined,
-    position: { kind: 'watching', askedAt: now, revision: reached },
+    position: { kind: 'watching', askedAt: now, revision: reached, waitMs: watch.pace.waitMs },
   };
   const changes = { objectKind: watch.kind, since: watch.changedAt, revision: reached };
   const shared: readonly watches.Command[] =
--- a/packages/core/src/knowledge/failed-calls.ts
+++ b/packages/core/src/knowledge/failed-calls.ts
@@ -56,7 +56,8 @@
  * The second failure in a row is one on a new connection, so the store is away. Bounds on its changes count
  * only while it is there, and whoever made changes in the meantime is heard of when it is back.
  */
-function unchangedInOutage({ failures, position, unchangedAt }: watches.Watch) {
+function unchangedInOutage({ failures, position, unchangedAt, isCatchingUp }: watches.Watch) {
   const isKnown = Number.isFinite(unchangedAt.monotonicMs);
-  return failures > 0 && isKnown ? position.askedAt : unchangedAt;
+  // A call that catches up has a change behind it that is known to have been made.
+  return failures > 0 && isKnown && !isCatchingUp ? position.askedAt : unchangedAt;
 }
--- a/packages/core/src/knowledge/relayed.ts
+++ b/packages/core/src/knowledge/relayed.ts
@@ -9,9 +9,6 @@
 import * as updates from './updates.js';
 import * as watches from './watches.js';
 
-/** A catch-up asks for what is there already, and is answered at once. */
-const CATCH_UP_WAIT_MS = 1;
-
 /** Starts or ends the instance's own calls. A listing that has begun goes on. */
 export function setRelayed(
   state: watches.State,
@@ -25,12 +22,16 @@
     .reduce<watches.Step>(
       (step, watch) => {
         // A new run: an answer to a call from before is dropped.
-        const resumed = watches.withSendTime({ ...watch, run: step.state.nextRun }, now);
+        // The reader may have been lost for a while, so the first call does not wait for changes.
+        const resumed = watches.withSendTime(
+          { ...watch, run: step.state.nextRun },
+          now,
+          watches.WITHOUT_WAIT_MS,
+        );
         const next = { ...step.state, nextRun: step.state.nextRun + 1 };
         return {
           state: watches.withWatch(next, { ...resumed, isCatchingUp: false }),
-          // The reader may have been lost for a while, so the first call does not wait for changes.
-          commands: [...step.commands, withoutWait(watches.fetchCommand(resumed))],
+          commands: [...step.commands, watches.fetchCommand(resumed)],
         };
       },
       { state: { ...state, isRelayed }, commands: [] },
@@ -81,6 +82,7 @@
   }
   const confirmed: watches.Watch = {
     ...watch,
+    failures: 0,
     confirmedAt: askedAt,
     unchangedAt: askedAt,
     changedAt: Math.max(watch.changedAt, changedAt),
@@ -131,13 +133,10 @@
   const asking = watches.withSendTime(
     { ...watch, run: state.nextRun, isCatchingUp: true, caughtUpAtMs: now.monotonicMs },
     now,
+    watches.WITHOUT_WAIT_MS,
   );
   return {
     state: watches.withWatch({ ...state, nextRun: state.nextRun + 1 }, asking),
-    commands: [withoutWait(watches.fetchCommand(asking))],
+    commands: [watches.fetchCommand(asking)],
   };
 }
-
-function withoutWait(command: watches.Command): watches.Command {
-  return command.kind === 'fetch-updates' ? { ...command, waitMs: CATCH_UP_WAIT_MS } : command;
-}
--- a/packages/core/src/knowledge/rules.ts
+++ b/packages/core/src/knowledge/rules.ts
@@ -26,13 +26,6 @@
   /** Its writer may be back soon, as after an outage of the platform. */
   | 'as-after-outage';
 
-/** What is done with knowledge that could not be confirmed for longer than its bound. */
-export type PastBound =
-  /** Requests that depend on it are refused as not run, and the instance is not ready. */
-  | 'refused'
-  /** It stays in use beside the instance's own evidence: refusals, answers, and what peers tell. */
-  | 'own-evidence';
-
 export type Rule = {
   /** How long the platform may hold a watch. A lost answer is noticed no sooner. */
   waitMs: (bounds: Bounds) => number;
@@ -41,7 +34,6 @@
   /** Whether a reader passes the changes on; they must be small and public. */
   relaysContent: boolean;
   absence: Absence;
-  pastBound: PastBound;
 };
 
 const never = () => 0;
@@ -52,7 +44,6 @@
     pauseMs: never,
     relaysContent: false,
     absence: 'kept',
-    pastBound: 'refused',
   },
   upstreams: {
     waitMs: ({ drainMs }) => drainMs * 0.25,
@@ -60,14 +51,12 @@
     pauseMs: ({ adoptionMs }) => adoptionMs * 0.1,
     relaysContent: true,
     absence: 'as-after-outage',
-    pastBound: 'own-evidence',
   },
   evacuations: {
     waitMs: ({ evacuationMs }) => evacuationMs * 0.2,
     pauseMs: never,
     relaysContent: true,
     absence: 'kept-until-settled',
-    pastBound: 'refused',
   },
   weights: {
     // The wait is lost of the bound; see `unchangedAt`.
@@ -75,7 +64,6 @@
     pauseMs: never,
     relaysContent: true,
     absence: 'kept',
-    pastBound: 'own-evidence',
   },
   verdicts: {
     // Instances tell each other of a new verdict at once; the platform is for those that start later.
@@ -83,7 +71,6 @@
     pauseMs: never,
     relaysContent: true,
     absence: 'kept',
-    pastBound: 'own-evidence',
   },
   members: {
     waitMs: () => 15_000,
@@ -91,7 +78,6 @@
     pauseMs: () => 1_000,
     relaysContent: false,
     absence: 'removed',
-    pastBound: 'own-evidence',
   },
 };
 
--- a/packages/core/src/knowledge/watches.ts
+++ b/packages/core/src/knowledge/watches.ts
@@ -22,7 +22,8 @@
       /** Revision of the first page: later pages may contain changes that earlier ones lack. */
       revision: number | undefined;
     }
-  | { kind: 'watching'; askedAt: task.Instant; revision: number };
+  /** `waitMs`: how long the platform may hold the call. */
+  | { kind: 'watching'; askedAt: task.Instant; revision: number; waitMs: number };
 
 export type Watch = {
   kind: string;
@@ -188,7 +189,7 @@
   return { state: withWatch(state, { ...known, subscribers }), commands: [] };
 }
 
-export function fetchCommand({ kind, run, position, pace }: Watch): Command {
+export function fetchCommand({ kind, run, position }: Watch): Command {
   switch (position.kind) {
     case 'listing':
       return { kind: 'fetch-page', objectKind: kind, run, after: position.after };
@@ -198,18 +199,31 @@
         objectKind: kind,
         run,
         revision: position.revision,
-        waitMs: pace.waitMs,
+        waitMs: position.waitMs,
       };
     default:
       return results.assertNever(position);
   }
 }
 
-/** Sets the send time for the first page of a listing and for each watch; later pages keep it. */
-export function withSendTime(watch: Watch, now: task.Instant): Watch {
+/** A call that asks for what is there already, and is answered at once. */
+export const WITHOUT_WAIT_MS = 1;
+
+/**
+ * Sets the send time for the first page of a listing and for each watch; later pages keep it. `waitMs`: how
+ * long the platform may hold the watch.
+ */
+export function withSendTime(watch: Watch, now: task.Instant, waitMs = watch.pace.waitMs): Watch {
   const { position } = watch;
-  if (position.kind === 'listing' && position.after !== undefined) return watch;
-  return { ...watch, position: { ...position, askedAt: now } };
+  switch (position.kind) {
+    case 'listing':
+      if (position.after !== undefined) return watch;
+      return { ...watch, position: { ...position, askedAt: now } };
+    case 'watching':
+      return { ...watch, position: { ...position, askedAt: now, waitMs } };
+    default:
+      return results.assertNever(position);
+  }
 }
 
 export function startOfListing(now: task.Instant): Position {
@@ -221,17 +235,17 @@
  * change, so one that it answers without any after the whole wait was up to date at the end of the wait.
  */
 export function answeredAsOf(
-  { pace, isCatchingUp }: Watch,
+  waitMs: number,
   askedAt: task.Instant,
   hasChanges: boolean,
   now: task.Instant,
 ): task.Instant {
   const { monotonicMs, wallMs } = askedAt;
-  const isHeldToTheEnd = now.monotonicMs - monotonicMs >= pace.waitMs;
-  if (hasChanges || isCatchingUp || !isHeldToTheEnd) return askedAt;
+  const isHeldToTheEnd = now.monotonicMs - monotonicMs >= waitMs;
+  if (hasChanges || !isHeldToTheEnd) return askedAt;
   return {
-    monotonicMs: monotonicMs + pace.waitMs,
-    wallMs: Math.min(wallMs + pace.waitMs, now.wallMs),
+    monotonicMs: monotonicMs + waitMs,
+    wallMs: Math.min(wallMs + waitMs, now.wallMs),
   };
 }
 
--- a/packages/core/src/readers/pieces.ts
+++ b/packages/core/src/readers/pieces.ts
@@ -1,7 +1,8 @@
 /**
  * Splits changes into pieces that fit into datagrams. Objects carry the revision of their last change,
  * so each piece covers the revisions up to its newest object, and one that misses a piece notices.
- * Removals carry none, so they are in the first piece: no piece covers a removal that it lacks.
+ * Removals carry none, so they are in each piece: wherever an instance stands, it applies them with the
+ * first piece that it has not passed.
  */
 import type * as messages from '../messages/readers.js';
 
@@ -22,6 +23,6 @@
     since: at === 0 ? since : endOf(at - 1),
     revision: endOf(at),
     objects: each,
-    removed: at === 0 ? removed : [],
+    removed,
   }));
 }
--- a/packages/core/test/gateway/draining.test.ts
+++ b/packages/core/test/gateway/draining.test.ts
@@ -11,6 +11,7 @@
   ...fixtures.DRAIN_BOUNDS,
   revocationMs: 60_000,
   adoptionMs: 60_000,
+  evacuationMs: 60_000,
   retryWindowMs: 1_000,
   retryRatio: 0.1,
   retryExtra: 1,
@@ -27,6 +28,7 @@
   const table = fixtures.aRoutingTable({ routes: [fixtures.aRoute(changed)] });
   const draining = [
     { type: 'gateway.table-read' as const, table, askedAt: start },
+    { type: 'gateway.evacuations-confirmed' as const, askedAt: start },
     { type: 'task.drain' as const },
   ].reduce(
     (state, message) => core.gateway.decide.decide(state, message, start).state,
--- a/packages/core/test/gateway/evacuations-unsure.test.ts
+++ b/packages/core/test/gateway/evacuations-unsure.test.ts
@@ -10,28 +10,41 @@
 const suite = uvu.suite('gateway: evacuations that cannot be confirmed');
 
 const BOUNDS = { revocationMs: 5_000, adoptionMs: 2_000, evacuationMs: 5_000 };
+const NOW_MS = 100_000;
 
-/** Freshness of an instance whose confirmations are so old, in ms. */
-function freshness(tableAgeMs: number, evacuationsAgeMs: number | undefined) {
-  const nowMs = 100_000;
+/** What an instance whose confirmations are so old, in ms, does with a request. */
+function outcome(
+  tableAgeMs: number,
+  evacuationsAgeMs: number | undefined,
+  changed: Partial<core.gateway.routes.Route> = {},
+): string {
   const evacuationsAt =
-    evacuationsAgeMs === undefined ? undefined : fixtures.anInstant(nowMs - evacuationsAgeMs);
-  const confirmations = { tableAt: fixtures.anInstant(nowMs - tableAgeMs), evacuationsAt };
-  return core.gateway.staleness.freshness(confirmations, BOUNDS, fixtures.anInstant(nowMs));
+    evacuationsAgeMs === undefined ? undefined : fixtures.anInstant(NOW_MS - evacuationsAgeMs);
+  const confirmations = { tableAt: fixtures.anInstant(NOW_MS - tableAgeMs), evacuationsAt };
+  const table = fixtures.aRoutingTable({ routes: [fixtures.aRoute(changed)] });
+  const known = { index: core.gateway.routes.buildIndex(table), confirmations };
+  const incoming = fixtures.aGatewayRequest({});
+  const decision = core.gateway.access.check(known, incoming, BOUNDS, fixtures.anInstant(NOW_MS));
+  return decision.kind === 'denied' ? decision.code : 'allowed';
 }
 
-suite('past the bound, less the way to an upstream, nothing with a credential is served', () => {
-  assert.is(freshness(100, 4_400), 'fresh');
-  assert.is(freshness(100, 4_401), 'expired');
+suite('past the bound, less the way to an upstream, nothing is served', () => {
+  [{}, { isAnonymous: true }].forEach((route) => {
+    assert.is(outcome(100, 4_400, route), 'allowed');
+    assert.is(outcome(100, 4_401, route), 'configurationUnsure');
+  });
 });
 
-suite('an instance that never heard of evacuations serves nothing with a credential', () => {
-  assert.is(freshness(100, undefined), 'expired');
+suite('an instance that never heard of evacuations serves nothing, whatever else it knows', () => {
+  assert.is(outcome(100, undefined), 'configurationUnsure');
+  assert.is(outcome(3_000, undefined), 'configurationUnsure');
+  assert.is(outcome(100, undefined, { isAnonymous: true }), 'configurationUnsure');
 });
 
 suite('while the platform is away, the bound of the routing table decides', () => {
-  assert.is(freshness(3_000, 6_000), 'stale');
-  assert.is(freshness(4_401, 6_000), 'expired');
+  assert.is(outcome(3_000, 6_000), 'allowed');
+  assert.is(outcome(4_401, 6_000), 'configurationUnsure');
+  assert.is(outcome(6_000, 6_000, { isAnonymous: true }), 'allowed');
 });
 
 suite.run();
--- a/packages/core/test/knowledge/relayed.test.ts
+++ b/packages/core/test/knowledge/relayed.test.ts
@@ -4,6 +4,7 @@
  */
 import * as core from '@medlarweir/core';
 import * as fixtures from '@medlarweir/core/fixtures';
+import type * as knowledge from '@medlarweir/core/knowledge';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -53,12 +54,55 @@
   },
 );
 
-suite('no piece covers a removal that it lacks', () => {
+/** Guards against a cut call that counts as an outage for a failure of minutes ago. */
+suite('a failed catch-up is forgotten once the reader confirms the kind', () => {
+  const watch = aFollower();
+  watch.hearPosition(12, 12, 0, 100);
+  watch.answer(fixtures.FAILED_CALL, 10);
+  watch.fireTimer(100);
+  watch.hearPosition(10, 10, 0, 100);
+  watch.hearPosition(14, 14, 0, 100);
+  watch.answer(fixtures.FAILED_CALL, 10);
+  assert.equal(
+    watch.failures.map(({ isOutage }) => isOutage),
+    [false, false],
+  );
+});
+
+/** Guards against a change that seems younger than it is: weights that are used past their bound. */
+suite('a first own call without a wait does not count as held to the end of one', () => {
+  const watch = aFollower();
+  watch.setRelayed(false);
+  watch.answer(fixtures.anAnswer(11), 1_250);
+  watch.answer(fixtures.anAnswer(12, ['b']), 10);
+  assert.is(watch.updates.at(-1)?.unchangedAt.monotonicMs, 1);
+});
+
+/** Guards against an upstream that was removed and is used on, since a piece of the changes was lost or passed over. */
+suite('a follower hears of a removal, wherever it stands and whichever piece is lost', () => {
   const objects = Array.from({ length: 6 }, (_, at) => fixtures.aStoredObject(`o-${at}`, 7 + at));
   const changes = { objectKind: 'kind', since: 5, revision: 20, objects, removed: ['kind/x'] };
-  const [first, ...others] = core.readers.pieces.split(changes);
-  assert.equal(first?.removed, ['kind/x']);
-  assert.ok(others.every(({ removed }) => removed.length === 0));
+  const pieces = core.readers.pieces.split(changes);
+  const revisions = Array.from({ length: 15 }, (_, at) => 5 + at);
+  assert.ok(pieces.length > 1);
+  revisions.forEach((standsAt) => {
+    revisions.forEach((removedAt) => {
+      [undefined, ...pieces].forEach((lost) => {
+        const watch = fixtures.aWatch(PACE);
+        watch.answer(fixtures.aPage(standsAt < removedAt ? ['x'] : [], undefined, standsAt));
+        watch.setRelayed(true);
+        const hear = (commands: readonly knowledge.watches.Command[]) => {
+          const asked = commands.find(({ kind }) => kind === 'fetch-updates');
+          if (asked?.kind !== 'fetch-updates') return;
+          const removed = asked.revision < removedAt ? ['x'] : [];
+          watch.answer(fixtures.anAnswer(20, [], removed));
+        };
+        pieces.filter((piece) => piece !== lost).forEach((piece) => hear(watch.hearChanges(piece)));
+        hear(watch.hearPosition(20, 20, 0));
+        assert.not.ok(watch.names().includes('x'), `at ${standsAt}, removed at ${removedAt}`);
+      });
+    });
+  });
 });
 
 suite.run();
--- a/packages/core/test/knowledge/watches.test.ts
+++ b/packages/core/test/knowledge/watches.test.ts
@@ -115,6 +115,17 @@
   assert.ok(Math.max(...delays) <= 1_050);
 });
 
+/** Guards against an instance that refuses all requests after one lost answer, as its knowledge grows too old. */
+suite('after a failed call, what was missed is asked for without a wait', () => {
+  const watch = fixtures.aWatch({ waitMs: 1_000, pauseMs: 0 });
+  watch.answer(fixtures.aPage(['a']));
+  watch.answer(fixtures.FAILED_CALL, 2_500);
+  const [again] = watch.fireTimer(100);
+  assert.is(again?.kind === 'fetch-updates' && again.waitMs, 1);
+  const next = watch.answer(fixtures.anAnswer(11)).find(({ kind }) => kind === 'fetch-updates');
+  assert.is(next?.kind === 'fetch-updates' && next.waitMs, 1_000);
+});
+
 /** Guards against removed upstreams that are kept as after an outage, since one watch was cut off. */
 suite(
   'a single call that was cut off is no outage; one without an answer, or the next one, is',
