--- a/packages/core/src/knowledge/rules.ts
+++ b/packages/core/src/knowledge/rules.ts
@@ -36,12 +36,12 @@
   absence: Absence;
 };
 
-const never = () => 0;
+const noPause = () => 0;
 
 export const RULES: Readonly<Record<Kind, Rule>> = {
   'routing-table': {
     waitMs: ({ adoptionMs }) => adoptionMs * 0.3,
-    pauseMs: never,
+    pauseMs: noPause,
     relaysContent: false,
     absence: 'kept',
   },
@@ -54,21 +54,21 @@
   },
   evacuations: {
     waitMs: ({ evacuationMs }) => evacuationMs * 0.2,
-    pauseMs: never,
+    pauseMs: noPause,
     relaysContent: true,
     absence: 'kept-until-settled',
   },
   weights: {
     // The wait is lost of the bound; see `unchangedAt`.
     waitMs: ({ rolloutMs }) => rolloutMs * 0.15,
-    pauseMs: never,
+    pauseMs: noPause,
     relaysContent: true,
     absence: 'kept',
   },
   verdicts: {
     // Instances tell each other of a new verdict at once; the platform is for those that start later.
     waitMs: () => 15_000,
-    pauseMs: never,
+    pauseMs: noPause,
     relaysContent: true,
     absence: 'kept',
   },
--- a/packages/core/src/knowledge/watches.ts
+++ b/packages/core/src/knowledge/watches.ts
@@ -43,7 +43,7 @@
   reached: number;
   /** Until when a listing is taken for an old copy that the platform came back from, in monotonic ms. */
   copyUntilMs: number;
-  /** What matters of each object, by key; see `significantChanges`. */
+  /** What matters of each object, by key; see `significant`. */
   known: significant.Known;
   /** Whether a call is on its way while another instance reads for this one. */
   isCatchingUp: boolean;
@@ -59,7 +59,7 @@
   isAvailable: boolean;
   unavailableSinceMs: number;
   isStopped: boolean;
-  /** Whether another instance reads for this one; see `relayedWatches`. */
+  /** Whether another instance reads for this one; see `relayed`. */
   isRelayed: boolean;
 };
 
