One way to list again later, and the pause of catch-ups is part of a kind's rule

Cause: two decisions of a watch built the same delayed listing, and the pause for members was a special case beside the table of rules. Change: listLater serves both; catchUpPauseMs stands in the table. No decision changes.

--- a/packages/core/src/knowledge/answers.ts
+++ b/packages/core/src/knowledge/answers.ts
@@ -92,16 +92,26 @@
   watch: watches.Watch,
   now: task.Instant,
 ): watches.Step {
-  const { kind: objectKind, run, reached: revision } = watch;
+  const { kind: objectKind, reached: revision } = watch;
   if (!watch.gap) {
     const lost: watches.Command = { kind: 'record-history-lost', objectKind, revision };
     const gap = gaps.begin(revision, now);
     return relist({ state, commands: [...commands, lost] }, { ...watch, gap }, now);
   }
-  const delayMs = backoff.delayMs(state.instance, objectKind, watch.gap.listings);
   const waiting: watches.Watch = { ...watch, position: watches.startOfListing(now) };
+  return listLater({ state, commands }, waiting, watch.gap.listings);
+}
+
+/** `attempts`: how often in a row a listing was of no use. */
+function listLater(
+  { state, commands }: watches.Step,
+  watch: watches.Watch,
+  attempts: number,
+): watches.Step {
+  const { kind: objectKind, run } = watch;
+  const delayMs = backoff.delayMs(state.instance, objectKind, attempts);
   return {
-    state: watches.withWatch(state, waiting),
+    state: watches.withWatch(state, watch),
     commands: [...commands, { kind: 'poll-later', objectKind, run, delayMs }],
   };
 }
@@ -185,22 +195,15 @@
   watch: watches.Watch,
   revision: number,
 ): watches.Step {
+  const { kind: objectKind, position, reached } = watch;
   const failures = watch.failures + 1;
-  const delayMs = backoff.delayMs(state.instance, watch.kind, failures);
-  const { kind: objectKind, run, position, reached } = watch;
-  const again: watches.Watch = {
-    ...watch,
-    failures,
-    position: watches.startOfListing(position.askedAt),
-  };
-  return {
-    state: watches.withWatch(state, again),
-    commands: [
-      ...commands,
-      { kind: 'record-behind', objectKind, revisions: reached - revision },
-      { kind: 'poll-later', objectKind, run, delayMs },
-    ],
+  const behind: watches.Command = {
+    kind: 'record-behind',
+    objectKind,
+    revisions: reached - revision,
   };
+  const again = { ...watch, failures, position: watches.startOfListing(position.askedAt) };
+  return listLater({ state, commands: [...commands, behind] }, again, failures);
 }
 
 function isKnownOfEarlierEra({ changedAt }: watches.Watch, revision: number): boolean {
--- a/packages/core/src/knowledge/rules.ts
+++ b/packages/core/src/knowledge/rules.ts
@@ -31,6 +31,8 @@
   waitMs: (bounds: Bounds) => number;
   /** For how long further changes are gathered after one. */
   pauseMs: (bounds: Bounds) => number;
+  /** Least time between two calls that catch up with a reader, in ms. */
+  catchUpPauseMs?: number;
   /** Whether a reader passes the changes on; they must be small and public. */
   relaysContent: boolean;
   absence: Absence;
@@ -76,6 +78,7 @@
     waitMs: () => 15_000,
     // Members that join together are read together. Their entries hold keys.
     pauseMs: () => 1_000,
+    catchUpPauseMs: 3_000,
     relaysContent: false,
     absence: 'removed',
   },
@@ -83,12 +86,10 @@
 
 /** Time for two questions to the reader and their answers, as a share of the adoption bound. */
 const RELAY_SHARE = 0.2;
-/** Least time between two calls for members, which join together. */
-const MEMBERS_CATCH_UP_MS = 3_000;
 
 /** How the kind is watched. */
 export function paceOf(kind: Kind, bounds: Bounds): platform.WatchPacing {
-  const { relaysContent, ...rule } = RULES[kind];
+  const { relaysContent, catchUpPauseMs, ...rule } = RULES[kind];
   const waitMs = Math.floor(rule.waitMs(bounds));
   const pauseMs = Math.floor(rule.pauseMs(bounds));
   return {
@@ -97,6 +98,6 @@
     // A reader that follows the kind has confirmed it within two waits.
     limitMs: 2 * waitMs + pauseMs + Math.floor(bounds.adoptionMs * RELAY_SHARE),
     relaysContent,
-    ...(kind === 'members' ? { catchUpPauseMs: MEMBERS_CATCH_UP_MS } : {}),
+    ...(catchUpPauseMs === undefined ? {} : { catchUpPauseMs }),
   };
 }
