--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,7 +4,6 @@
 export * as serve from './http/serve.js';
 export * as plain from './plain/plain.js';
 export * as objectStore from './platform/object-store.js';
-export * as staleCopies from './platform/stale-copies.js';
 export * as platform from './platform/platform.js';
 export * as store from './store/store.js';
 export * as replica from './replica/replica.js';
