Review case 3: kills of all instances let a deadly part through again

Cause: crashes that are counted for a prompt part are in memory only, and the store gets the part at the third; one request and its repeat count as one.

--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -4,11 +4,13 @@
  * streams events. The head of an answer leaves when the request is admitted, the first event when
  * its prompt has been read.
  *
- * engine.mjs ID SERVICE STORE PORT COLD_MS
+ * A prompt with the deadly part, if one is given, ends the process as its answer begins.
+ *
+ * engine.mjs ID SERVICE STORE PORT COLD_MS [DEADLY_PART]
  */
 import * as http from 'node:http';
 
-const [id, service, store, port, coldMs] = process.argv.slice(2);
+const [id, service, store, port, coldMs, deadlyPart] = process.argv.slice(2);
 /** Of the sheet: tokens that are read in a ms, the time to the first step, and that of a step. */
 const TOKENS_PER_MS = 68.2;
 const FIRST_MS = 36;
@@ -91,9 +93,12 @@
     'content-type': 'text/event-stream',
   });
   response.flushHeaders();
+  const prefix = request.headers['x-medlarweir-prompt-prefix'] ?? '';
+  const isDeadly = deadlyPart !== undefined && prefix.includes(`${deadlyPart}:`);
   let sent = Number(request.headers['last-event-id'] ?? 0);
   const next = () => {
     if (response.destroyed) return;
+    if (isDeadly) process.kill(process.pid, 'SIGKILL');
     if (sent >= EVENTS) {
       response.end();
       return;
--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -146,7 +146,6 @@
     node: name,
     zone: 'zone-1',
     ip,
-    bootstrap: 'true',
     listen: { front: `${ip}:${await freePort(ip)}`, readiness: `${ip}:${await freePort(ip)}` },
     provider: { address: store },
     portRange: [await freePort(ip)],
@@ -154,23 +153,28 @@
     bounds: BOUNDS,
     ...given,
   };
-  const child = spawn(await commandLine(fields));
   const instance = {
     name,
     ip,
-    child,
+    child: undefined,
     front: fields.listen.front,
     readiness: fields.listen.readiness,
     journal: [],
     exit: undefined,
   };
-  readline.createInterface({ input: child.stdout }).on('line', (line) => {
-    instance.journal.push(line);
-  });
-  child.on('exit', (code, signal) => {
-    instance.exit = { code, signal };
-  });
-  await waitFor(`${name} is ready`, async () => (await ready(instance)) === 200);
+  instance.start = async (isFirst) => {
+    const child = spawn(await commandLine({ ...fields, bootstrap: String(isFirst) }));
+    Object.assign(instance, { child, exit: undefined });
+    readline.createInterface({ input: child.stdout }).on('line', (line) => {
+      instance.journal.push(line);
+    });
+    child.on('exit', (code, signal) => {
+      instance.exit = { code, signal };
+    });
+    await waitFor(`${name} is ready`, async () => (await ready(instance)) === 200);
+  };
+  instance.kill = () => instance.child.kill('SIGKILL');
+  await instance.start(true);
   return instance;
 }
 
@@ -189,19 +193,29 @@
 }
 
 /** Starts a model replica; `crash` kills its process, and `start` starts it again under its id. */
-export async function startEngine(store, id, service, coldMs = 0) {
+export async function startEngine(store, id, service, deadlyPart) {
   const port = await freePort();
-  const engine = { id, child: undefined, ran: new Set() };
+  const engine = {
+    id,
+    child: undefined,
+    ran: new Set(),
+    onRan: () => undefined,
+  };
   engine.start = async (cold) => {
-    const args = ['review/lib/engine.mjs', id, service, store, String(port), String(cold)];
+    const own = [id, service, store, String(port), String(cold)];
+    const args = ['review/lib/engine.mjs', ...own, ...(deadlyPart ? [deadlyPart] : [])];
     engine.child = spawn(args);
     const lines = readline.createInterface({ input: engine.child.stdout });
     await new Promise((resolve) => {
       lines.once('line', resolve);
     });
-    lines.on('line', (line) => engine.ran.add(JSON.parse(line).ran));
+    lines.on('line', (line) => {
+      const { ran } = JSON.parse(line);
+      engine.ran.add(ran);
+      engine.onRan(ran);
+    });
   };
   engine.crash = () => engine.child.kill('SIGKILL');
-  await engine.start(coldMs);
+  await engine.start(0);
   return engine;
 }
