--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -54,6 +54,14 @@
   });
 }
 
+process.on('exit', endAll);
+['SIGTERM', 'SIGINT'].forEach((signal) => {
+  process.on(signal, () => {
+    endAll();
+    process.kill(process.pid, 'SIGKILL');
+  });
+});
+
 /** The project's stand-in for the platform's store, as a process. */
 export async function startStore() {
   const child = spawn(['packages/stand-ins/dist/main.js', 'platform']);
