Calls of plain services: a reset does not complete an answer without a length

The HTTP client also takes a reported ECONNRESET for the end, and names no socket, so the pool counts its broken connections: an answer without a length fails if one broke during the call.

--- a/packages/plugins/upstreams-http/src/calls.ts
+++ b/packages/plugins/upstreams-http/src/calls.ts
@@ -105,6 +105,7 @@
 ): Promise<core.messages.CallReport> {
   const { requestId } = call;
   const progress = { hasStatus: false };
+  const breaksBefore = connectionPools.breaksOf(dispatcher);
   try {
     const response = await undici.request(`http://${address}${call.path}`, {
       method: call.method,
@@ -115,6 +116,9 @@
     });
     progress.hasStatus = true;
     const body = new Uint8Array(await response.body.arrayBuffer());
+    // The client takes a reset for the end of a response without a length, and does not name its socket.
+    const mayBeCut = connectionPools.breaksOf(dispatcher) > breaksBefore;
+    if (mayBeCut && !isFramed(response.headers)) throw new Error('response was reset');
     const headers = forwardedHeaders(response.headers);
     return {
       type: 'call.answered',
@@ -140,6 +144,10 @@
   return hasStatus ? { kind: 'responding' } : { kind: 'sending' };
 }
 
+function isFramed(headers: Record<string, string | string[] | undefined>): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /** Response headers of a plain service that are forwarded to callers. */
 const FORWARDED_RESPONSE_HEADERS = ['content-type', 'location', 'cache-control', 'etag'];
 
