--- a/packages/core/src/gateway/request.ts
+++ b/packages/core/src/gateway/request.ts
@@ -36,7 +36,7 @@
   headers: RawHeaders;
   /**
    * Whether the upstream's framing states where the body ends. If not, the body ends with the
-   * connection, so it may be truncated and must not be passed on as complete.
+   * connection, and the end alone does not show that the upstream survived it.
    */
   isFramed: boolean;
 };
