Quarantine: a part is condemned beside those that crashed with it

Cause: three crashes that have two parts in common condemned each of them by itself, though one explains all crashes, and refused every request that could have shown the other to be sound. Change: crashes are counted with all suspected parts of their request; a verdict names its companions, the other parts that all its crashes had in common, and binds only requests that hold them all. A part that gets through without them is sound and drops out of the verdicts on the others. Crashes that a verdict explains count for no other part. Evidence: the refusals named the subject's part, whose tally held the same crashes as that of the deadly one.

--- a/packages/core/src/quarantine/check.ts
+++ b/packages/core/src/quarantine/check.ts
@@ -37,7 +37,8 @@
   const { model, parts, clientAccount } = request;
   const condemned = parts.flatMap((part) => {
     const known = ledger.verdicts.get(names.partKey(model, part));
-    return known && verdicts.binds(known.verdict, clientAccount) ? [known] : [];
+    const isBound = known && verdicts.binds(known.verdict, clientAccount);
+    return isBound && verdicts.concerns(known.verdict, parts) ? [known] : [];
   });
   const [first] = condemned;
   if (first && condemned.some(({ trial }) => trial.kind !== 'granted')) {
@@ -67,7 +68,8 @@
 ): string | undefined {
   return parts.find((part) => {
     const key = names.partKey(model, part);
-    return !clearing.isCleared(ledger, key, now) && tally.isCountedForOther(ledger, key, requestId);
+    if (clearing.isCleared(ledger, key, now)) return false;
+    return ledger.verdicts.has(key) || tally.isCountedForOther(ledger, key, requestId);
   });
 }
 
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -41,10 +41,12 @@
     if (wasCounted || commands.length > 0) publishing.addCleared(ledger.news, { model, part }, now);
     return commands;
   });
+  const narrowed = verdicts.withoutCleared(ledger, 'at-once', now);
   const cleared = lifted.flatMap((each) =>
     each.kind === 'record-verdict-lifted' ? [{ model: each.model, part: each.part }] : [],
   );
-  return cleared.length === 0 ? [] : [...lifted, publishing.announce(ledger, { cleared })];
+  if (cleared.length === 0) return narrowed;
+  return [...lifted, ...narrowed, publishing.announce(ledger, { cleared })];
 }
 
 export function receive(
@@ -73,7 +75,8 @@
     publishing.addCleared(ledger.news, cleared, now);
     clearing.clear(ledger, cleared, now);
   }
-  return verdicts.lift(ledger, cleared, 'success elsewhere', now);
+  const lifted = verdicts.lift(ledger, cleared, 'success elsewhere', now);
+  return [...lifted, ...verdicts.withoutCleared(ledger, 'later', now)];
 }
 
 /** Peers that suspect a part of which this instance knows more are told with the next update. */
--- a/packages/core/src/quarantine/ledger.ts
+++ b/packages/core/src/quarantine/ledger.ts
@@ -27,6 +27,8 @@
   upstream: string;
   requestId: string;
   clientAccount: string;
+  /** All suspected parts of the request. */
+  parts: readonly string[];
   atMs: number;
 };
 
--- a/packages/core/src/quarantine/storing.ts
+++ b/packages/core/src/quarantine/storing.ts
@@ -49,7 +49,8 @@
 }
 
 export function lifted(verdict: types.Verdict, now: task.Instant): types.Verdict {
-  return { ...verdict, clientAccounts: [], crashes: [], condemnedAtMs: now.wallMs };
+  const nothing = { companions: [], clientAccounts: [], crashes: [] };
+  return { ...verdict, ...nothing, condemnedAtMs: now.wallMs };
 }
 
 export function isLifted({ clientAccounts }: types.Verdict): boolean {
@@ -113,5 +114,8 @@
 
 function covers(stored: types.Verdict, wanted: types.Verdict): boolean {
   if (isLifted(wanted)) return isLifted(stored);
-  return wanted.clientAccounts.every((each) => stored.clientAccounts.includes(each));
+  return (
+    wanted.clientAccounts.every((each) => stored.clientAccounts.includes(each)) &&
+    stored.companions.every((each) => wanted.companions.includes(each))
+  );
 }
--- a/packages/core/src/quarantine/tally.ts
+++ b/packages/core/src/quarantine/tally.ts
@@ -21,7 +21,7 @@
   atMs: number,
   now: task.Instant,
 ): ledgers.Tally | undefined {
-  const { model, crash, upstream, requestId, clientAccount, hadHead } = suspect;
+  const { model, crash, upstream, requestId, clientAccount, parts, hadHead } = suspect;
   const key = names.partKey(model, part);
   if (clearing.isCleared(ledger, key, now)) return undefined;
   const known = ledger.tallies.get(key)?.crashes ?? [];
@@ -33,7 +33,7 @@
       (!hadHead && Math.abs(each.atMs - atMs) < MIN_DISTANCE_MS),
   );
   if (isCounted) return undefined;
-  const crashes = [...known, { crash, upstream, requestId, clientAccount, atMs }];
+  const crashes = [...known, { crash, upstream, requestId, clientAccount, parts, atMs }];
   const tally = { model, part, crashes: crashes.slice(-MAX_CRASHES) };
   ledgers.setBounded(ledger.tallies, key, tally, MAX_TALLIES);
   return tally;
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -21,6 +21,8 @@
 export type Verdict = {
   model: string;
   part: string;
+  /** Parts that were in all of its crashes too: only requests that hold them all are refused. */
+  companions: readonly string[];
   /** Whose requests it refuses; those of all once two client accounts are named. */
   clientAccounts: readonly string[];
   crashes: readonly { upstream: string; requestId: string }[];
--- a/packages/core/src/quarantine/verdicts.ts
+++ b/packages/core/src/quarantine/verdicts.ts
@@ -1,5 +1,6 @@
 /** Verdicts on parts: whom they bind, how those of several instances are merged, and how they end. */
 import type * as task from '../kernel/task.js';
+import * as clearing from './clearing.js';
 import type * as command from './command.js';
 import type * as ledgers from './ledger.js';
 import * as names from './names.js';
@@ -19,24 +20,72 @@
   return clientAccounts.length >= ACCOUNTS_FOR_ALL || clientAccounts.includes(clientAccount);
 }
 
-/** Condemns the part if its tally suffices, or extends the verdict to the client account of a new crash. */
+/** Whether a request with these parts holds all that the verdict is about. */
+export function concerns({ part, companions }: types.Verdict, parts: readonly string[]): boolean {
+  return parts.includes(part) && companions.every((each) => parts.includes(each));
+}
+
+/** Extends the verdict on the part to a new crash, or condemns what its unexplained crashes have in common. */
 export function judge(
+  ledger: ledgers.Ledger,
+  tally: ledgers.Tally,
+  turn: storing.Turn,
+  now: task.Instant,
+): readonly command.Command[] {
+  return [...extend(ledger, tally, turn, now), ...condemn(ledger, tally, turn, now)];
+}
+
+function extend(
   ledger: ledgers.Ledger,
   { model, part, crashes }: ledgers.Tally,
   turn: storing.Turn,
   now: task.Instant,
 ): readonly command.Command[] {
-  const isKnown = ledger.verdicts.has(names.partKey(model, part));
-  if (!isKnown && crashes.length < CRASHES_FOR_VERDICT) return [];
-  const verdict: types.Verdict = {
+  const known = ledger.verdicts.get(names.partKey(model, part))?.verdict;
+  const explained = known ? crashes.filter(({ parts }) => concerns(known, parts)) : [];
+  if (!known || explained.length === 0) return [];
+  return adopt(ledger, verdictOf(model, part, known.companions, explained, now), turn, now);
+}
+
+/**
+ * Any of the parts that were in all crashes may be the cause, so each is condemned beside the others: a
+ * sound one that came with a deadly one still gets through without it, and is then known to be sound.
+ */
+function condemn(
+  ledger: ledgers.Ledger,
+  { model, crashes }: ledgers.Tally,
+  turn: storing.Turn,
+  now: task.Instant,
+): readonly command.Command[] {
+  const condemned = [...ledger.verdicts.values()].filter(({ verdict }) => verdict.model === model);
+  const unexplained = crashes.filter(
+    ({ parts }) => !condemned.some(({ verdict }) => concerns(verdict, parts)),
+  );
+  if (unexplained.length < CRASHES_FOR_VERDICT) return [];
+  const [first, ...others] = unexplained.map(({ parts }) => parts);
+  const common = (first ?? []).filter((part) => others.every((parts) => parts.includes(part)));
+  return common.flatMap((part) => {
+    const companions = common.filter((each) => each !== part);
+    return adopt(ledger, verdictOf(model, part, companions, unexplained, now), turn, now);
+  });
+}
+
+function verdictOf(
+  model: string,
+  part: string,
+  companions: readonly string[],
+  crashes: readonly ledgers.CountedCrash[],
+  now: task.Instant,
+): types.Verdict {
+  return {
     model,
     part,
+    companions,
     clientAccounts: distinct(crashes.map(({ clientAccount }) => clientAccount)),
     crashes: crashes.map(({ upstream, requestId }) => ({ upstream, requestId })),
     condemnedAtMs: now.wallMs,
     trials: 0,
   };
-  return adopt(ledger, verdict, turn, now);
 }
 
 /** Merges a verdict with the known one. Nothing happens if it says nothing new. */
@@ -46,13 +95,21 @@
   turn: storing.Turn,
   now: task.Instant,
 ): readonly command.Command[] {
-  const key = names.partKey(given.model, given.part);
+  const { model, part } = given;
+  const key = names.partKey(model, part);
+  if (clearing.isCleared(ledger, key, now)) return [];
+  const companions = given.companions.filter(
+    (each) => !clearing.isCleared(ledger, names.partKey(model, each), now),
+  );
   const known = ledger.verdicts.get(key);
-  const verdict = known ? merge(known.verdict, given) : given;
-  const hasNewAccounts =
-    verdict.clientAccounts.length !== (known?.verdict.clientAccounts.length ?? 0);
+  const found = { ...given, companions };
+  const verdict = known ? merge(known.verdict, found) : found;
+  const isKnown =
+    known !== undefined &&
+    verdict.clientAccounts.length === known.verdict.clientAccounts.length &&
+    verdict.companions.length === known.verdict.companions.length;
   ledger.verdicts.set(key, { trial: { kind: 'none' }, ...known, verdict });
-  if (!hasNewAccounts) return [];
+  if (isKnown) return [];
   ledger.news.verdicts.set(key, now.monotonicMs);
   storing.plan(ledger, verdict, turn, now);
   return [
@@ -61,6 +118,17 @@
   ];
 }
 
+/** Parts that got through are no companions any more; what is left is the cause. */
+export function withoutCleared(
+  ledger: ledgers.Ledger,
+  turn: storing.Turn,
+  now: task.Instant,
+): readonly command.Command[] {
+  return [...ledger.verdicts.values()]
+    .filter(({ verdict }) => verdict.companions.length > 0)
+    .flatMap(({ verdict }) => adopt(ledger, verdict, turn, now));
+}
+
 export function mayAdoptFromPeer(ledger: ledgers.Ledger, key: string, now: task.Instant): boolean {
   return now.monotonicMs - (ledger.lifts.get(key) ?? -Infinity) >= LIFTED_FOR_MS;
 }
@@ -71,6 +139,7 @@
   );
   return {
     ...known,
+    companions: known.companions.filter((each) => given.companions.includes(each)),
     clientAccounts: distinct([...known.clientAccounts, ...given.clientAccounts]),
     crashes: [...known.crashes, ...added].slice(0, MAX_EVIDENCE),
     condemnedAtMs: Math.min(known.condemnedAtMs, given.condemnedAtMs),
@@ -89,7 +158,7 @@
         !each.hasBegun &&
         !each.isTrial &&
         each.model === verdict.model &&
-        each.parts.includes(verdict.part) &&
+        concerns(verdict, each.parts) &&
         binds(verdict, each.clientAccount),
     )
     .map(({ replyTo, upstream }) => ({
@@ -119,9 +188,10 @@
 }
 
 /** Evidence for journals and for the refusal. */
-export function describe({ model, part, crashes }: types.Verdict): string {
+export function describe({ model, part, companions, crashes }: types.Verdict): string {
   const upstreams = distinct(crashes.map(({ upstream }) => upstream)).join(', ');
-  return `part ${part} of ${model} is in quarantine after crashes of ${upstreams}`;
+  const beside = companions.length === 0 ? '' : ` beside ${companions.join(', ')}`;
+  return `part ${part} of ${model}${beside} is in quarantine after crashes of ${upstreams}`;
 }
 
 function distinct(values: readonly string[]): readonly string[] {
--- a/packages/medlarctl/src/commands/quarantine.ts
+++ b/packages/medlarctl/src/commands/quarantine.ts
@@ -74,10 +74,19 @@
 function toTable(verdicts: readonly StoredVerdict[]): table.Table {
   return {
     title: 'parts in quarantine',
-    header: ['model', 'part', 'since', 'trials', 'client accounts', 'crashed upstream (request)'],
+    header: [
+      'model',
+      'part',
+      'only beside',
+      'since',
+      'trials',
+      'client accounts',
+      'crashed upstream (request)',
+    ],
     rows: verdicts.map(({ verdict }) => [
       verdict.model,
       verdict.part,
+      verdict.companions.join(', '),
       new Date(verdict.condemnedAtMs).toISOString(),
       String(verdict.trials),
       verdict.clientAccounts.map((name) => name || '(none)').join(', '),
--- a/packages/medlarctl/test/quarantine.test.ts
+++ b/packages/medlarctl/test/quarantine.test.ts
@@ -22,7 +22,8 @@
 
 function aVerdict(part: string, clientAccounts = ['account-1']): core.quarantine.Verdict {
   const crashes = [{ upstream: 'u-1', requestId: 'r-1' }];
-  return { model: 'model-1', part, clientAccounts, crashes, condemnedAtMs: 0, trials: 0 };
+  const evidence = { clientAccounts, crashes, condemnedAtMs: 0, trials: 0 };
+  return { model: 'model-1', part, companions: [], ...evidence };
 }
 
 /** Writes an entry as an instance does. */
--- a/packages/plugins/peer-notes-udp/src/quarantine-rows.ts
+++ b/packages/plugins/peer-notes-udp/src/quarantine-rows.ts
@@ -35,12 +35,13 @@
 }
 
 function toVerdictRow(verdict: core.quarantine.Verdict): schemas.VerdictRow {
-  const { model, part, clientAccounts, crashes, condemnedAtMs, trials } = verdict;
+  const { model, part, companions, clientAccounts, crashes, condemnedAtMs, trials } = verdict;
   const crashRows = crashes.map(({ upstream, requestId }): [string, string] => [
     upstream,
     requestId,
   ]);
-  return [model, part, [...clientAccounts], crashRows, condemnedAtMs, trials];
+  const beside: [string[]?] = companions.length === 0 ? [] : [[...companions]];
+  return [model, part, [...clientAccounts], crashRows, condemnedAtMs, trials, ...beside];
 }
 
 function fromSuspectRow([
@@ -63,9 +64,10 @@
   crashRows,
   condemnedAtMs,
   trials,
+  companions = [],
 ]: schemas.VerdictRow): core.quarantine.Verdict {
   const crashes = crashRows.map(([upstream, requestId]) => ({ upstream, requestId }));
-  return { model, part, clientAccounts, crashes, condemnedAtMs, trials };
+  return { model, part, companions, clientAccounts, crashes, condemnedAtMs, trials };
 }
 
 type Item = Pick<Update, 'suspects' | 'cleared' | 'verdicts'>;
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -45,7 +45,7 @@
 ]);
 /** Upstream and request id. */
 const crashRow = zod.tuple([zod.string(), zod.string()]);
-/** Model, part id, client accounts, crashes, wall time in ms, trials. */
+/** Model, part id, client accounts, crashes, wall time in ms, trials, companions. */
 const verdictRow = zod.tuple([
   zod.string(),
   zod.string(),
@@ -53,6 +53,8 @@
   zod.array(crashRow),
   amount,
   zod.number().int().nonnegative(),
+  // Left out if there are none, as in rows of releases that do not know them.
+  zod.array(zod.string()).optional(),
 ]);
 /** Suspects, cleared parts, verdicts. */
 const quarantineRows = zod.tuple([
--- a/packages/plugins/peer-notes-udp/test/datagram.test.ts
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -58,7 +58,7 @@
     from: 'instance-2',
     suspects: [aSuspect(0)],
     cleared: [{ model: 'model-1', part: 'b2' }],
-    verdicts: [aVerdict(0)],
+    verdicts: [aVerdict(0), aVerdict(1)],
     ...changed,
   };
   return { kind: 'quarantine' as const, update };
@@ -87,6 +87,7 @@
   return {
     model: 'model-1234567',
     part: String(at).padStart(8, 'd'),
+    companions: at % 2 === 0 ? [] : ['e'.repeat(8)],
     clientAccounts: ['an-account-1', 'an-account-2'],
     crashes,
     condemnedAtMs: 1_790_000_000_000,
