Quarantine: counted crashes outlive a kill of all instances

Cause: a verdict is stored, the crashes that lead to it were kept in memory only, so each life of the instances began to count anew. Change: an instance writes the counted crashes that it found into an object of its own; one that starts lists these before it is ready and counts them. One crash counts once, whatever time its records name; parts that got through leave the record.

--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -88,6 +88,11 @@
   partCondemned: { number: 542, level: 'warn', text: 'prompt part quarantined' },
   verdictLifted: { number: 543, level: 'info', text: 'quarantine of a prompt part lifted' },
   trialStarted: { number: 544, level: 'info', text: 'quarantined part let through once' },
+  crashesRestored: {
+    number: 545,
+    level: 'info',
+    text: 'crashes counted before the start taken from the platform’s store',
+  },
   upstreamOrder: { number: 601, level: 'info', text: 'order to an upstream sent or answered' },
   leaseAcquired: { number: 602, level: 'info', text: 'lease acquired' },
   leaseLost: { number: 603, level: 'warn', text: 'lease lost' },
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -20,6 +20,7 @@
 import * as liveness from './liveness.js';
 import * as peerUpdates from './peer-updates.js';
 import * as publishing from './publishing.js';
+import * as quarantineMessages from './quarantine-messages.js';
 import * as quarantineSteps from './quarantine-steps.js';
 import * as reports from './reports.js';
 import * as senders from './senders.js';
@@ -99,14 +100,12 @@
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
-      return { state, commands: quarantineSteps.onBegun(state, message, now) };
     case 'fleet.quarantine-update':
-      return { state, commands: quarantineSteps.onUpdate(state, message, now) };
     case 'fleet.verdicts-read':
-      return { state, commands: quarantineSteps.onVerdictsRead(state, message, now) };
     case 'fleet.verdict-stored':
-      quarantineSteps.onVerdictStored(state, message);
-      return { state, commands: [] };
+    case 'fleet.crashes-read':
+    case 'fleet.crashes-stored':
+      return { state, commands: quarantineMessages.decide(state, message, now) };
     case 'fleet.tick':
       return onTick(state, now);
     case 'task.start':
--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -78,19 +78,6 @@
   if (attempt?.upstream === upstream) Object.assign(attempt, { hasHead: true });
 }
 
-export function onBegun(
-  state: fleet.State,
-  { requestId, upstream }: MessageOf<'fleet.attempt-begun'>,
-  now: task.Instant,
-): readonly decide.Command[] {
-  const ledger = state.quarantine;
-  const attempt = ledger.attempts.get(requestId);
-  if (!attempt || attempt.upstream !== upstream || attempt.hasBegun) return [];
-  ledger.attempts.set(requestId, { ...attempt, hasBegun: true });
-  const { model, parts } = attempt;
-  return toCommands(state, quarantine.evidence.addSuccess(ledger, model, parts, now), now);
-}
-
 export function onAttemptEnded(
   state: fleet.State,
   { requestId, upstream: id, outcome }: MessageOf<'fleet.attempt-ended'>,
@@ -172,34 +159,10 @@
   return toCommands(state, commands, now);
 }
 
-export function onUpdate(
-  state: fleet.State,
-  { update }: MessageOf<'fleet.quarantine-update'>,
-  now: task.Instant,
-): readonly decide.Command[] {
-  return toCommands(state, quarantine.evidence.receive(state.quarantine, update, now), now);
-}
-
-export function onVerdictsRead(
-  state: fleet.State,
-  { verdicts, removed, isSnapshot }: MessageOf<'fleet.verdicts-read'>,
-  now: task.Instant,
-): readonly decide.Command[] {
-  const read = quarantine.evidence.readStore(state.quarantine, verdicts, removed, isSnapshot, now);
-  return toCommands(state, read, now);
-}
-
-export function onVerdictStored(
-  { quarantine: ledger }: fleet.State,
-  { name, version, isTrial }: MessageOf<'fleet.verdict-stored'>,
-): void {
-  if (isTrial) quarantine.trials.onClaimAnswered(ledger, name, version);
-  quarantine.storing.onWritten(ledger, name, version, isTrial);
-}
-
 export function onTick(state: fleet.State, now: task.Instant): readonly decide.Command[] {
   const ledger = state.quarantine;
   quarantine.tally.expire(ledger, now);
+  quarantine.recording.refresh(ledger, now);
   return toCommands(
     state,
     [...quarantine.suspicion.onTick(ledger, now), ...quarantine.publishing.repeat(ledger, now)],
@@ -213,7 +176,12 @@
   given: readonly quarantine.Command[],
   now: task.Instant,
 ): readonly decide.Command[] {
-  const commands = [...given, ...quarantine.storing.takeDue(state.quarantine, now)];
+  const ledger = state.quarantine;
+  const commands = [
+    ...given,
+    ...quarantine.storing.takeDue(ledger, now),
+    ...quarantine.recording.takeDue(ledger, now),
+  ];
   return commands.flatMap((command): readonly decide.Command[] => {
     switch (command.kind) {
       case 'withdraw': {
@@ -225,6 +193,8 @@
         return livenessProbe(state, command.upstream, now);
       case 'send-quarantine-update':
       case 'store-verdict':
+      case 'store-crashes':
+      case 'record-crashes-restored':
       case 'record-crash-suspects':
       case 'record-verdict':
       case 'record-verdict-lifted':
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -77,6 +77,10 @@
       version: number | undefined;
       isTrial: boolean;
     }
+  /** Crashes that instances recorded before this one started. */
+  | { type: 'fleet.crashes-read'; records: readonly quarantine.CrashRecord[] }
+  /** Answer to a write of this instance's own record. */
+  | { type: 'fleet.crashes-stored'; outcome: quarantine.WriteOutcome }
   /** This instance's peer update is due. */
   | { type: 'fleet.publish-work' }
   | { type: 'fleet.tick' };
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -41,6 +41,14 @@
   answer: PlatformAnswer;
 };
 
+/** All objects of one kind, at one moment. */
+export type PlatformListed = {
+  type: 'platform.listed';
+  result:
+    | { kind: 'objects'; objects: readonly StoredObject[] }
+    | { kind: 'unavailable'; failure: results.Failure };
+};
+
 /** One answer to a watch. Empty `objects` confirm that nothing has changed. */
 export type PlatformWatchUpdated = {
   type: 'platform.watch-updated';
@@ -102,6 +110,7 @@
       key: string;
       replyTo: task.Address<PlatformAnswered>;
     }
+  | { type: 'platform.list'; kind: string; replyTo: task.Address<PlatformListed> }
   /** A conditional update: it takes effect only if the object is at `expectedVersion`. */
   | {
       type: 'platform.write';
--- a/packages/core/src/quarantine/command.ts
+++ b/packages/core/src/quarantine/command.ts
@@ -17,6 +17,12 @@
       expectedVersion: number;
       isTrial: boolean;
     }
+  | {
+      kind: 'store-crashes';
+      crashes: readonly types.RecordedCrash[];
+      expectedVersion: number;
+    }
+  | { kind: 'record-crashes-restored'; crashes: number; countedParts: number }
   | { kind: 'record-crash-suspects'; suspects: readonly types.Suspect[] }
   | { kind: 'record-verdict'; verdict: types.Verdict; quarantinedParts: number }
   | {
--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -5,6 +5,7 @@
 export * as ledger from './ledger.js';
 export * from './names.js';
 export * as publishing from './publishing.js';
+export * as recording from './recording.js';
 export * as storing from './storing.js';
 export * as suspicion from './suspicion.js';
 export * as tally from './tally.js';
--- a/packages/core/src/quarantine/ledger.ts
+++ b/packages/core/src/quarantine/ledger.ts
@@ -51,6 +51,16 @@
   verdicts: Map<string, number>;
 };
 
+/** The object of the store that holds the crashes which this instance found, and its next write. */
+export type Record = {
+  crashes: readonly types.RecordedCrash[];
+  /** 0 if there is no object. */
+  version: number;
+  dueAtMs: number;
+  writtenAtMs: number;
+  isWriting: boolean;
+};
+
 export type Ledger = {
   instance: string;
   /** By request id. */
@@ -68,6 +78,7 @@
   /** Known objects of the store, by name. `isShown`: by a watch, and not only by the answer to a write. */
   stored: Map<string, { version: number; key: string; isShown: boolean }>;
   writes: Map<string, PendingWrite>;
+  record: Record;
   news: News;
   lastTickAtMs: number | undefined;
   /** When this instance last ran again after a suspension. */
@@ -86,6 +97,13 @@
     lifts: new Map(),
     stored: new Map(),
     writes: new Map(),
+    record: {
+      crashes: [],
+      version: 0,
+      dueAtMs: Infinity,
+      writtenAtMs: -Infinity,
+      isWriting: false,
+    },
     news: { suspects: new Map(), cleared: new Map(), verdicts: new Map() },
     lastTickAtMs: undefined,
     resumedAtMs: -Infinity,
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -6,6 +6,7 @@
 import type * as ledgers from './ledger.js';
 import * as names from './names.js';
 import * as publishing from './publishing.js';
+import * as recording from './recording.js';
 import type * as types from './types.js';
 
 /** An upstream that went down is found so within this time; otherwise only its connections broke. */
@@ -75,6 +76,7 @@
     .filter(({ parts }) => parts.length > 0);
   if (suspects.length === 0) return [];
   const counted = evidence.addSuspects(ledger, suspects, 'at-once', now);
+  recording.add(ledger, suspects, now);
   return [
     { kind: 'record-crash-suspects', suspects },
     ...counted,
--- a/packages/core/src/quarantine/tally.ts
+++ b/packages/core/src/quarantine/tally.ts
@@ -11,7 +11,7 @@
 const SAME_CRASH_MS = 1_500;
 const MAX_TALLIES = 512;
 const MAX_CRASHES = 8;
-const TALLY_RETENTION_MS = 600_000;
+export const TALLY_RETENTION_MS = 600_000;
 
 /** Counts the suspect for one of its parts. Returns the tally if the crash counts. */
 export function count(
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -15,6 +15,20 @@
   ageMs: number;
 };
 
+/** A counted crash as it lies in the store; `crashedAtMs` is wall clock, Unix ms. */
+export type RecordedCrash = Omit<Suspect, 'ageMs'> & { crashedAtMs: number };
+
+/** The crashes that one instance found. */
+export type CrashRecord = {
+  instance: string;
+  version: number;
+  crashes: readonly RecordedCrash[];
+};
+
+/** `conflict`: the object has this version, 0 if there is none. `lost`: it may have been written. */
+export type WriteOutcome =
+  { kind: 'written'; version: number } | { kind: 'conflict'; version: number } | { kind: 'lost' };
+
 export type PartOfModel = { model: string; part: string };
 
 /** A part that reaches no upstream any more, with its evidence. */
--- a/packages/core/test/quarantine/schedules.test.ts
+++ b/packages/core/test/quarantine/schedules.test.ts
@@ -9,136 +9,21 @@
 
 const suite = uvu.suite('quarantine: random schedules');
 
-/** What the instances may know of a crash is known everywhere after this time. */
-const CONTACT_MS = 3_000;
-const CRASHES_UNTIL_BUDGET = 5;
-const MAX_LATE_REQUESTS = 3;
-const HORIZON_MS = 30_000;
-
-type World = fixtures.World;
-type Kind =
-  | 'crash'
-  | 'data-centre'
-  | 'release'
-  | 'reset'
-  | 'freeze-upstream'
-  | 'freeze-instance'
-  | 'kill-instance'
-  | 'kill-all'
-  | 'store-away';
-type Trouble = { kind: Kind; atMs: number; which: number; forMs: number };
-
-function cause(world: World, { kind, which, forMs }: Trouble): void {
-  const upstream = world.upstreams.all[which % world.upstreams.all.length];
-  const instance = world.instances.all[which % world.instances.all.length];
-  if (!upstream || !instance) return;
-  world.note(`${kind} ${upstream.id} ${instance.name}`);
-  switch (kind) {
-    case 'crash':
-      world.upstreams.crash(upstream);
-      return;
-    case 'data-centre':
-      world.upstreams.crashDataCentre(upstream.dataCentre);
-      return;
-    case 'release':
-      world.upstreams.release(upstream);
-      return;
-    case 'reset':
-      world.upstreams.reset(upstream);
-      return;
-    case 'freeze-upstream':
-      world.upstreams.freeze(upstream, forMs);
-      return;
-    case 'freeze-instance':
-      world.instances.freeze(instance, forMs);
-      return;
-    case 'kill-instance':
-      world.instances.kill(instance);
-      return;
-    case 'kill-all':
-      world.instances.all.forEach(world.instances.kill);
-      return;
-    case 'store-away':
-      world.instances.setStoreAway(true);
-      world.sim.add(forMs, () => world.instances.setStoreAway(false));
-      return;
-    default:
-      throw new Error(kind satisfies never);
-  }
-}
-
-function aTrouble(kinds: readonly Kind[]): fastCheck.Arbitrary<Trouble> {
-  return fastCheck.record({
-    kind: fastCheck.constantFrom(...kinds),
-    atMs: fastCheck.nat(HORIZON_MS),
-    which: fastCheck.nat(20),
-    forMs: fastCheck.integer({ min: 1_000, max: 8_000 }),
-  });
-}
-
-const KINDS: readonly Kind[] = [
-  'crash',
-  'data-centre',
-  'release',
-  'reset',
-  'freeze-upstream',
-  'freeze-instance',
-  'kill-instance',
-  'store-away',
-];
-
-const OPTIONS = fastCheck.record({
-  seed: fastCheck.nat(),
-  instances: fastCheck.integer({ min: 2, max: 7 }),
-  upstreams: fastCheck.integer({ min: 6, max: 18 }),
-  requestsPerS: fastCheck.integer({ min: 20, max: 60 }),
-  lossShare: fastCheck.constantFrom(0, 0.05, 0.3),
-  rareParts: fastCheck.constantFrom(20, 400, 2_000),
-  burstShare: fastCheck.constantFrom(0, 0.05),
-  sendsHeads: fastCheck.boolean(),
-});
-
-const SHARE = fastCheck.constantFrom(0.005, 0.02, 0.05, 0.1, 0.2);
-
-function play(
-  options: fixtures.WorldOptions,
-  troubles: readonly Trouble[],
-  horizonMs = HORIZON_MS,
-) {
-  const world = fixtures.aQuarantineWorld(options);
-  troubles.forEach((trouble) => world.sim.add(trouble.atMs, () => cause(world, trouble)));
-  world.traffic();
-  world.sim.advance(horizonMs);
-  return world;
-}
-
-/** Requests with the part that reached an upstream later than allowed after the fifth crash. */
-function lateSends({ results }: World, part: string): number {
-  const fifthAtMs = results.crashes.get(part)?.[CRASHES_UNTIL_BUDGET - 1] ?? Infinity;
-  return results.sends.filter(
-    (each) => each.part === part && !each.isFresh && each.atMs > fifthAtMs + CONTACT_MS,
-  ).length;
-}
-
-function checkBudget(world: World, parts: readonly string[]): void {
-  parts.forEach((part) => {
-    const late = lateSends(world, part);
-    assert.ok(late <= MAX_LATE_REQUESTS, `${late} late with ${part}\n${world.log.join('\n')}`);
-  });
-}
-
 suite('after the fifth crash, at most three more requests with a deadly part are sent', () => {
   fastCheck.assert(
     fastCheck.property(
-      OPTIONS,
-      SHARE,
+      fixtures.WORLD_OPTIONS,
+      fixtures.DEADLY_SHARE,
       fastCheck.boolean(),
       fastCheck.constantFrom(0, 8_000),
-      fastCheck.array(aTrouble(KINDS), { maxLength: 5 }),
+      fastCheck.array(fixtures.aTrouble(fixtures.TROUBLE_KINDS), { maxLength: 5 }),
       (options, deadlyShare, areTwo, deadlyFromMs, troubles) => {
         const deadlyParts = areTwo ? ['deadly-1', 'deadly-2'] : ['deadly-1'];
-        const world = play({ ...options, deadlyShare, deadlyParts, deadlyFromMs }, troubles);
-        checkBudget(world, deadlyParts);
+        const world = fixtures.playSchedule(
+          { ...options, deadlyShare, deadlyParts, deadlyFromMs },
+          troubles,
+        );
+        fixtures.checkBudget(world, deadlyParts);
       },
     ),
     fixtures.seeded(60),
@@ -154,17 +39,46 @@
   const fleet = { instances: 2, upstreams: 7, requestsPerS: 22, lossShare: 0.3 };
   const world = { seed: 673_001_910, rareParts: 2_000, burstShare: 0, sendsHeads: false };
   const options = { ...deadly, ...fleet, ...world };
-  const trouble: Trouble = { kind: 'data-centre', atMs: 0, which: 1, forMs: 1_000 };
-  checkBudget(play(options, [trouble]), options.deadlyParts);
+  const trouble: fixtures.Trouble = { kind: 'data-centre', atMs: 0, which: 1, forMs: 1_000 };
+  fixtures.checkBudget(fixtures.playSchedule(options, [trouble]), options.deadlyParts);
 });
 
 suite('the bound holds when all instances are killed at once', () => {
   fastCheck.assert(
-    fastCheck.property(OPTIONS, SHARE, aTrouble(['kill-all']), (options, deadlyShare, trouble) => {
-      const deadlyParts = ['deadly-1'];
-      const world = play({ ...options, deadlyShare, deadlyParts, deadlyFromMs: 0 }, [trouble]);
-      checkBudget(world, deadlyParts);
-    }),
+    fastCheck.property(
+      fixtures.WORLD_OPTIONS,
+      fixtures.DEADLY_SHARE,
+      fixtures.aTrouble(['kill-all']),
+      (options, deadlyShare, trouble) => {
+        const deadlyParts = ['deadly-1'];
+        const world = fixtures.playSchedule(
+          { ...options, deadlyShare, deadlyParts, deadlyFromMs: 0 },
+          [trouble],
+        );
+        fixtures.checkBudget(world, deadlyParts);
+      },
+    ),
+    fixtures.seeded(30),
+  );
+});
+
+/** Guards against instances that are all killed again and again, and forget the crashes before each time. */
+suite('the bound holds when all instances are killed several times', () => {
+  const kills = fastCheck.array(fixtures.aTrouble(['kill-all']), { minLength: 2, maxLength: 5 });
+  fastCheck.assert(
+    fastCheck.property(
+      fixtures.WORLD_OPTIONS,
+      fixtures.DEADLY_SHARE,
+      kills,
+      (options, deadlyShare, troubles) => {
+        const deadlyParts = ['deadly-1'];
+        const world = fixtures.playSchedule(
+          { ...options, deadlyShare, deadlyParts, deadlyFromMs: 0 },
+          troubles,
+        );
+        fixtures.checkBudget(world, deadlyParts);
+      },
+    ),
     fixtures.seeded(30),
   );
 });
@@ -174,18 +88,23 @@
   const deadly = { deadlyShare: 0.2, deadlyParts: ['deadly-1'], deadlyFromMs: 0 };
   const fleet = { instances: 7, upstreams: 6, requestsPerS: 22, lossShare: 0.3 };
   const world = { seed: 1_872_857_509, rareParts: 2_000, burstShare: 0, sendsHeads: false };
-  const trouble: Trouble = { kind: 'kill-all', atMs: 4_513, which: 0, forMs: 1_000 };
-  checkBudget(play({ ...deadly, ...fleet, ...world }, [trouble]), deadly.deadlyParts);
+  const trouble: fixtures.Trouble = { kind: 'kill-all', atMs: 4_513, which: 0, forMs: 1_000 };
+  fixtures.checkBudget(
+    fixtures.playSchedule({ ...deadly, ...fleet, ...world }, [trouble]),
+    deadly.deadlyParts,
+  );
 });
 
 suite('troubles without a deadly part lead to no verdict', () => {
   fastCheck.assert(
     fastCheck.property(
-      OPTIONS,
-      fastCheck.array(aTrouble([...KINDS, 'kill-all']), { maxLength: 25 }),
+      fixtures.WORLD_OPTIONS,
+      fastCheck.array(fixtures.aTrouble([...fixtures.TROUBLE_KINDS, 'kill-all']), {
+        maxLength: 25,
+      }),
       (options, troubles) => {
         const quiet = { deadlyShare: 0, deadlyParts: [], deadlyFromMs: 0 };
-        const world = play({ ...options, ...quiet }, troubles);
+        const world = fixtures.playSchedule({ ...options, ...quiet }, troubles);
         assert.equal(world.results.soundVerdicts, [], world.log.join('\n'));
       },
     ),
@@ -196,12 +115,12 @@
 suite('beside a deadly part, no sound part stays shut out', () => {
   fastCheck.assert(
     fastCheck.property(
-      OPTIONS,
-      SHARE,
-      fastCheck.array(aTrouble(KINDS), { maxLength: 5 }),
+      fixtures.WORLD_OPTIONS,
+      fixtures.DEADLY_SHARE,
+      fastCheck.array(fixtures.aTrouble(fixtures.TROUBLE_KINDS), { maxLength: 5 }),
       (options, deadlyShare, troubles) => {
         const deadlyParts = ['deadly-1'];
-        const world = play(
+        const world = fixtures.playSchedule(
           { ...options, requestsPerS: 25, deadlyShare, deadlyParts, deadlyFromMs: 0 },
           troubles,
           150_000,
@@ -220,7 +139,7 @@
 
 suite('innocent requests whose parts got through are placed again once', () => {
   fastCheck.assert(
-    fastCheck.property(OPTIONS, SHARE, (options, deadlyShare) => {
+    fastCheck.property(fixtures.WORLD_OPTIONS, fixtures.DEADLY_SHARE, (options, deadlyShare) => {
       const given = {
         ...options,
         rareParts: 5,
@@ -228,7 +147,7 @@
         deadlyParts: ['deadly-1'],
         deadlyFromMs: 8_000,
       };
-      const world = play({ ...given, deadlyShare }, []);
+      const world = fixtures.playSchedule({ ...given, deadlyShare }, []);
       const innocent = world.results.placedAgain.filter(({ isInnocent }) => isInnocent);
       const refused = innocent.filter(({ reason }) => reason !== 'placed');
       assert.equal(refused, [], world.log.join('\n'));
@@ -240,7 +159,7 @@
 /** Guards against an account that names a part of another in its own requests that crash. */
 suite('an account shuts out no part of another by naming it', () => {
   fastCheck.assert(
-    fastCheck.property(OPTIONS, SHARE, (options, share) => {
+    fastCheck.property(fixtures.WORLD_OPTIONS, fixtures.DEADLY_SHARE, (options, share) => {
       const quiet = { deadlyShare: 0, deadlyParts: ['deadly-1'], deadlyFromMs: 0 };
       const world = fixtures.aQuarantineWorld({ ...options, ...quiet });
       const attack = (): void => {
@@ -265,27 +184,33 @@
 /** Guards against a sound part that is refused by itself because all requests with it held a deadly one. */
 suite('a part that only came with a deadly one is served without it', () => {
   fastCheck.assert(
-    fastCheck.property(OPTIONS, fastCheck.integer({ min: 3, max: 8 }), (options, requests) => {
-      const quiet = { deadlyShare: 0, deadlyParts: ['deadly-1'], deadlyFromMs: 0 };
-      const world = fixtures.aQuarantineWorld({ ...options, ...quiet });
-      Array.from({ length: requests }).forEach((_, at) =>
-        world.sim.add(1_000 + at * 700, () =>
-          world.submit({ parts: ['subject', 'deadly-1'].sort(() => world.random.below(2) - 0.5) }),
-        ),
-      );
-      const use = (): void => {
-        world.submit({ parts: ['subject'] });
-        world.sim.add(250, use);
-      };
-      world.sim.add(14_000, use);
-      world.sim.advance(40_000);
-      const denied = world.results.refused.filter(
-        ({ part, atMs }) => part === 'subject' && atMs > 14_000,
-      );
-      assert.equal(denied, [], world.log.join('\n'));
-      assert.ok((world.results.answered.get('subject')?.length ?? 0) > 50, world.log.join('\n'));
-      checkBudget(world, quiet.deadlyParts);
-    }),
+    fastCheck.property(
+      fixtures.WORLD_OPTIONS,
+      fastCheck.integer({ min: 3, max: 8 }),
+      (options, requests) => {
+        const quiet = { deadlyShare: 0, deadlyParts: ['deadly-1'], deadlyFromMs: 0 };
+        const world = fixtures.aQuarantineWorld({ ...options, ...quiet });
+        Array.from({ length: requests }).forEach((_, at) =>
+          world.sim.add(1_000 + at * 700, () =>
+            world.submit({
+              parts: ['subject', 'deadly-1'].sort(() => world.random.below(2) - 0.5),
+            }),
+          ),
+        );
+        const use = (): void => {
+          world.submit({ parts: ['subject'] });
+          world.sim.add(250, use);
+        };
+        world.sim.add(14_000, use);
+        world.sim.advance(40_000);
+        const denied = world.results.refused.filter(
+          ({ part, atMs }) => part === 'subject' && atMs > 14_000,
+        );
+        assert.equal(denied, [], world.log.join('\n'));
+        assert.ok((world.results.answered.get('subject')?.length ?? 0) > 50, world.log.join('\n'));
+        fixtures.checkBudget(world, quiet.deadlyParts);
+      },
+    ),
     fixtures.seeded(30),
   );
 });
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -113,6 +113,8 @@
     }
     case 'send-quarantine-update':
     case 'store-verdict':
+    case 'store-crashes':
+    case 'record-crashes-restored':
     case 'record-crash-suspects':
     case 'record-verdict':
     case 'record-verdict-lifted':
--- a/packages/plugins/fleet/src/quarantine-commands.ts
+++ b/packages/plugins/fleet/src/quarantine-commands.ts
@@ -27,6 +27,16 @@
       send('sources', { type: 'sources.store-verdict', verdict, expectedVersion, isTrial });
       return;
     }
+    case 'store-crashes': {
+      const { crashes, expectedVersion } = command;
+      send('sources', { type: 'sources.store-crashes', crashes, expectedVersion });
+      return;
+    }
+    case 'record-crashes-restored': {
+      const { crashes, countedParts } = command;
+      record({ name: 'crashesRestored', details: { crashes, countedParts } });
+      return;
+    }
     case 'record-crash-suspects':
       command.suspects.forEach(({ upstream, requestId, model, parts }) =>
         record({ name: 'crashSuspected', requestId, details: { upstream, model, parts } }),
