Answers without end are bounded on every path to an upstream

Reported by operators of other systems: a faulty replica's bytes without end filled the memory of the process that called it, and other requests ended with it (LOST). Cause: calls, orders, imports and exports of the product's own front end had a limit in time only; its runs read on after an unreadable line, a refusal or their end; the users' platform allowed 8 MB for a weights report, from many upstreams at once. Requests and probes on the platform were bounded already.

--- a/packages/line-feed/src/line-feed.ts
+++ b/packages/line-feed/src/line-feed.ts
@@ -1,7 +1,7 @@
 /** Reads newline-delimited HTTP responses and passes on each line as it arrives. */
 import * as undici from 'undici';
 
-/** A longer line ends the stream with an error, because its sender cannot be trusted. */
+/** The limit where a stream names none. */
 export const MAX_LINE_CHARACTERS = 16_000_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 
@@ -12,6 +12,8 @@
   headers?: Record<string, string>;
   /** Ends the stream if no data arrives for this long; 0 disables the timeout. */
   idleTimeoutMs?: number;
+  /** A longer line ends the stream with an error. */
+  maxLineCharacters?: number;
   /** Receives the response status before the first line. */
   onStatus?(status: number): void;
   onLine(line: string): void;
@@ -69,7 +71,7 @@
     });
     hasStatus = true;
     options.onStatus?.(response.statusCode);
-    await readLines(response.body, options.onLine, flowControl);
+    await readLines(response.body, options, flowControl);
     return { kind: 'finished' };
   } catch (error) {
     const detail = String(error);
@@ -107,7 +109,7 @@
 
 async function readLines(
   body: AsyncIterable<Uint8Array>,
-  onLine: (line: string) => void,
+  { onLine, maxLineCharacters = MAX_LINE_CHARACTERS }: RequestOptions,
   flowControl: FlowControl,
 ): Promise<void> {
   const decoder = new TextDecoder();
@@ -115,7 +117,7 @@
   for await (const chunk of body) {
     const parts = (rest + decoder.decode(chunk, { stream: true })).split('\n');
     rest = parts.pop() ?? '';
-    if (rest.length > MAX_LINE_CHARACTERS) throw new Error('line too long');
+    if (rest.length > maxLineCharacters) throw new Error('line too long');
     parts.filter((line) => line !== '').forEach(onLine);
     await flowControl.waitUntilOpen();
   }
--- a/packages/plugins/upstreams-http/src/calls.ts
+++ b/packages/plugins/upstreams-http/src/calls.ts
@@ -6,6 +6,7 @@
 import * as lineFeed from '@medlarweir/line-feed';
 import * as undici from 'undici';
 
+import * as bodies from './bodies.js';
 import type * as pools from './pools.js';
 import * as wire from './wire.js';
 
@@ -16,25 +17,27 @@
 type HttpResponse = { status: number; text: string };
 
 async function post(
-  dispatcher: undici.Dispatcher,
-  url: string,
+  connectionPools: pools.Pools,
+  address: string,
+  path: string,
   body: unknown,
   timeoutMs: number,
   cancelSignal?: AbortSignal,
 ): Promise<HttpResponse> {
   const timeoutSignal = AbortSignal.timeout(timeoutMs);
-  const response = await undici.request(url, {
+  const response = await undici.request(`http://${address}${path}`, {
     method: 'POST',
-    dispatcher,
+    dispatcher: connectionPools.poolFor(address),
     signal: cancelSignal ? AbortSignal.any([timeoutSignal, cancelSignal]) : timeoutSignal,
     headers: { 'content-type': 'application/json' },
     body: JSON.stringify(body),
   });
-  return { status: response.statusCode, text: await response.body.text() };
+  const found = await bodies.read(response.body, connectionPools.memory);
+  return { status: response.statusCode, text: found.toString('utf8') };
 }
 
 export async function importPieces(
-  dispatcher: undici.Dispatcher,
+  connectionPools: pools.Pools,
   address: string,
   order: core.messages.ImportOrder,
   cancelSignal: AbortSignal,
@@ -47,8 +50,14 @@
   });
   try {
     const body = { importId: runId, storeAddress, manifests };
-    const url = `http://${address}/v1/kv/import`;
-    const reply = await post(dispatcher, url, body, TRANSFER_TIMEOUT_MS, cancelSignal);
+    const reply = await post(
+      connectionPools,
+      address,
+      '/v1/kv/import',
+      body,
+      TRANSFER_TIMEOUT_MS,
+      cancelSignal,
+    );
     const decoded = reply.status === 200 ? wire.decodeImported(reply.text) : undefined;
     if (!decoded) return failed(`status ${reply.status}`);
     return { type: 'import.finished', runId, seen: decoded.seen };
@@ -58,7 +67,7 @@
 }
 
 export async function exportPieces(
-  dispatcher: undici.Dispatcher,
+  connectionPools: pools.Pools,
   address: string,
   order: core.messages.ExportOrder,
 ): Promise<core.messages.ExportReport> {
@@ -69,8 +78,8 @@
     failure: core.results.failure('upstreamRefused', detail),
   });
   try {
-    const url = `http://${address}/v1/kv/export`;
-    const reply = await post(dispatcher, url, { storeAddress, pieces, tier }, TRANSFER_TIMEOUT_MS);
+    const body = { storeAddress, pieces, tier };
+    const reply = await post(connectionPools, address, '/v1/kv/export', body, TRANSFER_TIMEOUT_MS);
     const decoded = reply.status === 200 ? wire.decodeExported(reply.text) : undefined;
     if (!decoded) return failed(`status ${reply.status}`);
     return { type: 'export.finished', exportId, pieces: decoded.exported };
@@ -115,7 +124,7 @@
       ...(call.body.length === 0 ? {} : { body: call.body }),
     });
     progress.hasStatus = true;
-    const body = new Uint8Array(await response.body.arrayBuffer());
+    const body = await bodies.read(response.body, connectionPools.memory);
     // The client takes a reset for the end of a response without a length, and does not name its socket.
     const mayBeCut = connectionPools.breaksOf(dispatcher) > breaksBefore;
     if (mayBeCut && !isFramed(response.headers)) throw new Error('response was reset');
@@ -160,14 +169,14 @@
 }
 
 export async function sendOrder(
-  dispatcher: undici.Dispatcher,
+  connectionPools: pools.Pools,
   address: string,
   order: core.messages.UpstreamOrder,
 ): Promise<core.messages.OrderReport> {
   const { orderId, fencing, action } = order;
   try {
-    const url = `http://${address}/v1/orders`;
-    const reply = await post(dispatcher, url, { orderId, fencing, action }, ORDER_TIMEOUT_MS);
+    const body = { orderId, fencing, action };
+    const reply = await post(connectionPools, address, '/v1/orders', body, ORDER_TIMEOUT_MS);
     if (reply.status === 200) return { type: 'order.accepted', orderId };
     const reason = reply.status === 409 ? 'old-fencing' : 'unsupported';
     return { type: 'order.refused', orderId, reason };
--- a/packages/plugins/upstreams-http/src/pools.ts
+++ b/packages/plugins/upstreams-http/src/pools.ts
@@ -2,9 +2,13 @@
 import * as lineFeed from '@medlarweir/line-feed';
 import * as undici from 'undici';
 
+import type * as bodies from './bodies.js';
+
 const CONNECT_TIMEOUT_MS = 1_000;
 
 export type Pools = {
+  /** Of the responses on all connections. */
+  memory: bodies.Memory;
   poolFor(address: string): undici.Pool;
   /** Connections of the pool that failed or were reset so far. */
   breaksOf(dispatcher: undici.Dispatcher): number;
@@ -40,6 +44,7 @@
   }
 
   return {
+    memory: { bufferedBytes: 0 },
     poolFor(address) {
       const found = pools.get(address) ?? createPool(address);
       pools.set(address, found);
--- a/packages/plugins/upstreams-http/src/runs.ts
+++ b/packages/plugins/upstreams-http/src/runs.ts
@@ -4,6 +4,9 @@
 
 import * as wire from './wire.js';
 
+/** A line holds a token, or the names of the pieces that a run has read. */
+const MAX_LINE_CHARACTERS = 1_000_000;
+
 type ReportAddress = core.kernel.Address<core.messages.RunReport>;
 
 /** Sends a prompt to an engine and reports each line of the response stream. */
@@ -40,29 +43,37 @@
 ): lineFeed.Stream {
   let hasEnded = false;
   let status = 0;
-  const fail = (sendProgress: core.messages.SendProgress, failure: core.results.Failure) => {
+  const endWith = (report: core.messages.RunReport) => {
     if (hasEnded) return;
     hasEnded = true;
-    replyTo.send({ type: 'run.failed', runId, progress: sendProgress, failure });
+    replyTo.send(report);
   };
+  const fail = (sendProgress: core.messages.SendProgress, failure: core.results.Failure) =>
+    endWith({ type: 'run.failed', runId, progress: sendProgress, failure });
   const onLine = (line: string) => {
-    if (hasEnded || status !== 200) return;
+    if (hasEnded) return;
     const decoded = wire.decodeRunLine(line);
     if (!decoded) {
       fail({ kind: 'responding' }, core.results.failure('upstreamMalformed', 'unreadable line'));
-      return;
-    }
-    hasEnded = decoded.kind === 'ended';
-    replyTo.send(toReport(decoded));
+    } else if (decoded.kind === 'ended') endWith(toReport(decoded));
+    else replyTo.send(toReport(decoded));
+    // What follows is of no use, and may not end.
+    if (hasEnded) stream.close();
   };
-  return lineFeed.open({
+  const stream = lineFeed.open({
     ...request,
+    maxLineCharacters: MAX_LINE_CHARACTERS,
     onStatus: (found) => {
       status = found;
+      if (status === 200) return;
+      const end: lineFeed.End = { kind: 'finished' };
+      fail(sendProgressOf(end, status), failureOf(end, status));
+      stream.close();
     },
     onLine,
     onEnd: (end) => fail(sendProgressOf(end, status), failureOf(end, status)),
   });
+  return stream;
 }
 
 function toReport(line: wire.RunLine): core.messages.RunReport {
--- a/packages/plugins/upstreams-http/src/upstreams-task.ts
+++ b/packages/plugins/upstreams-http/src/upstreams-task.ts
@@ -202,7 +202,6 @@
 
 function performOperation(sockets: Sockets, message: Operation, address: string): void {
   const { pools: connectionPools, runs: openRuns, imports } = sockets;
-  const dispatcher = connectionPools.poolFor(address);
   switch (message.type) {
     case 'upstreams.run': {
       const { runId } = message.order;
@@ -220,7 +219,7 @@
     case 'upstreams.cancel':
       openRuns.get(message.runId)?.close();
       openRuns.delete(message.runId);
-      void calls.cancelRun(dispatcher, address, message.runId);
+      void calls.cancelRun(connectionPools.poolFor(address), address, message.runId);
       return;
     case 'upstreams.import':
       startImport(sockets, message, address);
@@ -231,7 +230,7 @@
       return;
     case 'upstreams.export':
       void calls
-        .exportPieces(dispatcher, address, message.order)
+        .exportPieces(connectionPools, address, message.order)
         .then((report) => message.replyTo.send(report));
       return;
     case 'upstreams.call':
@@ -241,7 +240,7 @@
       return;
     case 'upstreams.order':
       void calls
-        .sendOrder(dispatcher, address, message.order)
+        .sendOrder(connectionPools, address, message.order)
         .then((report) => message.replyTo.send(report));
       return;
     default:
@@ -257,12 +256,10 @@
 ): void {
   const cancellation = new AbortController();
   imports.set(order.runId, cancellation);
-  void calls
-    .importPieces(connectionPools.poolFor(address), address, order, cancellation.signal)
-    .then((report) => {
-      imports.delete(order.runId);
-      if (!cancellation.signal.aborted) replyTo.send(report);
-    });
+  void calls.importPieces(connectionPools, address, order, cancellation.signal).then((report) => {
+    imports.delete(order.runId);
+    if (!cancellation.signal.aborted) replyTo.send(report);
+  });
 }
 
 /** Removes a run's connection from the open runs at the last report of the run. */
