--- a/packages/core/src/quarantine/ledger.ts
+++ b/packages/core/src/quarantine/ledger.ts
@@ -52,7 +52,7 @@
 };
 
 /** The object of the store that holds the crashes which this instance found, and its next write. */
-export type Record = {
+export type Recording = {
   crashes: readonly types.RecordedCrash[];
   /** 0 if there is no object. */
   version: number;
@@ -78,7 +78,7 @@
   /** Known objects of the store, by name. `isShown`: by a watch, and not only by the answer to a write. */
   stored: Map<string, { version: number; key: string; isShown: boolean }>;
   writes: Map<string, PendingWrite>;
-  record: Record;
+  record: Recording;
   news: News;
   lastTickAtMs: number | undefined;
   /** When this instance last ran again after a suspension. */
--- a/packages/core/src/quarantine/recording.ts
+++ b/packages/core/src/quarantine/recording.ts
@@ -46,7 +46,7 @@
   return parts.length === 0 ? [] : [{ ...crash, parts }];
 }
 
-function makeDue(record: ledgers.Record, atMs: number): void {
+function makeDue(record: ledgers.Recording, atMs: number): void {
   const dueAtMs = Math.max(Math.min(record.dueAtMs, atMs), record.writtenAtMs + WRITE_INTERVAL_MS);
   Object.assign(record, { dueAtMs });
 }
--- a/packages/plugins/upstreams-http/test/endless-answers.test.ts
+++ b/packages/plugins/upstreams-http/test/endless-answers.test.ts
@@ -56,12 +56,9 @@
 
 suite('the answer to an order without end is no answer', async () => {
   const service = await services.anEndlessService(`${OK}\r\n`, '{');
-  const order = { orderId: 'o-1', upstream: 'u-1', fencing: 1, action: { kind: 'drain' } };
-  const report = await calls.sendOrder(
-    poolsOf.create(),
-    service.address,
-    order as unknown as core.messages.UpstreamOrder,
-  );
+  const action = { kind: 'set-role', role: 'both' } as const;
+  const order = { orderId: 'o-1', upstream: 'u-1', fencing: 1, action };
+  const report = await calls.sendOrder(poolsOf.create(), service.address, order);
   assert.is(report.type, 'order.failed');
   assert.ok(await closes(service));
   service.close();
