--- a/packages/core/test/quarantine/companions.test.ts
+++ b/packages/core/test/quarantine/companions.test.ts
@@ -1,5 +1,6 @@
 /** Guards against sound parts that are taken for the cause because they came with a deadly one. */
 import * as fixtures from '@medlarweir/core/fixtures';
+import * as fastCheck from 'fast-check';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -68,4 +69,38 @@
   assert.equal(withdrawn, []);
 });
 
+/** Guards against a sound part that is refused by itself because all requests with it held a deadly one. */
+suite('a part that only came with a deadly one is served without it', () => {
+  fastCheck.assert(
+    fastCheck.property(
+      fixtures.WORLD_OPTIONS,
+      fastCheck.integer({ min: 3, max: 8 }),
+      (options, requests) => {
+        const quiet = { deadlyShare: 0, deadlyParts: ['deadly-1'], deadlyFromMs: 0 };
+        const world = fixtures.aQuarantineWorld({ ...options, ...quiet });
+        Array.from({ length: requests }).forEach((_, at) =>
+          world.sim.add(1_000 + at * 700, () =>
+            world.submit({
+              parts: ['subject', 'deadly-1'].sort(() => world.random.below(2) - 0.5),
+            }),
+          ),
+        );
+        const use = (): void => {
+          world.submit({ parts: ['subject'] });
+          world.sim.add(250, use);
+        };
+        world.sim.add(14_000, use);
+        world.sim.advance(40_000);
+        const denied = world.results.refused.filter(
+          ({ part, atMs }) => part === 'subject' && atMs > 14_000,
+        );
+        assert.equal(denied, [], world.log.join('\n'));
+        assert.ok((world.results.answered.get('subject')?.length ?? 0) > 50, world.log.join('\n'));
+        fixtures.checkBudget(world, quiet.deadlyParts);
+      },
+    ),
+    fixtures.seeded(30),
+  );
+});
+
 suite.run();
