--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -59,6 +59,11 @@
   requestFinished: { number: 433, level: 'info', text: 'request finished' },
   requestDenied: { number: 434, level: 'info', text: 'request refused by access checks' },
   requestRejected: { number: 435, level: 'warn', text: 'malformed request rejected' },
+  connectionRefused: {
+    number: 436,
+    level: 'warn',
+    text: 'connection of a caller ended without a request',
+  },
   lateAnswerDropped: { number: 404, level: 'warn', text: 'stale or duplicate message dropped' },
   claimRecorded: { number: 405, level: 'debug', text: 'claim recorded' },
   runResumed: { number: 406, level: 'info', text: 'run resumed' },
--- a/packages/plugins/callers-http/src/connections.ts
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -22,6 +22,7 @@
   onFlowControl(requestId: string, flow: 'open' | 'paused'): void;
   onCallerDisconnected(requestId: string): void;
   onListening(address: string): void;
+  onConnectionRefused(refused: server.RefusedConnection): void;
   onServerClosed(): void;
 };
 
@@ -76,6 +77,7 @@
         maxBodyBytes: () => maxBodyBytes,
         onRequest,
         onListening: handlers.onListening,
+        onConnectionRefused: handlers.onConnectionRefused,
       });
     },
     expect({ request, isStream }) {
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -26,6 +26,16 @@
   maxBodyBytes(): number;
   onRequest(incoming: IncomingRequest): void;
   onListening(address: string): void;
+  onConnectionRefused(refused: RefusedConnection): void;
+};
+
+export type RefusedConnection = {
+  /** Of the HTTP parser, or of the socket. */
+  reason: string;
+  /** 0 if the connection was closed without an answer. */
+  status: number;
+  /** Bytes that had been read from it. */
+  readBytes: number;
 };
 
 export function listen(address: string, handlers: Handlers): http.Server {
@@ -36,7 +46,15 @@
       if (incoming) handlers.onRequest(incoming);
     });
   });
-  server.on('clientError', (_error, socket) => rejectMalformed(socket as net.Socket));
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if (error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const status = rejectMalformed(socket as net.Socket);
+    const { bytesRead: readBytes } = socket as net.Socket;
+    handlers.onConnectionRefused({ reason: error.code ?? '', status, readBytes });
+  });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.keepAliveTimeout = KEEP_ALIVE_MS;
@@ -47,11 +65,14 @@
   return server;
 }
 
-/** Responds to input that is not valid HTTP with a numbered error and closes the connection. */
-function rejectMalformed(socket: net.Socket): void {
+/**
+ * Responds to input that is not valid HTTP with a numbered error and closes the connection. Returns the
+ * status, 0 if there was no answer.
+ */
+function rejectMalformed(socket: net.Socket): number {
   if (!socket.writable) {
     socket.destroy();
-    return;
+    return 0;
   }
   const body = encode.malformedBody();
   const head = [
@@ -61,6 +82,7 @@
     'connection: close',
   ];
   socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  return 400;
 }
 
 /** Returns `undefined` if the caller disconnected before the request was complete. */
