A connection that has been answered for the last time brings no request

Callers saw 408, or a 408 that they had not asked for on a connection opened ahead, and the request ran: REFUSED for those that read it, TWICE for those that sent the request again.

Cause: answers were given about a connection while its input was live. The server's check of time limits strikes before the bytes that came in a stall are read; the front ends answered with socket.end(), which closes one direction, and the parser went on to hand requests over. In the same class: a request behind one whose answer closes the connection was dispatched at once, and a request in flight lost its answer to garbage behind it.

Change: packages/caller-connections owns the connections of both front ends. A connection is open, ending or answered; requests have turns, and one starts only when all before it are answered and the connection can carry its answer. Limits count checks, so that a stall of the process is not the caller's, and look at the socket once more before they strike. A connection without a byte of a request is idle and not slow. An answered connection is read on for a second, so that no reset takes the answer away.

--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -54,7 +54,7 @@
       onCallerDisconnected: (requestId) =>
         context.self.send({ type: 'http.caller-disconnected', requestId }),
       onListening: (address) => context.self.send({ type: 'callers.listening', address }),
-      onConnectionRefused: (details) => context.record({ name: 'connectionRefused', details }),
+      onConnectionEnded: (details) => context.record({ name: 'connectionRefused', details }),
       onServerClosed: () => context.self.send({ type: 'callers.closed' }),
     });
     return {
--- a/packages/plugins/callers-http/src/connections.ts
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -2,6 +2,7 @@
 import * as crypto from 'node:crypto';
 import type * as http from 'node:http';
 
+import type * as callerConnections from '@medlarweir/caller-connections';
 import * as core from '@medlarweir/core';
 
 import * as encode from './encode.js';
@@ -10,6 +11,7 @@
 
 type PendingResponse = {
   response: http.ServerResponse;
+  turn: callerConnections.Turn;
   model: string;
   isStream: boolean;
   /** The text received so far, for callers that do not stream. */
@@ -22,7 +24,7 @@
   onFlowControl(requestId: string, flow: 'open' | 'paused'): void;
   onCallerDisconnected(requestId: string): void;
   onListening(address: string): void;
-  onConnectionRefused(refused: server.RefusedConnection): void;
+  onConnectionEnded(ended: callerConnections.Ended): void;
   onServerClosed(): void;
 };
 
@@ -44,11 +46,11 @@
 
 export function create(handlers: Handlers): Connections {
   const pendingResponses = new Map<string, PendingResponse>();
-  let listening: http.Server | undefined;
+  let listener: server.Listener | undefined;
   let maxBodyBytes = BODY_LIMIT_BEFORE_CONFIGURATION_BYTES;
   let isDraining = false;
 
-  function onRequest({ response, readResult }: server.IncomingRequest): void {
+  function onRequest({ response, turn, readResult }: server.IncomingRequest): void {
     if (readResult.kind === 'whole' && readResult.request.path === HEALTH_PATH) {
       response.writeHead(isDraining ? 503 : 200).end(isDraining ? 'leaving\n' : 'serving\n');
       return;
@@ -56,6 +58,7 @@
     const requestId = crypto.randomUUID();
     pendingResponses.set(requestId, {
       response,
+      turn,
       model: '',
       isStream: false,
       parts: [],
@@ -73,11 +76,11 @@
 
   return {
     listen(address) {
-      listening = server.listen(address, {
+      listener = server.listen(address, {
         maxBodyBytes: () => maxBodyBytes,
         onRequest,
         onListening: handlers.onListening,
-        onConnectionRefused: handlers.onConnectionRefused,
+        onConnectionEnded: handlers.onConnectionEnded,
       });
     },
     expect({ request, isStream }) {
@@ -97,7 +100,7 @@
       if (!found) return;
       const isLast = answer.type !== 'response.started' && answer.type !== 'response.token';
       if (isLast) pendingResponses.delete(answer.requestId);
-      if (isDraining && !found.response.headersSent) {
+      if ((isDraining || found.turn.isLast()) && !found.response.headersSent) {
         found.response.setHeader('connection', 'close');
       }
       writeTo(found, answer, () => handlers.onFlowControl(answer.requestId, 'paused'));
@@ -109,8 +112,8 @@
       isDraining = true;
     },
     close() {
-      listening?.close(() => handlers.onServerClosed());
-      listening?.closeIdleConnections();
+      listener?.server.close(() => handlers.onServerClosed());
+      listener?.connections.closeIdle();
     },
   };
 }
