--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -54,7 +54,8 @@
   body: string;
 };
 
-export type Options = { id?: string; model?: string; version?: number };
+type RanListener = (received: ReceivedRequest) => void;
+export type Options = { id?: string; model?: string; version?: number; onRan?: RanListener };
 
 export type Replica = {
   id: string;
@@ -92,6 +93,7 @@
   id = 'i-1',
   model = 'model-1',
   version = 1,
+  onRan = () => undefined,
 }: Options = {}): Promise<Replica> {
   const state = {
     fault: 'none' as Fault,
@@ -126,6 +128,7 @@
       return;
     }
     ran.push(received);
+    onRan(received);
     response.on('close', () => {
       if (!response.writableFinished) state.abandoned += 1;
     });
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -16,7 +16,7 @@
 /** Time after the exit of a process to read the output that is still in its pipes. */
 const OUTPUT_GRACE_MS = 100;
 const MAX_PARALLEL_FILES = Math.max(1, Math.min(6, os.availableParallelism() - 2));
-const FOLDERS = ['packages', 'platform', 'benchmark', 'examples', 'scripts'];
+const FOLDERS = ['packages', 'platform', 'benchmark', 'examples', 'scripts', 'soak'];
 
 function findTests(folder: string): readonly string[] {
   return fs.readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
--- /dev/null
+++ b/soak/src/upstream-main.ts
@@ -0,0 +1,19 @@
+/** An upstream as a process: `upstream-main.js ID`. Writes a line when it listens, and for each run. */
+import * as standIns from '@medlarweir/stand-ins';
+
+/** It refuses what comes in the first part of each period, and says so. */
+const PERIOD_MS = 1_000;
+const REFUSING_MS = 100;
+
+const write = (line: object) => process.stdout.write(`${JSON.stringify(line)}\n`);
+
+const [, , id = ''] = process.argv;
+const upstream = await standIns.replica.start({
+  id,
+  onRan: ({ requestId }) => write({ ran: requestId }),
+});
+setInterval(() => {
+  upstream.setFault('not-executed');
+  setTimeout(() => upstream.setFault('none'), REFUSING_MS);
+}, PERIOD_MS);
+write({ listening: upstream.address });
