--- a/packages/stand-ins/src/replica/crashes.ts
+++ b/packages/stand-ins/src/replica/crashes.ts
@@ -7,6 +7,7 @@
 export type Crasher = {
   isDeadly(received: replica.ReceivedRequest): boolean;
   setDeadlyPart(part: string, downMs: number): void;
+  setDeadlyBody(body: string, downMs: number): void;
   onRestart(listener: (startedAtMs: number) => Promise<void>): void;
   crash(): void;
   count(): number;
@@ -16,6 +17,7 @@
 export function create(server: http.Server): Crasher {
   const state = {
     part: undefined as string | undefined,
+    body: undefined as string | undefined,
     downMs: 0,
     count: 0,
     isClosed: false,
@@ -32,11 +34,13 @@
   }
 
   return {
-    isDeadly: ({ headers }) => {
+    isDeadly: ({ headers, body }) => {
+      if (body === state.body) return true;
       const parts = String(headers['x-medlarweir-prompt-prefix'] ?? '').split(',');
       return parts.some((each) => each.split(':')[0] === state.part);
     },
     setDeadlyPart: (part, downMs) => Object.assign(state, { part, downMs }),
+    setDeadlyBody: (body, downMs) => Object.assign(state, { body, downMs }),
     onRestart: (listener) => listeners.push(listener),
     crash() {
       if (!server.listening) return;
--- a/packages/stand-ins/src/replica/event-streams.ts
+++ b/packages/stand-ins/src/replica/event-streams.ts
@@ -19,6 +19,15 @@
   return fault === 'close-delimited-half' ? 'unframed-inside' : 'proper';
 }
 
+/** Sends the head of a stream. */
+export function begin(
+  response: http.ServerResponse,
+  headers: Readonly<Record<string, string>>,
+): void {
+  response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
+  response.flushHeaders();
+}
+
 /** Streams the events that come after the id `after`. */
 export function write(
   response: http.ServerResponse,
--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -17,10 +17,9 @@
  * middle of the response. `close-delimited`: no length; the end of the connection ends the response.
  * `close-delimited-reset`: the same, but the connection is reset. `close-delimited-empty` and
  * `close-delimited-half`: a stream without a length that ends properly before or inside an event.
- * `malformed-response`: bytes that are
- * not an HTTP response. `unrequested-encoding`: a content encoding that was not requested.
- * `unconfirmed-503`: 503 without that header. `silent`: never responds. `error`: 500.
- * `extra-response`: a second response after the first. `no-seal`: 200 without the seal header.
+ * `malformed-response`: bytes that are not an HTTP response. `unrequested-encoding`: a content encoding
+ * that was not requested. `unconfirmed-503`: 503 without that header. `silent`: never responds.
+ * `error`: 500. `extra-response`: a second response after the first. `no-seal`: 200 without the seal.
  */
 export { ENDLESS_FAULTS } from './endless.js';
 export { PACE_HEADERS } from './pacing.js';
@@ -54,7 +53,7 @@
   body: string;
 };
 
-type RanListener = (received: ReceivedRequest) => void;
+type RanListener = (ran: ReceivedRequest) => void;
 export type Options = { id?: string; model?: string; version?: number; onRan?: RanListener };
 
 export type Replica = {
@@ -69,8 +68,9 @@
   /** Connections on which an answer without end has not been closed. */
   countEndless(): number;
   setFault(fault: Fault): void;
-  /** From now on, a prompt with the part makes the upstream crash as it begins to answer. */
+  /** From now on, a prompt with the part or a request with the body crashes the upstream that runs it. */
   setDeadlyPart(part: string, downMs: number): void;
+  setDeadlyBody(body: string, downMs: number): void;
   /** Called with the time of each start after a crash. */
   onRestart(listener: (startedAtMs: number) => Promise<void>): void;
   countCrashes(): number;
@@ -132,9 +132,9 @@
     response.on('close', () => {
       if (!response.writableFinished) state.abandoned += 1;
     });
+    const isStream = received.headers['x-medlarweir-model'] !== undefined;
     if (crasher.isDeadly(received)) {
-      response.writeHead(200, { ...headersOf(received), 'content-type': 'text/event-stream' });
-      response.flushHeaders();
+      if (isStream) eventStreams.begin(response, headersOf(received));
       setTimeout(crasher.crash, state.pauseMs);
       return;
     }
@@ -147,7 +147,6 @@
       endless.answer(request.socket, state.fault, headerLinesOf(headersOf(received)));
       return;
     }
-    const isStream = received.headers['x-medlarweir-model'] !== undefined;
     if (resumptions.isResumption(state.fault) && received.headers['last-event-id'] !== undefined) {
       resumptions.answer(response, state.fault, headersOf(received));
       return;
@@ -291,6 +290,7 @@
       state.fault = fault;
     },
     setDeadlyPart: crasher.setDeadlyPart,
+    setDeadlyBody: crasher.setDeadlyBody,
     onRestart: crasher.onRestart,
     countCrashes: crasher.count,
     setStream: (events, pauseMs) => Object.assign(state, { events, pauseMs }),
