Quarantine: a whole request is named beside its prompt's parts

Cause: evidence needs a name, and only parts of prompts had one. The check at placement let requests without a prompt pass, and their attempts were not recorded; a prompt with sound parts that went down before a head was found by nothing either.

Change: the request itself, a digest of method, host, path, client account and body, is one more name in the one mechanism of evidence, verdicts, trials, records and lists. A whole answer clears it, an error too. Upstreams that go down within 50 ms count once for it. News of a request that was counted once are told once, since most never come again; tallies are kept for 2,048 names.

Six older tests asserted the exact suspects or the number of tallies: they name the request beside the parts now, or count parts alone; what an error shows to be sound is asserted beside success.

--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -90,8 +90,12 @@
     level: 'warn',
     text: 'requests without an event suspected of an upstream’s crash',
   },
-  partCondemned: { number: 542, level: 'warn', text: 'prompt part quarantined' },
-  verdictLifted: { number: 543, level: 'info', text: 'quarantine of a prompt part lifted' },
+  partCondemned: { number: 542, level: 'warn', text: 'request or prompt part quarantined' },
+  verdictLifted: {
+    number: 543,
+    level: 'info',
+    text: 'quarantine of a request or prompt part lifted',
+  },
   trialStarted: { number: 544, level: 'info', text: 'quarantined part let through once' },
   crashesRestored: {
     number: 545,
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -21,6 +21,8 @@
   requestId: string;
   service: string;
   prompt: request.Prompt | undefined;
+  /** Name of what the request asks for, the same in each of its caller's attempts. */
+  content: string;
   /** Empty without one. */
   clientAccount: string;
   /** Name of the client account if it shares no context with others. */
--- a/packages/core/src/fleet/quarantine-messages.ts
+++ b/packages/core/src/fleet/quarantine-messages.ts
@@ -47,14 +47,15 @@
 
 function onBegun(
   state: fleet.State,
-  { requestId, upstream }: MessageOf<'fleet.attempt-begun'>,
+  { requestId, upstream, survived }: MessageOf<'fleet.attempt-begun'>,
   now: task.Instant,
 ): readonly decideTypes.Command[] {
   const ledger = state.quarantine;
   const attempt = ledger.attempts.get(requestId);
   if (!attempt || attempt.upstream !== upstream || attempt.hasBegun) return [];
   ledger.attempts.set(requestId, { ...attempt, hasBegun: true });
-  const { model, parts } = attempt;
+  const { model } = attempt;
+  const parts = soundParts(attempt, survived);
   return quarantineSteps.toCommands(
     state,
     quarantine.evidence.addSuccess(ledger, model, parts, now),
@@ -62,6 +63,20 @@
   );
 }
 
+function soundParts(
+  { parts }: quarantine.ledger.Attempt,
+  survived: quarantine.Survived,
+): readonly string[] {
+  switch (survived) {
+    case 'prompt-and-request':
+      return parts;
+    case 'request':
+      return parts.filter(quarantine.isOfRequest);
+    default:
+      return results.assertNever(survived);
+  }
+}
+
 function onUpdate(
   state: fleet.State,
   { update }: MessageOf<'fleet.quarantine-update'>,
--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -1,4 +1,4 @@
-/** Connects the quarantine of prompt parts with attempts, probes and the list of upstreams. */
+/** Connects the quarantine of requests and prompt parts with attempts, probes and the list of upstreams. */
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import type * as gatewayMessages from '../messages/gateway.js';
@@ -25,30 +25,35 @@
 
 export function check(
   state: fleet.State,
-  { prompt, requestId, clientAccount, isRepeat }: placement.Request,
+  asked: placement.Request,
   now: task.Instant,
 ): quarantine.Decision {
-  if (!prompt) return { kind: 'allowed', trialOf: [] };
-  const request = { requestId, clientAccount, isRepeat, ...partsOf(prompt) };
+  const { requestId, clientAccount, isRepeat } = asked;
+  const request = { requestId, clientAccount, isRepeat, ...namesOf(asked) };
   return quarantine.check(state.quarantine, request, now);
 }
 
-function partsOf({ model, parts }: NonNullable<placement.Request['prompt']>) {
-  const ids = parts.map(({ id }) => id);
-  return { model, parts: [...new Set(ids.slice(0, -1)), ...ids.slice(-1)] };
+function namesOf({ prompt, content }: placement.Request) {
+  const ids = prompt?.parts.map(({ id }) => id) ?? [];
+  return {
+    model: prompt?.model ?? quarantine.NO_MODEL,
+    parts: [...new Set(ids), quarantine.ofRequest(content)],
+    lastPart: ids.at(-1),
+  };
 }
 
 /** Records the attempt, which spends the trial that let it through. */
 export function onPlaced(
   state: fleet.State,
-  { prompt, requestId, clientAccount }: placement.Request,
+  asked: placement.Request,
   id: string,
   trialOf: readonly string[],
   replyTo: gatewayMessages.RequestAddress,
 ): readonly decide.Command[] {
   const upstream = state.registry.upstreams.get(id);
-  if (!prompt || !upstream) return [];
-  const { model, parts } = partsOf(prompt);
+  if (!upstream) return [];
+  const { requestId, clientAccount } = asked;
+  const { model, parts, lastPart } = namesOf(asked);
   const isTrial = trialOf.length > 0;
   const attempt: quarantine.ledger.Attempt = {
     requestId,
@@ -57,6 +62,7 @@
     clientAccount,
     model,
     parts,
+    lastPart,
     hasHead: false,
     hasBegun: false,
     isTrial,
--- a/packages/core/src/gateway/attempt-result.ts
+++ b/packages/core/src/gateway/attempt-result.ts
@@ -2,6 +2,7 @@
  * Classifies the result of one attempt. This is the only place in the gateway that decides whether
  * a request counts as "not run".
  */
+import type * as quarantine from '../quarantine/types.js';
 import * as results from '../results/index.js';
 import type * as request from './request.js';
 import type * as routes from './routes.js';
@@ -63,14 +64,11 @@
   return { kind: status >= FIRST_ERROR ? 'failed' : 'deliver' };
 }
 
-/** Whether the whole answer shows that the upstream survived it: its end is marked, and its id is sealed. */
-export function isWholeSuccess(result: Result): boolean {
-  return (
-    result.kind === 'answered' &&
-    result.isSealed &&
-    result.head.isFramed &&
-    result.head.status < FIRST_FAILURE
-  );
+/** What the upstream survived, if the whole answer shows that: its end is marked, and its id is sealed. */
+export function survivedBy(result: Result): quarantine.Survived | undefined {
+  const isWhole = result.kind === 'answered' && result.isSealed && result.head.isFramed;
+  if (!isWhole) return undefined;
+  return result.head.status < FIRST_FAILURE ? 'prompt-and-request' : 'request';
 }
 
 /** Whether a request that may have run may be sent again. */
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -7,5 +7,6 @@
 export * as lifecycleState from './lifecycle-state.js';
 export * as overload from './overload.js';
 export * as request from './request.js';
+export * as requestContent from './request-content.js';
 export * as retryBudget from './retry-budget.js';
 export * as routes from './routes.js';
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -2,6 +2,7 @@
 import * as drain from '../drain/drain.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/gateway.js';
+import type * as quarantine from '../quarantine/types.js';
 import type * as codes from '../results/codes.js';
 import type * as attemptResult from './attempt-result.js';
 import type * as request from './request.js';
@@ -72,7 +73,7 @@
   | { kind: 'unschedule'; timer: messages.RequestTimer }
   | { kind: 'report'; attempt: Attempt; outcome: AttemptOutcome }
   /** The attempt got through to its upstream’s answer. */
-  | { kind: 'report-begun'; attempt: Attempt }
+  | { kind: 'report-begun'; attempt: Attempt; survived: quarantine.Survived }
   | { kind: 'record-failed-attempt'; upstream: string; reason: string }
   | { kind: 'record-request-end'; outcome: RequestOutcome };
 
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -230,8 +230,9 @@
     kind: 'unschedule',
     timer,
   }));
-  const begun: readonly lifecycleState.Command[] = attemptResult.isWholeSuccess(result)
-    ? [{ kind: 'report-begun', attempt }]
+  const survived = attemptResult.survivedBy(result);
+  const begun: readonly lifecycleState.Command[] = survived
+    ? [{ kind: 'report-begun', attempt, survived }]
     : [];
   return {
     state: step.state,
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -34,7 +34,12 @@
       outcome: lifecycle.AttemptOutcome;
     }
   /** The first complete event of an attempt, or its whole answer, has arrived. */
-  | { type: 'fleet.attempt-begun'; upstream: string; requestId: string }
+  | {
+      type: 'fleet.attempt-begun';
+      upstream: string;
+      requestId: string;
+      survived: quarantine.Survived;
+    }
   | {
       type: 'fleet.upstream-responded';
       upstream: string;
--- a/packages/core/src/quarantine/check.ts
+++ b/packages/core/src/quarantine/check.ts
@@ -1,4 +1,4 @@
-/** Whether a request may go to an upstream, as far as the parts of its prompt are concerned. */
+/** Whether a request may go to an upstream, as far as it and the parts of its prompt are concerned. */
 import type * as task from '../kernel/task.js';
 import * as clearing from './clearing.js';
 import type * as command from './command.js';
@@ -15,7 +15,7 @@
   requestId: string;
   clientAccount: string;
   model: string;
-  /** The last part is that of the request, or of its session. */
+  /** Those of its prompt, and the request itself. */
   parts: readonly string[];
   /** Whether an attempt before this one may have run. */
   isRepeat: boolean;
@@ -48,12 +48,12 @@
   }
   const suspected = request.isRepeat ? suspectedPart(ledger, request, now) : undefined;
   if (suspected !== undefined) {
-    const detail = `part ${suspected} of ${model} is suspected of a crash`;
+    const detail = `${names.describe(model, suspected)} is suspected of a crash`;
     return { kind: 'refused', reason: 'suspected', detail, freeInMs: undefined, commands: [] };
   }
   const awaited = awaitedPart(ledger, request, now);
   if (awaited !== undefined) {
-    const detail = `part ${awaited} of ${model} is suspected of a crash, and in flight already`;
+    const detail = `${names.describe(model, awaited)} is suspected of a crash, and in flight already`;
     const freeInMs = ONE_AT_A_TIME_RETRY_MS;
     return { kind: 'refused', reason: 'one-at-a-time', detail, freeInMs, commands: [] };
   }
--- a/packages/core/src/quarantine/ledger.ts
+++ b/packages/core/src/quarantine/ledger.ts
@@ -2,7 +2,7 @@
 import type * as gatewayMessages from '../messages/gateway.js';
 import type * as types from './types.js';
 
-/** One of this instance's attempts in flight with a prompt. */
+/** One of this instance's attempts in flight. */
 export type Attempt = {
   requestId: string;
   upstream: string;
@@ -10,8 +10,10 @@
   crash: string;
   clientAccount: string;
   model: string;
-  /** The last part is that of the request, or of its session. */
+  /** Those of its prompt, and the request itself. */
   parts: readonly string[];
+  /** The last part of the prompt, which only requests of one session have; undefined without a prompt. */
+  lastPart: string | undefined;
   /** Whether the head of the answer has come. */
   hasHead: boolean;
   hasBegun: boolean;
--- a/packages/core/src/quarantine/publishing.ts
+++ b/packages/core/src/quarantine/publishing.ts
@@ -51,6 +51,7 @@
   const { news, instance } = ledger;
   expire(news, now);
   const suspects = [...news.suspects.values()]
+    .filter(({ suspect }) => isRepeated(ledger, suspect))
     .slice(-MAX_SUSPECTS)
     .map(({ suspect, atMs }) => ({ ...suspect, ageMs: now.monotonicMs - atMs }));
   const cleared = [...news.cleared.values()].slice(-MAX_PARTS).map(({ part }) => part);
@@ -62,6 +63,14 @@
   return [{ kind: 'send-quarantine-update', update, audience: 'some' }];
 }
 
+/** Most requests in flight at a crash never come again; what they ask for is told once until it does. */
+function isRepeated({ tallies }: ledgers.Ledger, { model, parts }: types.Suspect): boolean {
+  return parts.some((part) => {
+    const crashes = tallies.get(names.partKey(model, part))?.crashes.length ?? 0;
+    return !names.isOfRequest(part) || crashes > 1;
+  });
+}
+
 function expire(news: ledgers.News, now: task.Instant): void {
   const oldestMs = now.monotonicMs - NEWS_MS;
   ledgers.deleteOlder(news.suspects, ({ atMs }) => atMs, oldestMs);
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -36,8 +36,8 @@
 }
 
 /** Without a head, the last part says nothing: the upstream may only have held the request. */
-function suspectedParts({ parts, hasHead }: ledgers.Attempt): readonly string[] {
-  return hasHead ? parts : parts.slice(0, -1);
+function suspectedParts({ parts, lastPart, hasHead }: ledgers.Attempt): readonly string[] {
+  return hasHead ? parts : parts.filter((part) => part !== lastPart);
 }
 
 /** The instance itself may have been stopped while upstreams came and went. */
--- a/packages/core/src/quarantine/tally.ts
+++ b/packages/core/src/quarantine/tally.ts
@@ -7,9 +7,12 @@
 
 /** Upstreams that go down together are one event: a data centre, a cut. */
 const MIN_DISTANCE_MS = 250;
+/** Upstreams that go down for one reason rarely hold the same request; ends that come together are that reason. */
+const MIN_DISTANCE_OF_REQUEST_MS = 50;
 /** Suspects of one crash are heard of within this time; later ones are of a crash after an unseen return. */
 const SAME_CRASH_MS = 1_500;
-const MAX_TALLIES = 512;
+/** A crash counts for each request in flight at the upstream. */
+const MAX_TALLIES = 2_048;
 const MAX_CRASHES = 8;
 export const TALLY_RETENTION_MS = 600_000;
 
@@ -25,12 +28,13 @@
   const key = names.partKey(model, part);
   if (clearing.isCleared(ledger, key, now)) return undefined;
   const known = ledger.tallies.get(key)?.crashes ?? [];
+  const minDistanceMs = names.isOfRequest(part) ? MIN_DISTANCE_OF_REQUEST_MS : MIN_DISTANCE_MS;
   const isCounted = known.some(
     (each) =>
       each.requestId === requestId ||
       (each.crash === crash && Math.abs(each.atMs - atMs) < SAME_CRASH_MS) ||
       // Of upstreams that go down together, few had just begun an answer: a head tells such crashes apart.
-      (!hadHead && Math.abs(each.atMs - atMs) < MIN_DISTANCE_MS),
+      (!hadHead && Math.abs(each.atMs - atMs) < minDistanceMs),
   );
   if (isCounted) return undefined;
   const crashes = [...known, { crash, upstream, requestId, clientAccount, parts, atMs }];
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -29,6 +29,12 @@
 export type WriteOutcome =
   { kind: 'written'; version: number } | { kind: 'conflict'; version: number } | { kind: 'lost' };
 
+/**
+ * What an answer shows to be sound: an error may have come before the parts of the prompt were read, and
+ * says only that the upstream survived the request.
+ */
+export type Survived = 'prompt-and-request' | 'request';
+
 export type PartOfModel = { model: string; part: string };
 
 /** A part that reaches no upstream any more, with its evidence. */
--- a/packages/core/src/quarantine/verdicts.ts
+++ b/packages/core/src/quarantine/verdicts.ts
@@ -191,7 +191,7 @@
 export function describe({ model, part, companions, crashes }: types.Verdict): string {
   const upstreams = distinct(crashes.map(({ upstream }) => upstream)).join(', ');
   const beside = companions.length === 0 ? '' : ` beside ${companions.join(', ')}`;
-  return `part ${part} of ${model}${beside} is in quarantine after crashes of ${upstreams}`;
+  return `${names.describe(model, part)}${beside} is in quarantine after crashes of ${upstreams}`;
 }
 
 function distinct(values: readonly string[]): readonly string[] {
--- a/packages/core/src/results/request-codes.ts
+++ b/packages/core/src/results/request-codes.ts
@@ -92,12 +92,12 @@
   title: 'instance is leaving',
   hint: 'Not run. Connect again; the balancer chooses another instance.',
 };
-/** A part of the prompt crashed upstreams repeatedly, so the request is kept from them. */
+/** The request, or a part of its prompt, crashed upstreams repeatedly and is kept from them. */
 const promptQuarantined: code.Code = {
   number: 2007,
   status: 422,
-  title: 'prompt part in quarantine',
-  hint: 'Do not repeat it. Send the prompt without the part, or ask the operators to lift the quarantine.',
+  title: 'request or prompt part in quarantine',
+  hint: 'Do not repeat it. Change the request or leave the part out, or ask the operators to lift the quarantine.',
 };
 /** The right to send to a cold upstream expired before the send. */
 const coldRightLapsed: code.Code = {
--- a/packages/core/test/gateway/quarantined.test.ts
+++ b/packages/core/test/gateway/quarantined.test.ts
@@ -85,18 +85,20 @@
 });
 
 /** Guards against an answer that its upstream broke off and that counts as a success for its parts. */
-suite('a whole answer tells the fleet that its parts got through only if its end is marked', () => {
-  const hasBegun = (result: core.gateway.attemptResult.Result) => {
+suite('a whole answer tells the fleet what got through only if its end is marked', () => {
+  const survivedBy = (result: core.gateway.attemptResult.Result) => {
     const lifecycle = fixtures.aLifecycle();
     fixtures.placeAttempt(lifecycle, 'u-1');
-    return fixtures.endAttempt(lifecycle, result).some(({ kind }) => kind === 'report-begun');
+    return fixtures
+      .endAttempt(lifecycle, result)
+      .flatMap((command) => (command.kind === 'report-begun' ? [command.survived] : []));
   };
   const unframed = { ...fixtures.aResponseHead(), isFramed: false };
   const body = Buffer.from('answer');
-  assert.ok(hasBegun(fixtures.anAnsweredAttempt(200)));
-  assert.not.ok(hasBegun(fixtures.anAnsweredAttempt(200, false)));
-  assert.not.ok(hasBegun(fixtures.anAnsweredAttempt(500)));
-  assert.not.ok(hasBegun({ kind: 'answered', head: unframed, body, isSealed: true }));
+  assert.equal(survivedBy(fixtures.anAnsweredAttempt(200)), ['prompt-and-request']);
+  assert.equal(survivedBy(fixtures.anAnsweredAttempt(200, false)), []);
+  assert.equal(survivedBy(fixtures.anAnsweredAttempt(500)), ['request']);
+  assert.equal(survivedBy({ kind: 'answered', head: unframed, body, isSealed: true }), []);
 });
 
 suite.run();
--- a/packages/core/test/quarantine/exchange.test.ts
+++ b/packages/core/test/quarantine/exchange.test.ts
@@ -41,7 +41,7 @@
   const fleet = fixtures.aQuarantineFleet();
   const [told] = updates(fleet.crash({ requestId: 'a', parts: ['deadly'] }, 100));
   assert.is(told?.audience, 'all');
-  assert.equal(told?.update.suspects[0]?.parts, ['deadly']);
+  assert.equal(told?.update.suspects[0]?.parts, ['deadly', 'request-content-of-a']);
   const [repeated] = updates(tick(fleet, 600));
   assert.is(repeated?.audience, 'some');
   assert.is(repeated?.update.suspects[0]?.ageMs, 500);
--- a/packages/core/test/quarantine/recording.test.ts
+++ b/packages/core/test/quarantine/recording.test.ts
@@ -61,7 +61,7 @@
   assert.is(first?.expectedVersion, 0);
   assert.equal(
     first?.crashes.map(({ requestId, parts }) => [requestId, parts]),
-    [['a', ['deadly']]],
+    [['a', ['deadly', 'request-content-of-a']]],
   );
   answer(fleet, { kind: 'written', version: 7 }, 1_020);
   const [second] = writesOf(fleet.crash({ requestId: 'b', parts: ['deadly'] }, 2_000));
@@ -115,7 +115,7 @@
   const [write] = tick(fleet, 7_600);
   assert.equal(
     write?.crashes.map(({ parts }) => parts),
-    [['q']],
+    [['q', 'request-content-of-a']],
   );
 });
 
--- a/packages/core/test/quarantine/verdicts.test.ts
+++ b/packages/core/test/quarantine/verdicts.test.ts
@@ -27,7 +27,7 @@
   [0, 1, 2, 3].forEach((at) =>
     fleet.crash({ requestId: 'same', parts: [], isRepeat: at > 0 }, 1_000 * at),
   );
-  assert.is(fleet.state.quarantine.tallies.size, 0);
+  assert.equal(fixtures.countedParts(fleet), []);
 });
 
 /** Guards against a caller that repeats a request with sound shared parts, and takes upstreams down each time. */
@@ -205,7 +205,7 @@
     fleet.probe(upstream, { kind: 'healthy', coldMs: undefined }, atMs + 5);
     fleet.send({ type: 'fleet.tick' }, atMs + downAfterMs - 1);
     fleet.end('another', upstream, 'unreachable', atMs + downAfterMs);
-    return fleet.state.quarantine.tallies.size;
+    return fixtures.countedParts(fleet).length;
   };
   assert.is(breakAt('a', 0, 1_000), 1);
   assert.is(breakAt('b', 0, 1_600), 0);
@@ -217,7 +217,7 @@
     const upstream = fleet.place({ requestId: 'a', parts: ['p'] }, 0);
     fleet.end('a', upstream, 'broken', 0);
     fleet.send(message(upstream), 500);
-    return fleet.state.quarantine.tallies.size;
+    return fixtures.countedParts(fleet).length;
   };
   const list = (update: Partial<core.fleet.discovery.Update>): core.messages.FleetMessage => ({
     type: 'fleet.upstream-list-read',
@@ -246,7 +246,7 @@
   fleet.send({ type: 'fleet.upstream-list-read', update }, 100);
   fleet.end('a', upstream, 'broken', 200);
   fleet.probe(upstream, { kind: 'no-response' }, 300);
-  assert.is(fleet.state.quarantine.tallies.size, 0);
+  assert.equal(fixtures.countedParts(fleet), []);
 });
 
 /** Guards against breaks whose time is that of the instance’s return from a suspension. */
@@ -256,7 +256,7 @@
   const upstream = fleet.place({ requestId: 'a', parts: ['p'] }, 100);
   fleet.end('a', upstream, 'broken', 5_000);
   fleet.probe(upstream, { kind: 'no-response' }, 5_100);
-  assert.is(fleet.state.quarantine.tallies.size, 0);
+  assert.equal(fixtures.countedParts(fleet), []);
 });
 
 suite('a success of an attempt in flight lifts the verdict and tells all', () => {
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -9,6 +9,7 @@
 
 type RequestContext = {
   routed: RoutedRequest;
+  content: string;
   caller: core.messages.ReplyAddress;
   context: core.kernel.TaskContext<Message, Settings>;
   history: AttemptHistory;
@@ -34,7 +35,9 @@
   return {
     name: 'request',
     create: (context) => {
-      const scope = { routed, caller, context, history: emptyHistory() };
+      const { request, clientAccount } = routed;
+      const content = core.gateway.requestContent.nameOf(request, clientAccount?.name ?? '');
+      const scope = { routed, content, caller, context, history: emptyHistory() };
       return {
         initial: core.gateway.lifecycleState.initial(routed),
         decide: core.gateway.lifecycle.decide,
@@ -106,7 +109,8 @@
       return;
     case 'report-begun': {
       const { upstream } = command.attempt.destination;
-      send('fleet', { type: 'fleet.attempt-begun', requestId, upstream });
+      const { survived } = command;
+      send('fleet', { type: 'fleet.attempt-begun', requestId, upstream, survived });
       return;
     }
     case 'record-failed-attempt':
@@ -125,7 +129,7 @@
 }
 
 function requestPlacement(
-  { routed, context }: RequestContext,
+  { routed, content, context }: RequestContext,
   { excluded, mayRefuse, isRepeat }: Extract<Command, { kind: 'place' }>,
 ): void {
   const { request, route, service, clientAccount } = routed;
@@ -138,6 +142,7 @@
       requestId,
       service,
       prompt,
+      content,
       clientAccount: clientAccount?.name ?? '',
       isolatedAccount,
       excludedUpstreams: excluded,
