A planned stop closes no connection whose answer is not read yet

A caller that had not begun to read an answer larger than the system's buffers got a part of it when its instance stopped: 3.9 of 16 MB.

Cause: as the front end stops accepting connections, Node's http close destroys all connections without a request in flight, among them those whose answer has been ended but not flushed. Found while looking for connections that are ended without their request's task.

Change: the record of connections stops the listener alone and closes what is idle by its own account: a request is open until its answer has been flushed.

--- a/packages/caller-connections/src/connections.ts
+++ b/packages/caller-connections/src/connections.ts
@@ -1,6 +1,6 @@
 /** Follows the connections of callers, and decides when each of them ends. */
 import type * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 
 import * as answers from './answers.js';
 import * as turns from './turns.js';
@@ -36,7 +36,8 @@
 export type Connections = {
   /** The turn of a request. Undefined if its connection takes none any more; it must not be answered. */
   begin(request: http.IncomingMessage, response: http.ServerResponse): turns.Turn | undefined;
-  closeIdle(): void;
+  /** Stops accepting connections and closes idle ones. Calls back once the others are closed, too. */
+  stop(onClosed?: () => void): void;
   /** Closes all, also those with a request in flight. */
   closeAll(): void;
 };
@@ -192,7 +193,9 @@
         isLast: () => connection.phase !== 'open' && connection.turns.at(-1) === waiting,
       };
     },
-    closeIdle() {
+    stop(onClosed) {
+      // The HTTP server's own `close` also cuts answers that have been written but not read.
+      net.Server.prototype.close.call(server, onClosed);
       [...all.values()].filter(isIdle).forEach(({ socket }) => socket.destroy());
     },
     closeAll: () => [...all.keys()].forEach((socket) => socket.destroy()),
--- a/packages/caller-connections/test/connections.test.ts
+++ b/packages/caller-connections/test/connections.test.ts
@@ -43,7 +43,7 @@
   });
   const { port } = server.address() as net.AddressInfo;
   const close = () => {
-    server.close();
+    connections.stop();
     connections.closeAll();
   };
   return { port, handed, ended, connections, close };
@@ -195,7 +195,7 @@
   busy.socket.write(aRequest('/busy'));
   begun.socket.write('POST /begun HTTP');
   await timers.setTimeout(SOON_MS);
-  front.connections.closeIdle();
+  front.connections.stop();
   await timers.setTimeout(SOON_MS);
   assert.equal([idle.end(), busy.end(), begun.end()], ['end', 'open', 'open']);
   front.close();
--- a/packages/plugins/callers-http/src/connections.ts
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -46,7 +46,7 @@
 
 export function create(handlers: Handlers): Connections {
   const pendingResponses = new Map<string, PendingResponse>();
-  let listener: server.Listener | undefined;
+  let listener: callerConnections.Connections | undefined;
   let maxBodyBytes = BODY_LIMIT_BEFORE_CONFIGURATION_BYTES;
   let isDraining = false;
 
@@ -112,8 +112,7 @@
       isDraining = true;
     },
     close() {
-      listener?.server.close(() => handlers.onServerClosed());
-      listener?.connections.closeIdle();
+      listener?.stop(() => handlers.onServerClosed());
     },
   };
 }
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -29,9 +29,7 @@
   onConnectionEnded(ended: callerConnections.Ended): void;
 };
 
-export type Listener = { server: http.Server; connections: callerConnections.Connections };
-
-export function listen(address: string, handlers: Handlers): Listener {
+export function listen(address: string, handlers: Handlers): callerConnections.Connections {
   const { host, port } = core.settings.address.split(address);
   // Node answers a missing host itself, without a code; the check of the head covers it.
   const server = http.createServer({ requireHostHeader: false }, (request, response) => {
@@ -52,7 +50,7 @@
     const bound = server.address() as net.AddressInfo;
     handlers.onListening(`${bound.address}:${bound.port}`);
   });
-  return { server, connections };
+  return connections;
 }
 
 /** Returns `undefined` if the caller disconnected before the request was complete. */
