Soak: runs beside each other do not meet

Change: instances listen in a block of ports of their own, below those that the system gives out; ids of upstreams hold the process id.

--- a/soak/src/children.ts
+++ b/soak/src/children.ts
@@ -44,14 +44,22 @@
   };
 }
 
-export async function aFreeAddress(): Promise<string> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return `127.0.0.1:${port}`;
+/** Below the ports that the system gives to others while a process is being restarted. */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+const PORTS_PER_RUN = 100;
+
+/** Addresses that stay free for this process. */
+export function freeAddresses(): () => Promise<string> {
+  const state = { port: FIRST_PORT + ((process.pid * PORTS_PER_RUN) % PORTS) };
+  return async function next(): Promise<string> {
+    state.port += 1;
+    const { port } = state;
+    const server = net.createServer();
+    const isFree = await new Promise<boolean>((resolve) => {
+      server.on('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+    });
+    return isFree ? `127.0.0.1:${port}` : next();
+  };
 }
--- a/soak/src/deployment.ts
+++ b/soak/src/deployment.ts
@@ -68,7 +68,8 @@
 
   async function startUpstream(): Promise<{ child: children.Child; id: string }> {
     state.births += 1;
-    const id = `i-${state.births}`;
+    // Addresses of upstreams are used again, also by other runs at the same time.
+    const id = `i-${process.pid}-${state.births}`;
     const { child, address } = await startListening(
       'soak/src/upstream-main.ts',
       [id],
@@ -93,9 +94,11 @@
 
   await write('config', 'main', configuration(state.version));
   const upstreams = await Promise.all(Array.from({ length: counts.upstreams }, startUpstream));
-  const instances = await Promise.all(
-    Array.from({ length: counts.instances }, (_, at) => anInstance(`instance-${at + 1}`, store)),
-  );
+  const freeAddress = children.freeAddresses();
+  const instances: Awaited<ReturnType<typeof anInstance>>[] = [];
+  for (let at = 0; at < counts.instances; at += 1) {
+    instances.push(await anInstance(`instance-${at + 1}`, store, freeAddress));
+  }
   const running = await Promise.all(instances.map((each) => each.start()));
   const deployment = {
     store: started.child,
@@ -152,9 +155,10 @@
 async function anInstance(
   name: string,
   store: string,
+  freeAddress: () => Promise<string>,
 ): Promise<{ callers: string; start(): Promise<children.Child> }> {
-  const [callers, readiness] = [await children.aFreeAddress(), await children.aFreeAddress()];
-  const [metrics, notes] = [await children.aFreeAddress(), await children.aFreeAddress()];
+  const [callers, readiness] = [await freeAddress(), await freeAddress()];
+  const [metrics, notes] = [await freeAddress(), await freeAddress()];
   const args = [
     ...['--name', name, '--data-centre', 'dc-1', '--platform', store],
     ...['--retry-extra', '1000', '--retry-ratio', '5'],
