--- a/soak/src/deployment.ts
+++ b/soak/src/deployment.ts
@@ -6,8 +6,6 @@
 import * as children from './children.js';
 import * as proxies from './proxy.js';
 
-export type Instance = { callers: string; child: children.Child };
-
 export type Deployment = {
   store: children.Child;
   /** The present process of each upstream and instance, by its number. */
