--- a/packages/medlarctl/src/commands/quarantine.ts
+++ b/packages/medlarctl/src/commands/quarantine.ts
@@ -9,7 +9,7 @@
 registry.register({
   name: 'quarantine',
   usage: 'list | lift MODEL PART',
-  summary: 'shows the prompt parts kept from upstreams, or lets one in again',
+  summary: 'shows the requests and prompt parts kept from upstreams, or lets one in again',
   run: quarantine,
 });
 
