Soak: a reset behind the end of a connection closes it

Cause: the proxy reset a connection whose shutdown was pending. The system call is refused (EINVAL), and the handle never closes. Three lines of plain sockets show it: the process does not exit within 5 s.

Change: a connection that has been ended is destroyed, not reset.

--- a/soak/src/proxy.ts
+++ b/soak/src/proxy.ts
@@ -74,5 +74,11 @@
   });
   from.on('end', () => later(() => to.end()));
   // Only a reset is an error on a connection that was made; one that was refused ends like a reset, too.
-  from.on('error', () => later(() => to.resetAndDestroy()));
+  from.on('error', () => later(() => reset(to)));
+}
+
+/** While the end of a connection is on its way, a reset of it fails, and it would never close. */
+export function reset(socket: net.Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
 }
