--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -1,4 +1,7 @@
-/** What instances tell each other and the platform about parts of prompts that crash upstreams. */
+/**
+ * What instances tell each other and the platform about parts of prompts, and whole requests, that crash
+ * upstreams. A whole request is named like a part: see `ofRequest`.
+ */
 
 /** A request that had no event yet when its upstream went down. `parts` holds those not known to be sound. */
 export type Suspect = {
