Tests: addresses of processes are held by the process that gives them

Their instances were asked at addresses where processes of other files listened (answers 200, 404 or none, with no send). The fixtures asked the system for a free port, closed it, and passed it to a process that listened a second later; the system gives such ports to others meanwhile. Ruled out: the quarantine, which had refused each repeat that reached its instance; crashes that were not counted (third one counted in all logs).

Change: each test process holds a block of ports below the system's range by a listener on the first, and gives addresses from it. Upstreams that listen again after a crash have such addresses too. The soak uses the same ones.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 /** Stand-ins for the external systems that medlarweir talks to. */
+export * as addresses from './addresses.js';
 export * as contextStore from './context-store/context-store.js';
 export * as engine from './engine/engine.js';
 export * as serve from './http/serve.js';
--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+import * as addresses from '../addresses.js';
 import * as crashes from './crashes.js';
 import * as endless from './endless.js';
 import * as eventStreams from './event-streams.js';
@@ -275,13 +276,11 @@
     });
   });
   const crasher = crashes.create(server);
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
+  // It listens there again after a crash.
+  const address = await addresses.listen(server);
   return {
     id,
-    address: `127.0.0.1:${port}`,
+    address,
     ran,
     receivedRequests,
     countAbandoned: () => state.abandoned,
--- a/soak/src/children.ts
+++ b/soak/src/children.ts
@@ -1,6 +1,5 @@
 /** Child processes that write JSON lines, and the signals that they get. */
 import * as childProcess from 'node:child_process';
-import * as net from 'node:net';
 import * as readline from 'node:readline';
 
 export type Line = Readonly<Record<string, unknown>>;
@@ -43,23 +42,3 @@
     },
   };
 }
-
-/** Below the ports that the system gives to others while a process is being restarted. */
-const FIRST_PORT = 10_000;
-const PORTS = 20_000;
-const PORTS_PER_RUN = 100;
-
-/** Addresses that stay free for this process. */
-export function freeAddresses(): () => Promise<string> {
-  const state = { port: FIRST_PORT + ((process.pid * PORTS_PER_RUN) % PORTS) };
-  return async function next(): Promise<string> {
-    state.port += 1;
-    const { port } = state;
-    const server = net.createServer();
-    const isFree = await new Promise<boolean>((resolve) => {
-      server.on('error', () => resolve(false));
-      server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
-    });
-    return isFree ? `127.0.0.1:${port}` : next();
-  };
-}
--- a/soak/src/deployment.ts
+++ b/soak/src/deployment.ts
@@ -1,6 +1,7 @@
 /** The processes of a deployment: the platform's store, upstreams and instances. */
 import * as timers from 'node:timers/promises';
 
+import * as standIns from '@medlarweir/stand-ins';
 import * as undici from 'undici';
 
 import * as children from './children.js';
@@ -92,10 +93,9 @@
 
   await write('config', 'main', configuration(state.version));
   const upstreams = await Promise.all(Array.from({ length: counts.upstreams }, startUpstream));
-  const freeAddress = children.freeAddresses();
   const instances: Awaited<ReturnType<typeof anInstance>>[] = [];
   for (let at = 0; at < counts.instances; at += 1) {
-    instances.push(await anInstance(`instance-${at + 1}`, store, freeAddress));
+    instances.push(await anInstance(`instance-${at + 1}`, store));
   }
   const running = await Promise.all(instances.map((each) => each.start()));
   const deployment = {
@@ -153,10 +153,10 @@
 async function anInstance(
   name: string,
   store: string,
-  freeAddress: () => Promise<string>,
 ): Promise<{ callers: string; start(): Promise<children.Child> }> {
-  const [callers, readiness] = [await freeAddress(), await freeAddress()];
-  const [metrics, notes] = [await freeAddress(), await freeAddress()];
+  const { aFreeAddress } = standIns.addresses;
+  const [callers, readiness] = [await aFreeAddress(), await aFreeAddress()];
+  const [metrics, notes] = [await aFreeAddress(), await aFreeAddress()];
   const args = [
     ...['--name', name, '--data-centre', 'dc-1', '--platform', store],
     ...['--retry-extra', '1000', '--retry-ratio', '5'],
