An instance whose address is taken ends

Callers saw: nothing of it, or answers of another process. An instance that could not listen for callers, for the load balancer's readiness check or for peer notes logged 711 and went on; it was ready as soon as it had its table, for an address at which another process answered. Nothing made it try again after the other process had ended.

Cause: errors of listeners were taken for lost dependencies, which come back. A listener does not.

Change: tasks may fail (`fail` of their context), and the binary ends with event 108 and exit code 4, so that the supervisor starts it again. `core.kernel.listen` is the one way to open a TCP address; errors of single connections are logged as before. The same for the product's servers for callers and peers, which ended by an uncaught error. An address for metrics that is taken stays a logged loss: requests do not need it.

--- a/packages/core/src/binary/command-line.ts
+++ b/packages/core/src/binary/command-line.ts
@@ -69,6 +69,7 @@
     meaning: 'invalid setting; the message names it, what was expected and what was found',
   },
   { code: 3, meaning: 'stopped immediately by a second signal; open requests were cut off' },
+  { code: 4, meaning: 'a task failed, such as one whose address is in use' },
 ];
 
 export function helpText<Settings>({ name, summary, flags, signals }: Program<Settings>): string {
--- a/packages/core/src/binary/run.ts
+++ b/packages/core/src/binary/run.ts
@@ -7,6 +7,7 @@
 const VERSION = '0.1.0';
 const EXIT_BAD_SETTING = 2;
 const EXIT_STOPPED_AT_ONCE = 3;
+const EXIT_TASK_FAILED = 4;
 
 /** The effect of a stop signal while a planned stop is in progress. */
 export type RepeatedSignal = 'stops-at-once' | 'is-ignored';
@@ -71,6 +72,10 @@
     // Settings come from flags and environment variables: there is no file to read again.
     record({ name: 'settingsReloaded', details: { changed: false } });
   });
+  void kernel.failed.then((failure) => {
+    record({ name: 'instanceFailed', details: failure });
+    process.exit(EXIT_TASK_FAILED);
+  });
   void kernel.stopped.then(() => {
     record({ name: 'instanceStopped', details: { cutRequests: 0 } });
     process.exit(0);
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -13,6 +13,7 @@
   instanceLeaving: { number: 102, level: 'info', text: 'instance is draining' },
   graceEnded: { number: 107, level: 'warn', text: 'connections cut at the end of the grace' },
   instanceStopped: { number: 103, level: 'info', text: 'instance stopped' },
+  instanceFailed: { number: 108, level: 'error', text: 'instance ended; a task failed' },
   settingsReloaded: { number: 105, level: 'info', text: 'settings reload requested' },
   linesDropped: {
     number: 106,
--- a/packages/core/src/kernel/kernel.ts
+++ b/packages/core/src/kernel/kernel.ts
@@ -19,6 +19,9 @@
   | { type: 'kernel.task-drained'; task: string }
   | { type: 'kernel.stop' };
 
+/** A task that cannot do its work, and with it the instance. */
+export type TaskFailure = { task: string; reason: string };
+
 /** A running instance, as the binary uses it. */
 export type Kernel = {
   send<Name extends mailboxes.TaskName>(name: Name, message: mailboxes.Mailboxes[Name]): void;
@@ -29,6 +32,8 @@
   stop(): void;
   /** Resolves when all tasks have stopped. */
   stopped: Promise<void>;
+  /** Resolves with the first task that failed; its instance must end. */
+  failed: Promise<TaskFailure>;
 };
 
 type DrainProgress = { undrainedTasks: readonly string[] };
@@ -84,6 +89,10 @@
   plugins: readonly plugin.Plugin<Settings>[],
 ): Kernel {
   const definitions = collectTasks(instanceSettings, plugins);
+  let onFailed: (failure: TaskFailure) => void = () => undefined;
+  const failed = new Promise<TaskFailure>((resolve) => {
+    onFailed = resolve;
+  });
   const incarnation = crypto.randomUUID();
   const actors = new Map<string, xstate.AnyActorRef>();
   const dumps = new Map<string, () => unknown>();
@@ -123,6 +132,7 @@
         },
         unschedule,
         drained: () => lifecycle.send({ type: 'kernel.task-drained', task: definition.name }),
+        fail: (reason) => onFailed({ task: definition.name, reason }),
         dump,
       });
       dumpState = behaviour.dump;
@@ -153,6 +163,7 @@
     drain: () => lifecycle.send({ type: 'kernel.drain' }),
     stop: () => lifecycle.send({ type: 'kernel.stop' }),
     stopped,
+    failed,
   };
 }
 
--- a/packages/core/src/kernel/plugin.ts
+++ b/packages/core/src/kernel/plugin.ts
@@ -36,6 +36,8 @@
   unschedule(id: string): void;
   /** Tells the kernel that this task has finished its open work; see `DrainingTask`. */
   drained(): void;
+  /** Ends the instance, since this task cannot do its work. A supervisor starts the process again. */
+  fail(reason: string): void;
   /** The states of all tasks, for operators. */
   dump(): Record<string, unknown>;
 };
--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -53,6 +53,7 @@
         context.self.send({ type: 'http.flow-control', requestId, flow }),
       onCallerDisconnected: (requestId) =>
         context.self.send({ type: 'http.caller-disconnected', requestId }),
+      listen: (server) => core.kernel.listen(server, context.settings.callers, context),
       onListening: (address) => context.self.send({ type: 'callers.listening', address }),
       onConnectionEnded: (details) => context.record({ name: 'connectionRefused', details }),
       onServerClosed: () => context.self.send({ type: 'callers.closed' }),
@@ -208,7 +209,7 @@
 ): void {
   switch (command.kind) {
     case 'listen':
-      sockets.listen(context.settings.callers);
+      sockets.listen();
       return;
     case 'begin':
       sockets.expect(command.accepted);
--- a/packages/plugins/callers-http/src/connections.ts
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -23,13 +23,15 @@
   onRequest(requestId: string, readResult: server.IncomingRequest['readResult']): void;
   onFlowControl(requestId: string, flow: 'open' | 'paused'): void;
   onCallerDisconnected(requestId: string): void;
+  /** Opens the address for callers. */
+  listen(server: http.Server): void;
   onListening(address: string): void;
   onConnectionEnded(ended: callerConnections.Ended): void;
   onServerClosed(): void;
 };
 
 export type Connections = {
-  listen(address: string): void;
+  listen(): void;
   /** Stores the model and the response mode (streamed or whole) of an accepted request. */
   expect(accepted: requests.Accepted): void;
   attachExchange(begun: core.messages.ExchangeBegun): void;
@@ -75,10 +77,11 @@
   }
 
   return {
-    listen(address) {
-      listener = server.listen(address, {
+    listen() {
+      listener = server.start({
         maxBodyBytes: () => maxBodyBytes,
         onRequest,
+        listen: handlers.listen,
         onListening: handlers.onListening,
         onConnectionEnded: handlers.onConnectionEnded,
       });
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -3,7 +3,6 @@
 import type * as net from 'node:net';
 
 import * as callerConnections from '@medlarweir/caller-connections';
-import * as core from '@medlarweir/core';
 import * as httpFields from '@medlarweir/http-fields';
 
 import type * as decode from './decode.js';
@@ -24,13 +23,14 @@
   /** Called for each request, since the configuration may change the limit. */
   maxBodyBytes(): number;
   onRequest(incoming: IncomingRequest): void;
+  /** Opens the address for callers. */
+  listen(server: http.Server): void;
   onListening(address: string): void;
   /** A connection ended without a request, or for what followed one. */
   onConnectionEnded(ended: callerConnections.Ended): void;
 };
 
-export function listen(address: string, handlers: Handlers): callerConnections.Connections {
-  const { host, port } = core.settings.address.split(address);
+export function start(handlers: Handlers): callerConnections.Connections {
   // Node answers a missing host itself, without a code; the check of the head covers it.
   const server = http.createServer({ requireHostHeader: false }, (request, response) => {
     const turn = connections.begin(request, response);
@@ -46,10 +46,11 @@
   });
   // Told to callers; `connections` keeps to it.
   server.keepAliveTimeout = LIMITS.idleMs;
-  server.listen(port, host, () => {
+  server.on('listening', () => {
     const bound = server.address() as net.AddressInfo;
     handlers.onListening(`${bound.address}:${bound.port}`);
   });
+  handlers.listen(server);
   return connections;
 }
 
--- a/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
@@ -157,15 +157,18 @@
   }
 }
 
-function listen({ self, record }: TaskContext, socket: dgram.Socket, address: string): void {
+function listen({ self, record, fail }: TaskContext, socket: dgram.Socket, address: string): void {
   const { host, port } = core.settings.address.split(address);
   socket.on('message', (bytes) => self.send({ type: 'peer-updates.received', bytes }));
-  socket.on('error', (error) =>
-    record({ name: 'dependencyLost', details: { dependency: 'peers', reason: error.message } }),
-  );
-  socket.bind(port, host, () =>
-    record({ name: 'instanceListening', details: { peerNotes: address } }),
-  );
+  const onRefused = ({ message }: Error) => fail(message);
+  socket.once('error', onRefused);
+  socket.bind(port, host, () => {
+    socket.off('error', onRefused);
+    socket.on('error', ({ message }) =>
+      record({ name: 'dependencyLost', details: { dependency: 'peers', reason: message } }),
+    );
+    record({ name: 'instanceListening', details: { peerNotes: address } });
+  });
 }
 
 /**
--- a/packages/plugins/peers-trpc/src/peers-task.ts
+++ b/packages/plugins/peers-trpc/src/peers-task.ts
@@ -122,7 +122,6 @@
 
 function listen(context: TaskContext): http.Server {
   const { settings, self } = context;
-  const { host, port } = core.settings.address.split(settings.peers);
   const server = standalone.createHTTPServer({
     router: router.createRouter({
       onGossipMessage: (received) => self.send({ type: 'peers.received', message: received }),
@@ -135,10 +134,11 @@
       ]),
     }),
   });
-  server.listen(port, host, () => {
+  server.on('listening', () => {
     const bound = server.address() as net.AddressInfo;
     self.send({ type: 'peers.listening', address: `${bound.address}:${bound.port}` });
   });
+  core.kernel.listen(server, settings.peers, context);
   return server;
 }
 
--- a/packages/plugins/upstreams-http/test/expired-run.test.ts
+++ b/packages/plugins/upstreams-http/test/expired-run.test.ts
@@ -33,6 +33,7 @@
     schedule: () => undefined,
     unschedule: () => undefined,
     drained: () => undefined,
+    fail: () => undefined,
     dump: () => ({}),
   });
 }
