Timers of tasks do not fire early

Cause: Node cuts a delay to whole milliseconds and counts it from the whole millisecond before, so that timers fired up to 1.5 ms early (packages/core/test/kernel/timers failed before). Ruled out: deadlines counted from before the request came, and cuts by the stop: a deadline is counted from the head, and the request was cut in the middle of the grace.

Change: the kernel rounds delays up and adds a step of that clock.

--- a/packages/core/src/kernel/kernel.ts
+++ b/packages/core/src/kernel/kernel.ts
@@ -76,6 +76,9 @@
 
 type AnyDefinition = plugin.TaskDefinition<unknown, xstate.EventObject, unknown, never>;
 
+/** Node counts delays in these steps, from the one before; none may end early. */
+const CLOCK_STEP_MS = 1;
+
 /** The settings that the kernel itself reads. */
 export type NamedSettings = { name: string };
 
@@ -128,7 +131,7 @@
             timers.delete(timerId);
             self.send(message);
           };
-          timers.set(timerId, setTimeout(fire, delayMs));
+          timers.set(timerId, setTimeout(fire, Math.ceil(delayMs) + CLOCK_STEP_MS));
         },
         unschedule,
         drained: () => lifecycle.send({ type: 'kernel.task-drained', task: definition.name }),
