Quarantine: an upstream without an engine is asked for a connection, not for a report

Since whole requests are counted in the quarantine, each broken call of a service without an engine had its upstream asked for a report, which is about models, uses a request, and may be a path that it does not know.

Change: such an upstream is asked for a connection: one that crashed refuses it. Engines are asked for their report as before.

--- a/packages/core/src/fleet/liveness.ts
+++ b/packages/core/src/fleet/liveness.ts
@@ -67,7 +67,7 @@
       return { state, commands: [] };
     case 'healthy': {
       if (probe.kind === 'liveness') Object.assign(upstream, { lastByteAtMs: now.monotonicMs });
-      if (probe.kind === 'liveness' || reachability.kind !== 'silent') {
+      if (probe.kind !== 'health' || reachability.kind !== 'silent') {
         return { state, commands: [] };
       }
       const coldStartMs = state.services.get(registration.service)?.coldStartMs ?? 0;
--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -212,15 +212,17 @@
   });
 }
 
+/** Only engines have a report that tells that they are up. */
 function livenessProbe(
-  { registry }: fleet.State,
+  { registry, services }: fleet.State,
   id: string,
   now: task.Instant,
 ): readonly decide.Command[] {
   const upstream = registry.upstreams.get(id);
   if (!upstream || upstreams.isPaused(upstream, now)) return [];
-  const { address } = upstream.registration;
-  return [{ kind: 'probe', probe: { kind: 'liveness', upstream: id, address } }];
+  const { address, service } = upstream.registration;
+  const kind = services.get(service)?.engine ? 'liveness' : 'connection';
+  return [{ kind: 'probe', probe: { kind, upstream: id, address } }];
 }
 
 /** Answers a request with a part that crashes upstreams, or may. */
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -142,11 +142,12 @@
 
 /**
  * `health` checks whether the upstream accepts work, which uses one of its slots; `liveness` checks
- * whether it answers at all.
+ * whether it answers at all; `connection` whether it takes connections, which costs it nothing.
  */
 export type Probe =
   | { kind: 'health'; upstream: string; address: string; path: string }
-  | { kind: 'liveness'; upstream: string; address: string };
+  | { kind: 'liveness'; upstream: string; address: string }
+  | { kind: 'connection'; upstream: string; address: string };
 
 /** Messages to the task that owns the connections to upstreams. */
 export type TransportMessage =
