--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -142,7 +142,7 @@
 
 /**
  * `health` checks whether the upstream accepts work, which uses one of its slots; `liveness` checks
- * whether it answers at all; `connection` whether it takes connections, which costs it nothing.
+ * whether it answers at all; `connection` whether it takes connections, without a request.
  */
 export type Probe =
   | { kind: 'health'; upstream: string; address: string; path: string }
