--- a/benchmark/src/kernel/index.ts
+++ b/benchmark/src/kernel/index.ts
@@ -4,6 +4,7 @@
  * and each token is two messages.
  */
 import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
 
 import * as registry from '../registry.js';
 import * as slope from '../slope.js';
@@ -15,17 +16,7 @@
 const MESSAGES_PER_TOKEN = 2;
 const MICROS_PER_S = 1_000_000;
 
-const SETTINGS: core.settings.Settings = {
-  name: 'instance-1',
-  dataCentre: 'dc-1',
-  callers: '127.0.0.1:0',
-  peers: '127.0.0.1:0',
-  platform: '127.0.0.1:1',
-  deploymentKey: 'benchmark-key-benchmark',
-  logLevel: 'info',
-  graceMs: 30_000,
-  balancerLagMs: 0,
-};
+const SETTINGS = fixtures.aSettings();
 
 /** A task that answers each message with one command, as the tasks that forward tokens do. */
 const counter: core.kernel.TaskDefinition<number, Message, 'noted'> = {
--- a/packages/core/test/kernel/kernel.test.ts
+++ b/packages/core/test/kernel/kernel.test.ts
@@ -3,22 +3,13 @@
  * that waits although no task holds work.
  */
 import * as core from '@medlarweir/core';
+import * as fixtures from '@medlarweir/core/fixtures';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 
 const suite = uvu.suite('kernel');
 
-const SETTINGS: core.settings.Settings = {
-  name: 'instance-1',
-  dataCentre: 'dc-1',
-  callers: '127.0.0.1:0',
-  peers: '127.0.0.1:0',
-  platform: '127.0.0.1:1',
-  deploymentKey: 'a-key-of-sixteen-or-more',
-  logLevel: 'info',
-  graceMs: 30_000,
-  balancerLagMs: 0,
-};
+const SETTINGS = fixtures.aSettings();
 
 type Message = core.messages.JournalMessage;
 type Definition = core.kernel.TaskDefinition<number, Message, 'noted'>;
--- a/packages/plugins/upstreams-http/test/expired-run.test.ts
+++ b/packages/plugins/upstreams-http/test/expired-run.test.ts
@@ -15,17 +15,7 @@
 function aTask() {
   return upstreamsTask.definition.create({
     self: fixtures.aMailbox(),
-    settings: {
-      name: 'instance-1',
-      dataCentre: 'dc-1',
-      callers: '127.0.0.1:0',
-      peers: '127.0.0.1:0',
-      platform: '127.0.0.1:1',
-      deploymentKey: 'a-key-of-sixteen-or-more',
-      logLevel: 'info',
-      graceMs: 30_000,
-      balancerLagMs: 0,
-    },
+    settings: fixtures.aSettings(),
     incarnation: 'incarnation-1',
     send: () => undefined,
     spawn: () => fixtures.aMailbox<never>(),
