One guard for sockets that must listen

The socket for peer notes had a copy of what core.kernel.listen does with errors before and after the address is open. Both call one function now; what is recorded, and when the task fails, is as before.

--- a/packages/core/src/kernel/listening.ts
+++ b/packages/core/src/kernel/listening.ts
@@ -1,4 +1,5 @@
 /** Opens the addresses that tasks listen on. */
+import type * as events from 'node:events';
 import type * as net from 'node:net';
 
 import * as address from '../settings/address.js';
@@ -7,17 +8,27 @@
 type Context = Pick<plugin.TaskContext<never, never>, 'fail' | 'record'>;
 
 /**
- * Listens on `HOST:PORT`. Without it the instance would look healthy while another process is asked in
- * its place, so the task fails. Errors of single connections are only recorded.
+ * Fails the task if the socket cannot listen: the instance would look healthy while another process is
+ * asked in its place. Later errors are those of single connections or packets, and are only recorded.
  */
-export function listen(server: net.Server, at: string, { fail, record }: Context): void {
-  const { host, port } = address.split(at);
+export function failUnlessListening(
+  socket: events.EventEmitter,
+  dependency: string,
+  { fail, record }: Context,
+): void {
   const onRefused = ({ message }: Error) => fail(message);
-  server.once('error', onRefused);
-  server.listen(port, host, () => {
-    server.off('error', onRefused);
-    server.on('error', ({ message }) =>
-      record({ name: 'dependencyLost', details: { dependency: 'listener', reason: message } }),
+  socket.once('error', onRefused);
+  socket.once('listening', () => {
+    socket.off('error', onRefused);
+    socket.on('error', ({ message: reason }: Error) =>
+      record({ name: 'dependencyLost', details: { dependency, reason } }),
     );
   });
 }
+
+/** Listens on `HOST:PORT`. */
+export function listen(server: net.Server, at: string, context: Context): void {
+  const { host, port } = address.split(at);
+  failUnlessListening(server, 'listener', context);
+  server.listen(port, host);
+}
--- a/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
@@ -157,18 +157,14 @@
   }
 }
 
-function listen({ self, record, fail }: TaskContext, socket: dgram.Socket, address: string): void {
+function listen(context: TaskContext, socket: dgram.Socket, address: string): void {
+  const { self, record } = context;
   const { host, port } = core.settings.address.split(address);
   socket.on('message', (bytes) => self.send({ type: 'peer-updates.received', bytes }));
-  const onRefused = ({ message }: Error) => fail(message);
-  socket.once('error', onRefused);
-  socket.bind(port, host, () => {
-    socket.off('error', onRefused);
-    socket.on('error', ({ message }) =>
-      record({ name: 'dependencyLost', details: { dependency: 'peers', reason: message } }),
-    );
-    record({ name: 'instanceListening', details: { peerNotes: address } });
-  });
+  core.kernel.failUnlessListening(socket, 'peers', context);
+  socket.bind(port, host, () =>
+    record({ name: 'instanceListening', details: { peerNotes: address } }),
+  );
 }
 
 /**
