--- a/examples/test/taken-addresses.test.ts
+++ b/examples/test/taken-addresses.test.ts
@@ -1,7 +1,5 @@
 /** Guards against an instance that goes on, or ends as if by a defect, when its address is taken. */
-import * as childProcess from 'node:child_process';
 import * as net from 'node:net';
-import * as readline from 'node:readline';
 
 import * as examples from '@medlarweir/examples';
 import * as standIns from '@medlarweir/stand-ins';
@@ -14,30 +12,22 @@
 const TASK_FAILED = 4;
 const FREE = '127.0.0.1:0';
 
-type Ended = { code: number | null; reasons: readonly string[] };
+type Ended = { code: number | string; reasons: readonly unknown[] };
 
 /** Runs an instance to its end. */
 async function endOf(platform: string, callers: string, peers: string): Promise<Ended> {
   const settings = ['--name', 'instance-1', '--data-centre', 'dc-1', '--platform', platform];
-  const own = [
-    '--callers',
-    callers,
-    '--peers',
-    peers,
-    '--deployment-key',
-    'a-key-of-sixteen-or-more',
-  ];
-  const script = examples.processes.BINARIES.medlarweir;
-  const child = childProcess.spawn(process.execPath, [script, ...settings, ...own]);
-  const reasons: string[] = [];
-  readline.createInterface({ input: child.stdout }).on('line', (text) => {
-    const { event, reason } = JSON.parse(text) as { event?: number; reason?: string };
-    if (event === FAILED_EVENT) reasons.push(reason ?? '');
-  });
-  const code = await new Promise<number | null>((resolve) => {
-    child.on('close', resolve);
-  });
-  return { code, reasons };
+  const key = ['--deployment-key', 'a-key-of-sixteen-or-more'];
+  const addresses = ['--callers', callers, '--peers', peers];
+  const started = examples.processes.start(examples.processes.BINARIES.medlarweir, [
+    ...settings,
+    ...key,
+    ...addresses,
+  ]);
+  await started.waitForLine(({ event }) => (event === FAILED_EVENT ? true : undefined));
+  const code = await started.exited;
+  const failures = started.outputLines().filter(({ event }) => event === FAILED_EVENT);
+  return { code, reasons: failures.map(({ reason }) => reason) };
 }
 
 (['callers', 'peers'] as const).forEach((setting) => {
@@ -54,7 +44,7 @@
     await platform.close();
     assert.is(code, TASK_FAILED);
     assert.is(reasons.length, 1);
-    assert.match(reasons[0] ?? '', taken);
+    assert.match(String(reasons[0]), taken);
   });
 });
 
