--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -24,6 +24,7 @@
 
 const HALF = 'half a body,';
 const MAX_ATTEMPTS = 3;
+/** Statuses that promise that the request has not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
 /** Plays the visits until the time is over. */
@@ -86,9 +87,13 @@
   return outcomes;
 }
 
+export function promisesNotRun(end: Ending): boolean {
+  return end.kind === 'answered' && NOT_RUN.has(end.status);
+}
+
 /** After a promise, or where nobody has read the request. */
 function mayGoElsewhere({ end }: Outcome): boolean {
-  return end.kind === 'reset' || (end.kind === 'answered' && NOT_RUN.has(end.status));
+  return end.kind === 'reset' || promisesNotRun(end);
 }
 
 /** An agent for this connection alone, which may have received something before its first request. */
--- a/soak/src/oracle.ts
+++ b/soak/src/oracle.ts
@@ -1,7 +1,5 @@
 /** What must hold for every request, whatever happened: judged by what callers and upstreams saw alone. */
-import type * as callers from './callers.js';
-
-const NOT_RUN = new Set([408, 421, 429, 503]);
+import * as callers from './callers.js';
 
 /** Lists the requests that broke a promise, or ran more than once. */
 export function violationsOf(
@@ -19,7 +17,7 @@
   if (runs > 1) return [`ran ${runs} times`];
   switch (end.kind) {
     case 'answered':
-      if (NOT_RUN.has(end.status) && runs > 0) return ['ran, and was refused with a promise'];
+      if (callers.promisesNotRun(end) && runs > 0) return ['ran, and was refused with a promise'];
       return end.status === 200 && runs === 0 ? ['answered, and did not run'] : [];
     case 'reset':
       return runs > 0 ? ['ran, and its connection was reset as if nobody had read it'] : [];
