Tests: one patient caller, a stand-in

The tests of connections and of the front server each had a caller that never closes its side; one knew how the other side had ended, the other only that it had. It is a stand-in now, which both use.

--- a/packages/caller-connections/test/connections.test.ts
+++ b/packages/caller-connections/test/connections.test.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http';
-import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 
+import * as standIns from '@medlarweir/stand-ins';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -14,7 +14,7 @@
 
 type Handed = { path: string; response: http.ServerResponse; turn: callerConnections.Turn };
 type Front = {
-  port: number;
+  address: string;
   handed: readonly Handed[];
   ended: readonly callerConnections.Ended[];
   connections: callerConnections.Connections;
@@ -38,35 +38,16 @@
     errorBody: { contentType: 'text/plain', text: 'no request' },
     onEnded: (each) => ended.push(each),
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
+  const address = await standIns.addresses.listen(server);
   const close = () => {
     connections.stop();
     connections.closeAll();
   };
-  return { port, handed, ended, connections, close };
+  return { address, handed, ended, connections, close };
 }
 
-type Caller = { socket: net.Socket; received(): string; end(): 'open' | 'end' | 'reset' };
-
-async function aCaller({ port }: Front): Promise<Caller> {
-  const socket = net.connect({ host: '127.0.0.1', port, allowHalfOpen: true });
-  const seen = { text: '', end: 'open' as ReturnType<Caller['end']> };
-  socket.on('data', (chunk) => {
-    seen.text += chunk.toString('latin1');
-  });
-  socket.on('end', () => {
-    seen.end = 'end';
-  });
-  socket.on('error', () => {
-    seen.end = 'reset';
-  });
-  await new Promise((resolve) => {
-    socket.on('connect', resolve);
-  });
-  return { socket, received: () => seen.text, end: () => seen.end };
+function aCaller({ address }: Front): Promise<standIns.patientCaller.PatientCaller> {
+  return standIns.patientCaller.connect(address);
 }
 
 function aRequest(path: string, body = ''): string {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,6 +3,7 @@
 export * as contextStore from './context-store/context-store.js';
 export * as engine from './engine/engine.js';
 export * as serve from './http/serve.js';
+export * as patientCaller from './patient-caller.js';
 export * as plain from './plain/plain.js';
 export * as objectStore from './platform/object-store.js';
 export * as platform from './platform/platform.js';
