Failing tests: refusals that come twice on a connection (REFUSED)

Cause: an upstream may write the copy of a refusal, with the id of the refused request, where the next answer on that connection is due.

--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -6,11 +6,14 @@
 import type * as net from 'node:net';
 
 import * as addresses from '../addresses.js';
+import * as copiedRefusals from './copied-refusals.js';
 import * as crashes from './crashes.js';
 import * as endless from './endless.js';
 import * as eventStreams from './event-streams.js';
 import * as pacing from './pacing.js';
+import * as headerLines from './header-lines.js';
 import * as resumptions from './resumptions.js';
+import * as weightsOrders from './weights-orders.js';
 
 /**
  * `not-executed`: 503 with the header that confirms that the request did not run. `foreign-answer`:
@@ -22,6 +25,7 @@
  * that was not requested. `unconfirmed-503`: 503 without that header. `silent`: never responds.
  * `error`: 500. `extra-response`: a second response after the first. `no-seal`: 200 without the seal.
  */
+export type { Copying } from './copied-refusals.js';
 export { ENDLESS_FAULTS } from './endless.js';
 export { PACE_HEADERS } from './pacing.js';
 export { RESUMPTION_FAULTS } from './resumptions.js';
@@ -69,6 +73,8 @@
   /** Connections on which an answer without end has not been closed. */
   countEndless(): number;
   setFault(fault: Fault): void;
+  /** Whether and when it writes its refusals once more. */
+  setCopying(copying: copiedRefusals.Copying): void;
   /** From now on, a prompt with the part or a request with the body crashes the upstream that runs it. */
   setDeadlyPart(part: string, downMs: number): void;
   setDeadlyBody(body: string, downMs: number): void;
@@ -81,12 +87,6 @@
   close(): Promise<void>;
 };
 
-function headerLinesOf(headers: Readonly<Record<string, string>>): string {
-  return Object.entries(headers)
-    .map(([name, value]) => `${name}: ${value}\r\n`)
-    .join('');
-}
-
 const SEAL = 'x-medlarweir-response-seal';
 const REQUEST_ID = 'x-medlarweir-request-id';
 
@@ -120,12 +120,12 @@
     const isOther = expected !== undefined && expected !== id;
     if (isOther || (weights !== undefined && weights !== String(state.version))) {
       const headers = { [REQUEST_ID]: received.requestId, 'x-medlarweir-instance-id': id };
-      response.writeHead(421, headers).end();
+      copies.refuse(response, 421, headers);
       return;
     }
     if (state.fault === 'not-executed') {
       const headers = { [REQUEST_ID]: received.requestId, 'x-medlarweir-not-executed': '1' };
-      response.writeHead(503, headers).end();
+      copies.refuse(response, 503, headers);
       return;
     }
     ran.push(received);
@@ -145,7 +145,7 @@
       request.socket.on('close', () => {
         state.endless -= 1;
       });
-      endless.answer(request.socket, state.fault, headerLinesOf(headersOf(received)));
+      endless.answer(request.socket, state.fault, headerLines.of(headersOf(received)));
       return;
     }
     if (resumptions.isResumption(state.fault) && received.headers['last-event-id'] !== undefined) {
@@ -176,8 +176,8 @@
   ): void {
     const body = `answer to ${received.requestId} by ${id}`;
     const headers = headersOf(received);
-    const headerLines = headerLinesOf(headers);
-    const closeDelimited = `HTTP/1.1 200 OK\r\n${headerLines}connection: close\r\n\r\n${body}`;
+    const lines = headerLines.of(headers);
+    const closeDelimited = `HTTP/1.1 200 OK\r\n${lines}connection: close\r\n\r\n${body}`;
     switch (state.fault) {
       case 'malformed-response':
         socket.end('these bytes are no answer\r\n\r\n');
@@ -197,7 +197,7 @@
       case 'extra-response':
         response.writeHead(200, { ...headers, 'content-length': body.length });
         response.end(body, () =>
-          socket.write(`HTTP/1.1 200 OK\r\n${headerLines}content-length: 0\r\n\r\n`),
+          socket.write(`HTTP/1.1 200 OK\r\n${lines}content-length: 0\r\n\r\n`),
         );
         return;
       case 'error':
@@ -242,20 +242,6 @@
     eventStreams.write(response, headersOf(received), { after, events, pauseMs, ending });
   }
 
-  function order(text: string, response: http.ServerResponse): void {
-    const given = JSON.parse(text) as { version: number; fence: number; expected: number };
-    if (given.fence < state.fence) {
-      response.writeHead(412).end();
-      return;
-    }
-    if (given.expected !== state.orders) {
-      response.writeHead(409).end();
-      return;
-    }
-    Object.assign(state, { fence: given.fence, orders: state.orders + 1, version: given.version });
-    response.writeHead(202).end();
-  }
-
   const server = http.createServer((request, response) => {
     const chunks: Buffer[] = [];
     response.on('error', () => undefined);
@@ -266,15 +252,17 @@
       if (path === '/-/report') {
         const models = [{ name: model, version: state.version, adapters: [] }];
         response.end(JSON.stringify({ models, busy: false, seq: state.orders }));
-      } else if (path === '/-/order') order(body, response);
+      } else if (path === '/-/order') weightsOrders.answer(state, body, response);
       else if (path === '/health') {
         response.writeHead(200, { 'x-medlarweir-instance-id': id }).end();
       } else {
         const requestId = String(headers[REQUEST_ID]);
-        answer({ requestId, method, path, headers, body }, request, response);
+        const received = { requestId, method, path, headers, body };
+        copies.beforeAnswer(request.socket, () => answer(received, request, response));
       }
     });
   });
+  const copies = copiedRefusals.create();
   const crasher = crashes.create(server);
   // It listens there again after a crash.
   const address = await addresses.listen(server);
@@ -288,6 +276,7 @@
     setFault: (fault) => {
       state.fault = fault;
     },
+    setCopying: copies.setCopying,
     setDeadlyPart: crasher.setDeadlyPart,
     setDeadlyBody: crasher.setDeadlyBody,
     onRestart: crasher.onRestart,
