--- a/soak/src/deployment.ts
+++ b/soak/src/deployment.ts
@@ -17,6 +17,8 @@
   runs: ReadonlyMap<string, number>;
   restartUpstream(at: number): Promise<void>;
   restartInstance(at: number): Promise<void>;
+  /** For a time, an entry of another name has the address of the upstream. */
+  misnameUpstream(at: number, forMs: number): Promise<void>;
   configure(): Promise<void>;
   end(): Promise<void>;
 };
@@ -46,6 +48,21 @@
   };
 }
 
+function anEntry(address: string): object {
+  return {
+    service: 'desk',
+    address,
+    born: Date.now(),
+    zone: 'dc-1',
+    version: 'v1',
+    slots: 32,
+    state: 'ready',
+    coldRemainingMs: 0,
+    models: [{ name: 'model-1', version: 1, adapters: [] }],
+    seq: 0,
+  };
+}
+
 export async function start(counts: { instances: number; upstreams: number }): Promise<Deployment> {
   const runs = new Map<string, number>();
   const state = { version: 1, births: 0 };
@@ -65,10 +82,19 @@
     if ((await send('POST', '')) === 409) await send('PUT', `/${name}`);
   }
 
-  async function startUpstream(): Promise<{ child: children.Child; id: string }> {
+  // Addresses of upstreams are used again, also by other runs at the same time.
+  const nextName = () => {
     state.births += 1;
-    // Addresses of upstreams are used again, also by other runs at the same time.
-    const id = `i-${process.pid}-${state.births}`;
+    return `i-${process.pid}-${state.births}`;
+  };
+
+  async function remove(kind: string, name: string): Promise<void> {
+    const path = `http://${store}/-/objects/${kind}/${name}`;
+    await (await undici.request(path, { method: 'DELETE' })).body.dump();
+  }
+
+  async function startUpstream(): Promise<{ child: children.Child; id: string; address: string }> {
+    const id = nextName();
     const { child, address } = await startListening(
       'soak/src/upstream-main.ts',
       [id],
@@ -76,19 +102,8 @@
         if (typeof ran === 'string') runs.set(ran, (runs.get(ran) ?? 0) + 1);
       },
     );
-    await write('servers', id, {
-      service: 'desk',
-      address,
-      born: Date.now(),
-      zone: 'dc-1',
-      version: 'v1',
-      slots: 32,
-      state: 'ready',
-      coldRemainingMs: 0,
-      models: [{ name: 'model-1', version: 1, adapters: [] }],
-      seq: 0,
-    });
-    return { child, id };
+    await write('servers', id, anEntry(address));
+    return { child, id, address };
   }
 
   await write('config', 'main', configuration(state.version));
@@ -113,13 +128,18 @@
       upstreams[at] = next;
       deployment.upstreams[at] = next.child;
       await timers.setTimeout(ENTRY_LAPSES_MS);
-      const path = `http://${store}/-/objects/servers/${gone}`;
-      await (await undici.request(path, { method: 'DELETE' })).body.dump();
+      await remove('servers', gone);
     },
     restartInstance: async (at) => {
       const next = await instances[at]?.start();
       if (next) deployment.instances[at] = next;
     },
+    misnameUpstream: async (at, forMs) => {
+      const name = nextName();
+      await write('servers', name, anEntry(upstreams[at]?.address ?? ''));
+      await timers.setTimeout(forMs);
+      await remove('servers', name);
+    },
     configure: () => {
       state.version += 1;
       return write('config', 'main', configuration(state.version));
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -74,6 +74,9 @@
         await deployment.restartUpstream(fault.at);
       }
       return;
+    case 'misname-upstream':
+      await deployment.misnameUpstream(fault.at, fault.forMs);
+      return;
     case 'change-configuration':
       await deployment.configure();
       return;
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -10,6 +10,8 @@
   | { kind: 'reload-instance'; at: number }
   | { kind: 'freeze-upstream'; at: number; forMs: number }
   | { kind: 'kill-upstream'; at: number }
+  /** Its address stands in the entry of another name too, which it refuses. */
+  | { kind: 'misname-upstream'; at: number; forMs: number }
   | { kind: 'freeze-store'; forMs: number }
   | { kind: 'change-configuration' };
 
@@ -58,6 +60,7 @@
     fc.record({ kind: fc.constant('reload-instance' as const), at: instance }),
     fc.record({ kind: fc.constant('freeze-upstream' as const), at: upstream, forMs }),
     fc.record({ kind: fc.constant('kill-upstream' as const), at: upstream }),
+    fc.record({ kind: fc.constant('misname-upstream' as const), at: upstream, forMs }),
     fc.record({ kind: fc.constant('freeze-store' as const), forMs }),
     fc.record({ kind: fc.constant('change-configuration' as const) }),
   );
