A stream goes on only at the software version that began it

Callers got 200 and whole answers whose text was joined from two software versions of an upstream.

Cause: the version of an upstream's software was not known at all, and a stream that broke off went on at any upstream, within one answer and as its caller took it up. Class: an answer in parts whose parts are taken for interchangeable.

Change: a stream keeps the software version of its first placement, and only upstreams of that version are eligible; none left ends it. A task, streamOrigins, knows which version began a stream: its own ones in memory, and, while several versions of a service serve or served within the longest life of a stream, all of them in the platform's store, one object an instance. The write goes out with the request, in batches, at most 100 a second of all instances. A take-up (Resumes) asks that task; it goes on at the recorded version, or at the only one that has served all along. Else it is refused as not run: never guessed. With one version nothing is written.

--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -58,6 +58,16 @@
   requestPlaced: { number: 431, level: 'debug', text: 'placement of a request decided' },
   attemptFailed: { number: 432, level: 'info', text: 'attempt failed' },
   requestFinished: { number: 433, level: 'info', text: 'request finished' },
+  streamOrigin: {
+    number: 437,
+    level: 'info',
+    text: 'software version that began a resumed stream looked up',
+  },
+  softwareVersions: {
+    number: 533,
+    level: 'info',
+    text: 'software versions of a service whose streams may be taken up',
+  },
   requestDenied: { number: 434, level: 'info', text: 'request refused by access checks' },
   requestRejected: { number: 435, level: 'warn', text: 'malformed request rejected' },
   connectionRefused: {
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -15,6 +15,8 @@
 /** Why the upstream gets no request. `untilMs`: when it may, in monotonic ms; infinite if that is not known. */
 export type Exclusion =
   | { kind: 'other-model' }
+  /** The stream began at another version of the upstreams' software. */
+  | { kind: 'other-software-version' }
   /** The request has been there already. */
   | { kind: 'tried' }
   | { kind: 'not-listed' }
@@ -35,6 +37,9 @@
   const { state, placementRequest, now } = inputs;
   const { registration, reachability, isLeaving } = upstream;
   if (!isListed(upstream, now)) return { kind: 'not-listed' };
+  if (!hasSoftwareVersion(placementRequest, registration)) {
+    return { kind: 'other-software-version' };
+  }
   if (isLeaving) return { kind: 'leaving' };
   if (state.evacuatedDataCentres.has(registration.dataCentre)) return { kind: 'evacuated' };
   if (placementRequest.excludedUpstreams.includes(registration.id)) return { kind: 'tried' };
@@ -75,6 +80,7 @@
     case 'limited':
       return true;
     case 'other-model':
+    case 'other-software-version':
     case 'tried':
     case 'not-listed':
     case 'leaving':
@@ -172,6 +178,13 @@
     : task.later(now, state.bounds.rolloutMs - outdatedMs);
 }
 
+function hasSoftwareVersion(
+  { softwareVersion }: placement.Request,
+  registration: upstreams.Registration,
+): boolean {
+  return softwareVersion === undefined || softwareVersion === registration.softwareVersion;
+}
+
 function servesModel({ prompt }: placement.Request, { models }: upstreams.Registration): boolean {
   return !prompt || models.some(({ model }) => model === prompt.model);
 }
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -28,6 +28,8 @@
   /** Name of the client account if it shares no context with others. */
   isolatedAccount: string | undefined;
   excludedUpstreams: readonly string[];
+  /** The only one at which the request may run; undefined if any will do. */
+  softwareVersion: string | undefined;
   /** Time to the first part of the answer that callers rely on. */
   latencyTargetMs: number;
   /** Whether the request may be refused; false once an answer has begun. */
@@ -234,6 +236,7 @@
     upstream: id,
     address,
     service: service.name,
+    softwareVersion: upstream.registration.softwareVersion,
     context: contextPlanFor(inputs, upstream),
     expected: {
       waitMs: Math.round(ahead.waitMs),
--- a/packages/core/src/fleet/refusals.ts
+++ b/packages/core/src/fleet/refusals.ts
@@ -23,8 +23,17 @@
 ): Refusal {
   const detail = eligibility.summarize(exclusions);
   const next = eligibility.firstToEnd(exclusions);
+  if (isSoftwareVersionGone(exclusions)) return { ...none('software-version-gone'), detail };
   if (!next) return { ...none('none-usable'), detail };
   const isKnown = Number.isFinite(next.untilMs);
   const freeInMs = isKnown ? Math.ceil(next.untilMs - now.monotonicMs) : undefined;
   return { ...none(next.kind, freeInMs), detail };
 }
+
+function isSoftwareVersionGone(exclusions: readonly eligibility.Exclusion[]): boolean {
+  const isOther = ({ kind }: eligibility.Exclusion) => kind === 'other-software-version';
+  return (
+    exclusions.some(isOther) &&
+    exclusions.every((each) => isOther(each) || each.kind === 'not-listed')
+  );
+}
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -17,6 +17,8 @@
   presence: 'ready' | 'draining';
   coldRemainingMs: number;
   models: readonly ModelVersion[];
+  /** What two versions write into a stream does not fit together. */
+  softwareVersion: string;
   /** Start of this incarnation; another value under the same id is another incarnation. */
   incarnationStartedAtMs: number | undefined;
 };
--- a/packages/core/src/gateway/lifecycle-endings.ts
+++ b/packages/core/src/gateway/lifecycle-endings.ts
@@ -41,6 +41,13 @@
   return refuse(state, code === 'answerLost' ? 'noUpstream' : code, retryAfterMs);
 }
 
+/** Ends a stream that no upstream can go on with; coming back would not help its caller. */
+export function giveUpStream(state: State): Step {
+  if (state.isHeadSent) return abort(state);
+  if (state.possibleRuns > 0) return refuse(state, 'answerLost', undefined);
+  return refuse(state, 'streamNotResumable', undefined);
+}
+
 /** Ends a request with a part that crashes upstreams. An answer of an upstream goes before the refusal. */
 export function quarantine(state: State, evidence: string): Step {
   const runs = state.possibleRuns > 0 ? 'the request may have run' : 'the request was not run';
@@ -59,7 +66,8 @@
     | 'noUpstream'
     | 'retriesExhausted'
     | 'answerLost'
-    | 'promptQuarantined',
+    | 'promptQuarantined'
+    | 'streamNotResumable',
   retryAfterMs: number | undefined,
 ): Step {
   const { status } = results.resultCodes[code];
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -16,9 +16,11 @@
  */
 const STREAM_PLACEMENT_TIMEOUT_MS = 1_500;
 
-export function place({ excluded, isHeadSent, possibleRuns }: State): lifecycleState.Command {
+export function place(state: State): lifecycleState.Command {
+  const { excluded, softwareVersion, isHeadSent, possibleRuns } = state;
   const isRepeat = possibleRuns > 0;
-  return { kind: 'place', excluded, mayRefuse: !isHeadSent && !isRepeat, isRepeat };
+  const mayRefuse = !isHeadSent && !isRepeat;
+  return { kind: 'place', excluded, softwareVersion, mayRefuse, isRepeat };
 }
 
 export function onNotPlaced(
@@ -36,6 +38,9 @@
     const retryAfterMs = overload.retryAfterMs({ requestId, freeInMs });
     return endings.giveUp({ ...state, lastFailureReason: detail }, 'noUpstream', retryAfterMs);
   }
+  if (reason === 'software-version-gone') {
+    return endings.giveUpStream({ ...state, lastFailureReason: `${reason}: ${detail}` });
+  }
   const noPlacementSinceMs = state.noPlacementSinceMs ?? now.monotonicMs;
   const next = { ...state, noPlacementSinceMs, lastFailureReason: `no upstream: ${reason}` };
   const verdict = judgeUnplaced(next, freeInMs, now);
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -30,6 +30,8 @@
 };
 
 export type Phase =
+  /** Waits to hear at which software version the resumed stream began. */
+  | { kind: 'identifying' }
   | { kind: 'placing' }
   /** Waits for the retry budget's decision; the attempt, if any, stays in flight. */
   | { kind: 'asking'; attempt: Attempt | undefined }
@@ -55,6 +57,8 @@
   /** When the current placement first found no upstream. */
   noPlacementSinceMs: number | undefined;
   lastEventId: string | undefined;
+  /** The software version of the stream; set by its origin, or by the first placement. */
+  softwareVersion: string | undefined;
   /** An upstream's error response, delivered if no other upstream answers. */
   failure: Extract<attemptResult.Result, { kind: 'answered' }> | undefined;
   /** Why the last attempt or placement failed, for the journal and for refusals. */
@@ -62,7 +66,15 @@
 };
 
 export type Command =
-  | { kind: 'place'; excluded: readonly string[]; mayRefuse: boolean; isRepeat: boolean }
+  | { kind: 'find-origin'; stream: string }
+  | { kind: 'report-stream'; stream: string; version: string; endsAtMs: number }
+  | {
+      kind: 'place';
+      excluded: readonly string[];
+      softwareVersion: string | undefined;
+      mayRefuse: boolean;
+      isRepeat: boolean;
+    }
   | { kind: 'send'; attempt: Attempt; lastEventId: string | undefined; deadlineAtMs: number }
   | { kind: 'abort'; attempt: string }
   | { kind: 'ask-retry-budget' }
@@ -110,11 +122,22 @@
     streamedBy: undefined,
     noPlacementSinceMs: undefined,
     lastEventId: routed.request.lastEventId,
+    softwareVersion: undefined,
     failure: undefined,
     lastFailureReason: '',
   };
 }
 
+/** Whether the caller has events of the stream from an attempt before. */
+export function isResumed({ routed: { request: incoming, route } }: State): boolean {
+  return route.responseMode === 'stream' && (incoming.lastEventId ?? '') !== '';
+}
+
+/** The id by which the stream is taken up. */
+export function streamOf({ routed: { request: incoming } }: State): string {
+  return incoming.resumes ?? incoming.requestId;
+}
+
 /** Returns the monotonic time by which the request must be answered, also by its upstream. */
 export function deadlineAtMs({ routed, drain: planned }: State): number {
   const { request: incoming, route } = routed;
--- a/packages/core/src/gateway/lifecycle-withdrawal.ts
+++ b/packages/core/src/gateway/lifecycle-withdrawal.ts
@@ -50,6 +50,7 @@
         : { state, commands: [{ kind: 'check-begin', attempt: phase.attempt }] };
     case 'asking':
       return { state, commands: [checkIn(BUDGET_RECHECK_MS)] };
+    case 'identifying':
     case 'placing':
     case 'ended':
       return { state, commands: [] };
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -8,6 +8,7 @@
 import * as attemptResult from './attempt-result.js';
 import * as endings from './lifecycle-endings.js';
 import * as lifecycleState from './lifecycle-state.js';
+import * as origins from './lifecycle-origin.js';
 import * as retry from './lifecycle-retry.js';
 import * as search from './lifecycle-search.js';
 import * as timers from './lifecycle-timers.js';
@@ -21,15 +22,11 @@
 /** Delay before the next check while the upstream is alive, or after a retry was not granted. */
 const LIVENESS_RECHECK_MS = 300;
 
-export function begin(state: State, now: task.Instant): Step {
-  return { state, commands: [timers.armDeadline(state, now), search.place(state)] };
-}
-
 export function decide(state: State, message: messages.RequestMessage, now: task.Instant): Step {
   if (state.phase.kind === 'ended') return { state, commands: [] };
   switch (message.type) {
     case 'task.start':
-      return begin(state, now);
+      return origins.begin(state, now);
     case 'fleet.placed':
       return onPlaced(state, message.destination, now);
     case 'fleet.not-placed':
@@ -48,6 +45,8 @@
       return onEvents(state, message);
     case 'attempt.ended':
       return onEnded(state, message, now);
+    case 'stream-origins.found':
+      return origins.onFound(state, message.origin);
     case 'caller.disconnected':
       return endings.onCallerDisconnected(state);
     case 'request.timer-fired':
@@ -71,17 +70,18 @@
     hasBegun: false,
   };
   const next: State = {
-    ...state,
+    ...origins.withVersion(state, destination.softwareVersion),
     phase: { kind: 'attempting', attempt },
     noPlacementSinceMs: undefined,
     sentAttempts: state.sentAttempts + 1,
     possibleRuns: state.possibleRuns + 1,
   };
-  const { lastEventId } = state;
+  const { lastEventId } = next;
   const deadlineAtMs = lifecycleState.deadlineAtMs(state);
   return {
     state: next,
     commands: [
+      ...origins.report(state, next),
       { kind: 'send', attempt, lastEventId, deadlineAtMs },
       ...timers.armIdleTimer(next),
       ...withdrawal.armFirstTimer(next, destination.beginBy, now),
--- a/packages/core/src/gateway/request.ts
+++ b/packages/core/src/gateway/request.ts
@@ -28,6 +28,8 @@
   prompt: Prompt | undefined;
   /** Id of the last event that the caller received: a broken stream resumes after it. */
   lastEventId: string | undefined;
+  /** The attempt of the caller that brought the first event of the stream that is resumed. */
+  resumes: string | undefined;
   receivedAt: task.Instant;
 };
 
--- a/packages/core/src/gateway/routes.ts
+++ b/packages/core/src/gateway/routes.ts
@@ -121,3 +121,9 @@
   );
   return found.service ?? services.at(-1)?.service ?? '';
 }
+
+/** The longest that a stream that may be taken up can take; 0 without such routes. */
+export function longestStreamMs({ routes }: RoutingTable): number {
+  const resumable = routes.filter(({ retryPolicy }) => retryPolicy === 'resumable');
+  return Math.max(0, ...resumable.map(({ timeoutMs }) => timeoutMs));
+}
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -6,6 +6,7 @@
 import type * as routes from '../gateway/routes.js';
 import type * as task from '../kernel/task.js';
 import type * as context from '../shared-context/plan.js';
+import type * as streamOrigins from './stream-origins.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
 export type ReplyAddress = task.Address<request.Reply>;
@@ -15,6 +16,8 @@
   upstream: string;
   address: string;
   service: string;
+  /** Of the upstream. */
+  softwareVersion: string;
   context: context.ContextPlan | undefined;
   expected: ExpectedWork;
   /**
@@ -42,7 +45,8 @@
  * `cold`, `limited`: the only candidates left are upstreams that are cold or name a limit, and are at
  * that rate; `paused`: or have turned a request away and want none yet. `quarantined`: a
  * part of the prompt crashes upstreams. `suspected`: one may, and the request may have run already.
- * `one-at-a-time`: one may, and another request with it is in flight.
+ * `one-at-a-time`: one may, and another request with it is in flight. `software-version-gone`: the stream
+ * began at a software version that no upstream has any more.
  */
 export type PlacementRefusal =
   | 'unknown-service'
@@ -53,7 +57,8 @@
   | 'full'
   | 'quarantined'
   | 'suspected'
-  | 'one-at-a-time';
+  | 'one-at-a-time'
+  | 'software-version-gone';
 
 export type RequestTimer = 'deadline' | 'idle' | 'place' | 'begin';
 
@@ -83,6 +88,7 @@
       lastEventId: string | undefined;
     }
   | { type: 'attempt.ended'; attempt: string; end: attemptResult.Result }
+  | streamOrigins.OriginFound
   | { type: 'caller.disconnected' }
   | { type: 'request.timer-fired'; timer: RequestTimer };
 
--- a/packages/core/src/messages/index.ts
+++ b/packages/core/src/messages/index.ts
@@ -20,4 +20,5 @@
 export * from './routing.js';
 export * from './sources.js';
 export * from './stores.js';
+export * from './stream-origins.js';
 export * from './upstreams.js';
--- a/packages/core/src/messages/mailboxes.ts
+++ b/packages/core/src/messages/mailboxes.ts
@@ -20,6 +20,7 @@
 import type * as routing from './routing.js';
 import type * as sources from './sources.js';
 import type * as stores from './stores.js';
+import type * as streamOrigins from './stream-origins.js';
 import type * as upstreams from './upstreams.js';
 
 export type Mailboxes = {
@@ -46,6 +47,7 @@
   routing: routing.RoutingMessage;
   sources: sources.SourcesMessage;
   stores: stores.StoresMessage;
+  streamOrigins: streamOrigins.StreamOriginsMessage;
   transport: gateway.TransportMessage;
   upstreams: upstreams.UpstreamsMessage;
 };
--- a/packages/core/src/results/request-codes.ts
+++ b/packages/core/src/results/request-codes.ts
@@ -99,6 +99,13 @@
   title: 'request or prompt part in quarantine',
   hint: 'Do not repeat it. Change the request or leave the part out, or ask the operators to lift the quarantine.',
 };
+/** The stream began at a software version that no upstream has any more, or that is not known. */
+const streamNotResumable: code.Code = {
+  number: 2008,
+  status: 503,
+  title: 'stream cannot go on',
+  hint: 'Not run. Begin the stream anew, without `Last-Event-Id`: no upstream can go on with it.',
+};
 /** The right to send to a cold upstream expired before the send. */
 const coldRightLapsed: code.Code = {
   number: 2101,
@@ -171,6 +178,7 @@
   deadlineUnreachable,
   leaving,
   promptQuarantined,
+  streamNotResumable,
   coldRightLapsed,
   inProgress,
   outcomeUnknown,
--- /dev/null
+++ b/packages/core/src/stream-origins/lookups.ts
@@ -0,0 +1,135 @@
+/** Answers where a stream began, from what this instance knows or from what all instances wrote. */
+import type * as task from '../kernel/task.js';
+import type * as platform from '../messages/platform.js';
+import * as keys from '../knowledge/keys.js';
+import type * as origin from './origin.js';
+import * as record from './record.js';
+import * as serving from './serving.js';
+import type * as states from './state.js';
+import * as writing from './writing.js';
+
+/** Least time between two listings of one instance. */
+const MIN_INTERVAL_MS = 100;
+/** Listings a second of all instances together. */
+const ALL_LISTINGS_PER_S = 1_000;
+/** A caller that is not answered in this time is refused, and may come again. */
+const PATIENCE_MS = 1_000;
+/** Older lists may lack a version at which other instances begin streams. */
+const MAX_LIST_AGE_MS = 3_000;
+
+export type Answer = { ask: states.Ask; origin: origin.Origin };
+
+/** What can be told without the platform; undefined if it has to be asked. */
+function findHere(
+  state: states.State,
+  { stream, service }: states.Ask,
+  now: task.Instant,
+): origin.Origin | undefined {
+  const own = state.streams.get(stream);
+  if (own) return { kind: 'known', version: own.version, evidence: 'own' };
+  const version = state.recorded.get(stream);
+  if (state.recorded.has(stream) && version === undefined) {
+    return { kind: 'unknown', gap: 'several-versions' };
+  }
+  if (version !== undefined) return { kind: 'known', version, evidence: 'recorded' };
+  const [only, ...others] = serving.versionsOf(state, service, now);
+  if (only === undefined || others.length > 0 || !state.hasListed) return undefined;
+  if (!state.listedAt || now.monotonicMs - state.listedAt.monotonicMs > MAX_LIST_AGE_MS) {
+    return { kind: 'unknown', gap: 'list-outdated' };
+  }
+  return { kind: 'known', version: only, evidence: 'only-version' };
+}
+
+/** The answers that can be given; other asks wait for a listing. */
+export function takeAnswers(state: states.State, now: task.Instant): readonly Answer[] {
+  const answers: Answer[] = [];
+  const waiting = state.asks.filter((ask) => {
+    const isLate = now.monotonicMs - ask.askedAtMs >= PATIENCE_MS;
+    const found =
+      findHere(state, ask, now) ??
+      (isLate ? ({ kind: 'unknown', gap: 'store-unavailable' } as const) : undefined);
+    if (found) answers.push({ ask, origin: found });
+    return !found;
+  });
+  Object.assign(state, { asks: waiting });
+  return answers;
+}
+
+/** Whether the platform is asked now: it is before the first answer, and while asks wait for one. */
+export function takeListing(state: states.State, now: task.Instant): boolean {
+  if (state.listing.kind === 'under-way' || now.monotonicMs < nextListingMs(state)) return false;
+  Object.assign(state, {
+    listing: { kind: 'under-way', beganAtMs: now.monotonicMs },
+    lastListingAtMs: now.monotonicMs,
+  });
+  return true;
+}
+
+export function nextListingMs(state: states.State): number {
+  if (state.hasListed && state.asks.length === 0) return Infinity;
+  const { instances, lastListingAtMs } = state;
+  return lastListingAtMs + Math.max(MIN_INTERVAL_MS, (instances * 1_000) / ALL_LISTINGS_PER_S);
+}
+
+/** When the first ask has waited for too long. */
+export function nextRefusalMs({ asks }: states.State): number {
+  return Math.min(...asks.map(({ askedAtMs }) => askedAtMs + PATIENCE_MS), Infinity);
+}
+
+/** Asks that came before the listing began, and whose streams it does not hold, are answered as unknown. */
+export function onListed(
+  state: states.State,
+  { result }: platform.PlatformListed,
+  now: task.Instant,
+): readonly Answer[] {
+  const { listing } = state;
+  Object.assign(state, { listing: { kind: 'idle' } });
+  if (result.kind === 'unavailable' || listing.kind === 'idle') return [];
+  const records = result.objects.flatMap(({ key, value, version }) => {
+    const content = record.decode(value);
+    return content ? [{ instance: keys.nameOf(key), version, content }] : [];
+  });
+  records.forEach(({ content }) => serving.applyRecord(state, content, now));
+  Object.assign(state, { recorded: merge(records.map(({ content }) => content)) });
+  const own = result.objects.find(({ key }) => keys.nameOf(key) === state.instance);
+  if (!state.hasListed && own) restoreOwn(state, own, now);
+  Object.assign(state, { hasListed: true });
+  const here = takeAnswers(state, now);
+  const missing = state.asks.filter(({ askedAtMs }) => askedAtMs <= listing.beganAtMs);
+  Object.assign(state, { asks: state.asks.filter((ask) => !missing.includes(ask)) });
+  const unknown = missing.map((ask): Answer => ({
+    ask,
+    origin: { kind: 'unknown', gap: 'not-recorded' },
+  }));
+  return [...here, ...unknown];
+}
+
+function merge(contents: readonly record.Content[]): ReadonlyMap<string, string | undefined> {
+  const merged = new Map<string, string | undefined>();
+  contents.forEach(({ groups }) =>
+    groups.forEach(({ version, streams }) =>
+      streams.forEach(([stream]) => {
+        const isOther = merged.has(stream) && merged.get(stream) !== version;
+        merged.set(stream, isOther ? undefined : version);
+      }),
+    ),
+  );
+  return merged;
+}
+
+/** The first write of this start replaces the object of the one before, whose streams are still out. */
+function restoreOwn(
+  state: states.State,
+  { value, version: objectVersion }: platform.StoredObject,
+  now: task.Instant,
+): void {
+  Object.assign(state.writing, { objectVersion, hasContent: true });
+  record.decode(value)?.groups.forEach(({ service, version, streams }) =>
+    streams.forEach(([stream, endsAtWallMs]) => {
+      const endsAtMs = now.monotonicMs + endsAtWallMs - now.wallMs;
+      if (endsAtMs <= now.monotonicMs || state.streams.has(stream)) return;
+      state.streams.set(stream, { service, version, endsAtMs });
+    }),
+  );
+  writing.makeDue(state, now.monotonicMs);
+}
--- /dev/null
+++ b/packages/core/src/stream-origins/record.ts
@@ -0,0 +1,35 @@
+/**
+ * The object in which an instance keeps, while several software versions of a service serve, which of them
+ * began its streams. It is written as a stream is sent, so that it outlives a kill of all instances.
+ */
+import * as zod from 'zod';
+
+/** The kind of the objects, named by instance. */
+export const KIND = 'medlarweir-streams';
+
+/** Beyond the streams that one instance can have begun within the life of a stream. */
+const MAX_STREAMS = 50_000;
+
+const text = zod.string().max(256);
+const epochMs = zod.number().int().nonnegative();
+
+const schema = zod.object({
+  writtenAtMs: epochMs,
+  /** One for each software version that serves, or served a moment ago. */
+  groups: zod.array(
+    zod.object({
+      service: text,
+      version: text,
+      /** Ids of streams, each with the time after which nobody takes it up, in Unix ms. */
+      streams: zod.array(zod.tuple([text, epochMs])).max(MAX_STREAMS),
+    }),
+  ),
+});
+
+export type Content = zod.infer<typeof schema>;
+
+/** An unreadable object names no stream. */
+export function decode(found: unknown): Content | undefined {
+  const checked = schema.safeParse(found);
+  return checked.success ? checked.data : undefined;
+}
--- /dev/null
+++ b/packages/core/src/stream-origins/state.ts
@@ -0,0 +1,71 @@
+/** State of the task that knows where streams began. Updated in place, since only that task sees it. */
+import type * as task from '../kernel/task.js';
+import type * as messages from '../messages/stream-origins.js';
+
+export type Stream = { service: string; version: string; endsAtMs: number };
+
+export type Ask = {
+  stream: string;
+  service: string;
+  askedAtMs: number;
+  replyTo: messages.OriginAddress;
+};
+
+export type Listing = { kind: 'idle' } | { kind: 'under-way'; beganAtMs: number };
+
+/** The writes of this instance's object. */
+export type Writing = {
+  isUnderWay: boolean;
+  /** Infinite if there is nothing to write. */
+  dueAtMs: number;
+  beganAtMs: number;
+  /** Version of the object; 0 while there is none. */
+  objectVersion: number;
+  hasContent: boolean;
+};
+
+export type State = {
+  instance: string;
+  /** Service and software version by id of the upstream, as listed. */
+  listed: Map<string, { service: string; version: string }>;
+  /** At least as recent as this moment; undefined before the first list. */
+  listedAt: task.Instant | undefined;
+  /** Per service: until when streams of each software version may be taken up; infinite while it is listed. */
+  serving: Map<string, Map<string, number>>;
+  /** The streams that this instance began or took up, by the id of the attempt that began them. */
+  streams: Map<string, Stream>;
+  /** What all instances had written at the last listing; undefined where they differ. */
+  recorded: ReadonlyMap<string, string | undefined>;
+  hasListed: boolean;
+  listing: Listing;
+  lastListingAtMs: number;
+  asks: Ask[];
+  writing: Writing;
+  /** The longest that a stream of a route may take. */
+  longestStreamMs: number;
+  instances: number;
+};
+
+export function initial(instance: string): State {
+  return {
+    instance,
+    listed: new Map(),
+    listedAt: undefined,
+    serving: new Map(),
+    streams: new Map(),
+    recorded: new Map(),
+    hasListed: false,
+    listing: { kind: 'idle' },
+    lastListingAtMs: -Infinity,
+    asks: [],
+    writing: {
+      isUnderWay: false,
+      dueAtMs: Infinity,
+      beganAtMs: -Infinity,
+      objectVersion: 0,
+      hasContent: false,
+    },
+    longestStreamMs: 0,
+    instances: 1,
+  };
+}
--- /dev/null
+++ b/packages/core/src/stream-origins/writing.ts
@@ -0,0 +1,89 @@
+/** When this instance writes its record, and what it holds. */
+import type * as task from '../kernel/task.js';
+import type * as platform from '../messages/platform.js';
+import * as results from '../results/index.js';
+import type * as record from './record.js';
+import * as serving from './serving.js';
+import type * as states from './state.js';
+
+/** Least time between two writes of one instance. */
+const MIN_INTERVAL_MS = 50;
+/** Writes a second of all instances together; the platform's store takes some hundred. */
+const ALL_WRITES_PER_S = 100;
+const RETRY_DELAY_MS = 300;
+
+function intervalMs({ instances }: states.State): number {
+  return Math.max(MIN_INTERVAL_MS, (instances * 1_000) / ALL_WRITES_PER_S);
+}
+
+export function makeDue(state: states.State, atMs: number): void {
+  const { writing } = state;
+  const dueAtMs = Math.max(Math.min(writing.dueAtMs, atMs), writing.beganAtMs + intervalMs(state));
+  Object.assign(writing, { dueAtMs });
+}
+
+/** The content of a write that is due; nothing is written while each service has one version. */
+export function takeDue(
+  state: states.State,
+  now: task.Instant,
+): { content: record.Content; expectedVersion: number } | undefined {
+  const { writing } = state;
+  if (writing.isUnderWay || writing.dueAtMs > now.monotonicMs) return undefined;
+  const groups = groupsOf(state, now);
+  Object.assign(writing, { dueAtMs: Infinity });
+  if (groups.length === 0 && !writing.hasContent) return undefined;
+  Object.assign(writing, {
+    isUnderWay: true,
+    beganAtMs: now.monotonicMs,
+    hasContent: groups.length > 0,
+  });
+  return { content: { writtenAtMs: now.wallMs, groups }, expectedVersion: writing.objectVersion };
+}
+
+function groupsOf(state: states.State, now: task.Instant): record.Content['groups'] {
+  const services = [...state.serving.keys()].filter((each) => serving.areSeveral(state, each, now));
+  return services.flatMap((service) =>
+    serving.versionsOf(state, service, now).map((version) => ({
+      service,
+      version,
+      streams: streamsOf(state, service, version, now),
+    })),
+  );
+}
+
+function streamsOf(
+  { streams }: states.State,
+  service: string,
+  version: string,
+  { monotonicMs, wallMs }: task.Instant,
+): [string, number][] {
+  return [...streams]
+    .filter(([, each]) => each.service === service && each.version === version)
+    .filter(([, { endsAtMs }]) => endsAtMs > monotonicMs)
+    .map(([stream, { endsAtMs }]) => [stream, Math.round(wallMs + endsAtMs - monotonicMs)]);
+}
+
+export function onAnswered(
+  state: states.State,
+  answer: platform.PlatformAnswer,
+  now: task.Instant,
+): void {
+  const { writing } = state;
+  Object.assign(writing, { isUnderWay: false });
+  switch (answer.kind) {
+    case 'written':
+      Object.assign(writing, { objectVersion: answer.version });
+      return;
+    case 'conflict':
+      Object.assign(writing, { objectVersion: answer.current?.version ?? 0 });
+      makeDue(state, now.monotonicMs);
+      return;
+    case 'object':
+    case 'missing':
+    case 'unavailable':
+      makeDue(state, now.monotonicMs + RETRY_DELAY_MS);
+      return;
+    default:
+      results.assertNever(answer);
+  }
+}
--- a/packages/plugins/gateway/src/gateway-task.ts
+++ b/packages/plugins/gateway/src/gateway-task.ts
@@ -75,6 +75,8 @@
 ): void {
   send('fleet', { type: 'fleet.table-adopted', table });
   send('front', { type: 'front.limits-changed', limits: table.limits });
+  const longestStreamMs = core.gateway.routes.longestStreamMs(table);
+  send('streamOrigins', { type: 'stream-origins.routes-adopted', longestStreamMs });
   send('contextStores', { type: 'context-stores.set-stores', stores: table.contextStores });
   record({
     name: 'tableAdopted',
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -18,6 +18,7 @@
 /** Attempt data for the journal entry at the end of the request. Only `perform` writes it. */
 type AttemptHistory = {
   upstreams: string[];
+  softwareVersions: string[];
   expectedWork: core.messages.ExpectedWork[];
   outcomes: string[];
   firstEventMs: number | undefined;
@@ -50,7 +51,13 @@
 }
 
 function emptyHistory(): AttemptHistory {
-  return { upstreams: [], expectedWork: [], outcomes: [], firstEventMs: undefined };
+  return {
+    upstreams: [],
+    softwareVersions: [],
+    expectedWork: [],
+    outcomes: [],
+    firstEventMs: undefined,
+  };
 }
 
 function dump({ routed, phase, sentAttempts, possibleRuns }: State): unknown {
@@ -70,6 +77,24 @@
   const { self, send } = context;
   const { requestId } = routed.request;
   switch (command.kind) {
+    case 'find-origin': {
+      const { stream } = command;
+      const { service } = routed;
+      send('streamOrigins', { type: 'stream-origins.find', stream, service, replyTo: self });
+      return;
+    }
+    case 'report-stream': {
+      const { stream, version, endsAtMs } = command;
+      const { service } = routed;
+      send('streamOrigins', {
+        type: 'stream-origins.begun',
+        stream,
+        service,
+        version,
+        endsAtMs,
+      });
+      return;
+    }
     case 'place':
       requestPlacement(scope, command);
       return;
@@ -130,7 +155,7 @@
 
 function requestPlacement(
   { routed, content, context }: RequestContext,
-  { excluded, mayRefuse, isRepeat }: Extract<Command, { kind: 'place' }>,
+  { excluded, softwareVersion, mayRefuse, isRepeat }: Extract<Command, { kind: 'place' }>,
 ): void {
   const { request, route, service, clientAccount } = routed;
   const { latencyTargetMs } = route;
@@ -146,6 +171,7 @@
       clientAccount: clientAccount?.name ?? '',
       isolatedAccount,
       excludedUpstreams: excluded,
+      softwareVersion,
       latencyTargetMs,
       mayRefuse,
       isRepeat,
@@ -161,6 +187,7 @@
   const { request, route, clientAccount } = routed;
   const priority = clientAccount?.priority ?? route.priority;
   history.upstreams.push(attempt.destination.upstream);
+  history.softwareVersions.push(attempt.destination.softwareVersion);
   history.expectedWork.push(attempt.destination.expected);
   context.send('transport', {
     type: 'transport.send',
@@ -235,6 +262,8 @@
       service,
       clientAccount: clientAccount?.name ?? '',
       upstreams: history.upstreams,
+      softwareVersions: history.softwareVersions,
+      resumes: request.resumes ?? '',
       expectedWaitMs: history.expectedWork.map(({ waitMs }) => String(waitMs)),
       tokensToRead: history.expectedWork.map(({ tokensToRead }) => String(tokensToRead)),
       weightVersions: history.expectedWork.map(({ weightVersion }) => String(weightVersion)),
