--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -36,6 +36,8 @@
   mayRefuse: boolean;
   /** Whether an attempt before this one may have run. */
   isRepeat: boolean;
+  /** Whether the caller has a part of the stream already, which only the rest makes worth anything. */
+  isResumed: boolean;
 };
 
 export type Decision =
@@ -62,6 +64,8 @@
 const COLD_COST_MS = 40;
 /** Share of the latency target that queued work may take; reading the prompt needs the rest. */
 const MAX_WAIT_SHARE = 0.75;
+/** The same for a stream that is resumed: few upstreams may have its software version. */
+const MAX_RESUMED_WAIT_SHARE = 2;
 /** Share of the smoothed latency that counts. At an engine, latency depends more on prompts than on the engine. */
 const LATENCY_SHARE = 0.5;
 const ENGINE_LATENCY_SHARE = 0.1;
@@ -112,7 +116,11 @@
 /** Time until the least busy upstream has little enough work ahead. */
 function freeInMs({ placementRequest }: Inputs, ranked: readonly Candidate[]): number {
   const leastMs = Math.min(...ranked.map(({ ahead }) => ahead.waitMs));
-  return Math.max(0, Math.ceil(leastMs - placementRequest.latencyTargetMs * MAX_WAIT_SHARE));
+  return Math.max(0, Math.ceil(leastMs - maxWaitMs(placementRequest)));
+}
+
+function maxWaitMs({ latencyTargetMs, isResumed }: Request): number {
+  return latencyTargetMs * (isResumed ? MAX_RESUMED_WAIT_SHARE : MAX_WAIT_SHARE);
 }
 
 /** The upstreams on which the request may still begin in time, the cheapest first. */
@@ -148,9 +156,7 @@
  * would delay all later requests too, so it is refused while the caller can still go elsewhere.
  */
 function exceedsWaitLimit({ placementRequest }: Inputs, { ahead }: Candidate): boolean {
-  return (
-    placementRequest.mayRefuse && ahead.waitMs > placementRequest.latencyTargetMs * MAX_WAIT_SHARE
-  );
+  return placementRequest.mayRefuse && ahead.waitMs > maxWaitMs(placementRequest);
 }
 
 type Waves = { current: ReadonlySet<string>; next: ReadonlySet<string> };
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -2,7 +2,7 @@
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/gateway.js';
 import * as endings from './lifecycle-endings.js';
-import type * as lifecycleState from './lifecycle-state.js';
+import * as lifecycleState from './lifecycle-state.js';
 import * as timers from './lifecycle-timers.js';
 import * as overload from './overload.js';
 
@@ -52,11 +52,14 @@
 
 /** A stream whose head is sent can no longer be refused, and waits for an upstream for longer. */
 function judgeUnplaced(
-  { isHeadSent, noPlacementSinceMs, routed: { request, route } }: State,
+  state: State,
   freeInMs: number | undefined,
   now: task.Instant,
 ): overload.Verdict {
-  const { requestId, receivedAt } = request;
+  const { isHeadSent, noPlacementSinceMs, routed } = state;
+  const { requestId, receivedAt } = routed.request;
+  const { latencyTargetMs } = routed.route;
+  const isResumed = lifecycleState.isResumed(state);
   if (isHeadSent) {
     const waitedMs = now.monotonicMs - (noPlacementSinceMs ?? now.monotonicMs);
     return waitedMs < STREAM_PLACEMENT_TIMEOUT_MS
@@ -64,5 +67,5 @@
       : { kind: 'refuse', retryAfterMs: 0 };
   }
   const waitedMs = now.monotonicMs - receivedAt.monotonicMs;
-  return overload.judge({ requestId, waitedMs, latencyTargetMs: route.latencyTargetMs, freeInMs });
+  return overload.judge({ requestId, isResumed, waitedMs, latencyTargetMs, freeInMs });
 }
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -129,7 +129,9 @@
 }
 
 /** Whether the caller has events of the stream from an attempt before. */
-export function isResumed({ routed: { request: incoming, route } }: State): boolean {
+export function isResumed({
+  routed: { request: incoming, route },
+}: Pick<State, 'routed'>): boolean {
   return route.responseMode === 'stream' && (incoming.lastEventId ?? '') !== '';
 }
 
--- a/packages/core/src/gateway/overload.ts
+++ b/packages/core/src/gateway/overload.ts
@@ -10,6 +10,8 @@
  * caller more.
  */
 const MAX_QUEUE_FRACTION = 1 / 8;
+/** The same for a stream that is resumed, whose caller has waited for its first part before. */
+const MAX_RESUMED_QUEUE_FRACTION = 1;
 /** Earliest return of a caller: long enough for placements to change. */
 const MIN_RETRY_AFTER_MS = 250;
 /** Returns are spread over this share of the time, so that callers refused together do not meet again. */
@@ -18,6 +20,7 @@
 /** A request that has found no place. */
 export type Unplaced = {
   requestId: string;
+  isResumed: boolean;
   waitedMs: number;
   latencyTargetMs: number;
   /** Expected time until an upstream can take the request; undefined if that cannot be told. */
@@ -27,8 +30,9 @@
 export type Verdict = { kind: 'wait' } | { kind: 'refuse'; retryAfterMs: number };
 
 export function judge(unplaced: Unplaced): Verdict {
-  const { waitedMs, latencyTargetMs, freeInMs = 0 } = unplaced;
-  const mayWaitMs = latencyTargetMs * MAX_QUEUE_FRACTION - waitedMs;
+  const { isResumed, waitedMs, latencyTargetMs, freeInMs = 0 } = unplaced;
+  const fraction = isResumed ? MAX_RESUMED_QUEUE_FRACTION : MAX_QUEUE_FRACTION;
+  const mayWaitMs = latencyTargetMs * fraction - waitedMs;
   if (mayWaitMs > 0 && freeInMs <= mayWaitMs) return { kind: 'wait' };
   return { kind: 'refuse', retryAfterMs: retryAfterMs(unplaced) };
 }
--- a/packages/core/test/gateway/overload.test.ts
+++ b/packages/core/test/gateway/overload.test.ts
@@ -18,7 +18,14 @@
 const MAX_HEEDED_MS = 1_000;
 
 function anUnplaced(changed: Partial<core.gateway.overload.Unplaced> = {}) {
-  return { requestId: 'r-1', waitedMs: 0, latencyTargetMs: TARGET_MS, freeInMs: 0, ...changed };
+  return {
+    requestId: 'r-1',
+    isResumed: false,
+    waitedMs: 0,
+    latencyTargetMs: TARGET_MS,
+    freeInMs: 0,
+    ...changed,
+  };
 }
 
 suite('a request for which no place is free in time is refused before it has waited', () => {
@@ -29,6 +36,12 @@
   assert.is(judge(anUnplaced({ waitedMs: 60, freeInMs: 50 })).kind, 'refuse');
 });
 
+/** Guards against streams that broke off and are refused more often than new ones begin. */
+suite('a resumed stream waits for a place for longer', () => {
+  assert.is(judge(anUnplaced({ isResumed: true, freeInMs: 800 })).kind, 'wait');
+  assert.is(judge(anUnplaced({ isResumed: true, freeInMs: 801 })).kind, 'refuse');
+});
+
 suite('the refused come back once a place is expected to be free, and not together', () => {
   const property = fc.property(fc.integer({ min: 101, max: 5_000 }), (freeInMs) => {
     const times = Array.from({ length: 20 }, (_, at) => {
@@ -74,7 +87,7 @@
     }
     const waitedMs = simulation.nowMs() - sinceMs;
     const freeInMs = policy === 'judged' ? waitMs - MAX_WAIT_MS : undefined;
-    const verdict = judge({ requestId, waitedMs, latencyTargetMs: TARGET_MS, freeInMs });
+    const verdict = judge(anUnplaced({ requestId, waitedMs, freeInMs }));
     if (verdict.kind === 'wait') {
       simulation.add(25, () => arrive(requestId, isReturn, sinceMs));
       return;
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -175,6 +175,7 @@
       latencyTargetMs,
       mayRefuse,
       isRepeat,
+      isResumed: core.gateway.lifecycleState.isResumed({ routed }),
     },
     replyTo: context.self,
   });
@@ -185,7 +186,8 @@
   { attempt, lastEventId, deadlineAtMs }: Extract<Command, { kind: 'send' }>,
 ): void {
   const { request, route, clientAccount } = routed;
-  const priority = clientAccount?.priority ?? route.priority;
+  const usual = clientAccount?.priority ?? route.priority;
+  const priority = core.gateway.lifecycleState.isResumed({ routed }) ? usual - 1 : usual;
   history.upstreams.push(attempt.destination.upstream);
   history.softwareVersions.push(attempt.destination.softwareVersion);
   history.expectedWork.push(attempt.destination.expected);
