Streams that cannot go on: what callers and operators are told

Change: such a stream is refused with a time to come back; the line has the request's id, so that explain finds it, and explain shows the software versions of a service; before the first listing the store is asked twice a second.

--- a/packages/core/src/events/explain.ts
+++ b/packages/core/src/events/explain.ts
@@ -31,6 +31,7 @@
     table.readinessChanged,
     table.weightsNamed,
     table.dataCentresEvacuated,
+    table.softwareVersions,
     table.dependencyLost,
     table.dependencyBack,
     table.instanceStarted,
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -39,7 +39,11 @@
     return endings.giveUp({ ...state, lastFailureReason: detail }, 'noUpstream', retryAfterMs);
   }
   if (reason === 'software-version-gone') {
-    return endings.giveUpStream({ ...state, lastFailureReason: `${reason}: ${detail}` });
+    const gone = { ...state, lastFailureReason: `${reason}: ${detail}` };
+    // A stream without an event may begin anew, at any version.
+    return lifecycleState.isResumed(state)
+      ? endings.giveUpStream(gone)
+      : endings.giveUp(gone, 'noUpstream');
   }
   const noPlacementSinceMs = state.noPlacementSinceMs ?? now.monotonicMs;
   const next = { ...state, noPlacementSinceMs, lastFailureReason: `no upstream: ${reason}` };
--- a/packages/core/src/messages/stream-origins.ts
+++ b/packages/core/src/messages/stream-origins.ts
@@ -26,5 +26,11 @@
       version: string;
       endsAtMs: number;
     }
-  | { type: 'stream-origins.find'; stream: string; service: string; replyTo: OriginAddress }
+  | {
+      type: 'stream-origins.find';
+      requestId: string;
+      stream: string;
+      service: string;
+      replyTo: OriginAddress;
+    }
   | { type: 'stream-origins.wake' };
--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -71,8 +71,8 @@
       begin(state, message, now);
       return [];
     case 'stream-origins.find': {
-      const { stream, service, replyTo } = message;
-      state.asks.push({ stream, service, replyTo, askedAtMs: now.monotonicMs });
+      const { requestId, stream, service, replyTo } = message;
+      state.asks.push({ requestId, stream, service, replyTo, askedAtMs: now.monotonicMs });
       return [];
     }
     case 'platform.listed':
--- a/packages/core/src/stream-origins/lookups.ts
+++ b/packages/core/src/stream-origins/lookups.ts
@@ -10,6 +10,8 @@
 
 /** Least time between two listings of one instance. */
 const MIN_INTERVAL_MS = 100;
+/** The same before the first answer, while nobody asks. */
+const START_INTERVAL_MS = 500;
 /** Listings a second of all instances together. */
 const ALL_LISTINGS_PER_S = 1_000;
 /** A caller that is not answered in this time is refused, and may come again. */
@@ -66,9 +68,10 @@
 }
 
 export function nextListingMs(state: states.State): number {
-  if (state.hasListed && state.asks.length === 0) return Infinity;
-  const { instances, lastListingAtMs } = state;
-  return lastListingAtMs + Math.max(MIN_INTERVAL_MS, (instances * 1_000) / ALL_LISTINGS_PER_S);
+  const { hasListed, asks, instances, lastListingAtMs } = state;
+  if (hasListed && asks.length === 0) return Infinity;
+  const leastMs = asks.length > 0 ? MIN_INTERVAL_MS : START_INTERVAL_MS;
+  return lastListingAtMs + Math.max(leastMs, (instances * 1_000) / ALL_LISTINGS_PER_S);
 }
 
 /** When the first ask has waited for too long. */
--- a/packages/core/src/stream-origins/state.ts
+++ b/packages/core/src/stream-origins/state.ts
@@ -5,6 +5,7 @@
 export type Stream = { service: string; version: string; endsAtMs: number };
 
 export type Ask = {
+  requestId: string;
   stream: string;
   service: string;
   askedAtMs: number;
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -80,7 +80,13 @@
     case 'find-origin': {
       const { stream } = command;
       const { service } = routed;
-      send('streamOrigins', { type: 'stream-origins.find', stream, service, replyTo: self });
+      send('streamOrigins', {
+        type: 'stream-origins.find',
+        requestId,
+        stream,
+        service,
+        replyTo: self,
+      });
       return;
     }
     case 'report-stream': {
--- a/packages/plugins/stream-origins/src/stream-origins-task.ts
+++ b/packages/plugins/stream-origins/src/stream-origins-task.ts
@@ -51,7 +51,8 @@
     }
     case 'answer': {
       const { ask, origin } = command;
-      record({ name: 'streamOrigin', details: { stream: ask.stream, ...origin } });
+      const { requestId, stream } = ask;
+      record({ name: 'streamOrigin', requestId, details: { stream, ...origin } });
       ask.replyTo.send({ type: 'stream-origins.found', origin });
       return;
     }
