--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -137,7 +137,7 @@
 
 /** The id by which the stream is taken up. */
 export function streamOf({ routed: { request: incoming } }: State): string {
-  return incoming.resumes ?? incoming.requestId;
+  return incoming.streamBegunBy ?? incoming.requestId;
 }
 
 /** Returns the monotonic time by which the request must be answered, also by its upstream. */
--- a/packages/core/src/gateway/request.ts
+++ b/packages/core/src/gateway/request.ts
@@ -26,10 +26,10 @@
   /** The caller's timeout, counted from `receivedAt`. */
   callerTimeoutMs: number | undefined;
   prompt: Prompt | undefined;
-  /** Id of the last event that the caller received: a broken stream resumes after it. */
+  /** Id of the last event that the caller received: a broken stream goes on after it. */
   lastEventId: string | undefined;
   /** The attempt of the caller that brought the first event of the stream that is resumed. */
-  resumes: string | undefined;
+  streamBegunBy: string | undefined;
   receivedAt: task.Instant;
 };
 
--- a/packages/core/src/messages/upstreams.ts
+++ b/packages/core/src/messages/upstreams.ts
@@ -165,7 +165,7 @@
       replyTo: task.Address<RunReport>;
     }
   | { type: 'upstreams.cancel'; runId: string; upstream: string }
-  /** Pauses or resumes reading a run's stream. */
+  /** Pauses reading a run's stream, or goes on with it. */
   | { type: 'upstreams.flow-control'; runId: string; flow: 'open' | 'paused' }
   /** Replaces the pooled connections to an upstream after one of them went silent. */
   | { type: 'upstreams.replace-connections'; upstream: string }
--- a/packages/core/test/gateway/resumed-streams.test.ts
+++ b/packages/core/test/gateway/resumed-streams.test.ts
@@ -29,7 +29,7 @@
 }
 
 function aResumedStream(): fixtures.Lifecycle {
-  return fixtures.aLifecycle(ROUTE, { lastEventId: '3', resumes: 'first' });
+  return fixtures.aLifecycle(ROUTE, { lastEventId: '3', streamBegunBy: 'first' });
 }
 
 suite('a stream that broke off is placed again at its version alone', () => {
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -271,7 +271,7 @@
       clientAccount: clientAccount?.name ?? '',
       upstreams: history.upstreams,
       softwareVersions: history.softwareVersions,
-      resumes: request.resumes ?? '',
+      streamBegunBy: request.streamBegunBy ?? '',
       expectedWaitMs: history.expectedWork.map(({ waitMs }) => String(waitMs)),
       tokensToRead: history.expectedWork.map(({ tokensToRead }) => String(tokensToRead)),
       weightVersions: history.expectedWork.map(({ weightVersion }) => String(weightVersion)),
--- a/packages/plugins/journal-bunyan/src/bounded-output.ts
+++ b/packages/plugins/journal-bunyan/src/bounded-output.ts
@@ -11,7 +11,7 @@
 /** Buffer for a slow reader: a few seconds of lines at the usual load. */
 export const MAX_BUFFERED_BYTES = 256 * 1024;
 /**
- * After a drop, writing resumes when the buffer is below this fraction of the bound. The hysteresis
+ * After a drop, writing goes on when the buffer is below this fraction of the bound. The hysteresis
  * keeps gaps in the log few.
  */
 const RESUME_FRACTION = 0.5;
--- a/packages/plugins/upstreams-http/src/runs.ts
+++ b/packages/plugins/upstreams-http/src/runs.ts
@@ -1,4 +1,4 @@
-/** Starts and resumes runs at model engines, with one streaming connection per run. */
+/** Starts runs at model engines and goes on with them, with one streaming connection per run. */
 import * as core from '@medlarweir/core';
 import * as lineFeed from '@medlarweir/line-feed';
 
@@ -24,7 +24,7 @@
   });
 }
 
-/** Resumes a run that the engine still holds, from a token offset. */
+/** Goes on with a run that the engine still holds, from a token offset. */
 export function resume(
   address: string,
   runId: string,
