Lease for orders is held only while there are orders

Change: the rollouts task acquires the lease when an upstream has older weights than the newest or a store has obsolete parts, and releases it 2 s after the last order. Instances call in the order of their rank, 0.5 s apart, so that they do not all call at the same moment. Without orders the task is not woken.

--- a/packages/core/src/rollouts/decide.ts
+++ b/packages/core/src/rollouts/decide.ts
@@ -10,6 +10,7 @@
 import type * as messages from '../messages/rollouts.js';
 import * as results from '../results/index.js';
 import type * as inputs from './inputs.js';
+import * as leaseDemand from './lease-demand.js';
 import * as obsoleteParts from './obsolete-parts.js';
 import * as schedule from './schedule.js';
 import * as targets from './targets.js';
@@ -34,6 +35,12 @@
   pendingOrders: Readonly<Record<string, PendingOrder>>;
   /** Time since which each upstream of the current and next waves has received no new work. */
   quiescingSinceMs: Readonly<Record<string, number>>;
+  /** Whether there are orders to send, which only the holder of the lease may send. */
+  demand: leaseDemand.Demand;
+  /** How long the demand lasts before this instance makes its first call for the lease. */
+  acquireDelayMs: number;
+  /** Whether a `wake` is on its way. */
+  isWakeDue: boolean;
   isLeaving: boolean;
 };
 
@@ -58,8 +65,9 @@
 const CHECKS_FENCING = { checksFencing: true };
 
 export function initial(terms: leases.Options, rolloutMs: number): State {
+  const lease = leases.create(terms);
   return {
-    lease: leases.create(terms),
+    lease,
     targets: new Map(),
     rolloutMs,
     upstreams: [],
@@ -67,14 +75,24 @@
     obsoleteParts: [],
     pendingOrders: {},
     quiescingSinceMs: {},
+    demand: leaseDemand.NONE,
+    acquireDelayMs: leases.standby.acquireDelayMs(lease, []),
+    isWakeDue: false,
     isLeaving: false,
   };
 }
 
-export function decide(state: State, message: messages.RolloutsMessage, now: task.Instant): Step {
+export function decide(given: State, message: messages.RolloutsMessage, now: task.Instant): Step {
+  const handled = handle(given, message, now);
+  if (message.type === 'task.stop') return handled;
+  const { state, commands } = leaseDemand.follow(handled.state, now);
+  return withNextWake(given, { state, commands: [...handled.commands, ...commands] });
+}
+
+function handle(state: State, message: messages.RolloutsMessage, now: task.Instant): Step {
   switch (message.type) {
     case 'task.start':
-      return withNextWake(onLease(state, leases.acquire(state.lease, now)));
+      return { state, commands: [] };
     case 'task.drain':
       return onLease(
         { ...state, isLeaving: true, pendingOrders: {} },
@@ -88,7 +106,8 @@
       return onLease(state, leases.wake(state.lease, now));
     case 'rollouts.members-changed': {
       const lease = leases.standby.withMembers(state.lease, message.names);
-      return { state: { ...state, lease }, commands: [] };
+      const acquireDelayMs = leases.standby.acquireDelayMs(lease, message.names);
+      return { state: { ...state, lease, acquireDelayMs }, commands: [] };
     }
     case 'rollouts.target-versions-changed':
       return onTargets(state, message, now);
@@ -104,7 +123,7 @@
     case 'rollouts.order-answered':
       return onOrdered(state, message, now);
     case 'rollouts.tick':
-      return withNextWake(reconcile(state, now));
+      return reconcile({ ...state, isWakeDue: false }, now);
     default:
       return results.assertNever(message);
   }
@@ -127,10 +146,17 @@
   return { state: { ...state, lease }, commands };
 }
 
-function withNextWake({ state, commands }: Step): Step {
+/** The wake that is due is replaced by an earlier one when the instance has become the holder. */
+function withNextWake(before: State, { state, commands }: Step): Step {
   const isHolder = state.lease.phase.kind === 'held';
+  const hasBecomeHolder = isHolder && before.lease.phase.kind !== 'held';
+  const isScheduled = state.isWakeDue && !hasBecomeHolder;
+  if (isScheduled || !leaseDemand.isActive(state)) return { state, commands };
   const delayMs = isHolder ? RECONCILE_INTERVAL_MS : STANDBY_INTERVAL_MS;
-  return { state, commands: [...commands, { kind: 'wake', delayMs }] };
+  return {
+    state: { ...state, isWakeDue: true },
+    commands: [...commands, { kind: 'wake', delayMs }],
+  };
 }
 
 function orderPermission({ lease, isLeaving }: State, now: task.Instant): leases.Permission {
