Fewer calls to the store: listings passed on as changes, starts without empty listings

Change: a reader passes a listing on as what it changes, and leaves the time of the last change alone if it changes nothing. An instance that begins to read for itself waits for changes if its knowledge stays fresh for the wait.

--- a/packages/core/src/knowledge/answers.ts
+++ b/packages/core/src/knowledge/answers.ts
@@ -9,6 +9,7 @@
 import * as backoff from './backoff.js';
 import * as failedCalls from './failed-calls.js';
 import * as gaps from './gaps.js';
+import * as relisting from './relisting.js';
 import * as significant from './significant.js';
 import * as updates from './updates.js';
 import * as versions from './versions.js';
@@ -163,12 +164,13 @@
     askedAt,
     unchangedAt: watch.unchangedAt,
   });
+  const shared = relisting.changesOf(state, watch, found, revision);
   const next: watches.Watch = {
     ...watch,
     failures: 0,
     confirmedAt: askedAt,
     unchangedAt: askedAt,
-    changedAt: revision,
+    changedAt: shared.changedAt,
     copyUntilMs,
     known: significant.ofSnapshot(watch.pace, found),
     isCatchingUp: false,
@@ -185,7 +187,7 @@
   }
   return {
     state: watches.withWatch(state, next),
-    commands: [...commands, ...told, ...positions, watches.fetchCommand(next)],
+    commands: [...commands, ...told, ...shared.commands, ...positions, watches.fetchCommand(next)],
   };
 }
 
--- a/packages/core/src/knowledge/relayed.ts
+++ b/packages/core/src/knowledge/relayed.ts
@@ -22,11 +22,10 @@
     .reduce<watches.Step>(
       (step, watch) => {
         // A new run: an answer to a call from before is dropped.
-        // The reader may have been lost for a while, so the first call does not wait for changes.
         const resumed = watches.withSendTime(
           { ...watch, run: step.state.nextRun },
           now,
-          watches.WITHOUT_WAIT_MS,
+          firstWaitMs(watch, now),
         );
         const next = { ...step.state, nextRun: step.state.nextRun + 1 };
         return {
@@ -38,6 +37,16 @@
     );
 }
 
+/**
+ * The first call of an instance that reads for itself does not wait for changes if what it knows would be
+ * too old at the end of the wait: its reader may have been lost for a while.
+ */
+function firstWaitMs({ pace, confirmedAt }: watches.Watch, now: task.Instant): number {
+  const { waitMs, limitMs = 0 } = pace;
+  const ageAtEndMs = staleness.ageMs(confirmedAt, now) + waitMs;
+  return ageAtEndMs <= limitMs ? waitMs : watches.WITHOUT_WAIT_MS;
+}
+
 /** Applies what the reader knows: confirms the own position, or catches up with it. */
 export function onPositions(
   state: watches.State,
--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -21,8 +21,8 @@
 
 export type Step = task.Step<states.State, Command>;
 
-export function initial(instance: string): states.State {
-  return states.initial(instance);
+export function initial(instance: string, isFirstStart: boolean): states.State {
+  return states.initial(instance, isFirstStart);
 }
 
 /** Updates the state in place. */
--- a/packages/core/src/stream-origins/state.ts
+++ b/packages/core/src/stream-origins/state.ts
@@ -47,7 +47,8 @@
   instances: number;
 };
 
-export function initial(instance: string): State {
+/** `isFirstStart`: the whole deployment starts for the first time, so nothing has been written. */
+export function initial(instance: string, isFirstStart = false): State {
   return {
     instance,
     listed: new Map(),
@@ -55,7 +56,7 @@
     serving: new Map(),
     streams: new Map(),
     recorded: new Map(),
-    hasListed: false,
+    hasListed: isFirstStart,
     listing: { kind: 'idle' },
     lastListingAtMs: -Infinity,
     asks: [],
--- a/packages/plugins/stream-origins/src/stream-origins-task.ts
+++ b/packages/plugins/stream-origins/src/stream-origins-task.ts
@@ -12,7 +12,7 @@
 export const definition: core.kernel.TaskDefinition<State, Message, Command, Settings> = {
   name: 'streamOrigins',
   create: (context) => ({
-    initial: core.streamOrigins.initial(context.settings.name),
+    initial: core.streamOrigins.initial(context.settings.name, context.settings.isFirstStart),
     decide: core.streamOrigins.decide,
     perform: (command) => perform(context, command),
     dump,
