A follower keeps its reader while the platform does not answer it

Change: an instance begins to follow a candidate with knowledge of up to 0.75 of the bound as before, and keeps its reader up to 1.5 of it; where one kind is too old, it asks the platform itself as before. An answer that confirms nothing new counts as a sign of life.

Measured: npm test on readers, knowledge, restored sources, evacuations, stale listings: 0 failed.

--- a/packages/core/src/readers/decide.ts
+++ b/packages/core/src/readers/decide.ts
@@ -28,8 +28,14 @@
 const INTERVAL_SHARE = 0.1;
 /** A candidate that has not answered for this many intervals is given up. */
 const MISSED_INTERVALS = 3.5;
-/** Oldest confirmation, as a share of the adoption bound, with which a candidate is of use. */
+/** Oldest confirmation, as a share of the adoption bound, with which an instance begins to follow a candidate. */
 const MAX_AGE_SHARE = 0.75;
+/**
+ * The same for the reader that it follows. A follower asks the platform itself where one kind is too old; if
+ * it left its reader sooner, all followers would read all kinds at the same moment whenever the platform
+ * has not answered for two seconds.
+ */
+const MAX_READER_AGE_SHARE = 1.5;
 /** Intervals between questions to candidates that are not the source, to return to a better one. */
 const OTHER_CANDIDATE_INTERVALS = 6;
 /** The same while this instance reads for itself. */
@@ -129,10 +135,9 @@
   const waitedMs = staleness.ageMs(question.sentAt, now);
   const newestMs = Math.min(...positions.map(({ ageMs }) => ageMs)) + waitedMs;
   const known = state.heard.get(from);
-  const heard =
-    known && known.atMs - known.ageMs > now.monotonicMs - newestMs
-      ? known
-      : { atMs: now.monotonicMs, ageMs: newestMs };
+  const knownMs = known ? known.ageMs + now.monotonicMs - known.atMs : Infinity;
+  // An answer shows that the candidate lives, also if it confirms nothing new.
+  const heard = { atMs: now.monotonicMs, ageMs: Math.min(newestMs, knownMs) };
   const step = chooseSource(state, { ...state, heard: new Map(state.heard).set(from, heard) }, now);
   if (step.state.source.kind !== 'peer' || step.state.source.name !== from) return step;
   const confirmed = positions.map(({ ageMs, ...position }) => ({
@@ -213,7 +218,7 @@
   const { source, groups: divided } = state;
   const readsAloneUntilMs = state.lostReaderAtMs + OWN_READING_INTERVALS * intervalMs(state);
   if (source.kind === 'self' && now.monotonicMs < readsAloneUntilMs) return source;
-  const name = divided.candidates.find((each) => isOfUse(state, state.heard.get(each), now));
+  const name = divided.candidates.find((each) => isOfUse(state, each, now));
   if (name !== undefined) return { kind: 'peer', name };
   const isRankedFirst = divided.isShared && divided.candidates.length === 0;
   const mayWait =
@@ -224,13 +229,14 @@
 }
 
 /** Whether a candidate has answered lately, and from fresh knowledge. */
-function isOfUse(state: State, heard: readers.Heard | undefined, now: task.Instant): boolean {
+function isOfUse(state: State, candidate: string, now: task.Instant): boolean {
+  const { source, adoptionMs } = state;
+  const heard = state.heard.get(candidate);
   if (!heard) return false;
+  const isReader = source.kind === 'peer' && source.name === candidate;
+  const maxAgeMs = adoptionMs * (isReader ? MAX_READER_AGE_SHARE : MAX_AGE_SHARE);
   const silentMs = now.monotonicMs - heard.atMs;
-  return (
-    silentMs < MISSED_INTERVALS * intervalMs(state) &&
-    heard.ageMs + silentMs < state.adoptionMs * MAX_AGE_SHARE
-  );
+  return silentMs < MISSED_INTERVALS * intervalMs(state) && heard.ageMs + silentMs < maxAgeMs;
 }
 
 function sourceCommand(state: State): readers.Command {
--- a/packages/core/test/readers/source.test.ts
+++ b/packages/core/test/readers/source.test.ts
@@ -67,6 +67,22 @@
   assert.equal(sources, ['undecided', 'self']);
 });
 
+/** Guards against all followers that read every kind at once when the platform has not answered for a while. */
+suite('a reader without news is kept for one and a half bounds while it answers', () => {
+  const { candidate, answer, tick, sources, held } = aFollower();
+  const lastConfirmedMs = -100;
+  const answerWithoutNews = () => answer(held.nowMs - lastConfirmedMs);
+  while (held.nowMs < 1.4 * ADOPTION_MS) {
+    answerWithoutNews();
+    tick();
+  }
+  assert.equal(sources, ['undecided', candidate]);
+  answerWithoutNews();
+  tick();
+  answerWithoutNews();
+  assert.equal(sources, ['undecided', candidate, 'self']);
+});
+
 suite('a reader that answers by turns is left for two seconds at least', () => {
   const { answer, tick, sources, changedAtMs } = aFollower();
   answer(100);
