Upstreams that do not answer: instances tell each other (core/silence)

Cause: in a deployment of 87 instances and 63 engines each instance sends to an engine every few seconds only, and learns of one that went dark by a request of its own. Streams that may not be retried never made their instance check the upstream at all.

Change: instances tell their reader which upstreams they have found silent; readers pass sums by data centre on at once. An upstream that two instances of the own data centre, or instances of two data centres, have found silent gets no requests, unless it has answered here within 1.5 s. An instance that finds more than half of a service's upstreams silent tells nothing. When the report ends, the upstream counts as cold. Streams that cannot be retried check the liveness of their upstream after 600 ms at the latest. It takes effect where instances read through readers.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -1,14 +1,13 @@
 /** Decisions of the fleet task. State is updated in place, since no other task sees it. */
 import type * as routes from '../gateway/routes.js';
-import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import type * as gatewayMessages from '../messages/gateway.js';
 import * as quarantine from '../quarantine/index.js';
 import * as results from '../results/index.js';
 import type * as inputs from '../rollouts/inputs.js';
-import * as targets from '../rollouts/targets.js';
 import * as sharedContext from '../shared-context/index.js';
+import * as silence from '../silence/index.js';
 import * as upstreamHealth from './upstream-health.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
@@ -24,6 +23,8 @@
 import * as quarantineSteps from './quarantine-steps.js';
 import * as reports from './reports.js';
 import * as senders from './senders.js';
+import * as silenceSteps from './silence-steps.js';
+import * as sourceChanges from './source-changes.js';
 
 export type Command =
   | {
@@ -42,6 +43,7 @@
   | { kind: 'schedule-tick' }
   | { kind: 'schedule-peer-update'; delayMs: number }
   | { kind: 'send-peer-update'; update: peerWork.Update }
+  | { kind: 'send-silence-update'; update: silence.types.Update }
   | { kind: 'record-placement'; placementRequest: placement.Request; decision: placement.Decision }
   | { kind: 'record-upstream-change'; id: string; text: string; ageMs: number }
   | {
@@ -87,13 +89,16 @@
       quarantine.publishing.renewVerdicts(state.quarantine, now);
       return connectionLimits.withConnectionLimits(senders.withMembers(state, message.names, now));
     case 'fleet.evacuations-changed':
-      return onEvacuationsChanged(state, message, now);
+      return sourceChanges.onEvacuationsChanged(state, message, now);
     case 'fleet.target-versions-changed':
-      return onTargetVersionsChanged(state, message, now);
+      return sourceChanges.onTargetVersionsChanged(state, message, now);
     case 'fleet.store-changed':
       sharedContext.inventory.applyUpdate(state.inventory, message.store, message.update, now);
       return { state, commands: [] };
+    case 'fleet.silence-update':
+      return { state, commands: silenceSteps.onUpdate(state, message.update, now) };
     case 'fleet.sharing-changed':
+      silence.sharing.forget(state);
       return { state: peerUpdates.withSharing(state, message.sharing), commands: [] };
     case 'fleet.peer-update':
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
@@ -192,7 +197,8 @@
   if (before === upstream.reachability.kind) return { state, commands: scheduled };
   const text = `does not answer: ${outcome}`;
   const ageMs = now.monotonicMs - upstream.lastByteAtMs;
-  return { state, commands: [...scheduled, { kind: 'record-upstream-change', id, text, ageMs }] };
+  const change: Command = { kind: 'record-upstream-change', id, text, ageMs };
+  return { state, commands: [...scheduled, change, ...silenceSteps.publish(state)] };
 }
 
 function onResponse(
@@ -244,32 +250,6 @@
   });
 }
 
-function onEvacuationsChanged(
-  state: fleet.State,
-  { dataCentres, unchangedAt }: MessageOf<'fleet.evacuations-changed'>,
-  now: task.Instant,
-): Step {
-  const unseenMs = unchangedAt ? staleness.ageMs(unchangedAt, now) : Infinity;
-  return {
-    state: { ...state, evacuatedDataCentres: new Set(dataCentres) },
-    commands: [{ kind: 'record-evacuation', dataCentres, unseenMs }],
-  };
-}
-
-function onTargetVersionsChanged(
-  state: fleet.State,
-  { versions, namedAfter }: MessageOf<'fleet.target-versions-changed'>,
-  now: task.Instant,
-): Step {
-  const targetVersions = targets.update(state.targetVersions, versions, namedAfter);
-  return {
-    state: { ...state, targetVersions },
-    commands: [
-      { kind: 'record-target-versions', versions, unseenMs: staleness.ageMs(namedAfter, now) },
-    ],
-  };
-}
-
 /** Probes silent upstreams, since no request is sent to them that would show their recovery. */
 function onTick(given: fleet.State, now: task.Instant): Step {
   const state = senders.expire(
@@ -285,6 +265,7 @@
     commands: [
       { kind: 'schedule-tick' },
       ...publishing.snapshots(state, now),
+      ...silenceSteps.onTick(state, now),
       ...reports.recordChanges(state, expired),
       ...quarantineSteps.onTick(state, now),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -4,6 +4,7 @@
 import type * as placement from './placement.js';
 import * as rateLimit from './rate-limit.js';
 import * as results from '../results/index.js';
+import * as silence from '../silence/index.js';
 import type * as fleet from './state.js';
 import * as upstreams from './upstream.js';
 
@@ -23,6 +24,8 @@
   /** It has said that it is leaving. */
   | { kind: 'leaving' }
   | { kind: 'silent' }
+  /** Peers have found it silent. */
+  | { kind: 'reported-silent' }
   | { kind: 'evacuated' }
   | { kind: 'replaced-weights' }
   /** It has turned a request away and named a time; until then it wants none. */
@@ -45,6 +48,7 @@
   if (placementRequest.excludedUpstreams.includes(registration.id)) return { kind: 'tried' };
   if (!servesModel(placementRequest, registration)) return { kind: 'other-model' };
   if (reachability.kind === 'silent') return { kind: 'silent' };
+  if (silence.judgement.isReported(state, registration.id)) return { kind: 'reported-silent' };
   if (!mayStillBegin(inputs, upstream, 0)) return { kind: 'replaced-weights' };
   if (upstreams.isPaused(upstream, now)) return { kind: 'paused', untilMs: upstream.pausedUntilMs };
   return rateExclusion(inputs, upstream);
@@ -85,6 +89,7 @@
     case 'not-listed':
     case 'leaving':
     case 'silent':
+    case 'reported-silent':
     case 'evacuated':
     case 'replaced-weights':
       return false;
--- a/packages/core/src/fleet/liveness.ts
+++ b/packages/core/src/fleet/liveness.ts
@@ -2,8 +2,10 @@
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import * as results from '../results/index.js';
+import * as silence from '../silence/index.js';
 import type * as decide from './decide.js';
 import * as quarantineSteps from './quarantine-steps.js';
+import * as silenceSteps from './silence-steps.js';
 import type * as fleet from './state.js';
 import * as upstreams from './upstream.js';
 import * as upstreamHealth from './upstream-health.js';
@@ -20,7 +22,8 @@
   now: task.Instant,
 ): decide.Step {
   const upstream = state.registry.upstreams.get(id);
-  const isSilent = !upstream || upstream.reachability.kind === 'silent';
+  const isSilent =
+    !upstream || upstream.reachability.kind === 'silent' || silence.judgement.isReported(state, id);
   const reply: decide.Command = {
     kind: 'reply',
     replyTo,
@@ -59,6 +62,7 @@
         commands: [
           { kind: 'record-upstream-change', id, text: 'a probe got no answer', ageMs },
           ...suspicions,
+          ...silenceSteps.publish(state),
         ],
       };
     }
@@ -74,7 +78,10 @@
       upstreamHealth.recordRecovery(upstream, result.coldMs ?? coldStartMs, now);
       return {
         state,
-        commands: [{ kind: 'record-upstream-change', id, text: 'answers again', ageMs }],
+        commands: [
+          { kind: 'record-upstream-change', id, text: 'answers again', ageMs },
+          ...silenceSteps.publish(state),
+        ],
       };
     }
     default:
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -3,6 +3,7 @@
 import type * as targets from '../rollouts/targets.js';
 import * as ledger from '../quarantine/ledger.js';
 import * as inventory from '../shared-context/inventory.js';
+import * as silence from '../silence/types.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
 
@@ -51,6 +52,8 @@
   /** Mean tokens of a prompt, by service. Updated in place. */
   meanPromptTokens: Map<string, number>;
   outbox: Outbox;
+  /** What peers tell of upstreams that do not answer. Updated in place. */
+  silence: silence.State;
   /** Updated in place. */
   quarantine: ledger.Ledger;
 };
@@ -80,6 +83,7 @@
     prefillRates: new Map(),
     meanPromptTokens: new Map(),
     outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
+    silence: silence.create(),
     quarantine: ledger.create(instance),
   };
 }
--- a/packages/core/src/gateway/lifecycle-timers.ts
+++ b/packages/core/src/gateway/lifecycle-timers.ts
@@ -15,6 +15,9 @@
 /** In event gaps of the route: the same for later events. */
 const EVENT_TIMEOUT_GAPS = 3;
 
+/** A stream that cannot be retried checks the liveness of its upstream no later than this. */
+const MAX_LIVENESS_DELAY_MS = 600;
+
 /** With less time than this left, no further attempt is made. */
 export const MIN_ATTEMPT_MS = 40;
 
@@ -44,13 +47,18 @@
   }
 }
 
-/** Schedules the idle timer, if the request could still be retried at another upstream. */
+/**
+ * Schedules the idle timer, if the request could still be retried at another upstream. A stream that could
+ * not shows by its silence that no others should be sent there.
+ */
 export function armIdleTimer(
   state: State,
   delayMs = idleTimeoutMs(state),
 ): readonly lifecycleState.Command[] {
-  if (!mayRetryElsewhere(state)) return [];
-  return [{ kind: 'schedule', timer: 'idle', delayMs }];
+  if (mayRetryElsewhere(state)) return [{ kind: 'schedule', timer: 'idle', delayMs }];
+  if (state.routed.route.responseMode !== 'stream') return [];
+  const checkMs = state.isHeadSent ? delayMs : Math.min(delayMs, MAX_LIVENESS_DELAY_MS);
+  return [{ kind: 'schedule', timer: 'idle', delayMs: checkMs }];
 }
 
 export function mayRetryElsewhere({ routed: { route }, possibleRuns }: State): boolean {
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -108,9 +108,8 @@
 
 /** Retries a late buffered response elsewhere; retries a stream only if its upstream is silent. */
 function onIdle(state: State, now: task.Instant): Step {
-  if (state.phase.kind !== 'attempting' || !timers.mayRetryElsewhere(state)) {
-    return { state, commands: [] };
-  }
+  if (state.phase.kind !== 'attempting') return { state, commands: [] };
+  if (!timers.mayRetryElsewhere(state)) return checkSilence(state, state.phase.attempt);
   if (timers.remainingMs(state, now) < timers.MIN_ATTEMPT_MS) return { state, commands: [] };
   const { attempt } = state.phase;
   switch (state.routed.route.responseMode) {
@@ -123,12 +122,18 @@
   }
 }
 
+/** Lets the fleet find out that the upstream is silent, though this request cannot go elsewhere. */
+function checkSilence(state: State, attempt: lifecycleState.Attempt): Step {
+  const isStream = state.routed.route.responseMode === 'stream';
+  return { state, commands: isStream ? [{ kind: 'check-liveness', attempt }] : [] };
+}
+
 function onLiveness(state: State, attemptId: string, isSilent: boolean): Step {
   if (state.phase.kind !== 'attempting' || state.phase.attempt.id !== attemptId) {
     return { state, commands: [] };
   }
-  if (!timers.mayRetryElsewhere(state)) return { state, commands: [] };
   if (!isSilent) return { state, commands: timers.armIdleTimer(state, LIVENESS_RECHECK_MS) };
+  if (!timers.mayRetryElsewhere(state)) return { state, commands: [] };
   return retry.askBudget(
     { ...state, lastFailureReason: 'upstream is silent' },
     state.phase.attempt,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,4 +30,5 @@
 export * as routing from './routing/index.js';
 export * as settings from './settings/index.js';
 export * as sharedContext from './shared-context/index.js';
+export * as silence from './silence/index.js';
 export * as streamOrigins from './stream-origins/index.js';
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -63,6 +63,14 @@
   zod.array(verdictRow),
 ]);
 
+/** Upstream, and how many instances of each data centre have found it silent. */
+const silenceRow = zod.tuple([
+  zod.string(),
+  zod.array(zod.tuple([zod.string(), zod.number().int().positive()])),
+]);
+/** Instances tell fewer. */
+const MAX_SILENCE_ROWS = 100;
+
 /** By kind, so that an update is checked against one schema only. */
 const bodies = {
   /** Kind, sender, incarnation, send time, scope, instances, is a snapshot, work, sent parts. */
@@ -77,6 +85,13 @@
     zod.array(workRow),
     zod.array(sentRow),
   ]),
+  /** Kind, sender, scope, rows. */
+  silence: zod.tuple([
+    zod.literal('silence'),
+    zod.string(),
+    zod.enum(['own', 'group', 'fleet']),
+    zod.array(silenceRow).max(MAX_SILENCE_ROWS),
+  ]),
   quarantine: zod.tuple([zod.literal('quarantine'), zod.string(), quarantineRows]),
   stores: zod.tuple([zod.literal('stores'), zod.string(), zod.array(storeRow)]),
   question: zod.tuple([zod.literal('question'), zod.string(), question]),
@@ -94,7 +109,7 @@
 };
 
 const kinds = zod.tuple([
-  zod.enum(['work', 'quarantine', 'stores', 'question', 'answer', 'changes']),
+  zod.enum(['work', 'silence', 'quarantine', 'stores', 'question', 'answer', 'changes']),
 ]);
 const anyBody = kinds.rest(zod.unknown());
 
@@ -109,4 +124,5 @@
 export type QuarantineRows = zod.infer<typeof quarantineRows>;
 export type SuspectRow = zod.infer<typeof suspectRow>;
 export type VerdictRow = zod.infer<typeof verdictRow>;
+export type SilenceBody = zod.infer<(typeof bodies)['silence']>;
 export type StoreTuple = zod.infer<typeof storeRow>;
