--- a/packages/core/test/gateway/lifecycle.test.ts
+++ b/packages/core/test/gateway/lifecycle.test.ts
@@ -57,6 +57,29 @@
   assert.equal(placed?.kind === 'place' && placed.excluded, ['u-1']);
 });
 
+/** Guards against an upstream that goes dark unnoticed, as no request there may be retried. */
+suite(
+  'a stream that cannot be retried checks its upstream within 600 ms, and is not sent again',
+  () => {
+    const lifecycle = fixtures.aLifecycle({ responseMode: 'stream', latencyTargetMs: 1_200 });
+    const scheduled = fixtures
+      .placeAttempt(lifecycle, 'u-1')
+      .find((each) => each.kind === 'schedule' && each.timer === 'idle');
+    assert.is(scheduled?.kind === 'schedule' && scheduled.delayMs, 600);
+    const checked = lifecycle.send({ type: 'request.timer-fired', timer: 'idle' }, 600);
+    const check = checked.find((each) => each.kind === 'check-liveness');
+    assert.ok(check?.kind === 'check-liveness');
+    const attempt = check.attempt.id;
+    const again = lifecycle.send({ type: 'fleet.liveness-checked', attempt, isSilent: false });
+    assert.ok(again.some((each) => each.kind === 'schedule' && each.timer === 'idle'));
+    assert.equal(
+      lifecycle.send({ type: 'fleet.liveness-checked', attempt, isSilent: true }, 300),
+      [],
+    );
+    assert.is(fixtures.countSends(lifecycle), 1);
+  },
+);
+
 suite('a late attempt stays in flight when the retry budget refuses', () => {
   const lifecycle = fixtures.aLifecycle({
     retryPolicy: 'retryable',
