Setting `features`, and where load control is predictive

Cause: new parts must take effect only where settings or upstreams ask for them, by one rule. Empty flags and environment values count as not given.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -15,7 +15,6 @@
 import * as eligibility from './eligibility.js';
 import type * as peerWork from './peer-work.js';
 import * as placement from './placement.js';
-import * as prefillRate from './prefill-rate.js';
 import type * as fleet from './state.js';
 import * as liveness from './liveness.js';
 import * as peerUpdates from './peer-updates.js';
@@ -23,6 +22,7 @@
 import * as quarantineMessages from './quarantine-messages.js';
 import * as quarantineSteps from './quarantine-steps.js';
 import * as reports from './reports.js';
+import * as responses from './responses.js';
 import * as senders from './senders.js';
 
 export type Command =
@@ -69,7 +69,7 @@
     case 'fleet.attempt-ended':
       return onOutcome(state, message, now);
     case 'fleet.upstream-responded':
-      return onResponse(state, message, now);
+      return { state, commands: responses.record(state, message, now) };
     case 'fleet.check-liveness':
       return liveness.check(state, message, now);
     case 'fleet.check-begin':
@@ -195,30 +195,6 @@
   return { state, commands: [...scheduled, { kind: 'record-upstream-change', id, text, ageMs }] };
 }
 
-function onResponse(
-  state: fleet.State,
-  message: MessageOf<'fleet.upstream-responded'>,
-  now: task.Instant,
-): Step {
-  quarantineSteps.onResponse(state, message);
-  const { upstream: id, requestId, selfReport } = message;
-  const upstream = state.registry.upstreams.get(id);
-  if (!upstream) return { state, commands: [] };
-  const versions = [...upstream.versions.values()].join();
-  const before = reports.selfReportOf(upstream);
-  const begun = upstreamHealth.recordResponse(upstream, requestId, selfReport, now);
-  if (begun) prefillRate.recordSample(state, upstream.registration.service, begun, now);
-  const hasChanged = versions !== [...upstream.versions.values()].join();
-  return {
-    state,
-    commands: [
-      ...(begun ? publishing.schedule(state, { upstream: id, context: undefined }) : []),
-      ...(hasChanged ? [reports.reportToRollouts(state)] : []),
-      ...reports.recordSelfReport(upstream, before),
-    ],
-  };
-}
-
 function onListRead(state: fleet.State, update: discovery.Update, now: task.Instant): Step {
   const changed = discovery.applyUpdate(state.registry, update, now);
   return {
--- /dev/null
+++ b/packages/core/src/fleet/responses.ts
@@ -0,0 +1,36 @@
+/** Records the bytes that upstreams send, and what the heads of their answers say of them. */
+import type * as task from '../kernel/task.js';
+import type * as fleetMessages from '../messages/fleet.js';
+import type * as decide from './decide.js';
+import * as prefillRate from './prefill-rate.js';
+import * as publishing from './publishing.js';
+import * as quarantineSteps from './quarantine-steps.js';
+import * as reports from './reports.js';
+import type * as fleet from './state.js';
+import * as upstreamHealth from './upstream-health.js';
+
+type Response = Extract<fleetMessages.FleetMessage, { type: 'fleet.upstream-responded' }>;
+
+export function record(
+  state: fleet.State,
+  message: Response,
+  now: task.Instant,
+): readonly decide.Command[] {
+  quarantineSteps.onResponse(state, message);
+  const { upstream: id, requestId, selfReport } = message;
+  const upstream = state.registry.upstreams.get(id);
+  if (!upstream) return [];
+  const versions = [...upstream.versions.values()].join();
+  const before = reports.selfReportOf(upstream);
+  if (selfReport?.slowdown !== undefined) {
+    state.slowdownServices.add(upstream.registration.service);
+  }
+  const begun = upstreamHealth.recordResponse(upstream, requestId, selfReport, now);
+  if (begun) prefillRate.recordSample(state, upstream.registration.service, begun, now);
+  const hasChanged = versions !== [...upstream.versions.values()].join();
+  return [
+    ...(begun ? publishing.schedule(state, { upstream: id, context: undefined }) : []),
+    ...(hasChanged ? [reports.reportToRollouts(state)] : []),
+    ...reports.recordSelfReport(upstream, before),
+  ];
+}
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -51,6 +51,10 @@
   /** Mean tokens of a prompt, by service. Updated in place. */
   meanPromptTokens: Map<string, number>;
   outbox: Outbox;
+  /** Names of the optional features that the settings enable. */
+  features: ReadonlySet<string>;
+  /** Services of which an upstream has reported its slowdown. Updated in place. */
+  slowdownServices: Set<string>;
   /** Updated in place. */
   quarantine: ledger.Ledger;
 };
@@ -60,6 +64,7 @@
   dataCentre: string,
   bounds: Bounds,
   incarnation: string,
+  features: readonly string[] = [],
 ): State {
   return {
     instance,
@@ -80,6 +85,8 @@
     prefillRates: new Map(),
     meanPromptTokens: new Map(),
     outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
+    features: new Set(features),
+    slowdownServices: new Set(),
     quarantine: ledger.create(instance),
   };
 }
--- a/packages/core/src/fleet/upstream-health.ts
+++ b/packages/core/src/fleet/upstream-health.ts
@@ -68,6 +68,8 @@
 /** What an upstream says of itself in the head of an answer. */
 export type Signals = {
   load: upstreams.ReportedLoad | undefined;
+  /** How many times as long as usual its work takes at present; 1 is usual. */
+  slowdown?: number;
   /** Reported time for which it stays cold. */
   coldMs: number | undefined;
   version: upstreams.ModelVersion | undefined;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * as leases from './leases/index.js';
 export * as links from './links/index.js';
 export * as load from './load/index.js';
+export * as loadControl from './load-control/index.js';
 export * as membership from './membership/index.js';
 export * as messages from './messages/index.js';
 export * as metrics from './metrics/index.js';
--- a/packages/core/src/settings/flags.ts
+++ b/packages/core/src/settings/flags.ts
@@ -40,8 +40,9 @@
       describe((schema.shape as unknown as Readonly<Record<string, zod.ZodType>>)[name]),
     parse(flags, environment) {
       const given = names.flatMap((name) => {
-        const value = flags[flagName(name)] ?? environment[environmentName(name)];
-        return value === undefined ? [] : [[name, value] as const];
+        // An empty value is what a placeholder without content leaves; it counts as not given.
+        const value = flags[flagName(name)] || environment[environmentName(name)];
+        return value ? [[name, value] as const] : [];
       });
       const found = Object.fromEntries(given);
       const checked = schema.safeParse(found);
@@ -57,7 +58,8 @@
   const left = field?.safeParse(undefined);
   if (!left?.success) return { text, fallback: { kind: 'required' } };
   if (left.data === undefined) return { text, fallback: { kind: 'none' } };
-  return { text, fallback: { kind: 'value', value: String(left.data) } };
+  const value = String(left.data);
+  return { text, fallback: value === '' ? { kind: 'none' } : { kind: 'value', value } };
 }
 
 function explainIssues(
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -11,6 +11,8 @@
 
 /** In cores; beyond any machine's. */
 export const MAX_PROCESSOR_SHARE = 1_024;
+/** In characters; beyond any list of names that a platform gives. */
+const MAX_FEATURES_LENGTH = 4_096;
 
 export const gatewaySchema = zod.strictObject({
   name: zod.string().min(1).describe('name of the instance, unique in the deployment'),
@@ -62,6 +64,13 @@
   retryExtra: factor(50, 'retry budget: additional retries per window, over all instances'),
   coldOverrun: factor(1.5, 'allowed multiple of the rate limit of a cold upstream'),
   coldSlack: factor(5, 'requests per second allowed in addition to that multiple'),
+  features: zod
+    .string()
+    .max(MAX_FEATURES_LENGTH)
+    .default('')
+    .transform((text) => text.split(',').map((name) => name.trim()))
+    .transform((names) => names.filter((name) => name !== ''))
+    .describe('names of optional features, separated by commas; unknown ones are ignored'),
 });
 
 export type GatewaySettings = zod.infer<typeof gatewaySchema>;
--- a/packages/core/test/settings/settings.test.ts
+++ b/packages/core/test/settings/settings.test.ts
@@ -40,4 +40,28 @@
   assert.not.match(core.results.describe(parsed.error), '"short"');
 });
 
+const GATEWAY = {
+  name: 'instance-1',
+  'data-centre': 'dc-1',
+  callers: '127.0.0.1:1',
+  readiness: '127.0.0.1:2',
+  platform: '127.0.0.1:3',
+};
+
+function features(given: Readonly<Record<string, string>>, environment = {}): readonly string[] {
+  const parsed = core.settings.gateway.gatewayFlags.parse({ ...GATEWAY, ...given }, environment);
+  return parsed.isOk() ? parsed.value.features : [core.results.describe(parsed.error)];
+}
+
+/** Guards against a start that fails because a placeholder of the run line is empty. */
+suite('an empty flag or environment value counts as not given', () => {
+  assert.equal(features({ features: '' }), []);
+  assert.equal(features({ features: '' }, { MEDLARWEIR_FEATURES: 'pressure' }), ['pressure']);
+  assert.equal(features({}, { MEDLARWEIR_FEATURES: '', MEDLARWEIR_COLD_SLACK: '' }), []);
+});
+
+suite('features are names separated by commas', () => {
+  assert.equal(features({ features: 'pressure, unknown,,' }), ['pressure', 'unknown']);
+});
+
 suite.run();
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -13,9 +13,9 @@
   name: 'fleet',
   create: (context) => {
     const { settings, incarnation } = context;
-    const { name, dataCentre } = settings;
+    const { name, dataCentre, features } = settings;
     return {
-      initial: core.fleet.state.initial(name, dataCentre, settings, incarnation),
+      initial: core.fleet.state.initial(name, dataCentre, settings, incarnation, features),
       decide: core.fleet.decide,
       perform: (command) => perform(context, command),
       dump,
