A model of the speed of each upstream, and predicted queueing delay

Cause: one prefill rate for a service with a built-in prior, learned from long prompts only, predicted no delay for 91 % of the prompts. Upstreams differ, and slow down for fractions of a second. Change: `core/speed` fits the constant part, the time for a token and for a running request from every answered prompt, and a level and a decaying deviation for each upstream. A reported slowdown counts as far as answers confirm it. Plain services get the delay of a multi-server queue. `fleet/queue` uses it where load control is predictive, and is as before elsewhere.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -9,6 +9,7 @@
 import type * as inputs from '../rollouts/inputs.js';
 import * as targets from '../rollouts/targets.js';
 import * as sharedContext from '../shared-context/index.js';
+import * as speed from '../speed/index.js';
 import * as upstreamHealth from './upstream-health.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
@@ -184,6 +185,8 @@
   const upstream = state.registry.upstreams.get(id);
   if (!upstream) return { state, commands: suspicions };
   const before = upstream.reachability.kind;
+  const work = upstream.inFlight.get(requestId);
+  if (work && outcome === 'answered') speed.recordEnd(state, upstream, work, now);
   upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
   const scheduled = [
     ...publishing.schedule(state, { upstream: id, context: undefined }),
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -1,17 +1,16 @@
 /** Chooses the upstream for a request: the candidate with the lowest expected time to first byte. */
 import type * as request from '../gateway/request.js';
 import type * as routes from '../gateway/routes.js';
-import * as task from '../kernel/task.js';
+import type * as task from '../kernel/task.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type * as messages from '../messages/gateway.js';
 import * as wave from '../rollouts/wave.js';
-import * as sharedContext from '../shared-context/index.js';
 import * as eligibility from './eligibility.js';
 import * as placeCost from './place-cost.js';
 import * as queue from './queue.js';
-import * as prefillRate from './prefill-rate.js';
 import * as promptPrefill from './prompt-prefill.js';
 import * as rateLimit from './rate-limit.js';
+import * as reservation from './reservation.js';
 import * as refusals from './refusals.js';
 import * as sampling from './sampling.js';
 import type * as fleet from './state.js';
@@ -71,7 +70,7 @@
 const ENGINE_LATENCY_SHARE = 0.1;
 
 /** An upstream that may take the request, with its estimates. */
-type Candidate = {
+export type Candidate = {
   upstream: upstreams.Upstream;
   ahead: queue.Estimate;
   /** Prompt tokens that the upstream still has to read; tokens fetched from a store count for a share. */
@@ -107,7 +106,7 @@
   if (!best) return refusals.none('full', freeInMs(inputs, ranked));
   return {
     kind: 'placed',
-    destination: reserve(inputs, best),
+    destination: reservation.reserve(inputs, best),
     costMs: Math.round(best.costMs),
     candidates: sampled.length,
   };
@@ -129,10 +128,8 @@
   compared: readonly upstreams.Upstream[],
   waves: Waves,
 ): readonly Candidate[] {
-  const { state, service } = inputs;
   const affinityCosts = affinityCostsMs(inputs, compared);
   const estimateTokens = promptPrefill.prefillEstimator(inputs);
-  const readingRate = prefillRate.tokensPerMs(state, service.name);
   return compared
     .map((each): Candidate => {
       const ahead = queue.estimate(inputs, each);
@@ -146,7 +143,7 @@
       };
     })
     .filter(({ upstream, ahead, tokens }) =>
-      eligibility.mayStillBegin(inputs, upstream, ahead.waitMs + tokens / readingRate),
+      eligibility.mayStillBegin(inputs, upstream, ahead.waitMs + tokens / ahead.tokensPerMs),
     )
     .sort((a, b) => a.costMs - b.costMs);
 }
@@ -202,12 +199,12 @@
   waves: Waves,
 ): number {
   const { state, now } = inputs;
-  const { registration, firstByteLatencyMs = 0 } = upstream;
+  const { registration } = upstream;
   const isElsewhere = registration.dataCentre !== state.dataCentre;
   return (
     ahead.costMs +
-    tokens / prefillRate.tokensPerMs(state, inputs.service.name) +
-    firstByteLatencyMs * (inputs.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
+    tokens / ahead.tokensPerMs +
+    latencyCostMs(inputs, upstream, ahead) +
     upstreams.currentFaultScore(upstream, now.monotonicMs) * FAULT_COST_MS +
     (isElsewhere ? OTHER_DATA_CENTRE_COST_MS : 0) +
     placeCost.costMs(inputs, upstream) +
@@ -219,63 +216,17 @@
   );
 }
 
+/** A predicted estimate contains the speed of the upstream. */
+function latencyCostMs(
+  { service }: Inputs,
+  { firstByteLatencyMs = 0 }: upstreams.Upstream,
+  { isPredicted }: queue.Estimate,
+): number {
+  if (isPredicted) return 0;
+  return firstByteLatencyMs * (service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE);
+}
+
 function outdatedWeightsCostMs(inputs: Inputs, upstream: upstreams.Upstream): number {
   const outdatedMs = eligibility.outdatedForMs(inputs, upstream) ?? 0;
   return outdatedMs > OUTDATED_WEIGHTS_GRACE_MS ? OUTDATED_WEIGHTS_COST_MS : 0;
 }
-
-/** Records the work at the upstream and returns the destination with its context plan. */
-function reserve(inputs: Inputs, { upstream, ahead, tokens }: Candidate): messages.Destination {
-  const { state, service, placementRequest, now } = inputs;
-  const { id, address } = upstream.registration;
-  rateLimit
-    .limitsOf(upstream, service, state.bounds, now.monotonicMs)
-    .forEach((limit) => rateLimit.spend(state, upstream, limit, now.monotonicMs));
-  upstream.inFlight.set(placementRequest.requestId, {
-    startedAtMs: now.monotonicMs,
-    tokensToRead: tokens,
-    promptTokens: promptPrefill.promptTokens(placementRequest),
-    tokensUntilFirstEvent: tokens + ahead.unreadTokens,
-    hasFirstByte: false,
-  });
-  return {
-    upstream: id,
-    address,
-    service: service.name,
-    softwareVersion: upstream.registration.softwareVersion,
-    context: contextPlanFor(inputs, upstream),
-    expected: {
-      waitMs: Math.round(ahead.waitMs),
-      tokensToRead: Math.round(tokens),
-      weightVersion: upstream.versions.get(placementRequest.prompt?.model ?? '') ?? 0,
-      replacedForMs: eligibility.outdatedForMs(inputs, upstream),
-    },
-    beginBy: beginBy(inputs, upstream),
-  };
-}
-
-/** On the newest weights, a version that is named from now on leaves the whole bound. */
-function beginBy(
-  { state, placementRequest: { prompt }, now }: Inputs,
-  upstream: upstreams.Upstream,
-): task.Instant | undefined {
-  if (!prompt) return undefined;
-  const whole = task.later(now, state.bounds.rolloutMs);
-  return eligibility.beginBy(state, upstream, prompt.model, now) ?? whole;
-}
-
-function contextPlanFor(
-  { state, service, placementRequest, now }: Inputs,
-  upstream: upstreams.Upstream,
-) {
-  if (!placementRequest.prompt || !service.engine) return undefined;
-  const { prompt } = placementRequest;
-  const situation = { inventory: state.inventory, stores: state.contextStores, now };
-  const context = sharedContext.plan.create(
-    situation,
-    prompt,
-    promptPrefill.saltOf(placementRequest, prompt, upstream),
-  );
-  upstreams.recordSentParts(upstream, context.salt, context.sharedParts, now);
-  return context;
-}
--- a/packages/core/src/fleet/responses.ts
+++ b/packages/core/src/fleet/responses.ts
@@ -1,6 +1,7 @@
 /** Records the bytes that upstreams send, and what the heads of their answers say of them. */
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
+import * as speed from '../speed/index.js';
 import type * as decide from './decide.js';
 import * as prefillRate from './prefill-rate.js';
 import * as publishing from './publishing.js';
@@ -22,11 +23,12 @@
   if (!upstream) return [];
   const versions = [...upstream.versions.values()].join();
   const before = reports.selfReportOf(upstream);
-  if (selfReport?.slowdown !== undefined) {
-    state.slowdownServices.add(upstream.registration.service);
-  }
+  if (selfReport) speed.recordSignals(state, upstream, selfReport, now);
   const begun = upstreamHealth.recordResponse(upstream, requestId, selfReport, now);
-  if (begun) prefillRate.recordSample(state, upstream.registration.service, begun, now);
+  if (begun) {
+    prefillRate.recordSample(state, upstream.registration.service, begun, now);
+    speed.recordFirstEvent(state, upstream, begun, now);
+  }
   const hasChanged = versions !== [...upstream.versions.values()].join();
   return [
     ...(begun ? publishing.schedule(state, { upstream: id, context: undefined }) : []),
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -3,6 +3,7 @@
 import type * as targets from '../rollouts/targets.js';
 import * as ledger from '../quarantine/ledger.js';
 import * as inventory from '../shared-context/inventory.js';
+import type * as speed from '../speed/types.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
 
@@ -21,6 +22,8 @@
   /** Ids of upstreams at which this instance's work has changed. */
   changedUpstreams: Set<string>;
   sentParts: peerWork.SentParts[];
+  /** Ids of upstreams with new samples of their speed, the newest last. */
+  changedSpeeds: Set<string>;
   isScheduled: boolean;
 };
 
@@ -48,6 +51,8 @@
   sharing: peerWork.Sharing;
   /** Tokens per millisecond that an engine reads, by service. Updated in place. */
   prefillRates: Map<string, number>;
+  /** How fast the services work. Updated in place. */
+  speeds: Map<string, speed.ServiceModel>;
   /** Mean tokens of a prompt, by service. Updated in place. */
   meanPromptTokens: Map<string, number>;
   outbox: Outbox;
@@ -83,8 +88,15 @@
     peerWork: new Map(),
     sharing: 'with-all',
     prefillRates: new Map(),
+    speeds: new Map(),
     meanPromptTokens: new Map(),
-    outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
+    outbox: {
+      incarnation,
+      changedUpstreams: new Set(),
+      sentParts: [],
+      changedSpeeds: new Set(),
+      isScheduled: false,
+    },
     features: new Set(features),
     slowdownServices: new Set(),
     quarantine: ledger.create(instance),
--- a/packages/core/src/fleet/upstream.ts
+++ b/packages/core/src/fleet/upstream.ts
@@ -1,6 +1,8 @@
 /** State that an instance keeps for one upstream. Updated in place, since only the fleet task sees it. */
 import type * as task from '../kernel/task.js';
 import * as inventory from '../shared-context/inventory.js';
+import type * as speed from '../speed/types.js';
+import * as upstreamModel from '../speed/upstream-model.js';
 import type * as namedLimit from './named-limit.js';
 import * as peerWork from './peer-work.js';
 import type * as rateLimit from './rate-limit.js';
@@ -57,6 +59,8 @@
   /** Work that other instances reported. */
   peerWork: peerWork.InFlightWork;
   reportedLoad: ReportedLoad | undefined;
+  /** Updated in place. */
+  speed: speed.UpstreamModel;
   /** When the last byte from it arrived. */
   lastByteAtMs: number;
   /** Sum of recent faults as of `faultScoreAtMs`, with a half-life of `FAULT_HALF_LIFE_MS`. */
@@ -81,6 +85,8 @@
   /** Tokens that the upstream has to read before the first event, including `tokensToRead`. */
   tokensUntilFirstEvent: number;
   hasFirstByte: boolean;
+  /** What was expected as it was placed. */
+  forecast?: speed.Forecast;
 };
 
 export function fromRegistration(entry: Registration, now: task.Instant): Upstream {
@@ -96,6 +102,7 @@
     inFlight: new Map(),
     peerWork: peerWork.NONE,
     reportedLoad: undefined,
+    speed: upstreamModel.create(),
     lastByteAtMs: now.monotonicMs,
     faultScore: 0,
     faultScoreAtMs: now.monotonicMs,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,4 +31,5 @@
 export * as routing from './routing/index.js';
 export * as settings from './settings/index.js';
 export * as sharedContext from './shared-context/index.js';
+export * as speed from './speed/index.js';
 export * as streamOrigins from './stream-origins/index.js';
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -39,6 +39,8 @@
   weightVersion: number;
   /** Time since those weights were replaced; undefined if they are the newest. */
   replacedForMs: number | undefined;
+  /** Predicted time from the sending to the first event, or to the answer of a plain request. */
+  firstEventMs?: number;
 };
 
 /**
