Speeds are told to peers, recorded beside what came, and measured

Cause: an instance sees each engine once in 8 to 20 s, and what peers tell of their work is outdated when it is used; nobody could read how far predictions were off. Change: levels and reported slowdowns of upstreams go to peers as updates of a kind of their own (4 to 25 rows, bounded), which earlier releases ignore. The fit learns how much peers' outdated tokens count, against their mean. Levels count as far as they have predicted answers. The record of a request's end has the predicted and the actual time to the first event; metric prediction_error by service. Benchmark `speed`.

--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -5,4 +5,5 @@
 import './kernel/index.js';
 import './kept-context/index.js';
 import './overhead/index.js';
+import './speed/index.js';
 import './dispatch/index.js';
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -43,6 +43,7 @@
   | { kind: 'schedule-tick' }
   | { kind: 'schedule-peer-update'; delayMs: number }
   | { kind: 'send-peer-update'; update: peerWork.Update }
+  | { kind: 'send-speed-update'; update: speed.sharing.Update }
   | { kind: 'record-placement'; placementRequest: placement.Request; decision: placement.Decision }
   | { kind: 'record-upstream-change'; id: string; text: string; ageMs: number }
   | {
@@ -98,6 +99,9 @@
       return { state: peerUpdates.withSharing(state, message.sharing), commands: [] };
     case 'fleet.peer-update':
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
+    case 'fleet.speed-update':
+      speed.sharing.receive(state, message.update, now);
+      return { state, commands: [] };
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
@@ -264,6 +268,7 @@
     commands: [
       { kind: 'schedule-tick' },
       ...publishing.snapshots(state, now),
+      ...publishing.speeds(state, now),
       ...reports.recordChanges(state, expired),
       ...quarantineSteps.onTick(state, now),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
--- a/packages/core/src/fleet/publishing.ts
+++ b/packages/core/src/fleet/publishing.ts
@@ -2,6 +2,7 @@
 import type * as task from '../kernel/task.js';
 import type * as gatewayMessages from '../messages/gateway.js';
 import * as results from '../results/index.js';
+import * as speed from '../speed/index.js';
 import type * as decide from './decide.js';
 import * as peerUpdates from './peer-updates.js';
 import type * as fleet from './state.js';
@@ -42,3 +43,10 @@
       return results.assertNever(state.sharing);
   }
 }
+
+/** New samples of the speed of upstreams, once a tick. */
+export function speeds(state: fleet.State, now: task.Instant): readonly decide.Command[] {
+  return speed.sharing
+    .takeUpdates(state, now)
+    .map((update) => ({ kind: 'send-speed-update', update }));
+}
--- a/packages/core/src/fleet/queue.ts
+++ b/packages/core/src/fleet/queue.ts
@@ -24,6 +24,11 @@
 export type Estimate = {
   /** Tokens that the upstream reads before those of the new request. */
   unreadTokens: number;
+  /** The unread tokens of this instance, and those that peers told of when they sent their updates. */
+  ownTokens: number;
+  peerTokens: number;
+  /** Tokens that peers have unread on average; 0 if nothing is predicted. */
+  usualPeerTokens: number;
   /** Requests of all instances at the upstream. */
   requests: number;
   /** Rate at which it reads prompts. */
@@ -46,31 +51,61 @@
   if (loadControl.isPredictive(state, service.name)) return predict(inputs, upstream);
   const { engine } = service;
   const tokensPerMs = prefillRate.tokensPerMs(state, service.name);
-  const ahead = workAhead(inputs, upstream, tokensPerMs);
+  const total = totalWork.of(state, upstream);
+  const ahead = withoutReadMeanwhile(inputs, upstream, total, tokensPerMs);
   const { unreadTokens, requests } = ahead;
-  const known = { unreadTokens, requests, tokensPerMs, blockedMs: 0, isPredicted: false };
+  const known = {
+    ...tokensAhead(upstream, total),
+    usualPeerTokens: 0,
+    unreadTokens,
+    requests,
+    tokensPerMs,
+    blockedMs: 0,
+    isPredicted: false,
+  };
   if (!engine) return { ...known, waitMs: 0, costMs: plainCostMs(upstream) };
   const waitMs = engineWaitMs(ahead, engine, tokensPerMs);
   return { ...known, waitMs, costMs: waitMs + engineLoadMs(inputs, upstream, ahead) };
 }
 
+function tokensAhead(
+  upstream: upstreams.Upstream,
+  { unreadTokens }: peerWork.InFlightWork,
+): Pick<Estimate, 'ownTokens' | 'peerTokens'> {
+  const ownTokens = peerUpdates.ownWork(upstream).unreadTokens;
+  return { ownTokens, peerTokens: Math.max(0, unreadTokens - ownTokens) };
+}
+
 function predict(inputs: placement.Inputs, upstream: upstreams.Upstream): Estimate {
   const { state, service, now } = inputs;
-  const rate = speed.readingRate(state, service.name, upstream, now);
-  const { tokensPerMs, errorShare } = rate;
-  const ahead = workAhead(inputs, upstream, tokensPerMs);
-  const { unreadTokens, requests } = ahead;
-  const known = { unreadTokens, requests, tokensPerMs, isPredicted: true };
+  const { tokensPerMs, errorShare } = speed.readingRate(state, service.name, upstream, now);
+  const total = totalWork.of(state, upstream);
+  const { requests } = total;
+  const ahead = tokensAhead(upstream, total);
+  const peerTokensAt = (each: upstreams.Upstream) =>
+    tokensAhead(each, totalWork.of(state, each)).peerTokens;
+  const usualPeerTokens = service.engine ? speed.usualPeerTokens(inputs, peerTokensAt) : 0;
+  const peers = { peerTokens: ahead.peerTokens, usualPeerTokens };
+  const unreadTokens = ahead.ownTokens + speed.effectiveTokens(inputs, peers);
+  const known = {
+    ...ahead,
+    usualPeerTokens,
+    unreadTokens,
+    requests,
+    tokensPerMs,
+    isPredicted: true,
+  };
   if (!service.engine) {
-    const { waitMs } = speed.plainWait(inputs, upstream);
+    const { waitMs, errorMs } = speed.plainWait(inputs, upstream);
     const costMs = waitMs + speed.plainServedMs(inputs, upstream);
-    return { ...known, waitMs, blockedMs: 0, costMs };
+    return { ...known, waitMs: Math.max(0, waitMs - errorMs), blockedMs: 0, costMs };
   }
-  const blockedMs = speed.residenceMs(inputs) * blockedShare(ahead, upstream, service.engine);
+  const blockedMs = speed.residenceMs(inputs) * blockedShare(total, upstream, service.engine);
   const waitMs = unreadTokens / tokensPerMs + blockedMs;
   const costMs = waitMs + requests * speed.perRunningMs(inputs, upstream);
-  // A rate that has not been measured yet may rank upstreams, but refuses nothing.
-  return { ...known, waitMs: errorShare < 1 ? waitMs : 0, blockedMs, costMs };
+  // Only the part of the wait that is beyond the usual error refuses requests; a guess refuses none.
+  const certainMs = errorShare < 1 ? waitMs * Math.exp(-errorShare) : 0;
+  return { ...known, waitMs: certainMs, blockedMs, costMs };
 }
 
 /** What of the memory and of the slots in use has to become free first, as a share of all. */
@@ -88,12 +123,12 @@
  * What a reader tells is some hundred milliseconds old, and the engine has read on since. Own work is
  * known exactly.
  */
-function workAhead(
+function withoutReadMeanwhile(
   { state, now }: placement.Inputs,
   upstream: upstreams.Upstream,
+  total: peerWork.InFlightWork,
   tokensPerMs: number,
 ): peerWork.InFlightWork {
-  const total = totalWork.of(state, upstream);
   if (state.sharing === 'with-all') return total;
   const heardAtMs = Math.max(...[...state.peerWork.values()].map((each) => each.receivedAtMs));
   if (!Number.isFinite(heardAtMs)) return total;
--- a/packages/core/src/fleet/reservation.ts
+++ b/packages/core/src/fleet/reservation.ts
@@ -17,10 +17,20 @@
   { upstream, ahead, tokens }: Estimated,
   promptTokens: number,
 ): speed.Forecast {
-  const { unreadTokens, requests, blockedMs } = ahead;
+  const { ownTokens, peerTokens, usualPeerTokens, requests, blockedMs } = ahead;
   if (!inputs.service.engine) return speed.plainForecast(inputs, upstream);
-  const work = { tokens: tokens + unreadTokens, running: requests, blockedMs, promptTokens };
-  return speed.promptForecast(inputs, upstream, work);
+  const work = {
+    tokens: tokens + ownTokens + peerTokens,
+    peerTokens,
+    usualPeerTokens,
+    running: requests,
+  };
+  return speed.promptForecast(inputs, upstream, {
+    work,
+    ownTokens: tokens,
+    blockedMs,
+    promptTokens,
+  });
 }
 
 /** Records the work at the upstream and returns the destination with its context plan. */
@@ -54,7 +64,7 @@
       tokensToRead: Math.round(tokens),
       weightVersion: upstream.versions.get(placementRequest.prompt?.model ?? '') ?? 0,
       replacedForMs: eligibility.outdatedForMs(inputs, upstream),
-      firstEventMs: Math.round(forecast.expectedMs),
+      ...(forecast.expectedMs > 0 ? { firstEventMs: Math.round(forecast.expectedMs) } : {}),
     },
     beginBy: beginBy(inputs, upstream),
   };
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -24,6 +24,8 @@
   sentParts: peerWork.SentParts[];
   /** Ids of upstreams with new samples of their speed, the newest last. */
   changedSpeeds: Set<string>;
+  /** When the speed of upstreams was last told to peers, in monotonic ms. */
+  speedsSentAtMs: number;
   isScheduled: boolean;
 };
 
@@ -95,6 +97,7 @@
       changedUpstreams: new Set(),
       sentParts: [],
       changedSpeeds: new Set(),
+      speedsSentAtMs: -Infinity,
       isScheduled: false,
     },
     features: new Set(features),
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -7,6 +7,7 @@
 import type * as task from '../kernel/task.js';
 import type * as routes from '../gateway/routes.js';
 import type * as quarantine from '../quarantine/types.js';
+import type * as sharing from '../speed/sharing.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as gateway from './gateway.js';
 import type * as rollouts from './rollouts.js';
@@ -66,6 +67,8 @@
   | { type: 'fleet.sharing-changed'; sharing: peerWork.Sharing }
   /** Another instance's summary of its work in flight. */
   | { type: 'fleet.peer-update'; update: peerWork.Update }
+  /** What another instance knows of the speed of upstreams. */
+  | { type: 'fleet.speed-update'; update: sharing.Update }
   /** What another instance knows of parts that crash upstreams. */
   | { type: 'fleet.quarantine-update'; update: quarantine.Update }
   /** Verdicts in the platform's store; `removed` holds names of objects. */
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -39,7 +39,7 @@
   weightVersion: number;
   /** Time since those weights were replaced; undefined if they are the newest. */
   replacedForMs: number | undefined;
-  /** Predicted time from the sending to the first event, or to the answer of a plain request. */
+  /** Predicted time from the sending to the first event, or to the answer of a plain request; if known. */
   firstEventMs?: number;
 };
 
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -8,7 +8,7 @@
 export type MetricsMessage =
   | taskLifecycle.LifecycleMessage
   | { type: 'metrics.count'; name: MetricName; by: number; label?: string }
-  | { type: 'metrics.timing'; name: MetricName; ms: number }
+  | { type: 'metrics.timing'; name: MetricName; ms: number; label?: string }
   | { type: 'metrics.gauge'; name: MetricName; value: number };
 
 /** The metrics that the system sends, each under the prefix `medlarweir.`. */
@@ -29,6 +29,7 @@
   | 'gateway.denied'
   | 'gateway.whole'
   | 'gateway.first_event'
+  | 'gateway.prediction_error'
   | 'gateway.quarantine'
   | 'gateway.quarantined_parts'
   | 'transport.connections'
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -1,6 +1,7 @@
 /** Messages to the task that exchanges peer updates with the other instances of the platform. */
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as quarantine from '../quarantine/types.js';
+import type * as sharing from '../speed/sharing.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as readers from './readers.js';
 import type * as taskLifecycle from './task-lifecycle.js';
@@ -25,6 +26,7 @@
   | { type: 'peer-updates.members-changed'; members: readonly PeerEndpoint[] }
   | { type: 'peer-updates.audiences-changed'; audiences: Audiences }
   | { type: 'peer-updates.publish-work'; update: peerWork.Update }
+  | { type: 'peer-updates.publish-speeds'; update: sharing.Update }
   | {
       type: 'peer-updates.publish-quarantine';
       update: quarantine.Update;
@@ -39,6 +41,8 @@
 export type PeerUpdate =
   | { kind: 'work'; update: peerWork.Update }
   | { kind: 'quarantine'; update: quarantine.Update }
+  /** Ignored by releases that do not know it. */
+  | { kind: 'speeds'; update: sharing.Update }
   | { kind: 'stores'; from: string; updates: StoreUpdates }
   | { kind: 'question'; from: string; question: readers.Question }
   | {
--- a/packages/core/src/speed/level.ts
+++ b/packages/core/src/speed/level.ts
@@ -4,7 +4,7 @@
 /** Samples that a level is made of once there are enough; a level thus follows tens of requests. */
 const WINDOW = 30;
 /** Samples of an average over many senders, so that it follows them within some of their updates. */
-const MAX_AVERAGED = 300;
+export const MAX_AVERAGED = 300;
 
 export const NONE: types.Level = { mean: 0, samples: 0 };
 
--- a/packages/core/src/speed/plain.ts
+++ b/packages/core/src/speed/plain.ts
@@ -9,6 +9,12 @@
 
 export type Wait = { waitMs: number; errorMs: number };
 
+/**
+ * Part of a Poisson variable's standard deviation: instances choose the upstreams with fewer requests, so
+ * the numbers differ less.
+ */
+const DEVIATION_SHARE = 0.5;
+
 /** Requests at an upstream, and their standard deviation. */
 type Occupancy = { requests: number; deviation: number };
 
@@ -36,7 +42,7 @@
   // Requests of peers arrive and end independently, so their number varies as a Poisson variable's.
   const independent = Math.max(0, inFlight - own.size);
   if (!reportedLoad || servedMs <= 0) {
-    return { requests: inFlight, deviation: Math.sqrt(independent) };
+    return { requests: inFlight, deviation: DEVIATION_SHARE * Math.sqrt(independent) };
   }
   const reported = reportedLoad.running + reportedLoad.waiting;
   const renewedMs = servedMs * Math.max(1, reported / slots);
@@ -44,7 +50,7 @@
   const begun = [...own.values()].filter(({ startedAtMs }) => startedAtMs > speed.loadAtMs).length;
   return {
     requests: share * (reported + begun) + (1 - share) * inFlight,
-    deviation: Math.sqrt((1 - share) * independent),
+    deviation: DEVIATION_SHARE * Math.sqrt((1 - share) * independent),
   };
 }
 
--- a/packages/core/src/speed/record.ts
+++ b/packages/core/src/speed/record.ts
@@ -3,6 +3,7 @@
 import type * as upstreams from '../fleet/upstream.js';
 import type * as upstreamHealth from '../fleet/upstream-health.js';
 import type * as task from '../kernel/task.js';
+import * as loadControl from '../load-control/index.js';
 import * as serviceModel from './service-model.js';
 import * as state from './state.js';
 import * as upstreamModel from './upstream-model.js';
@@ -31,6 +32,7 @@
   const tookMs = now.monotonicMs - startedAtMs;
   const model = state.serviceModelOf(fleetState, service);
   serviceModel.recordSample(model, speed, { forecast, tookMs }, now.monotonicMs);
+  if (!loadControl.isPredictive(fleetState, service)) return;
   // Inserted again, so that the order of the set is that of the newest samples.
   fleetState.outbox.changedSpeeds.delete(id);
   fleetState.outbox.changedSpeeds.add(id);
--- a/packages/core/src/speed/reports.ts
+++ b/packages/core/src/speed/reports.ts
@@ -29,7 +29,7 @@
   service: types.ServiceModel,
   { confirmation: { cross, square } }: types.UpstreamModel,
 ): number {
-  const usual = unit(service.confirmation.cross / (service.confirmation.square + DOUBT));
+  const usual = confirmedShare(service.confirmation, DOUBT);
   return unit((cross + DOUBT * usual) / (square + DOUBT));
 }
 
@@ -54,16 +54,27 @@
   });
   const tested = level.clamp(reported, Math.max(service.confirmedExtent, MIN_TESTED_EXTENT));
   [service, upstream].forEach((each) => {
-    const { cross, square } = each.confirmation;
-    Object.assign(each, {
-      confirmation: {
-        cross: cross * RETENTION + weight * shown * tested,
-        square: square * RETENTION + weight * tested ** 2,
-      },
-    });
+    const evidence = { predicted: tested, shown, weight, retention: RETENTION };
+    Object.assign(each, { confirmation: added(each.confirmation, evidence) });
   });
 }
 
+export function added(
+  { cross, square }: types.Confirmation,
+  evidence: { predicted: number; shown: number; weight: number; retention: number },
+): types.Confirmation {
+  const { predicted, shown, weight, retention } = evidence;
+  return {
+    cross: cross * retention + weight * shown * predicted,
+    square: square * retention + weight * predicted ** 2,
+  };
+}
+
+/** From 0, nothing is confirmed, to 1, all; `doubt` is the evidence against it before there is any. */
+export function confirmedShare({ cross, square }: types.Confirmation, doubt: number): number {
+  return unit(cross / (square + doubt));
+}
+
 function unit(value: number): number {
   return Math.min(1, Math.max(0, value));
 }
--- a/packages/core/src/speed/sharing.ts
+++ b/packages/core/src/speed/sharing.ts
@@ -6,6 +6,7 @@
 import type * as upstreams from '../fleet/upstream.js';
 import type * as task from '../kernel/task.js';
 import * as level from './level.js';
+import * as state from './state.js';
 import type * as types from './types.js';
 import * as upstreamModel from './upstream-model.js';
 
@@ -23,37 +24,49 @@
 export type Update = { from: string; scope: types.Scope; rows: readonly Row[] };
 
 /**
- * Rows of one instance's update, which is sent once a tick; 9 instances that send to each other then
- * receive less than 5 KB/s. Upstreams without room follow in the next updates.
+ * Interval of updates, at least one tick. Through readers, an update arrives after most slow spells have
+ * ended; only levels are of use then, and they change slowly.
  */
-const MAX_OWN_ROWS = 6;
-/** Rows of a reader's summary, so that it fits into one packet and its followers receive about 2 KB/s. */
-const MAX_SUMMARY_ROWS = 25;
+const INTERVAL_MS: Readonly<Record<fleet.State['sharing'], number>> = {
+  'with-all': 500,
+  'through-reader': 1_000,
+  'as-reader': 1_000,
+};
+/** Tolerance of the interval towards ticks that come a little early. */
+const EARLY_TICK_MS = 50;
+/** Rows of an update. A reader's summary fits into one packet; what is left follows in the next update. */
+const MAX_ROWS: Readonly<Record<fleet.State['sharing'], number>> = {
+  'with-all': 6,
+  'through-reader': 4,
+  'as-reader': 25,
+};
 /** A slowdown of this age predicts nothing any more. */
 const MAX_REPORT_AGE_MS = 2_000;
 /** Bounds on what peers may tell, beyond any factor that is learned. */
 const MAX_FACTOR = 100;
 
 /** The updates that are due, if any; empties the list of changed upstreams as far as they are told. */
-export function takeUpdates(state: fleet.State, now: task.Instant): readonly Update[] {
-  const { outbox, registry, sharing, instance: from } = state;
-  const isReader = sharing === 'as-reader';
-  const newest = [...outbox.changedSpeeds].reverse();
-  const taken = newest.slice(0, isReader ? MAX_SUMMARY_ROWS : MAX_OWN_ROWS);
+export function takeUpdates(fleetState: fleet.State, now: task.Instant): readonly Update[] {
+  const { outbox, registry, sharing, instance: from } = fleetState;
+  const isDue = now.monotonicMs - outbox.speedsSentAtMs >= INTERVAL_MS[sharing] - EARLY_TICK_MS;
+  if (!isDue || outbox.changedSpeeds.size === 0) return [];
+  Object.assign(outbox, { speedsSentAtMs: now.monotonicMs });
+  const taken = [...outbox.changedSpeeds].reverse().slice(0, MAX_ROWS[sharing]);
   taken.forEach((id) => outbox.changedSpeeds.delete(id));
   const changed = taken.flatMap((id) => registry.upstreams.get(id) ?? []);
   if (changed.length === 0) return [];
   const update = (scope: types.Scope, heardScopes: readonly types.Scope[]): Update => ({
     from,
     scope,
-    rows: changed.map((each) => rowOf(each, heardScopes, now)),
+    rows: changed.map((each) => rowOf(fleetState, each, heardScopes, now)),
   });
-  return isReader
+  return sharing === 'as-reader'
     ? [update('group', ['own']), update('fleet', ['own', 'group'])]
     : [update('own', [])];
 }
 
 function rowOf(
+  fleetState: fleet.State,
   { registration, speed }: upstreams.Upstream,
   heardScopes: readonly types.Scope[],
   now: task.Instant,
@@ -62,7 +75,9 @@
     const each = speed.heard.get(scope);
     return each ? [upstreamModel.fading(each, now.monotonicMs)] : [];
   });
-  const { mean, samples } = level.combine([speed.level, ...heard], 0);
+  const model = state.serviceModelOf(fleetState, registration.service);
+  const own = upstreamModel.relative(model, speed.level);
+  const { mean, samples } = level.combine([own, ...heard], 0);
   const ageMs = speed.report ? now.monotonicMs - speed.report.atMs : Infinity;
   return {
     upstream: registration.id,
@@ -83,14 +98,14 @@
 };
 
 /** Applies what a peer told; unknown upstreams are ignored. */
-export function receive(state: fleet.State, update: Update, now: task.Instant): void {
+export function receive(fleetState: fleet.State, update: Update, now: task.Instant): void {
   const { from, scope, rows } = update;
-  if (from === state.instance || !SCOPES_HEARD[state.sharing].includes(scope)) return;
+  if (from === fleetState.instance || !SCOPES_HEARD[fleetState.sharing].includes(scope)) return;
   rows.forEach((row) => {
-    const upstream = state.registry.upstreams.get(row.upstream);
+    const upstream = fleetState.registry.upstreams.get(row.upstream);
     if (!upstream) return;
     recordRow(upstream.speed, scope, row, now);
-    if (state.sharing === 'as-reader') state.outbox.changedSpeeds.add(row.upstream);
+    if (fleetState.sharing === 'as-reader') fleetState.outbox.changedSpeeds.add(row.upstream);
   });
 }
 
@@ -101,7 +116,7 @@
   now: task.Instant,
 ): void {
   if (samples > 0) {
-    const told = { mean: boundedLog(factor), samples };
+    const told = { mean: boundedLog(factor), samples: Math.min(samples, level.MAX_AVERAGED) };
     const before = speed.heard.get(scope);
     const kept = before ? upstreamModel.fading(before, now.monotonicMs) : level.NONE;
     speed.heard.set(scope, { level: merged(scope, kept, told), atMs: now.monotonicMs });
--- a/packages/core/src/speed/types.ts
+++ b/packages/core/src/speed/types.ts
@@ -9,17 +9,39 @@
 /** A value that was current at `atMs`, in monotonic ms. */
 export type Dated = { value: LogFactor; atMs: number };
 
-/** Sums from which the share of a reported slowdown that answers confirm is computed. */
+/** Sums from which is computed how far answers confirm a prediction: the slope of what they showed on it. */
 export type Confirmation = { cross: number; square: number };
 
-/** What the first event takes: a constant part, and parts that the speed of the upstream scales. */
-export type Coefficients = { constantMs: number; msPerToken: number; msPerRunning: number };
+/**
+ * What the first event takes: a constant part, and parts that the speed of the upstream scales. What peers
+ * told of their tokens is outdated when it is used: `msPerTokenOutdated` is taken off for each of these,
+ * and `msPerTokenUsual` added for each that peers have on average at an upstream of the service.
+ */
+export type Coefficients = {
+  constantMs: number;
+  msPerToken: number;
+  msPerRunning: number;
+  msPerTokenUsual: number;
+  msPerTokenOutdated: number;
+};
+
+/** The work on which a first event depends. */
+export type Work = {
+  /** Tokens that are prefilled before the first event, those ahead of the prompt included. */
+  tokens: number;
+  /** Those of them that peers told of. */
+  peerTokens: number;
+  /** What peers have ahead on average at the upstreams of the service. */
+  usualPeerTokens: number;
+  /** Requests at the upstream. */
+  running: number;
+};
 
 /** A fit of the coefficients by least squares that forget. Updated in place. */
 export type Fit = {
-  /** Symmetric matrix of the products of the regressors, by row, and those with the target. */
-  products: [[number, number, number], [number, number, number], [number, number, number]];
-  targets: [number, number, number];
+  /** Products of the regressors, a symmetric matrix by row, and those with the measured time. */
+  products: number[][];
+  targets: number[];
   samples: number;
   coefficients: Coefficients;
   /** Mean distance of the logarithms of predicted and measured times. */
@@ -29,9 +51,15 @@
 /** Shared by the upstreams of a service. Updated in place. */
 export type ServiceModel = {
   fit: Fit;
+  /** How far the answers of all upstreams are from the fit; a level counts from here. */
+  usualShown: Level;
+  /** Whether levels predict answers better than no levels. */
+  levelConfirmation: Confirmation;
   confirmation: Confirmation;
   /** Largest reported slowdown that answers have confirmed lately. */
   confirmedExtent: LogFactor;
+  /** Tokens that peers have ahead on average, and when this was computed. */
+  usualPeerTokens: { tokens: number; atMs: number };
   /** Logarithm of the time in ms that plain work takes without a queue. */
   plainWork: Level;
   /** Rate at which callers' prompts would meet their latency targets; used until there are samples. */
@@ -47,7 +75,7 @@
 
 /** How one upstream differs from its service. Updated in place. */
 export type UpstreamModel = {
-  /** From this instance's own answers. */
+  /** How far this instance's own answers are from the fit. */
   level: Level;
   /** How far the newest answers were from the level; decays. */
   deviation: Dated | undefined;
@@ -66,10 +94,9 @@
   | {
       kind: 'prompt';
       expectedMs: number;
-      /** Tokens that are prefilled before the first event, those ahead of the prompt included. */
-      tokens: number;
-      /** Requests at the upstream. */
-      running: number;
+      work: Work;
+      /** Tokens of the prompt itself that are prefilled. */
+      ownTokens: number;
       /** Wait for a slot or for memory, which no speed explains. */
       blockedMs: number;
     }
--- a/packages/core/src/speed/upstream-model.ts
+++ b/packages/core/src/speed/upstream-model.ts
@@ -5,6 +5,8 @@
 
 /** Samples that speak for the usual speed; differences of a few samples are mostly noise. */
 const LEVEL_PRIOR = 3;
+/** Squared logarithms that speak against levels before there is evidence. */
+const LEVEL_DOUBT = 0.1;
 /** What peers told is half forgotten after this long without news of them. */
 const HEARD_HALF_LIFE_MS = 30_000;
 
@@ -20,13 +22,35 @@
   };
 }
 
-/** The level from own answers and from those of peers. */
+/**
+ * The upstream's level against the mean of its service, from own answers and from those of peers, as far
+ * as levels have predicted answers.
+ */
 export function currentLevel(
+  service: types.ServiceModel,
+  upstream: types.UpstreamModel,
+  nowMs: number,
+): types.Level {
+  const { mean, samples } = learnedLevel(service, upstream, nowMs);
+  const share = reports.confirmedShare(service.levelConfirmation, LEVEL_DOUBT);
+  return { mean: mean * share, samples };
+}
+
+export function learnedLevel(
+  service: types.ServiceModel,
   { level: own, heard }: types.UpstreamModel,
   nowMs: number,
 ): types.Level {
   const told = [...heard.values()].map((each) => fading(each, nowMs));
-  return level.combine([own, ...told], LEVEL_PRIOR);
+  return level.combine([relative(service, own), ...told], LEVEL_PRIOR);
+}
+
+/** A level from own answers, against the mean of the service. */
+export function relative(
+  { usualShown }: types.ServiceModel,
+  { mean, samples }: types.Level,
+): types.Level {
+  return { mean: samples > 0 ? mean - usualShown.mean : 0, samples };
 }
 
 export function fading({ level: told, atMs }: types.Heard, nowMs: number): types.Level {
@@ -41,7 +65,7 @@
   nowMs: number,
 ): types.LogFactor {
   const { report, deviation } = upstream;
-  const { mean } = currentLevel(upstream, nowMs);
+  const { mean } = currentLevel(service, upstream, nowMs);
   const share = reports.share(service, upstream);
   const reported = report
     ? share *
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -92,6 +92,9 @@
     case 'send-peer-update':
       send('peerNotes', { type: 'peer-updates.publish-work', update: command.update });
       return;
+    case 'send-speed-update':
+      send('peerNotes', { type: 'peer-updates.publish-speeds', update: command.update });
+      return;
     case 'record-placement':
       recordPlacement(context, command);
       return;
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -1,34 +1,17 @@
 /** Task that handles one request: executes the commands of the request lifecycle. */
 import * as core from '@medlarweir/core';
 
+import * as requestHistory from './request-history.js';
+
 type Message = core.messages.RequestMessage;
 type State = core.gateway.lifecycleState.State;
 type Command = core.gateway.lifecycleState.Command;
+type RequestContext = requestHistory.RequestContext;
 type RoutedRequest = core.gateway.lifecycleState.RoutedRequest;
 type Settings = core.settings.gateway.GatewaySettings;
 
-type RequestContext = {
-  routed: RoutedRequest;
-  content: string;
-  caller: core.messages.ReplyAddress;
-  context: core.kernel.TaskContext<Message, Settings>;
-  history: AttemptHistory;
-};
-
-/** Attempt data for the journal entry at the end of the request. Only `perform` writes it. */
-type AttemptHistory = {
-  upstreams: string[];
-  softwareVersions: string[];
-  expectedWork: core.messages.ExpectedWork[];
-  outcomes: string[];
-  firstEventMs: number | undefined;
-};
-
 /** Upstreams accept priorities from 0 (most urgent) to this value (least urgent). */
 const MAX_PRIORITY = 9;
-/** Value in the journal when no event of the response stream arrived. */
-const NO_FIRST_EVENT_MS = -1;
-
 export function definition(
   routed: RoutedRequest,
   caller: core.messages.ReplyAddress,
@@ -38,7 +21,7 @@
     create: (context) => {
       const { request, clientAccount } = routed;
       const content = core.gateway.requestContent.nameOf(request, clientAccount?.name ?? '');
-      const scope = { routed, content, caller, context, history: emptyHistory() };
+      const scope = { routed, content, caller, context, history: requestHistory.empty() };
       return {
         initial: core.gateway.lifecycleState.initial(routed),
         decide: core.gateway.lifecycle.decide,
@@ -50,16 +33,6 @@
   };
 }
 
-function emptyHistory(): AttemptHistory {
-  return {
-    upstreams: [],
-    softwareVersions: [],
-    expectedWork: [],
-    outcomes: [],
-    firstEventMs: undefined,
-  };
-}
-
 function dump({ routed, phase, sentAttempts, possibleRuns }: State): unknown {
   const { request, route, service } = routed;
   return {
@@ -123,7 +96,7 @@
       checkBegin(scope, command);
       return;
     case 'reply':
-      if (command.reply.type === 'reply.head') recordFirstEvent(scope);
+      requestHistory.recordReply(scope, command.reply);
       scope.caller.send(command.reply);
       return;
     case 'schedule':
@@ -152,7 +125,7 @@
       });
       return;
     case 'record-request-end':
-      recordRequestEnd(scope, command.outcome);
+      requestHistory.recordRequestEnd(scope, command.outcome);
       return;
     default:
       core.results.assertNever(command);
@@ -194,9 +167,7 @@
   const { request, route, clientAccount } = routed;
   const usual = clientAccount?.priority ?? route.priority;
   const priority = core.gateway.lifecycleState.isResumed({ routed }) ? usual - 1 : usual;
-  history.upstreams.push(attempt.destination.upstream);
-  history.softwareVersions.push(attempt.destination.softwareVersion);
-  history.expectedWork.push(attempt.destination.expected);
+  requestHistory.recordSend(history, attempt.destination);
   context.send('transport', {
     type: 'transport.send',
     request: {
@@ -238,50 +209,3 @@
   const { upstream } = attempt.destination;
   context.send('fleet', { type: 'fleet.attempt-ended', requestId, upstream, outcome });
 }
-
-function recordFirstEvent({ routed, context, history }: RequestContext): void {
-  const ms = core.kernel.readClock().monotonicMs - routed.request.receivedAt.monotonicMs;
-  Object.assign(history, { firstEventMs: Math.round(ms) });
-  context.send('metrics', { type: 'metrics.timing', name: 'gateway.first_event', ms });
-}
-
-/** Time for which an attempt's weights had been replaced when it was placed; `-` for the newest. */
-function replacedForText({ replacedForMs }: core.messages.ExpectedWork): string {
-  return replacedForMs === undefined ? '-' : String(Math.round(replacedForMs));
-}
-
-function recordRequestEnd(
-  { routed, context, history }: RequestContext,
-  { result, status, reason }: core.gateway.lifecycleState.RequestOutcome,
-): void {
-  const { request, route, service, clientAccount, tableVersion, tableAgeMs } = routed;
-  const now = core.kernel.readClock();
-  const tookMs = Math.round(now.monotonicMs - request.receivedAt.monotonicMs);
-  context.record({
-    name: 'requestFinished',
-    requestId: request.requestId,
-    details: {
-      result,
-      status,
-      reason,
-      tookMs,
-      firstEventMs: history.firstEventMs ?? NO_FIRST_EVENT_MS,
-      route: route.name,
-      service,
-      clientAccount: clientAccount?.name ?? '',
-      upstreams: history.upstreams,
-      softwareVersions: history.softwareVersions,
-      streamBegunBy: request.streamBegunBy ?? '',
-      expectedWaitMs: history.expectedWork.map(({ waitMs }) => String(waitMs)),
-      tokensToRead: history.expectedWork.map(({ tokensToRead }) => String(tokensToRead)),
-      weightVersions: history.expectedWork.map(({ weightVersion }) => String(weightVersion)),
-      replacedForMs: history.expectedWork.map(replacedForText),
-      outcomes: history.outcomes,
-      tableVersion,
-      tableAgeMs,
-    },
-  });
-  const { send } = context;
-  send('metrics', { type: 'metrics.count', name: 'gateway.requests', by: 1, label: result });
-  send('metrics', { type: 'metrics.timing', name: 'gateway.whole', ms: tookMs });
-}
--- a/packages/plugins/metrics-http/src/metrics-task.ts
+++ b/packages/plugins/metrics-http/src/metrics-task.ts
@@ -12,7 +12,7 @@
 /** Upper bounds of the latency buckets: from a call within a data centre to the longest route. */
 const BUCKETS_MS = [2, 5, 10, 25, 50, 100, 200, 400, 800, 1_500, 3_000, 6_000, 15_000];
 const METRIC_NAME_PREFIX = 'medlarweir_';
-/** The only label of a counter; the code bounds the set of its values. */
+/** The only label of a metric; the code bounds the set of its values. */
 const LABEL_NAME = 'kind';
 
 /** Creates each metric on first use, with the name that the core's table gives it. */
@@ -42,8 +42,14 @@
         getOrCreate(
           `${name}_ms`,
           () =>
-            new promClient.Histogram({ name: `${name}_ms`, help, buckets: BUCKETS_MS, registers }),
-        ).observe(command.ms);
+            new promClient.Histogram({
+              name: `${name}_ms`,
+              help,
+              buckets: BUCKETS_MS,
+              labelNames: [LABEL_NAME],
+              registers,
+            }),
+        ).observe(command.label === undefined ? {} : { [LABEL_NAME]: command.label }, command.ms);
         return;
       case 'metrics.gauge':
         getOrCreate(name, () => new promClient.Gauge({ name, help, registers })).set(command.value);
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -63,6 +63,14 @@
   zod.array(verdictRow),
 ]);
 
+/** Upstream, factor in percent, samples in tenths; slowdown in percent and its age in ms, if known. */
+const speedRow = zod.union([
+  zod.tuple([zod.string(), amount, amount]),
+  zod.tuple([zod.string(), amount, amount, amount, amount]),
+]);
+/** A datagram that fits into one packet has room for fewer. */
+const MAX_SPEED_ROWS = 100;
+
 /** By kind, so that an update is checked against one schema only. */
 const bodies = {
   /** Kind, sender, incarnation, send time, scope, instances, is a snapshot, work, sent parts. */
@@ -77,6 +85,13 @@
     zod.array(workRow),
     zod.array(sentRow),
   ]),
+  /** Kind, sender, scope, rows. */
+  speeds: zod.tuple([
+    zod.literal('speeds'),
+    zod.string(),
+    zod.enum(['own', 'group', 'fleet']),
+    zod.array(speedRow).max(MAX_SPEED_ROWS),
+  ]),
   quarantine: zod.tuple([zod.literal('quarantine'), zod.string(), quarantineRows]),
   stores: zod.tuple([zod.literal('stores'), zod.string(), zod.array(storeRow)]),
   question: zod.tuple([zod.literal('question'), zod.string(), question]),
@@ -94,7 +109,7 @@
 };
 
 const kinds = zod.tuple([
-  zod.enum(['work', 'quarantine', 'stores', 'question', 'answer', 'changes']),
+  zod.enum(['work', 'speeds', 'quarantine', 'stores', 'question', 'answer', 'changes']),
 ]);
 const anyBody = kinds.rest(zod.unknown());
 
@@ -109,4 +124,6 @@
 export type QuarantineRows = zod.infer<typeof quarantineRows>;
 export type SuspectRow = zod.infer<typeof suspectRow>;
 export type VerdictRow = zod.infer<typeof verdictRow>;
+export type SpeedRow = zod.infer<typeof speedRow>;
+export type SpeedBody = zod.infer<(typeof bodies)['speeds']>;
 export type StoreTuple = zod.infer<typeof storeRow>;
--- a/packages/plugins/peer-notes-udp/test/datagram.test.ts
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -1,3 +1,5 @@
+import * as crypto from 'node:crypto';
+
 import * as core from '@medlarweir/core';
 import * as fixtures from '@medlarweir/core/fixtures';
 import * as peerNotes from '@medlarweir/plugin-peer-notes-udp';
@@ -11,6 +13,8 @@
  */
 const suite = uvu.suite('peer updates: datagrams');
 
+/** Payload of UDP in an Ethernet frame; larger datagrams are fragmented, and lost with any fragment. */
+const MAX_PACKET_BYTES = 1_472;
 const KEY = 'key-of-instance-2';
 const keyOf = (from: string) => (from === 'instance-2' ? KEY : undefined);
 
@@ -36,6 +40,16 @@
   return { kind: 'stores' as const, from: 'instance-2', updates };
 }
 
+function aSpeedUpdate(upstreams: number) {
+  const rows = Array.from({ length: upstreams }, (_, at) => ({
+    upstream: `i-${String(at).padStart(10, 'a')}`,
+    factor: 1.31,
+    samples: 299.9,
+    slowdown: at % 2 === 0 ? { factor: 2.5, ageMs: 1_234 } : undefined,
+  }));
+  return { kind: 'speeds' as const, update: { from: 'instance-2', scope: 'fleet' as const, rows } };
+}
+
 const QUESTION = { incarnation: 'life-1', sentAt: { monotonicMs: 5, wallMs: 6 } };
 
 function aQuestion() {
@@ -100,10 +114,19 @@
   [aWorkUpdate(), aQuarantineUpdate(), aStoreUpdate(), aQuestion(), anAnswer(), aChange()].forEach(
     (update) => assert.equal(decode(encode(update, KEY), keyOf), update),
   );
+  assert.equal(decode(encode(aSpeedUpdate(3), KEY), keyOf), aSpeedUpdate(3));
 });
 
-/** Payload of UDP in an Ethernet frame; larger datagrams are fragmented, and lost with any fragment. */
-const MAX_PACKET_BYTES = 1_472;
+suite('a summary of the speed of upstreams fits into a packet', () => {
+  assert.ok(peerNotes.datagram.encode(aSpeedUpdate(25), KEY).length <= MAX_PACKET_BYTES);
+});
+
+/** During a rolling update, releases that know a kind of update send it to those that do not. */
+suite('an update of an unknown kind is ignored', () => {
+  const body = Buffer.from(JSON.stringify(['a-later-kind', 'instance-2', []]));
+  const signature = crypto.createHmac('sha256', KEY).update(body).digest().subarray(0, 16);
+  assert.is(peerNotes.datagram.decode(Buffer.concat([signature, body]), keyOf), undefined);
+});
 
 /**
  * Guards against large deployments in which instances did not know of each other's work: sums over 69
