--- a/packages/core/src/speed/index.ts
+++ b/packages/core/src/speed/index.ts
@@ -1,4 +1,5 @@
 /** How fast upstreams work, and the delay that is predicted from it. */
+export * from './describe.js';
 export * from './plain.js';
 export * from './rate.js';
 export * from './record.js';
--- a/packages/core/src/speed/reports.ts
+++ b/packages/core/src/speed/reports.ts
@@ -13,7 +13,7 @@
 export const DECAY_MS = 300;
 const RETENTION = 0.98;
 /** Squared logarithms that speak against a report before there is evidence; one clear slow spell has 0.84. */
-const DOUBT = 0.5;
+export const DOUBT = 0.5;
 const EXTENT_RETENTION = 0.99;
 /** Reports up to this extent may be tested before any has been confirmed: 1.35 times the usual time. */
 const MIN_TESTED_EXTENT = 0.3;
--- a/packages/core/src/speed/upstream-model.ts
+++ b/packages/core/src/speed/upstream-model.ts
@@ -6,7 +6,7 @@
 /** Samples that speak for the usual speed; differences of a few samples are mostly noise. */
 const LEVEL_PRIOR = 3;
 /** Squared logarithms that speak against levels before there is evidence. */
-const LEVEL_DOUBT = 0.1;
+export const LEVEL_DOUBT = 0.1;
 /** What peers told is half forgotten after this long without news of them. */
 const HEARD_HALF_LIFE_MS = 30_000;
 
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -30,6 +30,7 @@
   targetVersions,
   peerWork,
   prefillRates,
+  speeds,
   quarantine,
 }: State): unknown {
   const upstreams = [...registry.upstreams.values()].map((each) => ({
@@ -41,6 +42,7 @@
     peerWork: each.peerWork,
     versions: Object.fromEntries(each.versions),
     limitPerS: each.namedLimit?.perS,
+    speed: core.speed.describeUpstream(each),
   }));
   const stores = [...inventory.stores].map(([name, { isReachable, parts, usedTokens }]) => ({
     name,
@@ -53,6 +55,7 @@
     stores,
     members,
     heardPeers: [...peerWork.keys()],
+    speeds: core.speed.describeServices(speeds),
     tokensReadPerMs: Object.fromEntries(prefillRates),
     named: Object.fromEntries(targetVersions),
     quarantined: [...quarantine.verdicts.values()].map(({ verdict }) => verdict),
