--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -8,13 +8,13 @@
 import type * as inputs from '../rollouts/inputs.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as silence from '../silence/index.js';
+import * as speed from '../speed/index.js';
 import * as upstreamHealth from './upstream-health.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
 import * as eligibility from './eligibility.js';
 import type * as peerWork from './peer-work.js';
 import * as placement from './placement.js';
-import * as prefillRate from './prefill-rate.js';
 import type * as fleet from './state.js';
 import * as liveness from './liveness.js';
 import * as peerUpdates from './peer-updates.js';
@@ -22,6 +22,7 @@
 import * as quarantineMessages from './quarantine-messages.js';
 import * as quarantineSteps from './quarantine-steps.js';
 import * as reports from './reports.js';
+import * as responses from './responses.js';
 import * as senders from './senders.js';
 import * as silenceSteps from './silence-steps.js';
 import * as sourceChanges from './source-changes.js';
@@ -44,6 +45,7 @@
   | { kind: 'schedule-peer-update'; delayMs: number }
   | { kind: 'send-peer-update'; update: peerWork.Update }
   | { kind: 'send-silence-update'; update: silence.types.Update }
+  | { kind: 'send-speed-update'; update: speed.sharing.Update }
   | { kind: 'record-placement'; placementRequest: placement.Request; decision: placement.Decision }
   | { kind: 'record-upstream-change'; id: string; text: string; ageMs: number }
   | {
@@ -71,7 +73,7 @@
     case 'fleet.attempt-ended':
       return onOutcome(state, message, now);
     case 'fleet.upstream-responded':
-      return onResponse(state, message, now);
+      return { state, commands: responses.record(state, message, now) };
     case 'fleet.check-liveness':
       return liveness.check(state, message, now);
     case 'fleet.check-begin':
@@ -102,6 +104,9 @@
       return { state: peerUpdates.withSharing(state, message.sharing), commands: [] };
     case 'fleet.peer-update':
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
+    case 'fleet.speed-update':
+      speed.sharing.receive(state, message.update, now);
+      return { state, commands: [] };
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
@@ -189,6 +194,8 @@
   const upstream = state.registry.upstreams.get(id);
   if (!upstream) return { state, commands: suspicions };
   const before = upstream.reachability.kind;
+  const work = upstream.inFlight.get(requestId);
+  if (work && outcome === 'answered') speed.recordEnd(state, upstream, work, now);
   upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
   const scheduled = [
     ...publishing.schedule(state, { upstream: id, context: undefined }),
@@ -201,30 +208,6 @@
   return { state, commands: [...scheduled, change, ...silenceSteps.publish(state)] };
 }
 
-function onResponse(
-  state: fleet.State,
-  message: MessageOf<'fleet.upstream-responded'>,
-  now: task.Instant,
-): Step {
-  quarantineSteps.onResponse(state, message);
-  const { upstream: id, requestId, selfReport } = message;
-  const upstream = state.registry.upstreams.get(id);
-  if (!upstream) return { state, commands: [] };
-  const versions = [...upstream.versions.values()].join();
-  const before = reports.selfReportOf(upstream);
-  const begun = upstreamHealth.recordResponse(upstream, requestId, selfReport, now);
-  if (begun) prefillRate.recordSample(state, upstream.registration.service, begun, now);
-  const hasChanged = versions !== [...upstream.versions.values()].join();
-  return {
-    state,
-    commands: [
-      ...(begun ? publishing.schedule(state, { upstream: id, context: undefined }) : []),
-      ...(hasChanged ? [reports.reportToRollouts(state)] : []),
-      ...reports.recordSelfReport(upstream, before),
-    ],
-  };
-}
-
 function onListRead(state: fleet.State, update: discovery.Update, now: task.Instant): Step {
   const changed = discovery.applyUpdate(state.registry, update, now);
   return {
@@ -266,6 +249,7 @@
       { kind: 'schedule-tick' },
       ...publishing.snapshots(state, now),
       ...silenceSteps.onTick(state, now),
+      ...publishing.speeds(state, now),
       ...reports.recordChanges(state, expired),
       ...quarantineSteps.onTick(state, now),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -4,6 +4,7 @@
 import * as ledger from '../quarantine/ledger.js';
 import * as inventory from '../shared-context/inventory.js';
 import * as silence from '../silence/types.js';
+import type * as speed from '../speed/types.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
 
@@ -22,6 +23,10 @@
   /** Ids of upstreams at which this instance's work has changed. */
   changedUpstreams: Set<string>;
   sentParts: peerWork.SentParts[];
+  /** Ids of upstreams with new samples of their speed, the newest last. */
+  changedSpeeds: Set<string>;
+  /** When the speed of upstreams was last told to peers, in monotonic ms. */
+  speedsSentAtMs: number;
   isScheduled: boolean;
 };
 
@@ -49,11 +54,17 @@
   sharing: peerWork.Sharing;
   /** Tokens per millisecond that an engine reads, by service. Updated in place. */
   prefillRates: Map<string, number>;
+  /** How fast the services work. Updated in place. */
+  speeds: Map<string, speed.ServiceModel>;
   /** Mean tokens of a prompt, by service. Updated in place. */
   meanPromptTokens: Map<string, number>;
   outbox: Outbox;
   /** What peers tell of upstreams that do not answer. Updated in place. */
   silence: silence.State;
+  /** Names of the optional features that the settings enable. */
+  features: ReadonlySet<string>;
+  /** Services of which an upstream has reported its slowdown. Updated in place. */
+  slowdownServices: Set<string>;
   /** Updated in place. */
   quarantine: ledger.Ledger;
 };
@@ -63,6 +74,7 @@
   dataCentre: string,
   bounds: Bounds,
   incarnation: string,
+  features: readonly string[] = [],
 ): State {
   return {
     instance,
@@ -81,9 +93,19 @@
     peerWork: new Map(),
     sharing: 'with-all',
     prefillRates: new Map(),
+    speeds: new Map(),
     meanPromptTokens: new Map(),
-    outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
     silence: silence.create(),
+    outbox: {
+      incarnation,
+      changedUpstreams: new Set(),
+      sentParts: [],
+      changedSpeeds: new Set(),
+      speedsSentAtMs: -Infinity,
+      isScheduled: false,
+    },
+    features: new Set(features),
+    slowdownServices: new Set(),
     quarantine: ledger.create(instance),
   };
 }
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -7,6 +7,7 @@
 import type * as task from '../kernel/task.js';
 import type * as routes from '../gateway/routes.js';
 import type * as quarantine from '../quarantine/types.js';
+import type * as sharing from '../speed/sharing.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as silence from '../silence/types.js';
 import type * as gateway from './gateway.js';
@@ -69,6 +70,8 @@
   | { type: 'fleet.peer-update'; update: peerWork.Update }
   /** The upstreams that other instances have found silent. */
   | { type: 'fleet.silence-update'; update: silence.Update }
+  /** What another instance knows of the speed of upstreams. */
+  | { type: 'fleet.speed-update'; update: sharing.Update }
   /** What another instance knows of parts that crash upstreams. */
   | { type: 'fleet.quarantine-update'; update: quarantine.Update }
   /** Verdicts in the platform's store; `removed` holds names of objects. */
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -1,6 +1,7 @@
 /** Messages to the task that exchanges peer updates with the other instances of the platform. */
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as quarantine from '../quarantine/types.js';
+import type * as sharing from '../speed/sharing.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as silence from '../silence/types.js';
 import type * as readers from './readers.js';
@@ -27,6 +28,7 @@
   | { type: 'peer-updates.audiences-changed'; audiences: Audiences }
   | { type: 'peer-updates.publish-work'; update: peerWork.Update }
   | { type: 'peer-updates.publish-silence'; update: silence.Update }
+  | { type: 'peer-updates.publish-speeds'; update: sharing.Update }
   | {
       type: 'peer-updates.publish-quarantine';
       update: quarantine.Update;
@@ -42,6 +44,8 @@
   | { kind: 'work'; update: peerWork.Update }
   | { kind: 'silence'; update: silence.Update }
   | { kind: 'quarantine'; update: quarantine.Update }
+  /** Ignored by releases that do not know it. */
+  | { kind: 'speeds'; update: sharing.Update }
   | { kind: 'stores'; from: string; updates: StoreUpdates }
   | { kind: 'question'; from: string; question: readers.Question }
   | {
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -13,9 +13,9 @@
   name: 'fleet',
   create: (context) => {
     const { settings, incarnation } = context;
-    const { name, dataCentre } = settings;
+    const { name, dataCentre, features } = settings;
     return {
-      initial: core.fleet.state.initial(name, dataCentre, settings, incarnation),
+      initial: core.fleet.state.initial(name, dataCentre, settings, incarnation, features),
       decide: core.fleet.decide,
       perform: (command) => perform(context, command),
       dump,
@@ -30,6 +30,7 @@
   targetVersions,
   peerWork,
   prefillRates,
+  speeds,
   quarantine,
 }: State): unknown {
   const upstreams = [...registry.upstreams.values()].map((each) => ({
@@ -41,6 +42,7 @@
     peerWork: each.peerWork,
     versions: Object.fromEntries(each.versions),
     limitPerS: each.namedLimit?.perS,
+    speed: core.speed.describeUpstream(each),
   }));
   const stores = [...inventory.stores].map(([name, { isReachable, parts, usedTokens }]) => ({
     name,
@@ -53,6 +55,7 @@
     stores,
     members,
     heardPeers: [...peerWork.keys()],
+    speeds: core.speed.describeServices(speeds),
     tokensReadPerMs: Object.fromEntries(prefillRates),
     named: Object.fromEntries(targetVersions),
     quarantined: [...quarantine.verdicts.values()].map(({ verdict }) => verdict),
@@ -95,6 +98,9 @@
     case 'send-silence-update':
       send('peerNotes', { type: 'peer-updates.publish-silence', update: command.update });
       return;
+    case 'send-speed-update':
+      send('peerNotes', { type: 'peer-updates.publish-speeds', update: command.update });
+      return;
     case 'record-placement':
       recordPlacement(context, command);
       return;
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -9,6 +9,7 @@
 import * as quarantineRows from './quarantine-rows.js';
 import * as schemas from './schemas.js';
 import * as silenceRows from './silence-rows.js';
+import * as speedRows from './speed-rows.js';
 import * as storeRows from './store-rows.js';
 
 type PeerUpdate = core.messages.PeerUpdate;
@@ -42,6 +43,8 @@
     }
     case 'silence':
       return silenceRows.toTuple(peerUpdate.update);
+    case 'speeds':
+      return speedRows.toTuple(peerUpdate.update);
     case 'quarantine':
       return ['quarantine', peerUpdate.update.from, quarantineRows.toRows(peerUpdate.update)];
     case 'stores':
@@ -102,6 +105,8 @@
     }
     case 'silence':
       return { kind: 'silence', update: silenceRows.fromTuple(tuple) };
+    case 'speeds':
+      return { kind: 'speeds', update: speedRows.fromTuple(tuple) };
     case 'quarantine': {
       const [kind, from, rows] = tuple;
       return { kind, update: quarantineRows.fromRows(from, rows) };
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -70,6 +70,13 @@
 ]);
 /** Instances tell fewer. */
 const MAX_SILENCE_ROWS = 100;
+/** Upstream, factor in percent, samples in tenths; slowdown in percent and its age in ms, if known. */
+const speedRow = zod.union([
+  zod.tuple([zod.string(), amount, amount]),
+  zod.tuple([zod.string(), amount, amount, amount, amount]),
+]);
+/** A datagram that fits into one packet has room for fewer. */
+const MAX_SPEED_ROWS = 100;
 
 /** By kind, so that an update is checked against one schema only. */
 const bodies = {
@@ -92,6 +99,13 @@
     zod.enum(['own', 'group', 'fleet']),
     zod.array(silenceRow).max(MAX_SILENCE_ROWS),
   ]),
+  /** Kind, sender, scope, rows. */
+  speeds: zod.tuple([
+    zod.literal('speeds'),
+    zod.string(),
+    zod.enum(['own', 'group', 'fleet']),
+    zod.array(speedRow).max(MAX_SPEED_ROWS),
+  ]),
   quarantine: zod.tuple([zod.literal('quarantine'), zod.string(), quarantineRows]),
   stores: zod.tuple([zod.literal('stores'), zod.string(), zod.array(storeRow)]),
   question: zod.tuple([zod.literal('question'), zod.string(), question]),
@@ -109,7 +123,7 @@
 };
 
 const kinds = zod.tuple([
-  zod.enum(['work', 'silence', 'quarantine', 'stores', 'question', 'answer', 'changes']),
+  zod.enum(['work', 'silence', 'speeds', 'quarantine', 'stores', 'question', 'answer', 'changes']),
 ]);
 const anyBody = kinds.rest(zod.unknown());
 
@@ -125,4 +139,6 @@
 export type SuspectRow = zod.infer<typeof suspectRow>;
 export type VerdictRow = zod.infer<typeof verdictRow>;
 export type SilenceBody = zod.infer<(typeof bodies)['silence']>;
+export type SpeedRow = zod.infer<typeof speedRow>;
+export type SpeedBody = zod.infer<(typeof bodies)['speeds']>;
 export type StoreTuple = zod.infer<typeof storeRow>;
