Limits of wait by fair shares, one queue per service, assigned retry times

Cause: each waiting request polled every 25 ms and the first to poll got the free slot; placement did not know the client account, and nothing was kept for callers that return after a refusal. Requests wait in the fleet task, with one timer, and are tried when an event frees capacity; a request that ends is withdrawn. Usage is exchanged with peers once a second as a kind of datagram of its own. Events 551 to 553, four metrics.

--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -113,6 +113,13 @@
     level: 'info',
     text: 'crashes counted before the start taken from the platform’s store',
   },
+  loadRefused: { number: 551, level: 'info', text: 'request refused for load' },
+  requestWaited: { number: 552, level: 'debug', text: 'request waited for a place' },
+  accountsAboveShare: {
+    number: 553,
+    level: 'info',
+    text: 'client accounts above their fair share while requests are refused',
+  },
   upstreamOrder: { number: 601, level: 'info', text: 'order to an upstream sent or answered' },
   leaseAcquired: { number: 602, level: 'info', text: 'lease acquired' },
   leaseLost: { number: 603, level: 'warn', text: 'lease lost' },
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -9,12 +9,15 @@
 import type * as inputs from '../rollouts/inputs.js';
 import * as targets from '../rollouts/targets.js';
 import * as sharedContext from '../shared-context/index.js';
+import type * as assigned from '../returns/assigned.js';
+import type * as shares from '../shares/types.js';
+import * as accountUsage from './account-usage.js';
 import * as upstreamHealth from './upstream-health.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
 import * as eligibility from './eligibility.js';
 import type * as peerWork from './peer-work.js';
-import * as placement from './placement.js';
+import type * as placement from './placement.js';
 import type * as fleet from './state.js';
 import * as liveness from './liveness.js';
 import * as peerUpdates from './peer-updates.js';
@@ -24,6 +27,9 @@
 import * as reports from './reports.js';
 import * as responses from './responses.js';
 import * as senders from './senders.js';
+import * as usageUpdates from './usage-updates.js';
+import type * as waitRefusals from './wait-refusals.js';
+import * as waitingRequests from './waiting-requests.js';
 
 export type Command =
   | {
@@ -42,6 +48,17 @@
   | { kind: 'schedule-tick' }
   | { kind: 'schedule-peer-update'; delayMs: number }
   | { kind: 'send-peer-update'; update: peerWork.Update }
+  | { kind: 'send-usage-update'; update: shares.Update }
+  | { kind: 'schedule-waiting'; delayMs: number }
+  | { kind: 'record-load-refusal'; refusal: waitRefusals.LoadRefusal }
+  | {
+      kind: 'record-wait';
+      placementRequest: placement.Request;
+      waitedMs: number;
+      /** How its caller kept to the time that this instance assigned, if it did. */
+      returned: assigned.Return | undefined;
+    }
+  | { kind: 'record-overuse'; accounts: readonly accountUsage.Overuse[] }
   | { kind: 'record-placement'; placementRequest: placement.Request; decision: placement.Decision }
   | { kind: 'record-upstream-change'; id: string; text: string; ageMs: number }
   | {
@@ -62,10 +79,22 @@
   state: fleet.State,
   message: fleetMessages.FleetMessage,
   now: task.Instant,
+): Step {
+  return waitingRequests.afterMessage(decideMessage(state, message, now), message, now);
+}
+
+function decideMessage(
+  state: fleet.State,
+  message: fleetMessages.FleetMessage,
+  now: task.Instant,
 ): Step {
   switch (message.type) {
     case 'fleet.place':
-      return onPlace(state, message, now);
+      return { state, commands: waitingRequests.onPlace(state, message, now) };
+    case 'fleet.withdraw':
+      return { state, commands: waitingRequests.withdraw(state, message.requestId, now) };
+    case 'fleet.waiting-due':
+      return { state, commands: [] };
     case 'fleet.attempt-ended':
       return onOutcome(state, message, now);
     case 'fleet.upstream-responded':
@@ -97,6 +126,9 @@
       return { state: peerUpdates.withSharing(state, message.sharing), commands: [] };
     case 'fleet.peer-update':
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
+    case 'fleet.usage-update':
+      usageUpdates.receive(state, message.update, now);
+      return { state, commands: [] };
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
@@ -123,46 +155,6 @@
   { type: Type }
 >;
 
-function onPlace(
-  state: fleet.State,
-  { placementRequest, replyTo }: MessageOf<'fleet.place'>,
-  now: task.Instant,
-): Step {
-  const checked = quarantineSteps.check(state, placementRequest, now);
-  if (checked.kind === 'refused') {
-    const commands = quarantineSteps.refuse(state, placementRequest, replyTo, checked, now);
-    return { state, commands };
-  }
-  const placed = placement.place(state, placementRequest, now);
-  const message: gatewayMessages.RequestMessage =
-    placed.kind === 'placed'
-      ? { type: 'fleet.placed', destination: placed.destination }
-      : { type: 'fleet.not-placed', reason: placed.reason, freeInMs: placed.freeInMs };
-  return {
-    state,
-    commands: [
-      { kind: 'record-placement', placementRequest, decision: placed },
-      { kind: 'reply', replyTo, message },
-      ...afterPlacement(state, placementRequest, placed, checked.trialOf, replyTo),
-    ],
-  };
-}
-
-function afterPlacement(
-  state: fleet.State,
-  asked: placement.Request,
-  placed: placement.Decision,
-  trialOf: readonly string[],
-  replyTo: gatewayMessages.RequestAddress,
-): readonly Command[] {
-  if (placed.kind === 'none') return [];
-  const { destination } = placed;
-  return [
-    ...publishing.schedule(state, destination),
-    ...quarantineSteps.onPlaced(state, asked, destination.upstream, trialOf, replyTo),
-  ];
-}
-
 function onCheckBegin(
   state: fleet.State,
   { attempt, upstream: id, model, replyTo }: MessageOf<'fleet.check-begin'>,
@@ -184,6 +176,7 @@
   const upstream = state.registry.upstreams.get(id);
   if (!upstream) return { state, commands: suspicions };
   const before = upstream.reachability.kind;
+  accountUsage.recordEnded(state, upstream, requestId, outcome, now);
   upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
   const scheduled = [
     ...publishing.schedule(state, { upstream: id, context: undefined }),
@@ -261,6 +254,7 @@
     commands: [
       { kind: 'schedule-tick' },
       ...publishing.snapshots(state, now),
+      ...usageUpdates.onTick(state, now),
       ...reports.recordChanges(state, expired),
       ...quarantineSteps.onTick(state, now),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
--- a/packages/core/src/fleet/peer-updates.ts
+++ b/packages/core/src/fleet/peer-updates.ts
@@ -169,7 +169,7 @@
 }
 
 /** Scopes of the updates that count; others are still on their way from before a change. */
-const SCOPES_HEARD: Readonly<Record<peerWork.Sharing, readonly peerWork.Scope[]>> = {
+export const SCOPES_HEARD: Readonly<Record<peerWork.Sharing, readonly peerWork.Scope[]>> = {
   'with-all': ['own'],
   'through-reader': ['fleet'],
   'as-reader': ['own', 'group'],
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -6,6 +6,7 @@
 import type * as messages from '../messages/gateway.js';
 import * as wave from '../rollouts/wave.js';
 import * as sharedContext from '../shared-context/index.js';
+import type * as waitLimit from '../shares/wait-limit.js';
 import * as eligibility from './eligibility.js';
 import * as placeCost from './place-cost.js';
 import * as queue from './queue.js';
@@ -16,6 +17,8 @@
 import * as sampling from './sampling.js';
 import type * as fleet from './state.js';
 import * as upstreams from './upstream.js';
+import * as waitClaims from './wait-claims.js';
+import * as waitLimits from './wait-limits.js';
 
 export type Request = {
   requestId: string;
@@ -38,6 +41,8 @@
   isRepeat: boolean;
   /** Whether the caller has a part of the stream already, which only the rest makes worth anything. */
   isResumed: boolean;
+  /** Absent for a request that cannot wait at the instance. */
+  waiting?: waitClaims.Waiting;
 };
 
 export type Decision =
@@ -62,20 +67,18 @@
 const BACKOFF_COST_MS = 3_000;
 /** A cold upstream answers more slowly. */
 const COLD_COST_MS = 40;
-/** Share of the latency target that queued work may take; reading the prompt needs the rest. */
-const MAX_WAIT_SHARE = 0.75;
-/** The same for a stream that is resumed: few upstreams may have its software version. */
-const MAX_RESUMED_WAIT_SHARE = 2;
 /** Share of the smoothed latency that counts. At an engine, latency depends more on prompts than on the engine. */
 const LATENCY_SHARE = 0.5;
 const ENGINE_LATENCY_SHARE = 0.1;
 
 /** An upstream that may take the request, with its estimates. */
-type Candidate = {
+export type Candidate = {
   upstream: upstreams.Upstream;
   ahead: queue.Estimate;
   /** Prompt tokens that the upstream still has to read; tokens fetched from a store count for a share. */
   tokens: number;
+  /** Time that the upstream takes for them. */
+  readMs: number;
   costMs: number;
 };
 
@@ -84,12 +87,15 @@
   service: routes.Service;
   placementRequest: Request;
   now: task.Instant;
+  /** What decides the limits of wait under predictive load control; absent without it. */
+  claim?: waitLimit.Claim | undefined;
 };
 
 export function place(state: fleet.State, placementRequest: Request, now: task.Instant): Decision {
   const service = state.services.get(placementRequest.service);
   if (!service) return refusals.none('unknown-service');
-  const inputs: Inputs = { state, service, placementRequest, now };
+  const claim = waitClaims.claimOf(state, placementRequest, now);
+  const inputs: Inputs = { state, service, placementRequest, now, claim };
   placeCost.recordPrompt(inputs);
   const { available, eligible, exclusions } = eligibility.judgeAll(inputs);
   if (available.length === 0) return refusals.noneAvailable(exclusions, now);
@@ -97,14 +103,14 @@
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
   const sampled = sampling.select(inputs, available, affinityKey(placementRequest), isInWave);
   const compared = rankCandidates(inputs, sampled, waves);
-  const isSampleFull = compared.every((each) => exceedsWaitLimit(inputs, each));
+  const isSampleFull = compared.every((each) => waitLimits.exceeds(inputs, each));
   const ranked =
     isSampleFull && sampled.length < available.length
       ? rankCandidates(inputs, available, waves)
       : compared;
   if (ranked.length === 0) return refusals.none('none-usable');
-  const best = ranked.find((each) => !exceedsWaitLimit(inputs, each));
-  if (!best) return refusals.none('full', freeInMs(inputs, ranked));
+  const best = ranked.find((each) => !waitLimits.exceeds(inputs, each));
+  if (!best) return waitLimits.full(inputs, ranked);
   return {
     kind: 'placed',
     destination: reserve(inputs, best),
@@ -113,16 +119,6 @@
   };
 }
 
-/** Time until the least busy upstream has little enough work ahead. */
-function freeInMs({ placementRequest }: Inputs, ranked: readonly Candidate[]): number {
-  const leastMs = Math.min(...ranked.map(({ ahead }) => ahead.waitMs));
-  return Math.max(0, Math.ceil(leastMs - maxWaitMs(placementRequest)));
-}
-
-function maxWaitMs({ latencyTargetMs, isResumed }: Request): number {
-  return latencyTargetMs * (isResumed ? MAX_RESUMED_WAIT_SHARE : MAX_WAIT_SHARE);
-}
-
 /** The upstreams on which the request may still begin in time, the cheapest first. */
 function rankCandidates(
   inputs: Inputs,
@@ -142,23 +138,16 @@
         upstream: each,
         ahead,
         tokens,
+        readMs: tokens / readingRate,
         costMs: expectedCostMs(inputs, each, ahead, tokens, waves) + affinityMs,
       };
     })
-    .filter(({ upstream, ahead, tokens }) =>
-      eligibility.mayStillBegin(inputs, upstream, ahead.waitMs + tokens / readingRate),
+    .filter(({ upstream, ahead, readMs }) =>
+      eligibility.mayStillBegin(inputs, upstream, ahead.waitMs + readMs),
     )
     .sort((a, b) => a.costMs - b.costMs);
 }
 
-/**
- * Whether the first part of the answer would come too late to be of full use. Accepting such work
- * would delay all later requests too, so it is refused while the caller can still go elsewhere.
- */
-function exceedsWaitLimit({ placementRequest }: Inputs, { ahead }: Candidate): boolean {
-  return placementRequest.mayRefuse && ahead.waitMs > maxWaitMs(placementRequest);
-}
-
 type Waves = { current: ReadonlySet<string>; next: ReadonlySet<string> };
 
 function rolloutWaves(
--- a/packages/core/src/fleet/refusals.ts
+++ b/packages/core/src/fleet/refusals.ts
@@ -3,6 +3,16 @@
 import type * as messages from '../messages/gateway.js';
 import * as eligibility from './eligibility.js';
 
+/** The upstream with the earliest first token, for a request that exceeds the limit of wait everywhere. */
+export type Load = {
+  waitMs: number;
+  maxWaitMs: number;
+  /** Time that it takes for the prompt itself. */
+  readMs: number;
+  /** Work of the request, in the units of `core/shares`. */
+  work: number;
+};
+
 export type Refusal = {
   kind: 'none';
   reason: messages.PlacementRefusal;
@@ -10,6 +20,8 @@
   freeInMs: number | undefined;
   /** Why upstreams were left out, or the evidence against a part of the prompt. */
   detail?: string;
+  /** Under predictive load control only. */
+  load?: Load | undefined;
 };
 
 export function none(reason: messages.PlacementRefusal, freeInMs?: number): Refusal {
--- a/packages/core/src/fleet/responses.ts
+++ b/packages/core/src/fleet/responses.ts
@@ -1,6 +1,7 @@
 /** Records the bytes that upstreams send, and what the heads of their answers say of them. */
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
+import * as accountUsage from './account-usage.js';
 import type * as decide from './decide.js';
 import * as prefillRate from './prefill-rate.js';
 import * as publishing from './publishing.js';
@@ -25,6 +26,7 @@
   if (selfReport?.slowdown !== undefined) {
     state.slowdownServices.add(upstream.registration.service);
   }
+  accountUsage.recordResponse(state, upstream, requestId, now);
   const begun = upstreamHealth.recordResponse(upstream, requestId, selfReport, now);
   if (begun) prefillRate.recordSample(state, upstream.registration.service, begun, now);
   const hasChanged = versions !== [...upstream.versions.values()].join();
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -2,9 +2,14 @@
 import type * as routes from '../gateway/routes.js';
 import type * as targets from '../rollouts/targets.js';
 import * as ledger from '../quarantine/ledger.js';
+import type * as assigned from '../returns/assigned.js';
+import * as accountLedger from '../shares/ledger.js';
+import type * as shares from '../shares/types.js';
+import * as waitingQueue from '../shares/waiting-queue.js';
 import * as inventory from '../shared-context/inventory.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
+import type * as waitClaims from './wait-claims.js';
 
 export type Bounds = {
   /** Time after a replacement of weights from which requests must not start on the old ones. */
@@ -55,6 +60,12 @@
   features: ReadonlySet<string>;
   /** Services of which an upstream has reported its slowdown. Updated in place. */
   slowdownServices: Set<string>;
+  /** Work by client account, here and as peers tell it. Updated in place. */
+  ledger: shares.Ledger;
+  /** Requests that wait for a place. Updated in place. */
+  waiting: waitingQueue.Queue<waitClaims.Waiter>;
+  /** Updated in place. */
+  assigned: assigned.Assigned;
   /** Updated in place. */
   quarantine: ledger.Ledger;
 };
@@ -87,6 +98,9 @@
     outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
     features: new Set(features),
     slowdownServices: new Set(),
+    ledger: accountLedger.create(),
+    waiting: waitingQueue.create(),
+    assigned: new Map(),
     quarantine: ledger.create(instance),
   };
 }
--- a/packages/core/src/gateway/lifecycle-endings.ts
+++ b/packages/core/src/gateway/lifecycle-endings.ts
@@ -116,11 +116,14 @@
         { kind: 'report', attempt, outcome: 'cancelled' },
       ]
     : [];
+  const withdrawn: readonly lifecycleState.Command[] =
+    phase.kind === 'queued' ? [{ kind: 'withdraw-placement' }] : [];
   return {
     state: { ...state, phase: { kind: 'ended' } },
     commands: [
       ...replies,
       ...aborted,
+      ...withdrawn,
       { kind: 'record-request-end', outcome: { ...outcome, reason: state.lastFailureReason } },
     ],
   };
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -1,4 +1,5 @@
 /** The search for an upstream: placement is asked for, and a request that finds none waits or is refused. */
+import type * as waitClaims from '../fleet/wait-claims.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/gateway.js';
 import * as endings from './lifecycle-endings.js';
@@ -20,23 +21,56 @@
   const { excluded, softwareVersion, isHeadSent, possibleRuns } = state;
   const isRepeat = possibleRuns > 0;
   const mayRefuse = !isHeadSent && !isRepeat;
-  return { kind: 'place', excluded, softwareVersion, mayRefuse, isRepeat };
+  const waiting = waitingOf(state);
+  return { kind: 'place', excluded, softwareVersion, mayRefuse, isRepeat, waiting };
+}
+
+/** How long the request may wait for a place, and what decides its place among others. */
+function waitingOf(state: State): waitClaims.Waiting {
+  const { request, route, clientAccount } = state.routed;
+  const isResumed = lifecycleState.isResumed(state);
+  const { latencyTargetMs, timeoutMs: routeTimeoutMs } = route;
+  return {
+    rank: clientAccount?.priority ?? route.priority,
+    receivedAtMs: request.receivedAt.monotonicMs,
+    deadlineAtMs: lifecycleState.deadlineAtMs(state),
+    routeTimeoutMs,
+    ...(state.isHeadSent
+      ? { maxMs: STREAM_PLACEMENT_TIMEOUT_MS, since: 'no-place' }
+      : { maxMs: overload.maxQueueMs({ isResumed, latencyTargetMs }), since: 'arrival' }),
+  };
+}
+
+export function onQueued(state: State): Step {
+  if (state.phase.kind !== 'placing') return { state, commands: [] };
+  return { state: { ...state, phase: { kind: 'queued' } }, commands: [] };
 }
 
 export function onNotPlaced(
-  state: State,
-  { reason, freeInMs, detail = '' }: Extract<messages.RequestMessage, { type: 'fleet.not-placed' }>,
+  given: State,
+  {
+    reason,
+    freeInMs,
+    detail = '',
+    retryAfterMs,
+  }: Extract<messages.RequestMessage, { type: 'fleet.not-placed' }>,
   now: task.Instant,
 ): Step {
-  if (state.phase.kind !== 'placing') return { state, commands: [] };
+  const { kind: phase } = given.phase;
+  if (phase !== 'placing' && phase !== 'queued') return { state: given, commands: [] };
+  const state: State = { ...given, phase: { kind: 'placing' } };
+  if (retryAfterMs !== undefined) {
+    const refused = { ...state, lastFailureReason: `no upstream: ${reason}` };
+    return endings.giveUp(refused, 'noUpstream', retryAfterMs);
+  }
   if (reason === 'quarantined') return endings.quarantine(state, detail);
   if (reason === 'suspected') {
     return endings.giveUp({ ...state, lastFailureReason: detail }, 'answerLost');
   }
   if (reason === 'one-at-a-time') {
     const { requestId } = state.routed.request;
-    const retryAfterMs = overload.retryAfterMs({ requestId, freeInMs });
-    return endings.giveUp({ ...state, lastFailureReason: detail }, 'noUpstream', retryAfterMs);
+    const comeBackMs = overload.retryAfterMs({ requestId, freeInMs });
+    return endings.giveUp({ ...state, lastFailureReason: detail }, 'noUpstream', comeBackMs);
   }
   if (reason === 'software-version-gone') {
     const gone = { ...state, lastFailureReason: `${reason}: ${detail}` };
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -1,5 +1,6 @@
 /** State and commands of one request, from its arrival to its last byte. */
 import * as drain from '../drain/drain.js';
+import type * as waitClaims from '../fleet/wait-claims.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/gateway.js';
 import type * as quarantine from '../quarantine/types.js';
@@ -33,6 +34,8 @@
   /** Waits to hear at which software version the resumed stream began. */
   | { kind: 'identifying' }
   | { kind: 'placing' }
+  /** Waits for a place at the fleet task, which answers. */
+  | { kind: 'queued' }
   /** Waits for the retry budget's decision; the attempt, if any, stays in flight. */
   | { kind: 'asking'; attempt: Attempt | undefined }
   | { kind: 'attempting'; attempt: Attempt }
@@ -74,7 +77,10 @@
       softwareVersion: string | undefined;
       mayRefuse: boolean;
       isRepeat: boolean;
+      waiting: waitClaims.Waiting;
     }
+  /** The request ends, and waits for no place any more. */
+  | { kind: 'withdraw-placement' }
   | { kind: 'send'; attempt: Attempt; lastEventId: string | undefined; deadlineAtMs: number }
   | { kind: 'abort'; attempt: string }
   | { kind: 'ask-retry-budget' }
--- a/packages/core/src/gateway/lifecycle-withdrawal.ts
+++ b/packages/core/src/gateway/lifecycle-withdrawal.ts
@@ -52,6 +52,7 @@
       return { state, commands: [checkIn(BUDGET_RECHECK_MS)] };
     case 'identifying':
     case 'placing':
+    case 'queued':
     case 'ended':
       return { state, commands: [] };
     default:
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -31,6 +31,8 @@
       return onPlaced(state, message.destination, now);
     case 'fleet.not-placed':
       return search.onNotPlaced(state, message, now);
+    case 'fleet.queued':
+      return search.onQueued(state);
     case 'fleet.attempt-withdrawn':
       return onWithdrawn(state, message);
     case 'fleet.liveness-checked':
@@ -61,7 +63,8 @@
 }
 
 function onPlaced(state: State, destination: messages.Destination, now: task.Instant): Step {
-  if (state.phase.kind !== 'placing') return { state, commands: [] };
+  const { kind: phase } = state.phase;
+  if (phase !== 'placing' && phase !== 'queued') return { state, commands: [] };
   const { request } = state.routed;
   const attempt: lifecycleState.Attempt = {
     id: `${request.requestId}/${state.sentAttempts + 1}`,
--- a/packages/core/src/gateway/overload.ts
+++ b/packages/core/src/gateway/overload.ts
@@ -30,13 +30,20 @@
 export type Verdict = { kind: 'wait' } | { kind: 'refuse'; retryAfterMs: number };
 
 export function judge(unplaced: Unplaced): Verdict {
-  const { isResumed, waitedMs, latencyTargetMs, freeInMs = 0 } = unplaced;
-  const fraction = isResumed ? MAX_RESUMED_QUEUE_FRACTION : MAX_QUEUE_FRACTION;
-  const mayWaitMs = latencyTargetMs * fraction - waitedMs;
+  const { waitedMs, freeInMs = 0 } = unplaced;
+  const mayWaitMs = maxQueueMs(unplaced) - waitedMs;
   if (mayWaitMs > 0 && freeInMs <= mayWaitMs) return { kind: 'wait' };
   return { kind: 'refuse', retryAfterMs: retryAfterMs(unplaced) };
 }
 
+/** Time for which a request may wait for a place. */
+export function maxQueueMs({
+  isResumed,
+  latencyTargetMs,
+}: Pick<Unplaced, 'isResumed' | 'latencyTargetMs'>): number {
+  return latencyTargetMs * (isResumed ? MAX_RESUMED_QUEUE_FRACTION : MAX_QUEUE_FRACTION);
+}
+
 /** When the caller of a refused request comes back. */
 export function retryAfterMs({
   requestId,
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -7,6 +7,7 @@
 import type * as task from '../kernel/task.js';
 import type * as routes from '../gateway/routes.js';
 import type * as quarantine from '../quarantine/types.js';
+import type * as shares from '../shares/types.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as gateway from './gateway.js';
 import type * as rollouts from './rollouts.js';
@@ -27,6 +28,10 @@
   | rollouts.TargetVersionsChanged<'fleet.target-versions-changed'>
   | { type: 'fleet.members-changed'; names: readonly string[] }
   | { type: 'fleet.place'; placementRequest: placement.Request; replyTo: gateway.RequestAddress }
+  /** A request that waits for a place has ended. */
+  | { type: 'fleet.withdraw'; requestId: string }
+  /** Requests that wait for a place may be tried again, or have waited for as long as they may. */
+  | { type: 'fleet.waiting-due' }
   | {
       type: 'fleet.attempt-ended';
       requestId: string;
@@ -66,6 +71,8 @@
   | { type: 'fleet.sharing-changed'; sharing: peerWork.Sharing }
   /** Another instance's summary of its work in flight. */
   | { type: 'fleet.peer-update'; update: peerWork.Update }
+  /** Another instance's work by client account. */
+  | { type: 'fleet.usage-update'; update: shares.Update }
   /** What another instance knows of parts that crash upstreams. */
   | { type: 'fleet.quarantine-update'; update: quarantine.Update }
   /** Verdicts in the platform's store; `removed` holds names of objects. */
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -73,7 +73,11 @@
       freeInMs: number | undefined;
       /** The evidence against a part of the prompt. */
       detail?: string;
+      /** When the caller is to return; the request is refused. Without it, the request decides. */
+      retryAfterMs?: number;
     }
+  /** The request waits for a place; an answer follows. */
+  | { type: 'fleet.queued' }
   /** A part of the prompt was found to crash upstreams while the attempt had not begun. */
   | { type: 'fleet.attempt-withdrawn'; upstream: string; reason: string }
   | { type: 'fleet.liveness-checked'; attempt: string; isSilent: boolean }
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -31,5 +31,9 @@
   | 'gateway.first_event'
   | 'gateway.quarantine'
   | 'gateway.quarantined_parts'
+  | 'gateway.load_refusals'
+  | 'gateway.waits'
+  | 'gateway.returns'
+  | 'gateway.overuse'
   | 'transport.connections'
   | 'platform.answered';
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -2,6 +2,7 @@
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as quarantine from '../quarantine/types.js';
 import type * as inventory from '../shared-context/inventory.js';
+import type * as shares from '../shares/types.js';
 import type * as readers from './readers.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
@@ -25,6 +26,7 @@
   | { type: 'peer-updates.members-changed'; members: readonly PeerEndpoint[] }
   | { type: 'peer-updates.audiences-changed'; audiences: Audiences }
   | { type: 'peer-updates.publish-work'; update: peerWork.Update }
+  | { type: 'peer-updates.publish-usage'; update: shares.Update }
   | {
       type: 'peer-updates.publish-quarantine';
       update: quarantine.Update;
@@ -38,6 +40,7 @@
 /** An update that one instance sends to another. */
 export type PeerUpdate =
   | { kind: 'work'; update: peerWork.Update }
+  | { kind: 'usage'; update: shares.Update }
   | { kind: 'quarantine'; update: quarantine.Update }
   | { kind: 'stores'; from: string; updates: StoreUpdates }
   | { kind: 'question'; from: string; question: readers.Question }
--- /dev/null
+++ b/packages/core/src/shares/wait-limit.ts
@@ -0,0 +1,85 @@
+/**
+ * The predicted wait up to which a request is started. As load rises, the ranks and client accounts with
+ * the least claim reach their limit first, so that the queue at the upstreams stays short enough for the
+ * others. Every limit is above 0, so upstreams are never left idle while anybody demands work.
+ */
+
+/** Share of the latency target that queued work may take; reading the prompt needs the rest. */
+const WAIT_SHARE = 0.75;
+/** The same for a stream that is resumed: few upstreams may have its software version. */
+const RESUMED_WAIT_SHARE = 2;
+/** An account that uses half as much again as its fair share, or more, has this part of the limit. */
+const MIN_OVERUSE_FACTOR = 0.5;
+/** Part of the limit that is left to a rank for each more urgent rank that demands work. */
+const RANK_FACTOR = 0.8;
+/** Part of the limit that is kept for callers that return at their assigned time, once many are refused. */
+const MAX_HELD_FACTOR = 0.15;
+/** Share of refused work at which all of that part is kept. */
+const FULLY_CONTENDED_SHARE = 0.1;
+/** No limit is a smaller part of its usual value; a shorter queue could run dry between two updates. */
+const MIN_FACTOR = 0.35;
+
+/** What a request may claim, whichever upstream it is sent to. */
+export type Claim = {
+  latencyTargetMs: number;
+  isResumed: boolean;
+  /** Part by which the client account is above its fair share. */
+  overuse: number;
+  /** Number of more urgent ranks that demand work. */
+  ranksAbove: number;
+  /** Whether its caller was told to return now, or would have been. */
+  isReturn: boolean;
+  /** Share of the work asked for lately that was refused. */
+  refusedShare: number;
+  /** Time until the latency target has passed; negative afterwards. */
+  untilTargetMs: number;
+  /** Time until its caller gives up. */
+  untilDeadlineMs: number;
+  /** Whether other requests wait here that can still be in time. */
+  hasOthersWaiting: boolean;
+};
+
+/** The limit while there is no contention, in ms. */
+export function usualMs({
+  latencyTargetMs,
+  isResumed,
+}: Pick<Claim, 'latencyTargetMs' | 'isResumed'>): number {
+  return latencyTargetMs * (isResumed ? RESUMED_WAIT_SHARE : WAIT_SHARE);
+}
+
+/**
+ * Whether the first token can no longer come in time though it could have at first: a prompt that takes longer
+ * to read than the target is not late by waiting, and would never be started otherwise.
+ */
+export function isLate(claim: Claim, readMs: number): boolean {
+  return readMs > claim.untilTargetMs && readMs <= claim.latencyTargetMs;
+}
+
+/** Whether the caller gives up before the first token can come, even without any wait. */
+export function isHopeless(claim: Claim, readMs: number): boolean {
+  return readMs >= claim.untilDeadlineMs;
+}
+
+/**
+ * The limit in ms, at most `usualMs`, and equal to it when nothing is contended. `readMs`: time that the upstream
+ * takes for the prompt itself.
+ */
+export function maxWaitMs(claim: Claim, readMs: number): number {
+  const { isResumed, untilDeadlineMs, hasOthersWaiting } = claim;
+  const usual = Math.min(usualMs(claim), untilDeadlineMs - readMs);
+  // The caller of a resumed stream holds a part that only the rest makes worth anything.
+  if (isResumed) return usual;
+  if (hasOthersWaiting && isLate(claim, readMs)) return 0;
+  return Math.min(usual, Math.max(usualMs(claim) * MIN_FACTOR, contendedMs(claim, readMs)));
+}
+
+function contendedMs(claim: Claim, readMs: number): number {
+  const { overuse, ranksAbove, isReturn, refusedShare, hasOthersWaiting, untilTargetMs } = claim;
+  const contention = Math.min(1, refusedShare / FULLY_CONTENDED_SHARE);
+  const held = isReturn ? 0 : contention * MAX_HELD_FACTOR;
+  const shareFactor = Math.max(MIN_OVERUSE_FACTOR, 1 - overuse);
+  const sharedMs = usualMs(claim) * shareFactor * RANK_FACTOR ** ranksAbove * (1 - held);
+  // Work that comes too late to count would delay work that can still be in time.
+  const isContended = hasOthersWaiting || contention >= 1;
+  return isContended ? Math.min(sharedMs, untilTargetMs - readMs) : sharedMs;
+}
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -1,6 +1,7 @@
 /** Task that owns the state of the upstreams and the inventory of the context stores. */
 import * as core from '@medlarweir/core';
 
+import * as loadCommands from './load-commands.js';
 import * as quarantineCommands from './quarantine-commands.js';
 
 type Message = core.messages.FleetMessage;
@@ -31,6 +32,8 @@
   peerWork,
   prefillRates,
   quarantine,
+  waiting,
+  ledger,
 }: State): unknown {
   const upstreams = [...registry.upstreams.values()].map((each) => ({
     id: each.registration.id,
@@ -55,6 +58,8 @@
     heardPeers: [...peerWork.keys()],
     tokensReadPerMs: Object.fromEntries(prefillRates),
     named: Object.fromEntries(targetVersions),
+    waiting: waiting.size,
+    usage: [...ledger.own].map(([service, accounts]) => ({ service, accounts: accounts.size })),
     quarantined: [...quarantine.verdicts.values()].map(({ verdict }) => verdict),
   };
 }
@@ -92,6 +97,17 @@
     case 'send-peer-update':
       send('peerNotes', { type: 'peer-updates.publish-work', update: command.update });
       return;
+    case 'send-usage-update':
+      send('peerNotes', { type: 'peer-updates.publish-usage', update: command.update });
+      return;
+    case 'schedule-waiting':
+      context.schedule('waiting', command.delayMs, { type: 'fleet.waiting-due' });
+      return;
+    case 'record-load-refusal':
+    case 'record-wait':
+    case 'record-overuse':
+      loadCommands.perform(context, command);
+      return;
     case 'record-placement':
       recordPlacement(context, command);
       return;
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -104,6 +104,9 @@
     case 'place':
       requestPlacement(scope, command);
       return;
+    case 'withdraw-placement':
+      send('fleet', { type: 'fleet.withdraw', requestId });
+      return;
     case 'send':
       sendAttempt(scope, command);
       return;
@@ -161,7 +164,7 @@
 
 function requestPlacement(
   { routed, content, context }: RequestContext,
-  { excluded, softwareVersion, mayRefuse, isRepeat }: Extract<Command, { kind: 'place' }>,
+  { excluded, softwareVersion, mayRefuse, isRepeat, waiting }: Extract<Command, { kind: 'place' }>,
 ): void {
   const { request, route, service, clientAccount } = routed;
   const { latencyTargetMs } = route;
@@ -182,6 +185,7 @@
       mayRefuse,
       isRepeat,
       isResumed: core.gateway.lifecycleState.isResumed({ routed }),
+      waiting,
     },
     replyTo: context.self,
   });
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -9,6 +9,7 @@
 import * as quarantineRows from './quarantine-rows.js';
 import * as schemas from './schemas.js';
 import * as storeRows from './store-rows.js';
+import * as usageRows from './usage-rows.js';
 
 type PeerUpdate = core.messages.PeerUpdate;
 
@@ -39,6 +40,8 @@
         sentParts.map(({ upstream, salt, parts }) => [upstream, salt, [...parts]]),
       ];
     }
+    case 'usage':
+      return usageRows.toTuple(peerUpdate.update);
     case 'quarantine':
       return ['quarantine', peerUpdate.update.from, quarantineRows.toRows(peerUpdate.update)];
     case 'stores':
@@ -97,6 +100,8 @@
         update: { from, incarnation, sentAtMs, scope, instances, isSnapshot, work, sentParts },
       };
     }
+    case 'usage':
+      return { kind: 'usage', update: usageRows.fromTuple(tuple) };
     case 'quarantine': {
       const [kind, from, rows] = tuple;
       return { kind, update: quarantineRows.fromRows(from, rows) };
--- a/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
@@ -76,6 +76,11 @@
       const audience = audiences.ofWork(state, name, dataCentre, update.scope);
       return { state, commands: sendCommands(state, name, { kind: 'work', update }, audience) };
     }
+    case 'peer-updates.publish-usage': {
+      const { update } = message;
+      const audience = audiences.ofWork(state, name, dataCentre, update.scope);
+      return { state, commands: sendCommands(state, name, { kind: 'usage', update }, audience) };
+    }
     case 'peer-updates.publish-quarantine':
       return publishQuarantine(name, state, message);
     case 'peer-updates.send':
@@ -187,6 +192,9 @@
     case 'work':
       send('fleet', { type: 'fleet.peer-update', update: update.update });
       return;
+    case 'usage':
+      send('fleet', { type: 'fleet.usage-update', update: update.update });
+      return;
     case 'quarantine':
       send('fleet', { type: 'fleet.quarantine-update', update: update.update });
       return;
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -63,6 +63,19 @@
   zod.array(verdictRow),
 ]);
 
+/** Most services, and most client accounts of one service, that an update may hold. */
+const MAX_USAGE_SERVICES = 16;
+const MAX_USAGE_ACCOUNTS = 64;
+const MAX_ACCOUNT_KEY_LENGTH = 16;
+/** Client account, used and refused work. */
+const usageRow = zod.tuple([zod.string().max(MAX_ACCOUNT_KEY_LENGTH), amount, amount]);
+/** Service, the largest accounts, and of the others their number, used and refused work. */
+const serviceUsageRow = zod.tuple([
+  zod.string(),
+  zod.array(usageRow).max(MAX_USAGE_ACCOUNTS),
+  zod.tuple([zod.number().int().nonnegative(), amount, amount]),
+]);
+
 /** By kind, so that an update is checked against one schema only. */
 const bodies = {
   /** Kind, sender, incarnation, send time, scope, instances, is a snapshot, work, sent parts. */
@@ -77,6 +90,15 @@
     zod.array(workRow),
     zod.array(sentRow),
   ]),
+  /** Kind, sender, incarnation, send time, scope, usage by service. */
+  usage: zod.tuple([
+    zod.literal('usage'),
+    zod.string(),
+    zod.string(),
+    amount,
+    zod.enum(['own', 'group', 'fleet']),
+    zod.array(serviceUsageRow).max(MAX_USAGE_SERVICES),
+  ]),
   quarantine: zod.tuple([zod.literal('quarantine'), zod.string(), quarantineRows]),
   stores: zod.tuple([zod.literal('stores'), zod.string(), zod.array(storeRow)]),
   question: zod.tuple([zod.literal('question'), zod.string(), question]),
@@ -94,7 +116,7 @@
 };
 
 const kinds = zod.tuple([
-  zod.enum(['work', 'quarantine', 'stores', 'question', 'answer', 'changes']),
+  zod.enum(['work', 'usage', 'quarantine', 'stores', 'question', 'answer', 'changes']),
 ]);
 const anyBody = kinds.rest(zod.unknown());
 
@@ -105,6 +127,7 @@
   return checked.success ? bodies[checked.data[0]].safeParse(found).data : undefined;
 }
 
+export type UsageTuple = zod.infer<typeof bodies.usage>;
 export type QuestionTuple = zod.infer<typeof question>;
 export type QuarantineRows = zod.infer<typeof quarantineRows>;
 export type SuspectRow = zod.infer<typeof suspectRow>;
