--- a/packages/core/src/fleet/account-usage.ts
+++ b/packages/core/src/fleet/account-usage.ts
@@ -26,7 +26,7 @@
 
 export function recordPlaced(
   state: fleet.State,
-  { requestId, service: name, clientAccount }: placement.Request,
+  { requestId, service: name, clientAccount, waiting }: placement.Request,
   { destination }: Extract<placement.Decision, { kind: 'placed' }>,
   now: task.Instant,
 ): void {
@@ -36,6 +36,7 @@
   const work = workOf(service, upstream, destination.expected.tokensToRead);
   const account = shares.ledger.keyOf(clientAccount);
   shares.ledger.charge(state.ledger, requestId, { service: name, account, work }, now);
+  if (waiting) shares.ranks.recordWork(state.ledger, name, waiting.rank, work, now);
 }
 
 /** Each read of a stream after its first byte is counted as one token. */
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -12,6 +12,7 @@
 import type * as assigned from '../returns/assigned.js';
 import type * as shares from '../shares/types.js';
 import * as accountUsage from './account-usage.js';
+import * as speed from '../speed/index.js';
 import * as upstreamHealth from './upstream-health.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
@@ -177,6 +178,8 @@
   if (!upstream) return { state, commands: suspicions };
   const before = upstream.reachability.kind;
   accountUsage.recordEnded(state, upstream, requestId, outcome, now);
+  const work = upstream.inFlight.get(requestId);
+  if (work && outcome === 'answered') speed.recordEnd(state, upstream, work, now);
   upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
   const scheduled = [
     ...publishing.schedule(state, { upstream: id, context: undefined }),
--- a/packages/core/src/fleet/wait-claims.ts
+++ b/packages/core/src/fleet/wait-claims.ts
@@ -42,7 +42,7 @@
     latencyTargetMs,
     isResumed,
     overuse: shares.ledger.overuseOf(ledger, service, account, now),
-    ranksAbove: shares.ledger.ranksAbove(ledger, service, waiting.rank, now),
+    rank: shares.ranks.standingOf(ledger, service, waiting.rank, now),
     isReturn: returns.slots.hasPrecedence(content, waiting.routeTimeoutMs, now.wallMs),
     refusedShare: shares.ledger.viewOf(ledger, service, now).refusedShare,
     untilTargetMs: waiting.receivedAtMs + latencyTargetMs - now.monotonicMs,
--- a/packages/core/src/fleet/wait-limits.ts
+++ b/packages/core/src/fleet/wait-limits.ts
@@ -1,14 +1,22 @@
 /** Up to which predicted wait a request is sent to an upstream. */
 import * as waitLimit from '../shares/wait-limit.js';
+import * as speed from '../speed/index.js';
 import * as accountUsage from './account-usage.js';
 import type * as placement from './placement.js';
 import * as refusals from './refusals.js';
+import type * as upstreams from './upstream.js';
 
 type Inputs = placement.Inputs;
 type Candidate = placement.Candidate;
 
-function maxWaitMs({ placementRequest, claim }: Inputs, { readMs }: Candidate): number {
-  return claim ? waitLimit.maxWaitMs(claim, readMs) : waitLimit.usualMs(placementRequest);
+function maxWaitMs({ placementRequest, claim }: Inputs, candidate: Candidate): number {
+  return claim ? waitLimit.maxWaitMs(claim, candidate.readMs) : waitLimit.usualMs(placementRequest);
+}
+
+/** Time that the upstream takes for the request itself, until its first part; `readMs` for its prompt. */
+export function readMs(inputs: Inputs, upstream: upstreams.Upstream, promptMs: number): number {
+  const isPlain = inputs.claim && !inputs.service.engine;
+  return isPlain ? speed.plainServedMs(inputs, upstream) : promptMs;
 }
 
 /**
@@ -35,7 +43,7 @@
 function loadOf(inputs: Inputs, ranked: readonly Candidate[]): refusals.Load | undefined {
   const [first, ...others] = ranked;
   if (!inputs.claim || !first) return undefined;
-  const endsAtMs = ({ ahead, readMs }: Candidate) => ahead.waitMs + readMs;
+  const endsAtMs = (each: Candidate) => each.ahead.waitMs + each.readMs;
   const best = others.reduce(
     (least, each) => (endsAtMs(each) < endsAtMs(least) ? each : least),
     first,
--- a/packages/core/src/fleet/wait-refusals.ts
+++ b/packages/core/src/fleet/wait-refusals.ts
@@ -37,12 +37,14 @@
   now: task.Instant,
 ): RefusalReason | undefined {
   const leftMs = untilMs - now.monotonicMs;
-  const { deadlineAtMs } = placementRequest.waiting;
+  const { deadlineAtMs, maxMs } = placementRequest.waiting;
   if (leftMs <= 0 && enteredAtMs < now.monotonicMs) return 'waited';
   if (load && now.monotonicMs + load.readMs >= deadlineAtMs) return 'past-deadline';
   // Once an answer has begun, or may have, there is nothing to be gained by a refusal.
   const mayRefuse = placementRequest.mayRefuse || leftMs <= 0;
-  return mayRefuse && (leftMs <= 0 || freeInMs > leftMs) ? 'hopeless' : undefined;
+  // Once it waits, it is given up early only if it would not have been let in: estimates vary by some ms.
+  const boundMs = enteredAtMs < now.monotonicMs ? maxMs : leftMs;
+  return mayRefuse && (leftMs <= 0 || freeInMs > boundMs) ? 'hopeless' : undefined;
 }
 
 export function refuse(
--- a/packages/core/src/fleet/waiting-requests.ts
+++ b/packages/core/src/fleet/waiting-requests.ts
@@ -50,7 +50,8 @@
   }
   const { service, clientAccount, waiting } = asked;
   const { rank } = waiting;
-  shares.ledger.recordDemand(state.ledger, { service, clientAccount, rank }, now);
+  const usualWaitMs = shares.waitLimit.usualMs({ ...asked, isResumed: false });
+  shares.ranks.recordDemand(state.ledger, { service, clientAccount, rank, usualWaitMs }, now);
   const entry = entryOf(asked, replyTo, now);
   if (shares.waitingQueue.ofService(state.waiting, asked.service).length === 0) {
     return [...tryEntry(state, entry, now), ...queuedReply(state, entry), ...schedule(state, now)];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,4 +33,5 @@
 export * as settings from './settings/index.js';
 export * as sharedContext from './shared-context/index.js';
 export * as shares from './shares/index.js';
+export * as speed from './speed/index.js';
 export * as streamOrigins from './stream-origins/index.js';
--- a/packages/core/src/shares/ledger.ts
+++ b/packages/core/src/shares/ledger.ts
@@ -205,34 +205,10 @@
     if (isOld(receivedAtMs)) ledger.reports.delete(from);
   });
   ledger.ranks.forEach((seen, service) => {
-    seen.forEach((atMs, rank) => isOld(atMs) && seen.delete(rank));
+    seen.forEach(({ seenAtMs }, rank) => isOld(seenAtMs) && seen.delete(rank));
     if (seen.size === 0) ledger.ranks.delete(service);
   });
   const kept = new Set([...ledger.own.values()].flatMap((accounts) => [...accounts.keys()]));
   ledger.names.forEach((_, account) => kept.has(account) || ledger.names.delete(account));
   ledger.views.clear();
 }
-
-/** Records that an account asks for work of a rank. Ranks are priorities, so there are few of them. */
-export function recordDemand(
-  ledger: types.Ledger,
-  { service, clientAccount, rank }: { service: string; clientAccount: string; rank: number },
-  now: task.Instant,
-): void {
-  ledger.names.set(keyOf(clientAccount), clientAccount);
-  const seen = ledger.ranks.get(service) ?? new Map<number, number>();
-  seen.set(rank, now.monotonicMs);
-  ledger.ranks.set(service, seen);
-}
-
-/** Number of more urgent ranks with requests in the last half-life. */
-export function ranksAbove(
-  { ranks }: types.Ledger,
-  service: string,
-  rank: number,
-  now: task.Instant,
-): number {
-  const seen = [...(ranks.get(service) ?? [])];
-  return seen.filter(([each, atMs]) => each < rank && now.monotonicMs - atMs < decayed.HALF_LIFE_MS)
-    .length;
-}
--- a/packages/core/src/shares/types.ts
+++ b/packages/core/src/shares/types.ts
@@ -43,8 +43,15 @@
 /** Work charged to an attempt in flight, to be corrected when its true amount is known. */
 export type Charge = { service: string; account: AccountKey; work: number; atMs: number };
 
-/** Most urgent rank that was seen and when, by service. */
-export type RankSeen = Map<number, number>;
+/** Demand of one rank in one service at this instance. */
+export type RankDemand = {
+  /** When a request of the rank was last seen, in monotonic ms. */
+  seenAtMs: number;
+  /** Work that was started. */
+  work: decayed.Sum;
+  /** Longest wait that requests of the rank accept without contention. */
+  usualWaitMs: number;
+};
 
 /** Soft state; updated in place, since only the fleet task sees it. */
 export type Ledger = {
@@ -53,8 +60,8 @@
   charges: Map<string, Charge>;
   reports: Map<string, Report>;
   views: Map<string, View>;
-  /** When a request of each rank was last seen here, by service. */
-  ranks: Map<string, RankSeen>;
+  /** By service and rank. */
+  ranks: Map<string, Map<number, RankDemand>>;
   /** Names of the accounts in `own`, for the journal. */
   names: Map<AccountKey, string>;
   /** When this instance last sent its usage. */
