Work is started at a pace while requests are refused

Cause: instances hear of each other 0.4 to 0.9 s late, so all of them filled the same room at the upstreams; unread work ranged from 0 to 188,000 tokens between engines. Prompts that spilled to other engines displaced cached parts and were prefilled again. Change: `shares/pace` limits what an instance starts while a tenth of the work is refused to its part of the measured capacity; under contention a prompt goes where its parts are not cached only if the queue there is nearly empty; requests wait at most 45 ms while many are refused.

--- a/packages/core/src/fleet/account-usage.ts
+++ b/packages/core/src/fleet/account-usage.ts
@@ -5,6 +5,7 @@
 import * as loadControl from '../load-control/index.js';
 import * as results from '../results/index.js';
 import * as shares from '../shares/index.js';
+import * as pacing from './pacing.js';
 import type * as placement from './placement.js';
 import type * as fleet from './state.js';
 import type * as upstreams from './upstream.js';
@@ -36,6 +37,7 @@
   const work = workOf(service, upstream, destination.expected.tokensToRead);
   const account = shares.ledger.keyOf(clientAccount);
   shares.ledger.charge(state.ledger, requestId, { service: name, account, work }, now);
+  shares.pace.spend(pacing.paceOf(state, service, now), work, now);
   if (waiting) shares.ranks.recordWork(state.ledger, name, waiting.rank, work, now);
 }
 
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -108,7 +108,8 @@
       ? rankCandidates(inputs, available, waves)
       : compared;
   if (ranked.length === 0) return refusals.none('none-usable');
-  const best = ranked.find((each) => !waitLimits.exceeds(inputs, each));
+  const leastReadMs = Math.min(...compared.map(({ readMs }) => readMs));
+  const best = ranked.find((each) => !waitLimits.exceeds(inputs, each, leastReadMs));
   if (!best) return waitLimits.full(inputs, ranked);
   return {
     kind: 'placed',
@@ -135,7 +136,7 @@
         upstream: each,
         ahead,
         tokens,
-        readMs: waitLimits.readMs(inputs, each, tokens / ahead.tokensPerMs),
+        readMs: waitLimits.readMsOf(inputs, each, tokens / ahead.tokensPerMs),
         costMs: expectedCostMs(inputs, each, ahead, tokens, waves) + affinityMs,
       };
     })
--- a/packages/core/src/fleet/wait-claims.ts
+++ b/packages/core/src/fleet/wait-claims.ts
@@ -4,6 +4,7 @@
 import type * as gatewayMessages from '../messages/gateway.js';
 import * as returns from '../returns/index.js';
 import * as shares from '../shares/index.js';
+import * as pacing from './pacing.js';
 import type * as placement from './placement.js';
 import type * as fleet from './state.js';
 
@@ -35,16 +36,19 @@
   }: placement.Request,
   now: task.Instant,
 ): shares.waitLimit.Claim | undefined {
-  if (!waiting || !loadControl.isPredictive(state, service)) return undefined;
+  const known = state.services.get(service);
+  if (!waiting || !known || !loadControl.isPredictive(state, service)) return undefined;
   const { ledger } = state;
   const account = shares.ledger.keyOf(clientAccount);
+  const overuse = shares.ledger.overuseOf(ledger, service, account, now);
   return {
     latencyTargetMs,
     isResumed,
-    overuse: shares.ledger.overuseOf(ledger, service, account, now),
+    overuse,
     rank: shares.ranks.standingOf(ledger, service, waiting.rank, now),
     isReturn: returns.slots.hasPrecedence(content, waiting.routeTimeoutMs, now.wallMs),
     refusedShare: shares.ledger.viewOf(ledger, service, now).refusedShare,
+    pacedForMs: shares.pace.untilAllowedMs(pacing.paceOf(state, known, now), overuse, now),
     untilTargetMs: waiting.receivedAtMs + latencyTargetMs - now.monotonicMs,
     untilDeadlineMs: waiting.deadlineAtMs - now.monotonicMs,
     hasOthersWaiting: shares.waitingQueue
--- a/packages/core/src/fleet/wait-limits.ts
+++ b/packages/core/src/fleet/wait-limits.ts
@@ -6,6 +6,14 @@
 import * as refusals from './refusals.js';
 import type * as upstreams from './upstream.js';
 
+/**
+ * Under contention, a prompt part that another upstream has in its cache is read again only where the queue is
+ * short: what is read again delays others, and displaces parts that are in use.
+ */
+const REPEATED_READING_FACTOR = 8;
+/** Part of the limit up to which an upstream counts as nearly idle. */
+const IDLE_SHARE = 0.2;
+
 type Inputs = placement.Inputs;
 type Candidate = placement.Candidate;
 
@@ -14,7 +22,7 @@
 }
 
 /** Time that the upstream takes for the request itself, until its first part; `readMs` for its prompt. */
-export function readMs(inputs: Inputs, upstream: upstreams.Upstream, promptMs: number): number {
+export function readMsOf(inputs: Inputs, upstream: upstreams.Upstream, promptMs: number): number {
   const isPlain = inputs.claim && !inputs.service.engine;
   return isPlain ? speed.plainServedMs(inputs, upstream) : promptMs;
 }
@@ -23,9 +31,19 @@
  * Whether the first part of the answer would come too late to be of full use. Accepting such work
  * would delay all later requests too, so it is refused while the caller can still go elsewhere.
  */
-export function exceeds(inputs: Inputs, candidate: Candidate): boolean {
+export function exceeds(
+  inputs: Inputs,
+  candidate: Candidate,
+  leastReadMs = candidate.readMs,
+): boolean {
   const { mayRefuse } = inputs.placementRequest;
-  return mayRefuse && candidate.ahead.waitMs > maxWaitMs(inputs, candidate);
+  const { ahead, readMs } = candidate;
+  const limit = maxWaitMs(inputs, candidate);
+  const extraMs = inputs.claim && waitLimit.isContended(inputs.claim) ? readMs - leastReadMs : 0;
+  const repeatedMs = Math.max(0, extraMs) * REPEATED_READING_FACTOR;
+  // An upstream that is nearly idle is used all the same.
+  const addedMs = Math.min(repeatedMs, Math.max(0, limit) * (1 - IDLE_SHARE));
+  return mayRefuse && ahead.waitMs + addedMs > limit;
 }
 
 /** The refusal of a request that exceeds the limit at all upstreams. */
--- a/packages/core/src/fleet/waiting-requests.ts
+++ b/packages/core/src/fleet/waiting-requests.ts
@@ -25,6 +25,8 @@
 
 /** With less time than this left, no attempt is made. */
 const MIN_ATTEMPT_MS = 40;
+/** Callers are to be refused within 50 ms if they cannot be served from the start. */
+const MAX_CONTENDED_WAIT_MS = 45;
 /** Placements tried for one event: with more, a decision would take longer than the event is worth. */
 const MAX_TRIES = 8;
 /** Least time between two tries without an event that frees capacity. */
@@ -52,7 +54,7 @@
   const { rank } = waiting;
   const usualWaitMs = shares.waitLimit.usualMs({ ...asked, isResumed: false });
   shares.ranks.recordDemand(state.ledger, { service, clientAccount, rank, usualWaitMs }, now);
-  const entry = entryOf(asked, replyTo, now);
+  const entry = entryOf(state, asked, replyTo, now);
   if (shares.waitingQueue.ofService(state.waiting, asked.service).length === 0) {
     return [...tryEntry(state, entry, now), ...queuedReply(state, entry), ...schedule(state, now)];
   }
@@ -64,10 +66,16 @@
   return [...commands, ...queuedReply(state, entry), ...schedule(state, now)];
 }
 
-function entryOf(asked: Asked, replyTo: gatewayMessages.RequestAddress, now: task.Instant): Entry {
+function entryOf(
+  state: fleet.State,
+  asked: Asked,
+  replyTo: gatewayMessages.RequestAddress,
+  now: task.Instant,
+): Entry {
   const { requestId, service, waiting } = asked;
-  const { maxMs, since, receivedAtMs, deadlineAtMs } = waiting;
+  const { since, receivedAtMs, deadlineAtMs } = waiting;
   const fromMs = since === 'arrival' ? receivedAtMs : now.monotonicMs;
+  const maxMs = maxWaitMs(state, asked, now);
   return {
     requestId,
     service,
@@ -78,6 +86,19 @@
   };
 }
 
+/** While many are refused, a request that waits has less hope, and its caller better uses of its time. */
+function maxWaitMs(
+  { ledger }: fleet.State,
+  { service, isResumed, waiting: { maxMs, since } }: Asked,
+  now: task.Instant,
+): number {
+  const { refusedShare } = shares.ledger.viewOf(ledger, service, now);
+  const isOrdinary = since === 'arrival' && !isResumed;
+  return isOrdinary && shares.waitLimit.isMuchRefused(refusedShare)
+    ? Math.min(maxMs, MAX_CONTENDED_WAIT_MS)
+    : maxMs;
+}
+
 function queuedReply({ waiting }: fleet.State, { requestId, waiting: waiter }: Entry): Commands {
   if (!waiting.has(requestId)) return [];
   return [{ kind: 'reply', replyTo: waiter.replyTo, message: { type: 'fleet.queued' } }];
--- a/packages/core/src/shares/index.ts
+++ b/packages/core/src/shares/index.ts
@@ -3,6 +3,7 @@
 export * as fairShare from './fair-share.js';
 export * as ledger from './ledger.js';
 export * as order from './order.js';
+export * as pace from './pace.js';
 export * as ranks from './ranks.js';
 export * as updates from './updates.js';
 export * as waitLimit from './wait-limit.js';
--- a/packages/core/src/shares/ledger.ts
+++ b/packages/core/src/shares/ledger.ts
@@ -26,6 +26,7 @@
     reports: new Map(),
     views: new Map(),
     ranks: new Map(),
+    paces: new Map(),
     names: new Map(),
     sentAtMs: -Infinity,
   };
@@ -141,8 +142,10 @@
   const all = [...accounts, ...rests];
   const used = all.reduce((sum, each) => sum + each.used, 0);
   const refused = all.reduce((sum, each) => sum + each.refused, 0);
-  const refusedShare = used + refused > 0 ? refused / (used + refused) : 0;
-  return { atMs: nowMs, level: fairShare.levelOf(all), others, refusedShare };
+  const demand = used + refused;
+  const ownDemand = [...own.values()].reduce((sum, each) => sum + each.used + each.refused, 0);
+  const refusedShare = demand > 0 ? refused / demand : 0;
+  return { atMs: nowMs, level: fairShare.levelOf(all), others, refusedShare, demand, ownDemand };
 }
 
 /** The accounts behind a sum, as if each had the same part of it. */
--- a/packages/core/src/shares/types.ts
+++ b/packages/core/src/shares/types.ts
@@ -38,6 +38,9 @@
   others: ReadonlyMap<AccountKey, decayed.Amounts>;
   /** Refused work as a share of all work asked for. */
   refusedShare: number;
+  /** Work that was asked for, of all instances and of this one. */
+  demand: number;
+  ownDemand: number;
 };
 
 /** Work charged to an attempt in flight, to be corrected when its true amount is known. */
@@ -53,6 +56,17 @@
   usualWaitMs: number;
 };
 
+/** Work that this instance may start at present, in the units of the ledger. */
+export type Pace = {
+  /** As of `atMs`; negative if more was started. */
+  allowance: number;
+  /** Growth of the allowance; 0 if there is no pace. */
+  perMs: number;
+  atMs: number;
+  /** When `perMs` was set. */
+  ratedAtMs: number;
+};
+
 /** Soft state; updated in place, since only the fleet task sees it. */
 export type Ledger = {
   own: Map<string, Map<AccountKey, decayed.Sum>>;
@@ -60,6 +74,8 @@
   charges: Map<string, Charge>;
   reports: Map<string, Report>;
   views: Map<string, View>;
+  /** By service. */
+  paces: Map<string, Pace>;
   /** By service and rank. */
   ranks: Map<string, Map<number, RankDemand>>;
   /** Names of the accounts in `own`, for the journal. */
--- a/packages/core/src/shares/wait-limit.ts
+++ b/packages/core/src/shares/wait-limit.ts
@@ -11,7 +11,7 @@
 /** The same for a stream that is resumed: few upstreams may have its software version. */
 const RESUMED_WAIT_SHARE = 2;
 /** An account that is above its fair share by `FULL_OVERUSE` or more has this part of the limit. */
-const MIN_OVERUSE_FACTOR = 0.5;
+const MIN_OVERUSE_FACTOR = 0.3;
 /**
  * The queue changes by a whole prompt at a time, which is up to a quarter of the limit, so a slower fall would
  * leave the others no room.
@@ -28,7 +28,7 @@
 /** Lower shares of work are too uncertain to count on. */
 const MIN_SHARE_AHEAD = 0.1;
 /** No limit is a smaller part of its usual value; a shorter queue could run dry between two updates. */
-const MIN_FACTOR = 0.35;
+const MIN_FACTOR = 0.25;
 
 /** What a request may claim, whichever upstream it is sent to. */
 export type Claim = {
@@ -46,6 +46,8 @@
   untilTargetMs: number;
   /** Time until its caller gives up. */
   untilDeadlineMs: number;
+  /** Time until this instance may start work of the account while many are refused. */
+  pacedForMs: number;
   /** Whether other requests wait here that can still be in time. */
   hasOthersWaiting: boolean;
 };
@@ -58,6 +60,15 @@
   return latencyTargetMs * (isResumed ? RESUMED_WAIT_SHARE : WAIT_SHARE);
 }
 
+/** Whether other work waits, here or with callers that were refused lately. */
+export function isContended({ hasOthersWaiting, refusedShare }: Claim): boolean {
+  return hasOthersWaiting || isMuchRefused(refusedShare);
+}
+
+export function isMuchRefused(refusedShare: number): boolean {
+  return refusedShare >= FULLY_CONTENDED_SHARE;
+}
+
 /**
  * Whether the first token can no longer come in time though it could have at first: a prompt that takes longer
  * to read than the target is not late by waiting, and would never be started otherwise.
@@ -82,10 +93,16 @@
   // The caller of a resumed stream holds a part that only the rest makes worth anything.
   if (isResumed) return Math.min(usual, leftMs);
   if (hasOthersWaiting && isLate(claim, readMs)) return Math.min(0, leftMs);
+  if (isPaced(claim)) return Math.min(leftMs, -claim.pacedForMs);
   const limit = Math.min(usual, Math.max(usual * MIN_FACTOR, contendedMs(claim, readMs)));
   return Math.min(leftMs, ofAllWork(claim, limit));
 }
 
+/** Less urgent work makes room for a rank that is admitted before it; its starts count all the same. */
+function isPaced({ rank, refusedShare, pacedForMs }: Claim): boolean {
+  return rank.outrankedWaitMs === 0 && isMuchRefused(refusedShare) && pacedForMs > 0;
+}
+
 /**
  * The limit as a wait for all work at the upstream. Upstreams admit more urgent work first, so that a rank waits for
  * its part of the work only. Above what less urgent ranks accept, the work cannot be theirs.
@@ -96,12 +113,11 @@
 }
 
 function contendedMs(claim: Claim, readMs: number): number {
-  const { overuse, rank, isReturn, refusedShare, hasOthersWaiting, untilTargetMs } = claim;
+  const { overuse, rank, isReturn, refusedShare, untilTargetMs } = claim;
   const contention = Math.min(1, refusedShare / FULLY_CONTENDED_SHARE);
   const held = isReturn ? 0 : contention * MAX_HELD_FACTOR;
   const shareFactor = 1 - (1 - MIN_OVERUSE_FACTOR) * Math.min(1, overuse / FULL_OVERUSE);
   const sharedMs = usualMs(claim) * shareFactor * RANK_FACTOR ** rank.ranksAbove * (1 - held);
   // Work that comes too late to count would delay work that can still be in time.
-  const isContended = hasOthersWaiting || contention >= 1;
-  return isContended ? Math.min(sharedMs, untilTargetMs * TIMELY_SHARE - readMs) : sharedMs;
+  return isContended(claim) ? Math.min(sharedMs, untilTargetMs * TIMELY_SHARE - readMs) : sharedMs;
 }
