--- a/benchmark/src/shares/engine.ts
+++ b/benchmark/src/shares/engine.ts
@@ -109,7 +109,7 @@
     reading.forEach((each) => {
       const read = Math.min(chunk, each.leftToRead);
       chunk -= read;
-      each.leftToRead -= read;
+      Object.assign(each, { leftToRead: each.leftToRead - read });
       if (read > 0 && each.leftToRead === 0) hasRead.push(each);
     });
     const generating = running.filter((each) => each.leftToRead === 0 && !hasRead.includes(each));
@@ -119,7 +119,7 @@
       if (epoch !== state.epoch) return;
       hasRead.forEach((each) => each.onFirstToken());
       generating.forEach((each) => {
-        each.leftTokens -= 1;
+        Object.assign(each, { leftTokens: each.leftTokens - 1 });
         each.onToken();
       });
       running
--- a/benchmark/src/shares/measure.ts
+++ b/benchmark/src/shares/measure.ts
@@ -54,33 +54,51 @@
   return { seed, lostInTime: lost('inTime'), lostAnswered: lost('answered'), without, withBurst };
 }
 
-/** Calls served in time by the second in which they were sent. */
-function throughput(calls: readonly callers.Call[], untilMs: number): readonly number[] {
+/** Share of the calls sent in each second that were served in time. */
+function inTimeBySecond(calls: readonly callers.Call[], untilMs: number): readonly number[] {
   return Array.from({ length: Math.floor(untilMs / WINDOW_MS) }, (_, at) => {
     const sent = calls.filter(({ sentAtMs }) => Math.floor(sentAtMs / WINDOW_MS) === at);
     return figures.served(sent).inTime / Math.max(1, sent.length);
   });
 }
 
-export function longBurst(seed: number, policy: policies.Policy) {
-  const { fromMs, untilMs, endMs } = scenarios.LONG_BURST;
-  const outcome = worlds.run(scenarios.longBurst(seed), policy);
-  const perS = throughput(outcome.calls, endMs);
+/** Work of the answers that were complete in each second. */
+function workBySecond(calls: readonly callers.Call[], untilMs: number): readonly number[] {
+  return Array.from({ length: Math.floor(untilMs / WINDOW_MS) }, (_, at) => {
+    const ended = calls.filter(
+      ({ endedAtMs }) => endedAtMs !== undefined && Math.floor(endedAtMs / WINDOW_MS) === at,
+    );
+    return [...figures.workByAccount(ended).values()].reduce((sum, each) => sum + each, 0);
+  });
+}
+
+/** How a series recovers after the burst, against its mean before the engines went. */
+function recovery(perS: readonly number[]) {
+  const { untilMs } = scenarios.LONG_BURST;
   const mean = (values: readonly number[]) =>
     values.reduce((sum, each) => sum + each, 0) / Math.max(1, values.length);
-  // Before the engines go.
   const before = mean(perS.slice(4, 8));
-  const at = (ms: number) => Math.floor(ms / WINDOW_MS);
-  const after = perS.slice(at(untilMs) + 1);
+  const after = perS.slice(Math.floor(untilMs / WINDOW_MS) + 1);
   const recovered = after.findIndex(
     (_, from) => mean(after.slice(from, from + 2)) >= RECOVERED_SHARE * before,
   );
+  return {
+    in3s: figures.round(mean(after.slice(2, 5)) / before),
+    afterS: recovered < 0 ? null : recovered,
+  };
+}
+
+export function longBurst(seed: number, policy: policies.Policy) {
+  const { endMs } = scenarios.LONG_BURST;
+  const outcome = worlds.run(scenarios.longBurst(seed), policy);
+  const work = recovery(workBySecond(outcome.calls, endMs));
+  const inTime = recovery(inTimeBySecond(outcome.calls, endMs));
   return {
     seed,
-    before: figures.round(before),
-    during: figures.round(mean(perS.slice(at(fromMs), at(untilMs) + 1))),
-    in3sAfter: figures.round(mean(after.slice(2, 5)) / before),
-    recoveredAfterS: recovered < 0 ? null : recovered,
+    workIn3s: work.in3s,
+    workRecoveredAfterS: work.afterS,
+    inTimeIn3s: inTime.in3s,
+    inTimeRecoveredAfterS: inTime.afterS,
     readAgain: outcome.readAgain,
     ...byGroup(measured(outcome)),
   };
