--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -6,4 +6,5 @@
 import './kept-context/index.js';
 import './overhead/index.js';
 import './speed/index.js';
+import './shares/index.js';
 import './dispatch/index.js';
--- a/packages/core/src/fleet/responses.ts
+++ b/packages/core/src/fleet/responses.ts
@@ -1,6 +1,7 @@
 /** Records the bytes that upstreams send, and what the heads of their answers say of them. */
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
+import * as accountUsage from './account-usage.js';
 import * as speed from '../speed/index.js';
 import type * as decide from './decide.js';
 import * as prefillRate from './prefill-rate.js';
@@ -23,6 +24,7 @@
   if (!upstream) return [];
   const versions = [...upstream.versions.values()].join();
   const before = reports.selfReportOf(upstream);
+  accountUsage.recordResponse(state, upstream, requestId, now);
   if (selfReport) speed.recordSignals(state, upstream, selfReport, now);
   const begun = upstreamHealth.recordResponse(upstream, requestId, selfReport, now);
   if (begun) {
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -32,5 +32,9 @@
   | 'gateway.prediction_error'
   | 'gateway.quarantine'
   | 'gateway.quarantined_parts'
+  | 'gateway.load_refusals'
+  | 'gateway.waits'
+  | 'gateway.returns'
+  | 'gateway.overuse'
   | 'transport.connections'
   | 'platform.answered';
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -4,6 +4,7 @@
 import type * as sharing from '../speed/sharing.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as silence from '../silence/types.js';
+import type * as shares from '../shares/types.js';
 import type * as readers from './readers.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
@@ -29,6 +30,7 @@
   | { type: 'peer-updates.publish-work'; update: peerWork.Update }
   | { type: 'peer-updates.publish-silence'; update: silence.Update }
   | { type: 'peer-updates.publish-speeds'; update: sharing.Update }
+  | { type: 'peer-updates.publish-usage'; update: shares.Update }
   | {
       type: 'peer-updates.publish-quarantine';
       update: quarantine.Update;
@@ -43,6 +45,7 @@
 export type PeerUpdate =
   | { kind: 'work'; update: peerWork.Update }
   | { kind: 'silence'; update: silence.Update }
+  | { kind: 'usage'; update: shares.Update }
   | { kind: 'quarantine'; update: quarantine.Update }
   /** Ignored by releases that do not know it. */
   | { kind: 'speeds'; update: sharing.Update }
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -11,6 +11,7 @@
 import * as silenceRows from './silence-rows.js';
 import * as speedRows from './speed-rows.js';
 import * as storeRows from './store-rows.js';
+import * as usageRows from './usage-rows.js';
 
 type PeerUpdate = core.messages.PeerUpdate;
 
@@ -45,6 +46,8 @@
       return silenceRows.toTuple(peerUpdate.update);
     case 'speeds':
       return speedRows.toTuple(peerUpdate.update);
+    case 'usage':
+      return usageRows.toTuple(peerUpdate.update);
     case 'quarantine':
       return ['quarantine', peerUpdate.update.from, quarantineRows.toRows(peerUpdate.update)];
     case 'stores':
@@ -107,6 +110,8 @@
       return { kind: 'silence', update: silenceRows.fromTuple(tuple) };
     case 'speeds':
       return { kind: 'speeds', update: speedRows.fromTuple(tuple) };
+    case 'usage':
+      return { kind: 'usage', update: usageRows.fromTuple(tuple) };
     case 'quarantine': {
       const [kind, from, rows] = tuple;
       return { kind, update: quarantineRows.fromRows(from, rows) };
