Long prompts beside short ones are placed by what they cost others

Cause: long prompts hold up short ones on the same upstream, and hot shared parts overload the two upstreams that their hash names; instances compared two upstreams, then all, which read the shared part everywhere. Change: `core/prompt-mix` learns what is long from the service's prompts, the prompts of each kind in flight at an upstream from own and peers' work, and the delay that a long prompt causes there. Upstreams are preferred in rendezvous order of the shared part with bounded loads, so the split follows demand. Ranks keep their order in the priority that is sent; within one, shorter prompts go first where long ones still get half of the upstream. Only where load control is predictive.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -1,9 +1,10 @@
 /** Decisions of the fleet task. State is updated in place, since no other task sees it. */
-import type * as routes from '../gateway/routes.js';
+import * as routes from '../gateway/routes.js';
 import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import type * as gatewayMessages from '../messages/gateway.js';
+import * as promptMix from '../prompt-mix/index.js';
 import * as quarantine from '../quarantine/index.js';
 import * as results from '../results/index.js';
 import type * as inputs from '../rollouts/inputs.js';
@@ -186,7 +187,10 @@
   if (!upstream) return { state, commands: suspicions };
   const before = upstream.reachability.kind;
   const work = upstream.inFlight.get(requestId);
-  if (work && outcome === 'answered') speed.recordEnd(state, upstream, work, now);
+  if (work && outcome === 'answered') {
+    speed.recordEnd(state, upstream, work, now);
+    promptMix.learning.recordEnd(state, upstream, work, now);
+  }
   upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
   const scheduled = [
     ...publishing.schedule(state, { upstream: id, context: undefined }),
@@ -220,6 +224,7 @@
     ...state,
     services,
     contextStores: table.contextStores,
+    ranks: routes.ranksInUse(table),
   });
 }
 
@@ -256,6 +261,7 @@
     now,
   );
   const expired = discovery.expire(state.registry, now);
+  promptMix.learning.recordLevels(state, now);
   const all = [...state.registry.upstreams.values()];
   all.forEach((upstream) => upstreamHealth.trimHistory(upstream, now.monotonicMs));
   const probes = all.flatMap((upstream) => reports.probeFor(state, upstream, now));
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -4,6 +4,7 @@
 import type * as task from '../kernel/task.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type * as messages from '../messages/gateway.js';
+import * as promptMix from '../prompt-mix/index.js';
 import * as wave from '../rollouts/wave.js';
 import * as eligibility from './eligibility.js';
 import * as placeCost from './place-cost.js';
@@ -40,7 +41,14 @@
 };
 
 export type Decision =
-  | { kind: 'placed'; destination: messages.Destination; costMs: number; candidates: number }
+  | {
+      kind: 'placed';
+      destination: messages.Destination;
+      costMs: number;
+      candidates: number;
+      /** Undefined where sizes of prompts are not told apart. */
+      mix?: promptMix.plan.Placed | undefined;
+    }
   | refusals.Refusal;
 
 /** Round trip to another data centre, plus the price of the bytes between data centres. */
@@ -76,6 +84,10 @@
   /** Prompt tokens that the upstream still has to read; tokens fetched from a store count for a share. */
   tokens: number;
   costMs: number;
+  /** The part of it that is the delay of others by a long prompt. */
+  interferenceMs: number;
+  /** Whether a long prompt would wait for another one there. */
+  isOccupied: boolean;
 };
 
 export type Inputs = {
@@ -94,24 +106,44 @@
   if (available.length === 0) return refusals.noneAvailable(exclusions, now);
   const waves = rolloutWaves(inputs, eligible);
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
-  const sampled = sampling.select(inputs, available, affinityKey(placementRequest), isInWave);
-  const compared = rankCandidates(inputs, sampled, waves);
-  const isSampleFull = compared.every((each) => exceedsWaitLimit(inputs, each));
-  const ranked =
-    isSampleFull && sampled.length < available.length
-      ? rankCandidates(inputs, available, waves)
-      : compared;
+  const sound = sampling.sound(inputs, available, isInWave);
+  const plan = promptMix.plan.create(inputs, sound);
+  const compared = sampling.select(inputs, plan, available, sound);
+  const ranked = rankUntilFree(inputs, compared, waves, plan);
   if (ranked.length === 0) return refusals.none('none-usable');
   const best = ranked.find((each) => !exceedsWaitLimit(inputs, each));
   if (!best) return refusals.none('full', freeInMs(inputs, ranked));
   return {
     kind: 'placed',
-    destination: reservation.reserve(inputs, best),
+    destination: reservation.reserve(inputs, best, plan),
     costMs: Math.round(best.costMs),
-    candidates: sampled.length,
+    candidates: compared[0]?.length ?? 0,
+    mix: promptMix.plan.describe(plan, best.interferenceMs),
   };
 }
 
+/** Ranks the first upstreams; all of the next set too if none of them is free. */
+function rankUntilFree(
+  inputs: Inputs,
+  compared: readonly (readonly upstreams.Upstream[])[],
+  waves: Waves,
+  plan: promptMix.plan.Plan,
+): readonly Candidate[] {
+  const [first = [], ...wider] = compared;
+  const ranked = rankCandidates(inputs, first, waves, plan);
+  const isFull = (each: Candidate) => exceedsWaitLimit(inputs, each);
+  if (ranked.some((each) => !isFull(each) && !each.isOccupied)) return ranked;
+  return wider
+    .filter((each) => each.length > first.length)
+    .reduce(
+      (sofar, each, at) =>
+        at > 0 && sofar.some((known) => !isFull(known))
+          ? sofar
+          : rankCandidates(inputs, each, waves, plan),
+      ranked,
+    );
+}
+
 /** Time until the least busy upstream has little enough work ahead. */
 function freeInMs({ placementRequest }: Inputs, ranked: readonly Candidate[]): number {
   const leastMs = Math.min(...ranked.map(({ ahead }) => ahead.waitMs));
@@ -127,25 +159,30 @@
   inputs: Inputs,
   compared: readonly upstreams.Upstream[],
   waves: Waves,
+  plan: promptMix.plan.Plan,
 ): readonly Candidate[] {
   const affinityCosts = affinityCostsMs(inputs, compared);
   const estimateTokens = promptPrefill.prefillEstimator(inputs);
   return compared
     .map((each): Candidate => {
       const ahead = queue.estimate(inputs, each);
-      const tokens = estimateTokens(each);
+      const tokens = promptMix.plan.expectedTokens(plan, each, estimateTokens(each));
       const affinityMs = affinityCosts.get(each.registration.id) ?? 0;
+      const interferenceMs = promptMix.cost.interferenceMs(plan, each, ahead, tokens);
+      const ownMs = expectedCostMs(inputs, each, ahead, tokens, waves);
       return {
         upstream: each,
         ahead,
         tokens,
-        costMs: expectedCostMs(inputs, each, ahead, tokens, waves) + affinityMs,
+        costMs: ownMs + affinityMs + interferenceMs,
+        interferenceMs,
+        isOccupied: promptMix.plan.isOccupied(plan, ahead),
       };
     })
     .filter(({ upstream, ahead, tokens }) =>
       eligibility.mayStillBegin(inputs, upstream, ahead.waitMs + tokens / ahead.tokensPerMs),
     )
-    .sort((a, b) => a.costMs - b.costMs);
+    .sort((a, b) => Number(a.isOccupied) - Number(b.isOccupied) || a.costMs - b.costMs);
 }
 
 /**
@@ -174,18 +211,13 @@
   return { current: new Set(current), next: new Set(next) };
 }
 
-/** The last shared part of the prompt; requests without one have no affinity. */
-function affinityKey({ prompt, requestId }: Request): string {
-  return prompt?.parts.at(-2)?.id ?? requestId;
-}
-
 /** Returns small costs by upstream id, ordered by rendezvous hashing of the last shared prompt part. */
 function affinityCostsMs(
   { placementRequest }: Inputs,
   available: readonly upstreams.Upstream[],
 ): ReadonlyMap<string, number> {
   const ranked = rendezvous.rank(
-    affinityKey(placementRequest),
+    sampling.affinityKey(placementRequest),
     available.map(({ registration }) => registration.id),
   );
   return new Map(ranked.map((id, at) => [id, at * AFFINITY_STEP_COST_MS]));
--- a/packages/core/src/fleet/reservation.ts
+++ b/packages/core/src/fleet/reservation.ts
@@ -1,6 +1,7 @@
 /** Reserves an upstream for a placed request: its rates, the work in flight, and what is expected of it. */
 import * as task from '../kernel/task.js';
 import type * as messages from '../messages/gateway.js';
+import * as promptMix from '../prompt-mix/index.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as speed from '../speed/index.js';
 import * as eligibility from './eligibility.js';
@@ -27,6 +28,7 @@
 export function reserve(
   inputs: placement.Inputs,
   { upstream, ahead, tokens }: Estimated,
+  plan: promptMix.plan.Plan,
 ): messages.Destination {
   const { state, service, placementRequest, now } = inputs;
   const { id, address } = upstream.registration;
@@ -49,6 +51,7 @@
     service: service.name,
     softwareVersion: upstream.registration.softwareVersion,
     context: contextPlanFor(inputs, upstream),
+    turn: promptMix.priority.turnOf(plan, upstream, ahead, state.ranks),
     expected: {
       waitMs: Math.round(ahead.waitMs),
       tokensToRead: Math.round(tokens),
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,6 +1,7 @@
 /** State of the fleet task: all upstreams, and the other inputs of placement. */
 import type * as routes from '../gateway/routes.js';
 import type * as targets from '../rollouts/targets.js';
+import type * as promptMix from '../prompt-mix/state.js';
 import * as ledger from '../quarantine/ledger.js';
 import * as inventory from '../shared-context/inventory.js';
 import type * as speed from '../speed/types.js';
@@ -34,6 +35,8 @@
   registry: discovery.Registry;
   services: ReadonlyMap<string, routes.Service>;
   contextStores: readonly routes.ContextStore[];
+  /** Priorities of routes and client accounts in the routing table, in ascending order. */
+  ranks: readonly number[];
   inventory: inventory.Inventory;
   /** Data centres that receive no new work. */
   evacuatedDataCentres: ReadonlySet<string>;
@@ -61,6 +64,8 @@
   /** Services of which an upstream has reported its slowdown. Updated in place. */
   slowdownServices: Set<string>;
   /** Updated in place. */
+  promptMixes: promptMix.Mixes;
+  /** Updated in place. */
   quarantine: ledger.Ledger;
 };
 
@@ -78,6 +83,7 @@
     registry: discovery.create(),
     services: new Map(),
     contextStores: [],
+    ranks: [],
     inventory: inventory.create(),
     evacuatedDataCentres: new Set(),
     targetVersions: new Map(),
@@ -99,6 +105,7 @@
     },
     features: new Set(features),
     slowdownServices: new Set(),
+    promptMixes: new Map(),
     quarantine: ledger.create(instance),
   };
 }
--- a/packages/core/src/gateway/routes.ts
+++ b/packages/core/src/gateway/routes.ts
@@ -122,6 +122,12 @@
   return found.service ?? services.at(-1)?.service ?? '';
 }
 
+/** The priorities of routes and client accounts, in ascending order. */
+export function ranksInUse({ routes, clientAccounts }: RoutingTable): readonly number[] {
+  const all = [...routes, ...clientAccounts].flatMap(({ priority }) => priority ?? []);
+  return [...new Set(all)].sort((a, b) => a - b);
+}
+
 /** The longest that a stream that may be taken up can take; 0 without such routes. */
 export function longestStreamMs({ routes }: RoutingTable): number {
   const resumable = routes.filter(({ retryPolicy }) => retryPolicy === 'resumable');
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
 export * as membership from './membership/index.js';
 export * as messages from './messages/index.js';
 export * as metrics from './metrics/index.js';
+export * as promptMix from './prompt-mix/index.js';
 export * as quarantine from './quarantine/index.js';
 export * as readers from './readers/index.js';
 export * as results from './results/index.js';
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -5,6 +5,7 @@
 import type * as request from '../gateway/request.js';
 import type * as routes from '../gateway/routes.js';
 import type * as task from '../kernel/task.js';
+import type * as priority from '../prompt-mix/priority.js';
 import type * as context from '../shared-context/plan.js';
 import type * as streamOrigins from './stream-origins.js';
 import type * as taskLifecycle from './task-lifecycle.js';
@@ -25,6 +26,8 @@
    * undefined for a plain request.
    */
   beginBy: task.Instant | undefined;
+  /** Where the prompt stands among those of its rank; by rank alone if undefined. */
+  turn?: priority.Turn;
 };
 
 /** The estimates that the placement was based on, for the journal. */
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -29,6 +29,8 @@
   | 'gateway.denied'
   | 'gateway.whole'
   | 'gateway.first_event'
+  | 'gateway.prompts'
+  | 'gateway.interference'
   | 'gateway.quarantine'
   | 'gateway.quarantined_parts'
   | 'transport.connections'
--- /dev/null
+++ b/packages/core/src/prompt-mix/cost.ts
@@ -0,0 +1,34 @@
+/** What a long prompt costs the others at an upstream, in ms of their delay. */
+import type * as queue from '../fleet/queue.js';
+import type * as upstreams from '../fleet/upstream.js';
+import type * as plans from './plan.js';
+import type * as states from './state.js';
+
+/** Mean share of the prefill for which a short prompt waits that arrives at any time during it. */
+const MEAN_WAIT_SHARE = 0.5;
+
+/** Time for which its prefill takes the steps of the engine. */
+function prefillMs({ tokensPerMs }: queue.Estimate, tokens: number): number {
+  return tokens / tokensPerMs;
+}
+
+/** Short prompts that arrive at the upstream per ms, by Little's law. */
+export function shortPerMs(
+  { levels, means }: states.Mix,
+  { registration: { id } }: upstreams.Upstream,
+): number {
+  const { residenceMs } = means.short;
+  return residenceMs ? (levels.get(id)?.short ?? 0) / residenceMs : 0;
+}
+
+/** Delay of the short prompts that are expected there during the prefill; 0 for a short prompt. */
+export function interferenceMs(
+  plan: plans.Plan,
+  upstream: upstreams.Upstream,
+  ahead: queue.Estimate,
+  tokens: number,
+): number {
+  if (plan.kind !== 'long') return 0;
+  const ms = prefillMs(ahead, tokens);
+  return shortPerMs(plan.mix, upstream) * ms * ms * MEAN_WAIT_SHARE;
+}
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -145,6 +145,16 @@
   return Number.isFinite(ms) ? Math.round(ms) : UNKNOWN_MS;
 }
 
+/** Prompts placed by size, and the delay that a long one is expected to cause others. */
+function countMix(
+  { send }: TaskContext,
+  { size, interferenceMs }: core.promptMix.plan.Placed,
+): void {
+  send('metrics', { type: 'metrics.count', name: 'gateway.prompts', by: 1, label: size });
+  if (size === 'short') return;
+  send('metrics', { type: 'metrics.timing', name: 'gateway.interference', ms: interferenceMs });
+}
+
 function recordPlacement(
   context: TaskContext,
   { placementRequest, decision }: Extract<Command, { kind: 'record-placement' }>,
@@ -153,10 +163,11 @@
   const { requestId, service } = placementRequest;
   switch (decision.kind) {
     case 'placed': {
-      const { destination, costMs, candidates } = decision;
+      const { destination, costMs, candidates, mix } = decision;
       const { upstream } = destination;
-      const details = { service, upstream, costMs, candidates };
+      const details = { service, upstream, costMs, candidates, ...mix };
       record({ name: 'requestPlaced', requestId, details });
+      if (mix) countMix(context, mix);
       return;
     }
     case 'none': {
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -24,8 +24,6 @@
   firstEventMs: number | undefined;
 };
 
-/** Upstreams accept priorities from 0 (most urgent) to this value (least urgent). */
-const MAX_PRIORITY = 9;
 /** Value in the journal when no event of the response stream arrived. */
 const NO_FIRST_EVENT_MS = -1;
 
@@ -192,8 +190,13 @@
   { attempt, lastEventId, deadlineAtMs }: Extract<Command, { kind: 'send' }>,
 ): void {
   const { request, route, clientAccount } = routed;
-  const usual = clientAccount?.priority ?? route.priority;
-  const priority = core.gateway.lifecycleState.isResumed({ routed }) ? usual - 1 : usual;
+  const priority = core.promptMix.priority.priorityOf({
+    rank: clientAccount?.priority ?? route.priority,
+    turn: attempt.destination.turn ?? { kind: 'by-rank' },
+    isResumed: core.gateway.lifecycleState.isResumed({ routed }),
+    waitedMs: core.kernel.readClock().monotonicMs - request.receivedAt.monotonicMs,
+    latencyTargetMs: route.latencyTargetMs,
+  });
   history.upstreams.push(attempt.destination.upstream);
   history.softwareVersions.push(attempt.destination.softwareVersion);
   history.expectedWork.push(attempt.destination.expected);
@@ -204,7 +207,7 @@
       request,
       destination: attempt.destination,
       clientAccount: clientAccount?.name,
-      priority: Math.max(0, Math.min(MAX_PRIORITY, priority)),
+      priority,
       delivery: route.responseMode,
       mayRepeat: core.gateway.attemptResult.mayRetryAfterRun(route.retryPolicy),
       deadlineAtMs,
