Cost of a long prompt includes the pauses of running ones; loads are bounded more loosely

Cause: the cost left out the requests that already run, and a bound of 1.25 times the mean moved shared parts between upstreams, which then prefilled them again. Change: the cost adds the prefill time for each prompt in flight at the upstream; the bound is 3 times the mean.

--- a/packages/core/src/prompt-mix/cost.ts
+++ b/packages/core/src/prompt-mix/cost.ts
@@ -21,7 +21,10 @@
   return residenceMs ? (levels.get(id)?.short ?? 0) / residenceMs : 0;
 }
 
-/** Delay of the short prompts that are expected there during the prefill; 0 for a short prompt. */
+/**
+ * The delay of the next tokens of the prompts that run there, and of the first tokens of the short ones
+ * that are expected there during the prefill; 0 for a short prompt.
+ */
 export function interferenceMs(
   plan: plans.Plan,
   upstream: upstreams.Upstream,
@@ -30,5 +33,7 @@
 ): number {
   if (plan.kind !== 'long') return 0;
   const ms = prefillMs(ahead, tokens);
-  return shortPerMs(plan.mix, upstream) * ms * ms * MEAN_WAIT_SHARE;
+  const { short = 0, long = 0 } = plan.mix.levels.get(upstream.registration.id) ?? {};
+  const expectedShort = shortPerMs(plan.mix, upstream) * ms;
+  return (short + long) * ms + expectedShort * ms * MEAN_WAIT_SHARE;
 }
--- a/packages/core/src/prompt-mix/preference.ts
+++ b/packages/core/src/prompt-mix/preference.ts
@@ -11,8 +11,11 @@
 const FIRST_CHOICES = 2;
 /** Upstreams that it compares if these are occupied or full; more would each need the shared part again. */
 const FURTHER_CHOICES = 6;
-/** An upstream may have this many times the mean number of prompts of a kind in flight. */
-const MAX_LOAD_FACTOR = 1.25;
+/**
+ * An upstream may have this many times the mean number of prompts of a kind in flight. A lower bound moves
+ * shared parts between upstreams more often, which then prefill them again.
+ */
+const MAX_LOAD_FACTOR = 3;
 /** A single prompt in flight never counts as too much. */
 const MIN_BOUND = 1;
 
