--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -168,7 +168,9 @@
       const ahead = queue.estimate(inputs, each);
       const tokens = promptMix.plan.expectedTokens(plan, each, estimateTokens(each));
       const affinityMs = affinityCosts.get(each.registration.id) ?? 0;
-      const interferenceMs = promptMix.cost.interferenceMs(plan, each, ahead, tokens);
+      const isOccupied = promptMix.plan.isOccupied(plan, ahead);
+      const work = { tokens, isOccupied };
+      const interferenceMs = promptMix.cost.interferenceMs(plan, each, ahead, work);
       const ownMs = expectedCostMs(inputs, each, ahead, tokens, waves);
       return {
         upstream: each,
@@ -176,13 +178,13 @@
         tokens,
         costMs: ownMs + affinityMs + interferenceMs,
         interferenceMs,
-        isOccupied: promptMix.plan.isOccupied(plan, ahead),
+        isOccupied,
       };
     })
     .filter(({ upstream, ahead, tokens }) =>
       eligibility.mayStillBegin(inputs, upstream, ahead.waitMs + tokens / ahead.tokensPerMs),
     )
-    .sort((a, b) => Number(a.isOccupied) - Number(b.isOccupied) || a.costMs - b.costMs);
+    .sort((a, b) => a.costMs - b.costMs);
 }
 
 /**
--- a/packages/core/src/prompt-mix/cost.ts
+++ b/packages/core/src/prompt-mix/cost.ts
@@ -21,19 +21,24 @@
   return residenceMs ? (levels.get(id)?.short ?? 0) / residenceMs : 0;
 }
 
+/** A long prompt that is placed, and whether another one is in prefill there. */
+export type Work = { tokens: number; isOccupied: boolean };
+
 /**
  * The delay of the next tokens of the prompts that run there, and of the first tokens of the short ones
- * that are expected there during the prefill; 0 for a short prompt.
+ * that are expected there during the prefill; 0 for a short prompt. Two long prompts in prefill at once
+ * share the engine's chunks, which delays the first one too.
  */
 export function interferenceMs(
   plan: plans.Plan,
   upstream: upstreams.Upstream,
   ahead: queue.Estimate,
-  tokens: number,
+  { tokens, isOccupied }: Work,
 ): number {
   if (plan.kind !== 'long') return 0;
   const ms = prefillMs(ahead, tokens);
   const { short = 0, long = 0 } = plan.mix.levels.get(upstream.registration.id) ?? {};
   const expectedShort = shortPerMs(plan.mix, upstream) * ms;
-  return (short + long) * ms + expectedShort * ms * MEAN_WAIT_SHARE;
+  const sharedMs = isOccupied ? prefillMs(ahead, plan.mix.means.long.unreadTokens ?? tokens) : 0;
+  return (short + long) * ms + expectedShort * ms * MEAN_WAIT_SHARE + sharedMs;
 }
