--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -8,3 +8,4 @@
 import './speed/index.js';
 import './shares/index.js';
 import './dispatch/index.js';
+import './prompt-mix/index.js';
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,6 +1,7 @@
 /** State of the fleet task: all upstreams, and the other inputs of placement. */
 import type * as routes from '../gateway/routes.js';
 import type * as targets from '../rollouts/targets.js';
+import type * as promptMix from '../prompt-mix/state.js';
 import * as ledger from '../quarantine/ledger.js';
 import type * as assigned from '../returns/assigned.js';
 import * as accountLedger from '../shares/ledger.js';
@@ -42,6 +43,8 @@
   registry: discovery.Registry;
   services: ReadonlyMap<string, routes.Service>;
   contextStores: readonly routes.ContextStore[];
+  /** Priorities of routes and client accounts in the routing table, in ascending order. */
+  ranks: readonly number[];
   inventory: inventory.Inventory;
   /** Data centres that receive no new work. */
   evacuatedDataCentres: ReadonlySet<string>;
@@ -77,6 +80,8 @@
   /** Updated in place. */
   assigned: assigned.Assigned;
   /** Updated in place. */
+  promptMixes: promptMix.Mixes;
+  /** Updated in place. */
   quarantine: ledger.Ledger;
 };
 
@@ -94,6 +99,7 @@
     registry: discovery.create(),
     services: new Map(),
     contextStores: [],
+    ranks: [],
     inventory: inventory.create(),
     evacuatedDataCentres: new Set(),
     targetVersions: new Map(),
@@ -120,6 +126,7 @@
     ledger: accountLedger.create(),
     waiting: waitingQueue.create(),
     assigned: new Map(),
+    promptMixes: new Map(),
     quarantine: ledger.create(instance),
   };
 }
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -30,6 +30,8 @@
   | 'gateway.whole'
   | 'gateway.first_event'
   | 'gateway.prediction_error'
+  | 'gateway.prompts'
+  | 'gateway.interference'
   | 'gateway.quarantine'
   | 'gateway.quarantined_parts'
   | 'gateway.load_refusals'
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -10,8 +10,6 @@
 type RoutedRequest = core.gateway.lifecycleState.RoutedRequest;
 type Settings = core.settings.gateway.GatewaySettings;
 
-/** Upstreams accept priorities from 0 (most urgent) to this value (least urgent). */
-const MAX_PRIORITY = 9;
 export function definition(
   routed: RoutedRequest,
   caller: core.messages.ReplyAddress,
@@ -169,8 +167,13 @@
   { attempt, lastEventId, deadlineAtMs }: Extract<Command, { kind: 'send' }>,
 ): void {
   const { request, route, clientAccount } = routed;
-  const usual = clientAccount?.priority ?? route.priority;
-  const priority = core.gateway.lifecycleState.isResumed({ routed }) ? usual - 1 : usual;
+  const priority = core.promptMix.priority.priorityOf({
+    rank: clientAccount?.priority ?? route.priority,
+    turn: attempt.destination.turn ?? { kind: 'by-rank' },
+    isResumed: core.gateway.lifecycleState.isResumed({ routed }),
+    waitedMs: core.kernel.readClock().monotonicMs - request.receivedAt.monotonicMs,
+    latencyTargetMs: route.latencyTargetMs,
+  });
   requestHistory.recordSend(history, attempt.destination);
   context.send('transport', {
     type: 'transport.send',
@@ -179,7 +182,7 @@
       request,
       destination: attempt.destination,
       clientAccount: clientAccount?.name,
-      priority: Math.max(0, Math.min(MAX_PRIORITY, priority)),
+      priority,
       delivery: route.responseMode,
       mayRepeat: core.gateway.attemptResult.mayRetryAfterRun(route.retryPolicy),
       deadlineAtMs,
