--- a/examples/src/processes.ts
+++ b/examples/src/processes.ts
@@ -26,8 +26,13 @@
   exited: Promise<number | string>;
 };
 
-export function start(script: string, args: readonly string[]): Process {
-  const child = childProcess.spawn(process.execPath, [script, ...args], {
+/** `nodeFlags` are those of Node.js itself. */
+export function start(
+  script: string,
+  args: readonly string[],
+  nodeFlags: readonly string[] = [],
+): Process {
+  const child = childProcess.spawn(process.execPath, [...nodeFlags, script, ...args], {
     stdio: ['ignore', 'pipe', 'inherit'],
     env: { PATH: process.env.PATH },
   });
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -1,6 +1,6 @@
 /**
- * `npm test [-- FILTER]`: runs each test file in its own process, a few in parallel, and prints
- * `N passed, N failed` as the last line. Failures that are listed in `KNOWN-RED.txt` are printed but
+ * `npm test [-- FILTER]`: runs each test file in its own process, a few in parallel and those with crowds of
+ * clients alone, and prints `N passed, N failed` as the last line. Failures that are listed in `KNOWN-RED.txt` are printed but
  * do not count as failed.
  */
 import * as childProcess from 'node:child_process';
@@ -16,6 +16,8 @@
 /** Time after the exit of a process to read the output that is still in its pipes. */
 const OUTPUT_GRACE_MS = 100;
 const MAX_PARALLEL_FILES = Math.max(1, Math.min(6, os.availableParallelism() - 2));
+/** These files fill a process's memory; they run one at a time, after all others. */
+const RUNS_ALONE = /\/untrusted-[^/]*\.test\.ts$/;
 const FOLDERS = ['packages', 'platform', 'benchmark', 'examples', 'scripts', 'soak'];
 
 function findTests(folder: string): readonly string[] {
@@ -66,6 +68,18 @@
 }
 
 async function runAll(files: readonly string[]): Promise<readonly FileResult[]> {
+  const beside = await runQueue(
+    files.filter((file) => !RUNS_ALONE.test(file)),
+    MAX_PARALLEL_FILES,
+  );
+  const alone = await runQueue(
+    files.filter((file) => RUNS_ALONE.test(file)),
+    1,
+  );
+  return [...beside, ...alone];
+}
+
+async function runQueue(files: readonly string[], atOnce: number): Promise<readonly FileResult[]> {
   const queue = [...files];
   const results: FileResult[] = [];
   const runQueuedFiles = async () => {
@@ -75,7 +89,7 @@
       if (result.failures.length > 0) process.stdout.write(`${result.file}\n${result.output}\n`);
     }
   };
-  await Promise.all(Array.from({ length: MAX_PARALLEL_FILES }, runQueuedFiles));
+  await Promise.all(Array.from({ length: atOnce }, runQueuedFiles));
   return results;
 }
 
