What clients hold is bounded by its cost in memory

Cause: bodies were kept as an array of read slices (a one-byte chunk cost a hundred times its byte, and a slice keeps its 64 KiB read buffer), heads of incomplete requests were not counted, Node makes thousands of pipelined requests from one read, answers requests without a host or with an unknown expectation itself, and never closes the responses behind the first one of a connection, so that the gateway kept them for ever. Readiness and metrics had no limits. The entry instance had no bound on bodies at all.

Change: caller-connections counts heads, bodies, waiting requests, unread responses and unparsed bytes by their cost. memory-budget decides, without I/O, whether it fits and whom to drop: the address and the connection that hold the most for the longest, never a request that runs. One that was not handed on is refused with 503; others are closed. Sockets are parsed in pieces and paused behind 16 waiting requests, and while destroyed connections wait for their close. Connections above the limit replace those without a request. Readiness and metrics use the same code with a small budget.

--- a/examples/test/untrusted-callers.test.ts
+++ b/examples/test/untrusted-callers.test.ts
@@ -61,7 +61,9 @@
     instance.process.exited.then((code) => `ended with ${code}`),
   ]);
   assert.is(answered, 'answered');
-  const { peakResidentBytes, openDescriptors } = await standIns.processFigures.read(instance.process.pid);
+  const { peakResidentBytes, openDescriptors } = await standIns.processFigures.read(
+    instance.process.pid,
+  );
   const peak = `${Math.round(peakResidentBytes / 1_024 / 1_024)} MB at the peak`;
   assert.ok(peakResidentBytes < MAX_RESIDENT_BYTES, peak);
   assert.ok(openDescriptors < connections + MAX_OTHER_DESCRIPTORS, `${openDescriptors} open`);
--- a/packages/caller-connections/src/connections.ts
+++ b/packages/caller-connections/src/connections.ts
@@ -3,6 +3,11 @@
 import * as net from 'node:net';
 
 import * as answers from './answers.js';
+import * as connectionState from './connection-state.js';
+import * as costs from './costs.js';
+import * as feed from './feed.js';
+import * as holdings from './holdings.js';
+import * as pauses from './pauses.js';
 import * as turns from './turns.js';
 
 /** All in ms; callers that keep within them are never cut. */
@@ -26,8 +31,12 @@
   openRequests: number;
 };
 
-export type Options = {
+export type Options = Pick<holdings.Options, 'budget' | 'refuse'> & {
   limits(): Limits;
+  /** Beyond them, connections without a request are closed, those of the least use first. */
+  maxConnections(): number;
+  /** Connections were dropped for want of memory or of connections; called for many at once. */
+  onDropped(dropped: holdings.Dropped): void;
   /** What the answer to a connection without a request says, beside its status. */
   errorBody: answers.ErrorBody | undefined;
   onEnded(ended: Ended): void;
@@ -42,45 +51,43 @@
   closeAll(): void;
 };
 
-/**
- * `ending`: takes no requests beside those in flight. `answered`: what still arrives is read and dropped, since
- * a reset could take the answer away from the caller.
- */
-type Phase = 'open' | 'ending' | 'answered';
-
-type Wait = 'request' | 'rest-of-head' | 'rest-of-body' | 'answer' | 'close';
-
-type Connection = {
-  socket: net.Socket;
-  phase: Phase;
-  turns: turns.Waiting[];
-  /** `socket.bytesRead` when the last request ended. */
-  idleAtBytes: number;
-  wait: Wait;
-  waitedMs: number;
-};
-
-/** How often limits are checked; each is kept to this precision, and never cut short. */
-const CHECK_INTERVAL_MS = 500;
+/** Requests that wait on a connection before it is read no further for now. */
+const MAX_READ_AHEAD = 16;
 /** How long an answered connection is read on. */
 const LINGER_MS = 1_000;
 
 export function watch(server: http.Server, options: Options): Connections {
-  const all = new Map<net.Socket, Connection>();
+  const all = new Map<net.Socket, connectionState.Connection>();
+  const held = holdings.create(options);
+  const paused = pauses.create();
 
-  // The server's own limits strike before what arrived in a stall is read, and answer nothing for good.
-  Object.assign(server, { headersTimeout: 0, requestTimeout: 0 });
+  // The server's own limits strike before what arrived in a stall is read, and answer nothing for good. By
+  // default it also leaves out the header lines behind the first thousand.
+  Object.assign(server, { headersTimeout: 0, requestTimeout: 0, maxHeadersCount: 0 });
   server.on('timeout', () => undefined);
   server.on('connection', (socket: net.Socket) => {
-    all.set(socket, {
-      socket,
-      phase: 'open',
-      turns: [],
-      idleAtBytes: 0,
-      wait: 'request',
-      waitedMs: -CHECK_INTERVAL_MS,
+    const waiting: turns.Waiting[] = [];
+    const holding = held.add(socket, waiting);
+    const connection = connectionState.create(socket, waiting, holding);
+    all.set(socket, connection);
+    feed.attach(socket, {
+      isInBody: () => waiting.at(-1)?.request.complete === false,
+      isDropped: () => holding.isDropped,
+      onParsed() {
+        held.update(holding);
+        // What a destroyed connection held is free once it is closed, which is after all reads.
+        if (held.isClosing()) paused.pause(socket);
+      },
+    });
+    socket.on('close', () => {
+      all.delete(socket);
+      paused.remove(socket);
+      held.remove(holding);
+      if (!held.isClosing()) paused.resumeAll();
+      // Node closes only the first of the responses.
+      [...waiting].forEach((each) => turns.remove(waiting, each));
     });
-    socket.on('close', () => all.delete(socket));
+    if (all.size > options.maxConnections()) closeIdle(socket);
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
     const connection = all.get(socket);
@@ -89,11 +96,28 @@
     if (connection && code.startsWith('HPE_')) onMalformed(connection, code);
     else socket.destroy();
   });
-  const checks = setInterval(() => [...all.values()].forEach(check), CHECK_INTERVAL_MS);
+  // Node would answer these itself, and they would not be counted.
+  server.on('checkExpectation', (request, response) =>
+    begin(request, response)?.whenFirst(() => {
+      response.writeHead(417, { Connection: 'close', 'Content-Length': 0 }).end();
+    }),
+  );
+  const checks = setInterval(() => {
+    all.forEach(check);
+    const dropped = held.report();
+    if (dropped) options.onDropped(dropped);
+  }, connectionState.CHECK_INTERVAL_MS);
   checks.unref();
   server.on('close', () => clearInterval(checks));
 
-  function onMalformed(connection: Connection, code: string): void {
+  /** Ends the new connection if all others are in use. */
+  function closeIdle(socket: net.Socket): void {
+    const chosen = connectionState.chooseIdle([...all.values()], socket);
+    if (chosen.length > 0) chosen.forEach(({ holding }) => held.drop(holding));
+    else socket.destroy();
+  }
+
+  function onMalformed(connection: connectionState.Connection, code: string): void {
     // The parser reports everything that follows a first error.
     if (connection.phase !== 'open') return;
     if (connection.turns.at(-1)?.request.complete) {
@@ -103,7 +127,11 @@
   }
 
   /** Behind the answers to the requests before it. */
-  function answer(connection: Connection, fault: answers.Fault, code: string): void {
+  function answer(
+    connection: connectionState.Connection,
+    fault: answers.Fault,
+    code: string,
+  ): void {
     const last = connection.turns.at(-1);
     report(connection, fault, code, answers.statusOf(fault));
     if (!last) finish(connection, answers.textOf(fault, options.errorBody));
@@ -114,7 +142,7 @@
   }
 
   function report(
-    { socket, turns: { length: openRequests } }: Connection,
+    { socket, turns: { length: openRequests } }: connectionState.Connection,
     reason: Ended['reason'],
     code: string,
     status: number,
@@ -126,19 +154,22 @@
    * Counts checks and not time: after a stall of the process, the time in which it did not read is none of
    * the caller's.
    */
-  function check(connection: Connection): void {
-    const wait = waitOf(connection);
-    if (wait !== connection.wait) restartWait(connection, wait);
-    Object.assign(connection, { waitedMs: connection.waitedMs + CHECK_INTERVAL_MS });
+  function check(connection: connectionState.Connection): void {
+    const wait = connectionState.waitOf(connection);
+    if (wait !== connection.wait) connectionState.restartWait(connection, wait);
+    Object.assign(connection, {
+      waitedMs: connection.waitedMs + connectionState.CHECK_INTERVAL_MS,
+    });
     if (connection.waitedMs < limitOf(wait)) return;
     const { bytesRead } = connection.socket;
     afterNextRead(() => {
-      const hasMoved = waitOf(connection) !== wait || connection.socket.bytesRead !== bytesRead;
+      const hasMoved =
+        connectionState.waitOf(connection) !== wait || connection.socket.bytesRead !== bytesRead;
       if (!hasMoved) endWait(connection, wait);
     });
   }
 
-  function limitOf(wait: Wait): number {
+  function limitOf(wait: connectionState.Wait): number {
     const { headMs, bodyMs, idleMs } = options.limits();
     switch (wait) {
       case 'request':
@@ -156,7 +187,7 @@
     }
   }
 
-  function endWait(connection: Connection, wait: Wait): void {
+  function endWait(connection: connectionState.Connection, wait: connectionState.Wait): void {
     switch (wait) {
       case 'rest-of-head':
         answer(connection, 'slow-head', '');
@@ -175,62 +206,87 @@
     }
   }
 
+  function begin(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): turns.Turn | undefined {
+    const connection = all.get(request.socket);
+    if (connection?.phase !== 'open' || connection.holding.isDropped) {
+      holdings.forget(request);
+      request.resume();
+      return undefined;
+    }
+    const { holding } = connection;
+    const waiting: turns.Waiting = {
+      request,
+      response,
+      start: undefined,
+      isHandedOn: false,
+      heldBytes: 0,
+      unreadBytes: 0,
+      isOver: false,
+      onOver: [],
+    };
+    const hold = (bytes: number) => {
+      if (waiting.isOver) return;
+      waiting.heldBytes += bytes;
+      held.hold(holding, bytes);
+    };
+    connection.turns.push(waiting);
+    // The end of the connection is reported by `close`.
+    response.on('error', () => undefined);
+    response.on('close', () => {
+      held.hold(holding, -waiting.heldBytes);
+      onAnswered(connection, waiting);
+    });
+    held.beginMessage(holding, costs.wireBytes(request));
+    hold(costs.ofRequest(request));
+    if (holding.isDropped) return undefined;
+    if (connection.turns.length > MAX_READ_AHEAD) connection.socket.pause();
+    return {
+      whenFirst(start) {
+        waiting.start = start;
+        turns.advance(connection.socket, connection.turns);
+      },
+      isLast: () => connection.phase !== 'open' && connection.turns.at(-1) === waiting,
+      whenOver: (callback) => waiting.onOver.push(callback),
+      isTaken: () => !holding.isDropped && !waiting.isOver,
+      hold,
+      parsed: (bytes) => held.parsed(holding, bytes),
+      written() {
+        const unreadBytes = response.writableLength;
+        hold(unreadBytes - waiting.unreadBytes);
+        Object.assign(waiting, { unreadBytes });
+      },
+    };
+  }
+
   return {
-    begin(request, response) {
-      const connection = all.get(request.socket);
-      if (connection?.phase !== 'open') {
-        request.resume();
-        return undefined;
-      }
-      const waiting: turns.Waiting = { request, response, start: undefined };
-      connection.turns.push(waiting);
-      response.on('close', () => onAnswered(connection, waiting));
-      return {
-        whenFirst(start) {
-          waiting.start = start;
-          turns.advance(connection.socket, connection.turns);
-        },
-        isLast: () => connection.phase !== 'open' && connection.turns.at(-1) === waiting,
-      };
-    },
+    begin,
     stop(onClosed) {
       // The HTTP server's own `close` also cuts answers that have been written but not read.
       net.Server.prototype.close.call(server, onClosed);
-      [...all.values()].filter(isIdle).forEach(({ socket }) => socket.destroy());
+      [...all.values()].filter(connectionState.isIdle).forEach(({ socket }) => socket.destroy());
     },
     closeAll: () => [...all.keys()].forEach((socket) => socket.destroy()),
   };
 }
 
-function onAnswered(connection: Connection, answered: turns.Waiting): void {
+function onAnswered(connection: connectionState.Connection, answered: turns.Waiting): void {
   const { socket, phase } = connection;
-  connection.turns.splice(connection.turns.indexOf(answered), 1);
+  turns.remove(connection.turns, answered);
   Object.assign(connection, { idleAtBytes: socket.bytesRead });
-  restartWait(connection, waitOf(connection));
+  if (connection.turns.length <= MAX_READ_AHEAD && socket.isPaused()) socket.resume();
+  connectionState.restartWait(connection, connectionState.waitOf(connection));
   if (phase === 'ending' && connection.turns.length === 0) finish(connection, '');
   else turns.advance(socket, connection.turns);
 }
 
-function finish(connection: Connection, text: string): void {
+function finish(connection: connectionState.Connection, text: string): void {
   Object.assign(connection, { phase: 'answered' });
   connection.socket.end(text);
 }
 
-function restartWait(connection: Connection, wait: Wait): void {
-  Object.assign(connection, { wait, waitedMs: -CHECK_INTERVAL_MS });
-}
-
-function isIdle(connection: Connection): boolean {
-  return waitOf(connection) === 'request';
-}
-
-function waitOf({ socket, phase, turns: waiting, idleAtBytes }: Connection): Wait {
-  if (phase === 'answered') return 'close';
-  const last = waiting.at(-1);
-  if (last) return last.request.complete ? 'answer' : 'rest-of-body';
-  return socket.bytesRead > idleAtBytes ? 'rest-of-head' : 'request';
-}
-
 /**
  * Calls back once the sockets have been read again. After a stall of the process, timers fire before
  * what arrived meanwhile is read, and the end of a caller's connection is read only after the request
--- /dev/null
+++ b/packages/caller-connections/src/limits.ts
@@ -0,0 +1,44 @@
+/** Limits that follow from the process: its heap and its descriptors. */
+import * as fs from 'node:fs/promises';
+import * as v8 from 'node:v8';
+
+import type * as memoryBudget from './memory-budget.js';
+
+/** What a process holds of its own: 32 MB in calm, and room for what it does at work. */
+const OWN_BYTES = 44 * 1_024 * 1_024;
+/** Of the rest of the heap: the runtime needs room to collect. */
+const CALLERS_SHARE = 0.5;
+/** Two of the largest bodies, whatever the heap. */
+const MIN_CALLERS_BYTES = 8 * 1_024 * 1_024;
+/** Of the callers' budget. */
+const CONNECTION_SHARE = 0.25;
+/** The largest body and the largest answer (4 MiB each), and the longest head in the shortest lines. */
+const MIN_CONNECTION_BYTES = 10 * 1_024 * 1_024;
+/** For addresses that take no body. */
+const SMALL_SHARE = 0.03;
+/** Of 4,100 descriptors the platform uses 200; upstreams and the store need a few hundred. */
+const OTHER_DESCRIPTORS = 500;
+
+/** `bytes` of 0 take half of what the largest heap of the process leaves for callers. */
+export function callersBudget(bytes: number): memoryBudget.Budget {
+  const derivedBytes = Math.max(MIN_CALLERS_BYTES, (heapBytes() - OWN_BYTES) * CALLERS_SHARE);
+  const processBytes = bytes > 0 ? bytes : derivedBytes;
+  const connectionBytes = Math.max(MIN_CONNECTION_BYTES, processBytes * CONNECTION_SHARE);
+  return { processBytes, connectionBytes };
+}
+
+export function smallBudget(): memoryBudget.Budget {
+  const processBytes = heapBytes() * SMALL_SHARE;
+  return { processBytes, connectionBytes: processBytes * CONNECTION_SHARE };
+}
+
+function heapBytes(): number {
+  return v8.getHeapStatistics().heap_size_limit;
+}
+
+/** The most connections that leave descriptors for the rest of the process. */
+export async function maxConnections(configured: number): Promise<number> {
+  const text = await fs.readFile('/proc/self/limits', 'utf8').catch(() => '');
+  const descriptors = Number(/^Max open files\s+(\d+)/m.exec(text)?.[1] ?? Infinity);
+  return Math.max(1, Math.min(configured, descriptors - OTHER_DESCRIPTORS));
+}
--- a/packages/caller-connections/test/connections.test.ts
+++ b/packages/caller-connections/test/connections.test.ts
@@ -37,6 +37,10 @@
     limits: () => LIMITS,
     errorBody: { contentType: 'text/plain', text: 'no request' },
     onEnded: (each) => ended.push(each),
+    maxConnections: () => 100,
+    budget: () => ({ connectionBytes: 1_000_000, processBytes: 10_000_000 }),
+    refuse: (response) => response.destroy(),
+    onDropped: () => undefined,
   });
   const address = await standIns.addresses.listen(server);
   const close = () => {
--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -75,6 +75,11 @@
     level: 'warn',
     text: 'connection of a caller ended without a request',
   },
+  connectionsDropped: {
+    number: 438,
+    level: 'warn',
+    text: 'connections of clients dropped for want of memory or connections',
+  },
   lateAnswerDropped: { number: 404, level: 'warn', text: 'stale or duplicate message dropped' },
   claimRecorded: { number: 405, level: 'debug', text: 'claim recorded' },
   runResumed: { number: 406, level: 'info', text: 'run resumed' },
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -23,6 +23,7 @@
   | 'first_token'
   | 'claims.writes'
   | 'answers.dropped'
+  | 'callers.dropped'
   | 'peers.notes'
   | 'platform.calls'
   | 'gateway.requests'
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -3,6 +3,7 @@
 
 import * as address from './address.js';
 import * as flags from './flags.js';
+import * as limits from './limits.js';
 
 const milliseconds = (fallback: number, text: string) =>
   zod.coerce.number().int().min(0).max(600_000).default(fallback).describe(`${text}, in ms`);
@@ -61,6 +62,8 @@
   retryRatio: factor(0.2, 'retry budget: retries per request, over all instances'),
   retryExtra: factor(50, 'retry budget: additional retries per window, over all instances'),
   coldOverrun: factor(1.5, 'allowed multiple of the rate limit of a cold upstream'),
+  callerMemoryMb: limits.callerMemoryMb,
+  maxConnections: limits.maxConnections,
   coldSlack: factor(5, 'requests per second allowed in addition to that multiple'),
 });
 
--- /dev/null
+++ b/packages/core/src/settings/limits.ts
@@ -0,0 +1,21 @@
+/** Settings that bound what untrusted clients may hold; the same for both kinds of instance. */
+import * as zod from 'zod';
+
+export const callerMemoryMb = zod.coerce
+  .number()
+  .min(0)
+  .max(1_048_576)
+  .default(0)
+  .describe(
+    'memory that requests and unread responses of all callers may hold, in MB; if 0, half of the heap limit less 44 MB, and 8 at least',
+  );
+
+export const maxConnections = zod.coerce
+  .number()
+  .int()
+  .min(1)
+  .max(1_000_000)
+  .default(3_000)
+  .describe(
+    'connections of callers; fewer if the descriptors of the process do not suffice for 500 others',
+  );
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -6,6 +6,7 @@
 
 import * as address from './address.js';
 import * as flags from './flags.js';
+import * as limits from './limits.js';
 
 export const settingsSchema = zod.strictObject({
   name: zod
@@ -53,6 +54,8 @@
     .describe(
       'time from SIGTERM until the process is killed: late requests that need longer are refused, in ms',
     ),
+  callerMemoryMb: limits.callerMemoryMb,
+  maxConnections: limits.maxConnections,
   balancerLagMs: zod.coerce
     .number()
     .int()
--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -2,6 +2,7 @@
  * The task that owns the callers' sockets, the requests open on them, and the drain of the front
  * end.
  */
+import type * as callerConnections from '@medlarweir/caller-connections';
 import * as core from '@medlarweir/core';
 
 import * as connections from './connections.js';
@@ -56,6 +57,11 @@
       listen: (server) => core.kernel.listen(server, context.settings.callers, context),
       onListening: (address) => context.self.send({ type: 'callers.listening', address }),
       onConnectionEnded: (details) => context.record({ name: 'connectionRefused', details }),
+      onDropped: (dropped) => reportDropped(context, dropped),
+      memory: {
+        callerBytes: context.settings.callerMemoryMb * BYTES_PER_MB,
+        maxConnections: context.settings.maxConnections,
+      },
       onServerClosed: () => context.self.send({ type: 'callers.closed' }),
     });
     return {
@@ -72,6 +78,19 @@
   },
 };
 
+const BYTES_PER_MB = 1_024 * 1_024;
+
+/** One line and two counts for all that were dropped between two checks. */
+function reportDropped(
+  { record, send }: Pick<core.kernel.TaskContext<Message>, 'record' | 'send'>,
+  dropped: callerConnections.Dropped,
+): void {
+  record({ name: 'connectionsDropped', details: { address: 'callers', ...dropped } });
+  (['refused', 'closed'] as const).forEach((label) =>
+    send('metrics', { type: 'metrics.count', name: 'callers.dropped', by: dropped[label], label }),
+  );
+}
+
 function decide(state: State, message: Message, now: core.kernel.Instant): Step {
   switch (message.type) {
     case 'task.start':
--- a/packages/plugins/callers-http/src/connections.ts
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -27,6 +27,8 @@
   listen(server: http.Server): void;
   onListening(address: string): void;
   onConnectionEnded(ended: callerConnections.Ended): void;
+  onDropped(dropped: callerConnections.Dropped): void;
+  memory: server.Memory;
   onServerClosed(): void;
 };
 
@@ -84,6 +86,8 @@
         listen: handlers.listen,
         onListening: handlers.onListening,
         onConnectionEnded: handlers.onConnectionEnded,
+        onDropped: handlers.onDropped,
+        memory: handlers.memory,
       });
     },
     expect({ request, isStream }) {
@@ -107,6 +111,7 @@
         found.response.setHeader('connection', 'close');
       }
       writeTo(found, answer, () => handlers.onFlowControl(answer.requestId, 'paused'));
+      found.turn.written();
     },
     setMaxBodyBytes(bytes) {
       maxBodyBytes = bytes;
--- a/packages/plugins/callers-http/src/encode.ts
+++ b/packages/plugins/callers-http/src/encode.ts
@@ -60,6 +60,22 @@
   };
 }
 
+const OVERLOADED_RETRY_MS = 1_000;
+
+/** The refusal of a request that was not read to its end, and therefore has no request id. */
+export function overloaded(): { status: number; headers: Record<string, string>; body: string } {
+  const failure = core.results.failure('overloaded', 'the memory for requests is used up');
+  const refused: Refused = {
+    type: 'response.refused',
+    requestId: '',
+    failure,
+    truth: 'not-run',
+    retryAfterMs: OVERLOADED_RETRY_MS,
+  };
+  const headers = { 'content-type': 'application/json', ...refusalHeaders(refused) };
+  return { status: refusalStatus(refused), headers, body: JSON.stringify(errorBody(refused)) };
+}
+
 /** The error body for input that is not valid HTTP and therefore has no request id. */
 export function malformedBody(): string {
   const failure = core.results.failure('malformedRequest', 'expected an HTTP/1.1 request');
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -28,6 +28,14 @@
   onListening(address: string): void;
   /** A connection ended without a request, or for what followed one. */
   onConnectionEnded(ended: callerConnections.Ended): void;
+  onDropped(dropped: callerConnections.Dropped): void;
+  memory: Memory;
+};
+
+export type Memory = {
+  /** What callers may hold, in bytes; 0 for a share of the heap. */
+  callerBytes: number;
+  maxConnections: number;
 };
 
 export function start(handlers: Handlers): callerConnections.Connections {
@@ -35,14 +43,23 @@
   const server = http.createServer({ requireHostHeader: false }, (request, response) => {
     const turn = connections.begin(request, response);
     if (!turn) return;
-    void readRequest(request, handlers.maxBodyBytes()).then((readResult) => {
-      if (readResult) turn.whenFirst(() => handlers.onRequest({ response, turn, readResult }));
-    });
+    readRequest(request, turn, handlers.maxBodyBytes(), (readResult) =>
+      turn.whenFirst(() => handlers.onRequest({ response, turn, readResult })),
+    );
+  });
+  const budget = callerConnections.limits.callersBudget(handlers.memory.callerBytes);
+  const state = { maxConnections: handlers.memory.maxConnections };
+  void callerConnections.limits.maxConnections(state.maxConnections).then((maxConnections) => {
+    Object.assign(state, { maxConnections });
   });
   const connections = callerConnections.watch(server, {
     limits: () => LIMITS,
     errorBody: { contentType: 'application/json', text: encode.malformedBody() },
     onEnded: handlers.onConnectionEnded,
+    maxConnections: () => state.maxConnections,
+    budget: () => budget,
+    refuse,
+    onDropped: handlers.onDropped,
   });
   // Told to callers; `connections` keeps to it.
   server.keepAliveTimeout = LIMITS.idleMs;
@@ -54,32 +71,45 @@
   return connections;
 }
 
-/** Returns `undefined` if the caller disconnected before the request was complete. */
-async function readRequest(
+/** The request has not been handed on, so that it has no id yet. */
+function refuse(response: http.ServerResponse): void {
+  const { status, headers, body } = encode.overloaded();
+  response.writeHead(status, { ...headers, connection: 'close' }).end(body);
+}
+
+/** Does not call back if the caller disconnects before the request is complete. */
+function readRequest(
   request: http.IncomingMessage,
+  turn: callerConnections.Turn,
   limitBytes: number,
-): Promise<IncomingRequest['readResult'] | undefined> {
+  callback: (readResult: IncomingRequest['readResult']) => void,
+): void {
   const { httpVersion, url: target = '/', rawHeaders } = request;
   const head = httpFields.check({ httpVersion, target, rawHeaders });
-  if (head.isErr()) return { kind: 'malformed', detail: head.error };
-  const chunks: Buffer[] = [];
-  let length = 0;
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      length += chunk.length;
-      if (length > limitBytes) return { kind: 'too-large', limitBytes };
-      chunks.push(chunk);
-    }
-  } catch {
-    return undefined;
+  if (head.isErr()) {
+    callback({ kind: 'malformed', detail: head.error });
+    return;
   }
-  const received: decode.RawRequest = {
-    method: request.method ?? 'GET',
-    path: target,
-    headers: firstValues(request.headers),
-    body: Buffer.concat(chunks),
-  };
-  return { kind: 'whole', request: received };
+  callerConnections.bodies.read(
+    request,
+    turn,
+    () => limitBytes,
+    (outcome) => {
+      switch (outcome.kind) {
+        case 'too-large':
+          callback({ kind: 'too-large', limitBytes });
+          return;
+        case 'whole': {
+          const { method = 'GET', headers } = request;
+          const read = { method, path: target, headers: firstValues(headers), body: outcome.body };
+          callback({ kind: 'whole', request: read });
+          return;
+        }
+        default:
+          throw new Error(`unexpected outcome: ${JSON.stringify(outcome satisfies never)}`);
+      }
+    },
+  );
 }
 
 function firstValues(headers: http.IncomingHttpHeaders): Record<string, string> {
--- a/packages/plugins/metrics-http/src/metrics-task.ts
+++ b/packages/plugins/metrics-http/src/metrics-task.ts
@@ -1,6 +1,5 @@
 /** Task that owns the metrics and the HTTP server from which they are scraped as text. */
-import * as http from 'node:http';
-
+import * as callerConnections from '@medlarweir/caller-connections';
 import * as core from '@medlarweir/core';
 import * as promClient from 'prom-client';
 
@@ -62,17 +61,12 @@
     create: ({ record }) => {
       const registry = new promClient.Registry();
       const update = createUpdater(registry);
-      const server = serve(registry, address, (error) =>
-        record({
-          name: 'dependencyLost',
-          details: { dependency: 'metrics', reason: error.message },
-        }),
-      );
+      const scraped = serve(registry, { record }, address);
       return {
         initial: core.metrics.initial,
         decide: core.metrics.decide,
         perform: (command) => {
-          if (command.type === 'metrics.close') server.close();
+          if (command.type === 'metrics.close') scraped.connections.stop();
           else update(command);
         },
         dump: (state) => state,
@@ -83,20 +77,31 @@
 
 function serve(
   registry: promClient.Registry,
+  { record }: Pick<core.kernel.TaskContext<Message, Settings>, 'record'>,
   address: string,
-  onError: (error: Error) => void,
-): http.Server {
+): callerConnections.small.Small {
   const { host, port } = core.settings.address.split(address);
-  const server = http.createServer((request, response) => {
-    if (request.url !== '/metrics') {
-      response.writeHead(404).end();
-      return;
-    }
-    registry.metrics().then(
-      (text) => response.writeHead(200, { 'Content-Type': registry.contentType }).end(text),
-      (error: unknown) => response.writeHead(500).end(String(error)),
-    );
+  const scraped = callerConnections.small.create({
+    answer(request, response) {
+      if (request.url !== '/metrics') {
+        response.writeHead(404).end();
+        return undefined;
+      }
+      return registry.metrics().then(
+        (text) => {
+          response.writeHead(200, { 'Content-Type': registry.contentType }).end(text);
+        },
+        (error: unknown) => {
+          response.writeHead(500).end(String(error));
+        },
+      );
+    },
+    onDropped: (dropped) =>
+      record({ name: 'connectionsDropped', details: { address: 'metrics', ...dropped } }),
   });
-  server.on('error', onError);
-  return server.listen(port, host);
+  scraped.server.on('error', ({ message: reason }) =>
+    record({ name: 'dependencyLost', details: { dependency: 'metrics', reason } }),
+  );
+  scraped.server.listen(port, host);
+  return scraped;
 }
