A closed connection is parsed no further, and long parsing is divided

Cause: 400 connections with 20,000 bare requests ended the bundled gateway with "parser.onIncoming is not a function": pieces were handed on after the socket was destroyed, when its parser may be another's. Sockets full of one-byte chunks also made all others wait.

Change: parsing stops with the socket; a socket pauses after 1 ms of parsing, and eight of those are read on at a time. UNTRUSTED_FULL=1 runs the crowds with 400 connections against the bundle and the usual command line, and asks for the ordinary answer when the crowd has gone.

--- a/packages/caller-connections/src/connections.ts
+++ b/packages/caller-connections/src/connections.ts
@@ -60,6 +60,7 @@
   const all = new Map<net.Socket, connectionState.Connection>();
   const held = holdings.create(options);
   const paused = pauses.create();
+  const resumeInTurn = feed.createTurns();
 
   // The server's own limits strike before what arrived in a stall is read, and answer nothing for good. By
   // default it also leaves out the header lines behind the first thousand.
@@ -73,6 +74,7 @@
     feed.attach(socket, {
       isInBody: () => waiting.at(-1)?.request.complete === false,
       isDropped: () => holding.isDropped,
+      resumeInTurn,
       onParsed() {
         held.update(holding);
         // What a destroyed connection held is free once it is closed, which is after all reads.
--- a/packages/caller-connections/src/feed.ts
+++ b/packages/caller-connections/src/feed.ts
@@ -6,6 +6,8 @@
   isInBody(): boolean;
   /** Whether the rest is dropped unparsed. */
   isDropped(): boolean;
+  /** Resumes the socket when it is its turn. */
+  resumeInTurn(socket: net.Socket): void;
   /** Called after each piece; it may pause the socket, which keeps the rest unparsed. */
   onParsed(): void;
 };
@@ -16,21 +18,49 @@
  */
 const PIECE_BYTES = 1_024;
 const BODY_PIECE_BYTES = 8_192;
+/** 64 KiB of one-byte chunks take 20 ms and more, which 400 connections would make the others wait for. */
+const MAX_PARSE_MS = 1;
+/** Connections that have used up their time and are read on between two reads of all others. */
+const RESUMED_AT_ONCE = 8;
+
+/** Resumes a few of the sockets at a time, in the order in which they were added. */
+export function createTurns(): (socket: net.Socket) => void {
+  const queue: net.Socket[] = [];
+  function resumeNext(): void {
+    queue.splice(0, RESUMED_AT_ONCE).forEach((socket) => socket.resume());
+    if (queue.length > 0) setImmediate(resumeNext);
+  }
+  return (socket) => {
+    if (queue.length === 0) setImmediate(resumeNext);
+    queue.push(socket);
+  };
+}
 
 /** Takes the place of the listener by which the HTTP server reads the socket. */
 export function attach(socket: net.Socket, options: Options): void {
   const parsers = socket.listeners('data') as ((chunk: Buffer) => void)[];
   const unparsed: Buffer[] = [];
 
+  // A closed socket's parser may already be another's.
+  const isOver = () => socket.destroyed || options.isDropped();
+
   function parse(): void {
-    while (unparsed.length > 0 && !socket.isPaused() && !options.isDropped()) {
+    const endsAtMs = performance.now() + MAX_PARSE_MS;
+    while (unparsed.length > 0 && !socket.isPaused() && !isOver()) {
       const chunk = unparsed.shift() ?? Buffer.alloc(0);
       const bytes = options.isInBody() ? BODY_PIECE_BYTES : PIECE_BYTES;
       if (chunk.length > bytes) unparsed.unshift(chunk.subarray(bytes));
       parsers.forEach((each) => each.call(socket, chunk.subarray(0, bytes)));
       options.onParsed();
+      if (performance.now() > endsAtMs) yieldToOthers();
     }
-    if (options.isDropped()) unparsed.length = 0;
+    if (isOver()) unparsed.length = 0;
+  }
+
+  function yieldToOthers(): void {
+    if (unparsed.length === 0 || socket.isPaused()) return;
+    socket.pause();
+    options.resumeInTurn(socket);
   }
 
   parsers.forEach((each) => socket.removeListener('data', each));
