Answers whose status is none are not passed on

Change: an attempt ends as malformed, a plain call fails with its outcome unknown. Stores, the object store and exports compare with 200; orders map other statuses to unknown: not changed.

--- a/packages/plugins/upstreams-http/src/calls.ts
+++ b/packages/plugins/upstreams-http/src/calls.ts
@@ -14,6 +14,8 @@
 const TRANSFER_TIMEOUT_MS = 30_000;
 const ORDER_TIMEOUT_MS = 5_000;
 
+const LAST_STATUS = 599;
+
 type HttpResponse = { status: number; text: string };
 
 async function post(
@@ -124,6 +126,8 @@
       ...(call.body.length === 0 ? {} : { body: call.body }),
     });
     progress.hasStatus = true;
+    // Three digits that are no status (RFC 9110, section 15); nothing is known of such an upstream.
+    if (response.statusCode > LAST_STATUS) throw new Error(`status ${response.statusCode}`);
     const body = await bodies.read(response.body, connectionPools.memory);
     // The client takes a reset for the end of a response without a length, and does not name its socket.
     const mayBeCut = connectionPools.breaksOf(dispatcher) > breaksBefore;
