Canary releases: one path from the order to its status

Cause: operators order a service's move to a new software version, and nothing limited how many requests an unproven version gets.

Change: decisions in core/canary (side of a request, evidence, sequential test, steps, orders, status writes), the plug-in canary with a lease of its own, the watch of the kind rollouts and the write of an object's status in the platform adapter, the exclusion other-release in placement, and peer updates about releases. Settings exposureShare, exposureSlack and rollbackMs; an empty value counts as not given.

--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -124,6 +124,15 @@
     level: 'warn',
     text: 'platform’s store came back from an earlier copy',
   },
+  releaseOrdered: { number: 721, level: 'info', text: 'canary release ordered' },
+  releaseStep: { number: 722, level: 'info', text: 'canary release took a step' },
+  releaseRolledBack: { number: 723, level: 'warn', text: 'canary release found bad' },
+  releaseWritten: {
+    number: 724,
+    level: 'info',
+    text: 'status of a canary release written or read',
+  },
+  releaseEnded: { number: 725, level: 'info', text: 'canary release ended' },
   historyLost: {
     number: 715,
     level: 'info',
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -1,15 +1,15 @@
 /** Decisions of the fleet task. State is updated in place, since no other task sees it. */
+import type * as canary from '../canary/types.js';
 import type * as routes from '../gateway/routes.js';
-import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import type * as gatewayMessages from '../messages/gateway.js';
 import * as quarantine from '../quarantine/index.js';
 import * as results from '../results/index.js';
 import type * as inputs from '../rollouts/inputs.js';
-import * as targets from '../rollouts/targets.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as upstreamHealth from './upstream-health.js';
+import * as canarySteps from './canary-steps.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
 import * as eligibility from './eligibility.js';
@@ -18,6 +18,7 @@
 import * as prefillRate from './prefill-rate.js';
 import type * as fleet from './state.js';
 import * as liveness from './liveness.js';
+import * as namedChanges from './named-changes.js';
 import * as peerUpdates from './peer-updates.js';
 import * as publishing from './publishing.js';
 import * as quarantineMessages from './quarantine-messages.js';
@@ -39,6 +40,7 @@
       obsoleteParts: readonly inputs.ObsoleteParts[];
     }
   | { kind: 'limit-connections'; connectionsPerUpstream: Readonly<Record<string, number>> }
+  | { kind: 'report-versions'; services: readonly canary.ServiceVersions[] }
   | { kind: 'schedule-tick' }
   | { kind: 'schedule-peer-update'; delayMs: number }
   | { kind: 'send-peer-update'; update: peerWork.Update }
@@ -87,9 +89,9 @@
       quarantine.publishing.renewVerdicts(state.quarantine, now);
       return connectionLimits.withConnectionLimits(senders.withMembers(state, message.names, now));
     case 'fleet.evacuations-changed':
-      return onEvacuationsChanged(state, message, now);
+      return namedChanges.onEvacuationsChanged(state, message, now);
     case 'fleet.target-versions-changed':
-      return onTargetVersionsChanged(state, message, now);
+      return namedChanges.onTargetVersionsChanged(state, message, now);
     case 'fleet.store-changed':
       sharedContext.inventory.applyUpdate(state.inventory, message.store, message.update, now);
       return { state, commands: [] };
@@ -97,6 +99,8 @@
       return { state: peerUpdates.withSharing(state, message.sharing), commands: [] };
     case 'fleet.peer-update':
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
+    case 'fleet.releases-changed':
+      return { state, commands: canarySteps.setReleases(state, message.releases) };
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
@@ -221,6 +225,7 @@
 
 function onListRead(state: fleet.State, update: discovery.Update, now: task.Instant): Step {
   const changed = discovery.applyUpdate(state.registry, update, now);
+  canarySteps.recordVersions(state, now);
   return {
     state,
     commands: [
@@ -244,32 +249,6 @@
   });
 }
 
-function onEvacuationsChanged(
-  state: fleet.State,
-  { dataCentres, unchangedAt }: MessageOf<'fleet.evacuations-changed'>,
-  now: task.Instant,
-): Step {
-  const unseenMs = unchangedAt ? staleness.ageMs(unchangedAt, now) : Infinity;
-  return {
-    state: { ...state, evacuatedDataCentres: new Set(dataCentres) },
-    commands: [{ kind: 'record-evacuation', dataCentres, unseenMs }],
-  };
-}
-
-function onTargetVersionsChanged(
-  state: fleet.State,
-  { versions, namedAfter }: MessageOf<'fleet.target-versions-changed'>,
-  now: task.Instant,
-): Step {
-  const targetVersions = targets.update(state.targetVersions, versions, namedAfter);
-  return {
-    state: { ...state, targetVersions },
-    commands: [
-      { kind: 'record-target-versions', versions, unseenMs: staleness.ageMs(namedAfter, now) },
-    ],
-  };
-}
-
 /** Probes silent upstreams, since no request is sent to them that would show their recovery. */
 function onTick(given: fleet.State, now: task.Instant): Step {
   const state = senders.expire(
@@ -289,6 +268,7 @@
       ...quarantineSteps.onTick(state, now),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
       reports.reportToRollouts(state),
+      ...canarySteps.report(state),
       {
         kind: 'report-obsolete-parts',
         stores: state.contextStores,
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -1,4 +1,6 @@
 /** Whether a request may be sent to an upstream, why not, and until when. */
+import * as applied from '../canary/applied.js';
+import type * as side from '../canary/side.js';
 import * as task from '../kernel/task.js';
 import * as targets from '../rollouts/targets.js';
 import type * as placement from './placement.js';
@@ -17,6 +19,8 @@
   | { kind: 'other-model' }
   /** The stream began at another version of the upstreams' software. */
   | { kind: 'other-software-version' }
+  /** A release keeps the request from this version of the upstreams' software. */
+  | { kind: 'other-release' }
   /** The request has been there already. */
   | { kind: 'tried' }
   | { kind: 'not-listed' }
@@ -58,12 +62,19 @@
   exclusions: Exclusion[];
 };
 
-/** Judges all upstreams of the request's service. */
-export function judgeAll(inputs: placement.Inputs): Judged {
+/** Judges all upstreams of the request's service, as a release divides them. */
+export function judgeAll(
+  inputs: placement.Inputs,
+  division: applied.Division,
+  assignment: side.Assignment,
+): Judged {
   const judged: Judged = { available: [], eligible: [], exclusions: [] };
   inputs.state.registry.upstreams.forEach((upstream) => {
     if (upstream.registration.service !== inputs.service.name) return;
-    const exclusion = findExclusion(inputs, upstream);
+    const { softwareVersion } = upstream.registration;
+    const exclusion = applied.allows(division, assignment, softwareVersion)
+      ? findExclusion(inputs, upstream)
+      : ({ kind: 'other-release' } as const);
     if (exclusion) judged.exclusions.push(exclusion);
     else judged.available.push(upstream);
     if (!exclusion || isPassing(exclusion)) judged.eligible.push(upstream);
@@ -81,6 +92,7 @@
       return true;
     case 'other-model':
     case 'other-software-version':
+    case 'other-release':
     case 'tried':
     case 'not-listed':
     case 'leaving':
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -1,4 +1,6 @@
 /** Chooses the upstream for a request: the candidate with the lowest expected time to first byte. */
+import type * as applied from '../canary/applied.js';
+import type * as side from '../canary/side.js';
 import type * as request from '../gateway/request.js';
 import type * as routes from '../gateway/routes.js';
 import * as task from '../kernel/task.js';
@@ -6,6 +8,7 @@
 import type * as messages from '../messages/gateway.js';
 import * as wave from '../rollouts/wave.js';
 import * as sharedContext from '../shared-context/index.js';
+import * as canarySteps from './canary-steps.js';
 import * as eligibility from './eligibility.js';
 import * as placeCost from './place-cost.js';
 import * as queue from './queue.js';
@@ -91,7 +94,21 @@
   if (!service) return refusals.none('unknown-service');
   const inputs: Inputs = { state, service, placementRequest, now };
   placeCost.recordPrompt(inputs);
-  const { available, eligible, exclusions } = eligibility.judgeAll(inputs);
+  const division = canarySteps.divide(inputs);
+  return division.assignments.reduce<Decision>(
+    (found, assignment) =>
+      found.kind === 'placed' ? found : placeAmong(inputs, division, assignment),
+    refusals.none('none-usable'),
+  );
+}
+
+function placeAmong(
+  inputs: Inputs,
+  division: applied.Division,
+  assignment: side.Assignment,
+): Decision {
+  const { placementRequest, now } = inputs;
+  const { available, eligible, exclusions } = eligibility.judgeAll(inputs, division, assignment);
   if (available.length === 0) return refusals.noneAvailable(exclusions, now);
   const waves = rolloutWaves(inputs, eligible);
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
@@ -231,6 +248,7 @@
   rateLimit
     .limitsOf(upstream, service, state.bounds, now.monotonicMs)
     .forEach((limit) => rateLimit.spend(state, upstream, limit, now.monotonicMs));
+  canarySteps.recordPlaced(inputs, upstream);
   upstream.inFlight.set(placementRequest.requestId, {
     startedAtMs: now.monotonicMs,
     tokensToRead: tokens,
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,4 +1,5 @@
 /** State of the fleet task: all upstreams, and the other inputs of placement. */
+import * as applied from '../canary/applied.js';
 import type * as routes from '../gateway/routes.js';
 import type * as targets from '../rollouts/targets.js';
 import * as ledger from '../quarantine/ledger.js';
@@ -12,6 +13,10 @@
   /** Factor and additive allowance (requests) on the cold rate of an upstream, over all instances. */
   coldOverrun: number;
   coldSlack: number;
+  /** Largest share of requests to an unproven version, over all instances; undefined if not limited. */
+  exposureShare?: number | undefined;
+  /** Requests allowed beyond that share. */
+  exposureSlack?: number | undefined;
 };
 
 /** Changes that have not been sent to peers yet. Updated in place. */
@@ -53,6 +58,8 @@
   outbox: Outbox;
   /** Updated in place. */
   quarantine: ledger.Ledger;
+  /** Updated in place. */
+  canary: applied.Applied;
 };
 
 export function initial(
@@ -81,5 +88,6 @@
     meanPromptTokens: new Map(),
     outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
     quarantine: ledger.create(instance),
+    canary: applied.create(bounds),
   };
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * as accounts from './accounts/index.js';
 export * as admission from './admission/index.js';
 export * as binary from './binary/index.js';
+export * as canary from './canary/index.js';
 export * as claims from './claims/index.js';
 export * as coldStarts from './cold-starts/index.js';
 export * as configuration from './configuration/index.js';
--- a/packages/core/src/knowledge/rules.ts
+++ b/packages/core/src/knowledge/rules.ts
@@ -5,7 +5,7 @@
 import type * as platform from '../messages/platform.js';
 
 export type Kind =
-  'routing-table' | 'upstreams' | 'evacuations' | 'weights' | 'verdicts' | 'members';
+  'routing-table' | 'upstreams' | 'evacuations' | 'weights' | 'verdicts' | 'members' | 'rollouts';
 
 /** Time limits of the deployment within which a change has to be in force, in ms. */
 export type Bounds = {
@@ -74,6 +74,13 @@
     relaysContent: true,
     absence: 'kept',
   },
+  rollouts: {
+    // Upstreams of the new version are listed at the same time.
+    waitMs: ({ drainMs }) => drainMs * 0.25,
+    pauseMs: noPause,
+    relaysContent: true,
+    absence: 'kept',
+  },
   members: {
     waitMs: () => 15_000,
     // Members that join together are read together. Their entries hold keys.
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -1,4 +1,5 @@
 /** Messages to the fleet task, which tracks the upstreams, and to the context stores task. */
+import type * as canary from '../canary/types.js';
 import type * as upstreamHealth from '../fleet/upstream-health.js';
 import type * as discovery from '../fleet/discovery.js';
 import type * as peerWork from '../fleet/peer-work.js';
@@ -86,6 +87,8 @@
   | { type: 'fleet.crashes-read'; records: readonly quarantine.CrashRecord[] }
   /** Answer to a write of this instance's own record. */
   | { type: 'fleet.crashes-stored'; outcome: quarantine.WriteOutcome }
+  /** All releases of the services, which replace those before. */
+  | { type: 'fleet.releases-changed'; releases: readonly canary.Release[] }
   /** This instance's peer update is due. */
   | { type: 'fleet.publish-work' }
   | { type: 'fleet.tick' };
--- a/packages/core/src/messages/index.ts
+++ b/packages/core/src/messages/index.ts
@@ -1,6 +1,7 @@
 /** Exports the messages between tasks. */
 export * from './admission.js';
 export * from './callers.js';
+export * from './canary.js';
 export * from './claims.js';
 export * from './cold-starts.js';
 export * from './configuration.js';
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -31,5 +31,8 @@
   | 'gateway.first_event'
   | 'gateway.quarantine'
   | 'gateway.quarantined_parts'
+  | 'canary.step'
+  | 'canary.responses'
+  | 'canary.writes'
   | 'transport.connections'
   | 'platform.answered';
--- a/packages/core/src/messages/mailboxes.ts
+++ b/packages/core/src/messages/mailboxes.ts
@@ -3,6 +3,7 @@
  */
 import type * as admission from './admission.js';
 import type * as callers from './callers.js';
+import type * as canary from './canary.js';
 import type * as claims from './claims.js';
 import type * as coldStarts from './cold-starts.js';
 import type * as configuration from './configuration.js';
@@ -26,6 +27,7 @@
 export type Mailboxes = {
   admission: admission.AdmissionMessage;
   callers: callers.CallersMessage;
+  canary: canary.CanaryMessage;
   carrier: rollouts.OrderSenderMessage;
   claims: claims.ClaimsMessage;
   contextStores: fleet.ContextStoresMessage;
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -1,4 +1,5 @@
 /** Messages to the task that exchanges peer updates with the other instances of the platform. */
+import type * as canary from '../canary/types.js';
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as quarantine from '../quarantine/types.js';
 import type * as inventory from '../shared-context/inventory.js';
@@ -30,6 +31,7 @@
       update: quarantine.Update;
       audience: quarantine.Audience;
     }
+  | { type: 'peer-updates.publish-canary'; update: canary.Update }
   | { type: 'peer-updates.send'; update: PeerUpdate; to: readonly string[] };
 
 /** Updates of context stores that one instance read for others. */
@@ -39,6 +41,7 @@
 export type PeerUpdate =
   | { kind: 'work'; update: peerWork.Update }
   | { kind: 'quarantine'; update: quarantine.Update }
+  | { kind: 'canary'; update: canary.Update }
   | { kind: 'stores'; from: string; updates: StoreUpdates }
   | { kind: 'question'; from: string; question: readers.Question }
   | {
--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -12,6 +12,8 @@
   value: unknown;
   /** Chosen by the writer of this version, so that it can recognise its own write. */
   writeId: string;
+  /** What the system writes beside the value; absent if there is none. */
+  status?: unknown;
 };
 
 /** One entry of the platform's list of instances, which lags. */
@@ -121,6 +123,15 @@
       writeId: string;
       replyTo: task.Address<PlatformAnswered>;
     }
+  /** Replaces the object's status only, if the object is at `expectedVersion`. */
+  | {
+      type: 'platform.write-status';
+      correlationId: string;
+      key: string;
+      expectedVersion: number;
+      status: unknown;
+      replyTo: task.Address<PlatformAnswered>;
+    }
   | {
       type: 'platform.watch';
       prefix: string;
--- a/packages/core/src/settings/flags.ts
+++ b/packages/core/src/settings/flags.ts
@@ -15,7 +15,10 @@
 export type Flags<Settings> = {
   names: readonly string[];
   describe(name: string): Description;
-  /** Merges both, flags taking precedence over the environment, and validates the result. */
+  /**
+   * Merges both, flags taking precedence over the environment, and validates the result. An empty value
+   * counts as not given: deployments fill in placeholders for which they have no value.
+   */
   parse(flags: RawValues, environment: RawValues): neverthrow.Result<Settings, results.Failure>;
 };
 
@@ -39,11 +42,11 @@
     describe: (name) =>
       describe((schema.shape as unknown as Readonly<Record<string, zod.ZodType>>)[name]),
     parse(flags, environment) {
-      const given = names.flatMap((name) => {
-        const value = flags[flagName(name)] ?? environment[environmentName(name)];
+      const values = names.flatMap((name) => {
+        const value = given(flags[flagName(name)]) ?? given(environment[environmentName(name)]);
         return value === undefined ? [] : [[name, value] as const];
       });
-      const found = Object.fromEntries(given);
+      const found = Object.fromEntries(values);
       const checked = schema.safeParse(found);
       if (checked.success) return neverthrow.ok(checked.data);
       const detail = explainIssues(checked.error, found, secrets);
@@ -52,6 +55,10 @@
   };
 }
 
+function given(text: string | undefined): string | undefined {
+  return text === '' ? undefined : text;
+}
+
 function describe(field: zod.ZodType | undefined): Description {
   const text = field?.description ?? '';
   const left = field?.safeParse(undefined);
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -62,6 +62,25 @@
   retryExtra: factor(50, 'retry budget: additional retries per window, over all instances'),
   coldOverrun: factor(1.5, 'allowed multiple of the rate limit of a cold upstream'),
   coldSlack: factor(5, 'requests per second allowed in addition to that multiple'),
+  exposureShare: zod.coerce
+    .number()
+    .min(0)
+    .max(1)
+    .optional()
+    .describe('largest share of requests to an unproven version; no canary releases if absent'),
+  exposureSlack: zod.coerce
+    .number()
+    .min(0)
+    .max(1_000_000)
+    .optional()
+    .describe('requests allowed beyond that share, over all instances; 0 if absent'),
+  rollbackMs: zod.coerce
+    .number()
+    .int()
+    .min(0)
+    .max(600_000)
+    .optional()
+    .describe('longest time until a bad version gets no more requests, in ms; 5000 if absent'),
 });
 
 export type GatewaySettings = zod.infer<typeof gatewaySchema>;
--- a/packages/core/test/settings/settings.test.ts
+++ b/packages/core/test/settings/settings.test.ts
@@ -21,6 +21,22 @@
   assert.is(parsed.value.logLevel, 'warn');
 });
 
+/** Guards against a deployment without a bound, whose placeholder is empty, that does not start. */
+suite('an empty value counts as not given', () => {
+  const environment = { MEDLARWEIR_LOG_LEVEL: 'warn', MEDLARWEIR_METRICS: '' };
+  const parsed = core.settings.parse({ ...GOOD, 'log-level': '' }, environment);
+  assert.is(parsed.isOk() && parsed.value.logLevel, 'warn');
+  const { gatewayFlags } = core.settings.gateway;
+  const addresses = { callers: 'h:1', readiness: 'h:2', platform: 'h:3' };
+  const flags = { name: 'i', 'data-centre': 'd', ...addresses, 'exposure-share': '' };
+  const gateway = gatewayFlags.parse(flags, {});
+  assert.ok(gateway.isOk());
+  assert.is(gateway.isOk() && gateway.value.exposureShare, undefined);
+  const given = gatewayFlags.parse({ ...flags, 'exposure-share': '0.1' }, {});
+  assert.is(given.isOk() && given.value.exposureShare, 0.1);
+  assert.ok(gatewayFlags.parse({ ...flags, 'exposure-share': '2' }, {}).isErr());
+});
+
 suite('an invalid setting’s error names it, what was expected and what was found', () => {
   const parsed = core.settings.parse({ ...GOOD, platform: 'nowhere' }, {});
   assert.ok(parsed.isErr());
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -83,6 +83,9 @@
       send('transport', { type: 'transport.limits-changed', connectionsPerUpstream });
       return;
     }
+    case 'report-versions':
+      send('canary', { type: 'canary.versions-reported', services: command.services });
+      return;
     case 'schedule-tick':
       context.schedule('tick', core.fleet.TICK_INTERVAL_MS, { type: 'fleet.tick' });
       return;
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -1,6 +1,8 @@
 /** Task that handles one request: executes the commands of the request lifecycle. */
 import * as core from '@medlarweir/core';
 
+import * as canarySample from './canary-sample.js';
+
 type Message = core.messages.RequestMessage;
 type State = core.gateway.lifecycleState.State;
 type Command = core.gateway.lifecycleState.Command;
@@ -236,6 +238,7 @@
   const { requestId } = routed.request;
   history.outcomes.push(outcome);
   const { upstream } = attempt.destination;
+  canarySample.send(context, routed, attempt, outcome);
   context.send('fleet', { type: 'fleet.attempt-ended', requestId, upstream, outcome });
 }
 
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -6,12 +6,15 @@
 
 import * as core from '@medlarweir/core';
 
+import * as canaryRows from './canary-rows.js';
 import * as quarantineRows from './quarantine-rows.js';
 import * as schemas from './schemas.js';
 import * as storeRows from './store-rows.js';
 
 type PeerUpdate = core.messages.PeerUpdate;
 
+type ObjectRow = [string, number, unknown, string, unknown?];
+
 /** Half of the digest, the minimum that RFC 2104 recommends. */
 const SIGNATURE_BYTES = 16;
 /** Resolution of send times, which order the updates of one sender. */
@@ -41,6 +44,8 @@
     }
     case 'quarantine':
       return ['quarantine', peerUpdate.update.from, quarantineRows.toRows(peerUpdate.update)];
+    case 'canary':
+      return ['canary', peerUpdate.update.from, canaryRows.toRows(peerUpdate.update)];
     case 'stores':
       return ['stores', peerUpdate.from, storeRows.toRows(peerUpdate.updates)];
     case 'question':
@@ -59,13 +64,10 @@
       ];
     case 'changes': {
       const { objectKind, since, revision, objects, removed } = peerUpdate.changes;
-      const rows = objects.map(
-        ({ key, version, value, writeId }): [string, number, unknown, string] => [
-          key,
-          version,
-          value,
-          writeId,
-        ],
+      const rows = objects.map(({ key, version, value, writeId, status }): ObjectRow =>
+        status === undefined
+          ? [key, version, value, writeId]
+          : [key, version, value, writeId, status],
       );
       return ['changes', peerUpdate.from, objectKind, since, revision, rows, [...removed]];
     }
@@ -101,6 +103,10 @@
       const [kind, from, rows] = tuple;
       return { kind, update: quarantineRows.fromRows(from, rows) };
     }
+    case 'canary': {
+      const [kind, from, rows] = tuple;
+      return { kind, update: canaryRows.fromRows(from, rows) };
+    }
     case 'stores': {
       const [kind, from, rows] = tuple;
       return { kind, from, updates: storeRows.fromRows(rows) };
@@ -121,11 +127,12 @@
     }
     case 'changes': {
       const [kind, from, objectKind, since, revision, objectRows, removed] = tuple;
-      const objects = objectRows.map(([key, version, value, writeId]) => ({
+      const objects = objectRows.map(([key, version, value, writeId, status]) => ({
         key,
         version,
         value,
         writeId,
+        ...(status === undefined ? {} : { status }),
       }));
       return { kind, from, changes: { objectKind, since, revision, objects, removed } };
     }
--- a/packages/plugins/peer-notes-udp/src/index.ts
+++ b/packages/plugins/peer-notes-udp/src/index.ts
@@ -9,6 +9,7 @@
 
 export * as datagram from './datagram.js';
 export * as audiences from './audiences.js';
+export * as canaryRows from './canary-rows.js';
 export * as quarantineRows from './quarantine-rows.js';
 
 core.kernel.register<core.settings.gateway.GatewaySettings>({
--- a/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
+++ b/packages/plugins/peer-notes-udp/src/peer-updates-task.ts
@@ -7,6 +7,7 @@
 import * as core from '@medlarweir/core';
 
 import * as audiences from './audiences.js';
+import * as canaryRows from './canary-rows.js';
 import * as datagram from './datagram.js';
 import * as quarantineRows from './quarantine-rows.js';
 
@@ -78,6 +79,13 @@
     }
     case 'peer-updates.publish-quarantine':
       return publishQuarantine(name, state, message);
+    case 'peer-updates.publish-canary': {
+      const audience = audiences.ofWork(state, name, dataCentre, message.update.scope);
+      const commands = canaryRows
+        .split(message.update)
+        .flatMap((update) => sendCommands(state, name, { kind: 'canary', update }, audience));
+      return { state, commands };
+    }
     case 'peer-updates.send':
       return { state, commands: sendCommands(state, name, message.update, message.to) };
     case 'peer-updates.received':
@@ -190,6 +198,9 @@
     case 'quarantine':
       send('fleet', { type: 'fleet.quarantine-update', update: update.update });
       return;
+    case 'canary':
+      send('canary', { type: 'canary.update-received', update: update.update });
+      return;
     case 'stores':
       update.updates.forEach(({ store, update: storeUpdate }) =>
         send('fleet', { type: 'fleet.store-changed', store, update: storeUpdate }),
--- a/packages/plugins/peer-notes-udp/src/readers-task.ts
+++ b/packages/plugins/peer-notes-udp/src/readers-task.ts
@@ -36,6 +36,7 @@
       send('platform', { type: 'platform.set-relayed', isRelayed });
       send('contextStores', { type: 'context-stores.role-changed', isReader: !isRelayed, sharing });
       send('fleet', { type: 'fleet.sharing-changed', sharing });
+      send('canary', { type: 'canary.sharing-changed', sharing });
       record({ name: 'readerChanged', details: { reader, sharing } });
       return;
     }
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -7,6 +7,11 @@
 /** Token count that marks a part which the store no longer holds. */
 export const GONE_TOKENS = -1;
 
+/** Beyond what instances send. */
+const MAX_NAME_LENGTH = 1_024;
+const MAX_BINS = 64;
+const MAX_CELLS = 64;
+
 const amount = zod.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
 const nullableNumber = amount.nullable();
 
@@ -27,8 +32,15 @@
   nullableNumber,
   zod.array(zod.tuple([zod.string(), zod.array(partRow)])),
 ]);
-/** Key, version, value, write id. */
-const objectRow = zod.tuple([zod.string(), amount, zod.unknown(), zod.string()]);
+/** Key, version, value, write id, status. */
+const objectRow = zod.tuple([
+  zod.string(),
+  amount,
+  zod.unknown(),
+  zod.string(),
+  // Left out if there is none, as in rows of releases that do not know it.
+  zod.unknown().optional(),
+]);
 
 /** Model and part id. */
 const partOfModelRow = zod.tuple([zod.string(), zod.string()]);
@@ -63,6 +75,35 @@
   zod.array(verdictRow),
 ]);
 
+const count = zod
+  .number()
+  .int()
+  .nonnegative()
+  .max(2 ** 31);
+/** Responses, failures, first bin of latencies, counts from that bin on. */
+const countsRow = zod.tuple([
+  count,
+  count,
+  zod.number().int().nonnegative().max(MAX_BINS),
+  zod.array(count).max(MAX_BINS),
+]);
+/** Name, counts of the new version and of the old one. */
+const cellRow = zod.tuple([zod.string().max(MAX_NAME_LENGTH), countsRow, countsRow]);
+/** Service, version, step, is bad, age, instances, step in force, requests at the old version, cells. */
+const releaseRow = zod.tuple([
+  zod.string().max(MAX_NAME_LENGTH),
+  zod.string().max(MAX_NAME_LENGTH),
+  count,
+  zod.boolean(),
+  amount,
+  count,
+  count,
+  count,
+  zod.array(cellRow).max(MAX_CELLS),
+]);
+/** Scope, releases. */
+const canaryRows = zod.tuple([zod.enum(['own', 'group', 'fleet']), zod.array(releaseRow)]);
+
 /** By kind, so that an update is checked against one schema only. */
 const bodies = {
   /** Kind, sender, incarnation, send time, scope, instances, is a snapshot, work, sent parts. */
@@ -78,6 +119,7 @@
     zod.array(sentRow),
   ]),
   quarantine: zod.tuple([zod.literal('quarantine'), zod.string(), quarantineRows]),
+  canary: zod.tuple([zod.literal('canary'), zod.string(), canaryRows]),
   stores: zod.tuple([zod.literal('stores'), zod.string(), zod.array(storeRow)]),
   question: zod.tuple([zod.literal('question'), zod.string(), question]),
   answer: zod.tuple([zod.literal('answer'), zod.string(), question, zod.array(position)]),
@@ -94,7 +136,7 @@
 };
 
 const kinds = zod.tuple([
-  zod.enum(['work', 'quarantine', 'stores', 'question', 'answer', 'changes']),
+  zod.enum(['work', 'quarantine', 'canary', 'stores', 'question', 'answer', 'changes']),
 ]);
 const anyBody = kinds.rest(zod.unknown());
 
@@ -109,4 +151,8 @@
 export type QuarantineRows = zod.infer<typeof quarantineRows>;
 export type SuspectRow = zod.infer<typeof suspectRow>;
 export type VerdictRow = zod.infer<typeof verdictRow>;
+export type CanaryRows = zod.infer<typeof canaryRows>;
+export type ReleaseRow = zod.infer<typeof releaseRow>;
+export type CellRow = zod.infer<typeof cellRow>;
+export type CountsRow = zod.infer<typeof countsRow>;
 export type StoreTuple = zod.infer<typeof storeRow>;
--- a/packages/stand-ins/src/platform/object-store.ts
+++ b/packages/stand-ins/src/platform/object-store.ts
@@ -25,6 +25,8 @@
   create(kind: string, name: string, spec: unknown): WriteResult;
   /** Replaces unconditionally if `revision` is undefined, and only at that revision otherwise. */
   replace(kind: string, name: string, spec: unknown, revision: number | undefined): WriteResult;
+  /** Replaces the status alone, with the same condition. */
+  setStatus(kind: string, name: string, status: unknown, revision: number | undefined): WriteResult;
   remove(kind: string, name: string): WriteResult;
   /** Returns `undefined` if the history since the revision has been dropped. */
   eventsSince(kind: string, revision: number): readonly ChangeEvent[] | undefined;
@@ -64,9 +66,13 @@
     }
     counter.revision += 1;
     const createdRevision = current?.createdRevision ?? counter.revision;
-    const object = { kind, name, revision: counter.revision, createdRevision, spec, status: null };
-    objects.set(key, object);
-    history.push({ kind, event: { object, deleted: false } });
+    const status = current?.status ?? null;
+    return keep({ kind, name, revision: counter.revision, createdRevision, spec, status });
+  }
+
+  function keep(object: StoredObject): WriteResult {
+    objects.set(keyOf(object.kind, object.name), object);
+    history.push({ kind: object.kind, event: { object, deleted: false } });
     return { kind: 'written', object };
   }
 
@@ -84,6 +90,15 @@
       const isOther = revision !== undefined && revision !== current.revision;
       return isOther ? { kind: 'conflict', current } : put(kind, name, spec);
     },
+    setStatus(kind, name, status, revision) {
+      const current = objects.get(keyOf(kind, name));
+      if (!current) return { kind: 'missing' };
+      if (revision !== undefined && revision !== current.revision) {
+        return { kind: 'conflict', current };
+      }
+      counter.revision += 1;
+      return keep({ ...current, status, revision: counter.revision });
+    },
     remove(kind, name) {
       const current = objects.get(keyOf(kind, name));
       if (!current) return { kind: 'missing' };
--- a/packages/stand-ins/src/platform/platform.ts
+++ b/packages/stand-ins/src/platform/platform.ts
@@ -35,7 +35,11 @@
 const MAX_WATCH_WAIT_MS = 30_000;
 const FAULTS: readonly Fault[] = ['none', 'outage', 'slow', 'lost-answers', 'busy', 'silent'];
 
-type WriteBody = { metadata?: { name?: string; revision?: number }; spec?: unknown };
+type WriteBody = {
+  metadata?: { name?: string; revision?: number };
+  spec?: unknown;
+  status?: unknown;
+};
 
 export async function start(port = 0): Promise<Platform> {
   const objects = objectStore.create();
@@ -62,12 +66,17 @@
     });
   }
 
-  function change({ method, path, body }: serve.Request): serve.Reply {
+  function change({ method, path, body, query }: serve.Request): serve.Reply {
     state.calls.writes += 1;
     if (body.length > MAX_OBJECT_BYTES) return serve.json(413, { error: 'object too large' });
-    const [, , kind = '', name] = path;
+    const [, , kind = '', name, part] = path;
     const given = (body.length > 0 ? JSON.parse(body.toString('utf8')) : {}) as WriteBody;
-    const written = applyWrite(method, kind, name ?? given.metadata?.name ?? '', given);
+    const named = query.get('revision');
+    const revision = named === null ? given.metadata?.revision : Number(named);
+    const written =
+      part === 'status'
+        ? objects.setStatus(kind, name ?? '', given.status, revision)
+        : applyWrite(method, kind, name ?? given.metadata?.name ?? '', { ...given, revision });
     if (written.kind === 'written') onWritten();
     if (state.fault === 'lost-answers') return { kind: 'cut' };
     return toReply(written);
@@ -82,13 +91,13 @@
     method: string,
     kind: string,
     name: string,
-    given: WriteBody,
+    given: WriteBody & { revision: number | undefined },
   ): objectStore.WriteResult {
     switch (method) {
       case 'POST':
         return objects.create(kind, name, given.spec);
       case 'PUT':
-        return objects.replace(kind, name, given.spec, given.metadata?.revision);
+        return objects.replace(kind, name, given.spec, given.revision);
       case 'DELETE':
         return objects.remove(kind, name);
       default:
