--- a/packages/core/src/canary/decide.ts
+++ b/packages/core/src/canary/decide.ts
@@ -34,11 +34,20 @@
 
 export function decide(state: State, message: messages.CanaryMessage, now: task.Instant): Step {
   const step = handle(state, message, now);
-  const before = releasesOf(state);
-  const after = releasesOf(step.state);
   const isFirst = message.type === 'canary.orders-read' && message.isSnapshot;
-  if (!isFirst && JSON.stringify(before) === JSON.stringify(after)) return step;
-  return { state: step.state, commands: [...step.commands, { kind: 'apply', releases: after }] };
+  if (!isFirst && appliedText(state) === appliedText(step.state)) return step;
+  const releases = releasesOf(step.state);
+  return { state: step.state, commands: [...step.commands, { kind: 'apply', releases }] };
+}
+
+/** Changes whenever the fleet task has to be told. */
+function appliedText({ releases }: State): string {
+  return [...releases.values()]
+    .map((running) => {
+      const { order, step, shunned } = running;
+      return `${order.service} ${order.to} ${step} ${stageOf(running)} ${shunned.join()}`;
+    })
+    .join('\n');
 }
 
 function handle(state: State, message: messages.CanaryMessage, now: task.Instant): Step {
--- a/packages/core/src/canary/evidence.ts
+++ b/packages/core/src/canary/evidence.ts
@@ -29,31 +29,39 @@
   return `${route} ${Math.floor(Math.log(size) / Math.log(PROMPT_CLASS_FACTOR))}`;
 }
 
-export function countsOf({
-  isFailure,
-  latencyMs,
-}: Pick<canary.Sample, 'isFailure' | 'latencyMs'>): canary.Counts {
-  // A failure may be quick or late for its own reasons.
-  if (isFailure) return { responses: 1, failures: 1, latencies: [] };
-  const latencies = Array.from({ length: binOf(latencyMs) + 1 }, () => 0);
-  latencies[latencies.length - 1] = 1;
-  return { responses: 1, failures: 0, latencies };
-}
-
 export function record(
   cells: canary.Cells,
   sample: canary.Sample,
   side: canary.Side,
 ): canary.Cells {
-  const cell = { ...NO_RESPONSES, [side]: countsOf(sample) };
-  return add(cells, { [cellName(sample)]: cell });
+  const name = cellKey(cells, cellName(sample));
+  const cell = cells[name] ?? NO_RESPONSES;
+  return { ...cells, [name]: { ...cell, [side]: increment(cell[side], sample) } };
+}
+
+function increment(
+  { responses, failures, latencies }: canary.Counts,
+  { isFailure, latencyMs }: canary.Sample,
+): canary.Counts {
+  // A failure may be quick or late for its own reasons.
+  if (isFailure) return { responses: responses + 1, failures: failures + 1, latencies };
+  const bin = binOf(latencyMs);
+  const counted = Array.from(
+    { length: Math.max(latencies.length, bin + 1) },
+    (_, at) => (latencies[at] ?? 0) + (at === bin ? 1 : 0),
+  );
+  return { responses: responses + 1, failures, latencies: counted };
+}
+
+function cellKey(cells: canary.Cells, name: string): string {
+  const isKnown = name in cells || Object.keys(cells).length < MAX_CELLS - 1;
+  return isKnown ? name : OTHER_CELL;
 }
 
 /** The sum of both; a cell beyond the limit is added to one for all others. */
 export function add(cells: canary.Cells, added: canary.Cells): canary.Cells {
   return Object.entries(added).reduce((sum, [name, cell]) => {
-    const isKnown = name in sum || Object.keys(sum).length < MAX_CELLS - 1;
-    const key = isKnown ? name : OTHER_CELL;
+    const key = cellKey(sum, name);
     const before = sum[key] ?? NO_RESPONSES;
     const next = addCounts(before.next, cell.next);
     const previous = addCounts(before.previous, cell.previous);
--- a/packages/core/src/canary/orders.ts
+++ b/packages/core/src/canary/orders.ts
@@ -42,7 +42,7 @@
   const isOpenAgain = hasEnded && canaryState.isOpen({ ...known, order });
   // The operator has written the order once more.
   if (isOpenAgain && !isFromCopy) return begin(state, order, undefined, now);
-  const ended = isOpenAgain ? reopened(known) : known;
+  const ended = isFromCopy ? forgetStored(isOpenAgain ? reopened(known) : known) : known;
   const running: Running = { ...ended, isRemoved: false, order };
   const closed = hasEnded || canaryState.isOpen(running) ? running : close(running);
   const isChanged = closed.order.status?.state !== known.order.status?.state;
@@ -54,6 +54,11 @@
   };
 }
 
+/** The stored progress may have gone back too, so it is written again. */
+function forgetStored(known: Running): Running {
+  return { ...known, progress: canaryState.NO_PROGRESS };
+}
+
 /** An old copy of the store has forgotten the end of the release, which is written again. */
 function reopened(known: Running): Running {
   return known.order.status?.state === 'rolled_back'
--- a/packages/core/src/canary/sequential.ts
+++ b/packages/core/src/canary/sequential.ts
@@ -8,6 +8,7 @@
  * is found good with at most `MISS`.
  */
 import * as evidence from './evidence.js';
+import * as rates from './rates.js';
 import type * as canary from './types.js';
 
 export const FALSE_ALARM = 0.001;
@@ -17,19 +18,19 @@
 const FAILURE_INCREASE = 0.05;
 /** Smallest rate that is assumed for the old version; no failure may have been seen yet. */
 const MIN_FAILURE_RATE = 0.005;
-/**
- * A response is slow above this quantile of the old version's latencies and half an octave more. Being
- * several times as slow makes more than a quarter more responses slow, even if latencies vary a lot.
- */
-const SLOW_QUANTILE = 0.75;
+/** Least increase of the share of slow responses, if a version is several times as slow; see `rates`. */
 const SLOW_INCREASE = 0.25;
 const MIN_SLOW_RATE = 0.05;
 /** The first requests at upstreams without kept context are slow; so many in a row are not a verdict. */
 const MIN_SLOW_RESPONSES = 20;
 /** Half-life of the old version's counts. */
 const HALF_LIFE_MS = 10_000;
+/** The same for the counts that show whether a fault of both versions has begun. */
+const SHORT_HALF_LIFE_MS = 2_000;
 /** Old responses below which there is nothing to compare with. */
 const MIN_PREVIOUS_RESPONSES = 30;
+/** The same within the short half-life: without an old version beside it, the new one is not judged. */
+const MIN_RESPONSES_BESIDE = 3;
 
 /**
  * A test that starts anew while the version does well finds one that turns bad later: its sum does not
@@ -38,12 +39,33 @@
 const RECENT_FLOOR = -3;
 const RECENT_ALARM = 0.000_003;
 
+/** A fault of both versions is no evidence; one that lasts for longer is how the old version is now. */
+const MAX_FAULT_MS = 6_000;
+/**
+ * Most evidence of one interval. A fault of both versions shows in their responses of the same time, but
+ * not in the same proportion at its very beginning and end.
+ */
+const MAX_INTERVAL_EVIDENCE = 4;
+/** Evidence in one kind of requests from which an undecided version leans to being bad: 100 to 1. */
+const CELL_LEANING = Math.log(100);
+const LIKELY_GOOD = Math.log(20);
+/** Newest evidence from which a version is not given a larger share. */
+const RISING = Math.log(10);
+/** Responses of one kind of requests below which their evidence does not hold back a good version. */
+const MIN_CELL_RESPONSES = 20;
+
 /** Sums of log-likelihood ratios. */
 type Sums = { whole: number; recent: number };
 
 export type CellTest = {
   /** Decayed counts of the old version. */
   previous: canary.Counts;
+  /** The same with the short half-life. */
+  beside: canary.Counts;
+  /** Responses of the new version within the short half-life. */
+  nextBeside: number;
+  /** For how long a fault of both versions has shown; kept for all requests together. */
+  faultMs: number;
   responses: number;
   failures: Sums;
   slow: Sums;
@@ -55,12 +77,21 @@
 export type Finding =
   | { kind: 'good' }
   | { kind: 'bad'; cell: string; by: 'failures' | 'latency' }
-  | { kind: 'undecided'; leansBad: boolean };
+  | { kind: 'undecided'; leaning: Leaning };
+
+/**
+ * `good`: 20 to 1. `rising`: the newest evidence of some kind of requests is against the version. `bad`:
+ * all evidence is, or 100 to 1 for one kind of requests.
+ */
+export type Leaning = 'good' | 'none' | 'rising' | 'bad';
 
 const ALL = '';
 const NO_SUMS: Sums = { whole: 0, recent: 0 };
 const NEW_TEST: CellTest = {
   previous: evidence.NO_COUNTS,
+  beside: evidence.NO_COUNTS,
+  nextBeside: 0,
+  faultMs: 0,
   responses: 0,
   failures: NO_SUMS,
   slow: NO_SUMS,
@@ -68,102 +99,106 @@
 
 /** Adds the responses of one interval. */
 export function update(tests: Tests, cells: canary.Cells, elapsedMs: number): Tests {
-  const factor = 0.5 ** (elapsedMs / HALF_LIFE_MS);
-  const names = new Set([...Object.keys(tests), ...Object.keys(cells)].filter((each) => each));
-  const updated = [...names].map((name): [string, CellTest, Increments] => {
-    const test = tests[name] ?? NEW_TEST;
-    const cell = cells[name] ?? evidence.NO_RESPONSES;
-    const previous = evidence.addCounts(evidence.decay(test.previous, factor), cell.previous);
-    const increments = incrementsOf(previous, cell);
-    return [name, withIncrements(test, previous, increments), increments];
-  });
+  const names = [...new Set([...Object.keys(tests), ...Object.keys(cells)])].filter(
+    (each) => each !== ALL,
+  );
+  const compared = names.map((name) => ({
+    name,
+    test: decayed(tests[name] ?? NEW_TEST, elapsedMs),
+    cell: cells[name] ?? evidence.NO_RESPONSES,
+  }));
+  const before = tests[ALL] ?? NEW_TEST;
+  const faultMs = isFaultOfBoth(compared) ? before.faultMs + elapsedMs : 0;
+  const isLeftOut = (faultMs > 0 || before.faultMs > 0) && faultMs < MAX_FAULT_MS;
+  const updated = compared.map(({ name, test, cell }) => ({
+    name,
+    ...(isLeftOut ? { test, increments: NO_INCREMENTS } : withCell(test, cell)),
+  }));
   const all = updated.reduce(
-    (sum, [, , increments]) => ({
+    (sum, { increments }) => ({
       responses: sum.responses + increments.responses,
       failures: sum.failures + increments.failures,
       slow: sum.slow + increments.slow,
     }),
     NO_INCREMENTS,
   );
-  const together = withIncrements(tests[ALL] ?? NEW_TEST, evidence.NO_COUNTS, all);
   return {
-    ...Object.fromEntries(updated.map(([name, test]) => [name, test])),
-    [ALL]: together,
+    ...Object.fromEntries(updated.map(({ name, test }) => [name, test])),
+    [ALL]: { ...withIncrements(before, all), faultMs },
   };
 }
 
-type Increments = { responses: number; failures: number; slow: number };
-const NO_INCREMENTS: Increments = { responses: 0, failures: 0, slow: 0 };
-
-function incrementsOf(
-  previous: canary.Counts,
-  { next, previous: latest }: canary.Cell,
-): Increments {
-  if (previous.responses < MIN_PREVIOUS_RESPONSES) return NO_INCREMENTS;
-  const failureRate = nullRate(previous.failures, previous.responses, {
-    hits: latest.failures,
-    of: latest.responses,
-  });
-  const answered = sumOf(previous.latencies);
-  const slowFrom = slowBin(previous.latencies, answered);
-  const slowRate = nullRate(countFrom(previous.latencies, slowFrom), answered, {
-    hits: countFrom(latest.latencies, slowFrom),
-    of: sumOf(latest.latencies),
-  });
-  const answeredByNext = sumOf(next.latencies);
+function decayed(test: CellTest, elapsedMs: number): CellTest {
+  const short = 0.5 ** (elapsedMs / SHORT_HALF_LIFE_MS);
   return {
-    responses: next.responses,
-    failures: logRatio(
-      next.failures,
-      next.responses,
-      Math.max(MIN_FAILURE_RATE, failureRate),
-      FAILURE_INCREASE,
-    ),
-    slow: logRatio(
-      countFrom(next.latencies, slowFrom),
-      answeredByNext,
-      Math.max(MIN_SLOW_RATE, slowRate),
-      SLOW_INCREASE,
-    ),
+    ...test,
+    previous: evidence.decay(test.previous, 0.5 ** (elapsedMs / HALF_LIFE_MS)),
+    beside: evidence.decay(test.beside, short),
+    nextBeside: test.nextBeside * short,
   };
 }
 
-/** The old version's rate, raised by its standard error, or by what is certain of the last interval. */
-function nullRate(hits: number, of: number, latest: { hits: number; of: number }): number {
-  const usual = (hits + 0.5) / (of + 1);
-  const raised = usual + Math.sqrt((usual * (1 - usual)) / (of + 1));
-  const now = (latest.hits + 0.5) / (latest.of + 1);
-  const certainNow = now - Math.sqrt((now * (1 - now)) / (latest.of + 1));
-  return Math.min(0.9, Math.max(raised, certainNow));
-}
-
-function logRatio(hits: number, of: number, rate: number, increase: number): number {
-  const alternative = Math.min(0.98, rate + increase);
-  const perHit = Math.log(alternative / rate);
-  const perMiss = Math.log((1 - alternative) / (1 - rate));
-  return hits * perHit + (of - hits) * perMiss;
-}
+type Compared = { test: CellTest; cell: canary.Cell };
 
-function slowBin(latencies: readonly number[], of: number): number {
-  const found = latencies.reduce(
-    ({ below, bin }, count, at) =>
-      below >= of * SLOW_QUANTILE ? { below, bin } : { below: below + count, bin: at },
-    { below: 0, bin: 0 },
+/** Whether the old version's responses of the interval are much worse than usual, over all kinds of requests. */
+function isFaultOfBoth(compared: readonly Compared[]): boolean {
+  const known = compared.filter(({ test }) => test.previous.responses >= MIN_PREVIOUS_RESPONSES);
+  const sum = (of: (each: Compared) => rates.Frequency) =>
+    known.map(of).reduce(rates.plus, { hits: 0, of: 0 });
+  const isFailing = rates.isFault(
+    sum(({ test }) => rates.failuresOf(test.previous)),
+    sum(({ cell }) => rates.failuresOf(cell.previous)),
   );
-  return found.bin + 2;
+  const isSlow = rates.isFault(
+    sum(({ test }) => rates.slowOf(test.previous, rates.slowBin(test.previous))),
+    sum(({ test, cell }) => rates.slowOf(cell.previous, rates.slowBin(test.previous))),
+  );
+  return isFailing || isSlow;
 }
 
-function countFrom(latencies: readonly number[], bin: number): number {
-  return sumOf(latencies.slice(bin));
+type Increments = { responses: number; failures: number; slow: number };
+const NO_INCREMENTS: Increments = { responses: 0, failures: 0, slow: 0 };
+
+function withCell(test: CellTest, cell: canary.Cell): { test: CellTest; increments: Increments } {
+  const compared: CellTest = {
+    ...test,
+    previous: evidence.addCounts(test.previous, cell.previous),
+    beside: evidence.addCounts(test.beside, cell.previous),
+    nextBeside: test.nextBeside + cell.next.responses,
+  };
+  const increments = incrementsOf(compared, cell);
+  return { test: withIncrements(compared, increments), increments };
 }
 
-function sumOf(values: readonly number[]): number {
-  return values.reduce((sum, each) => sum + each, 0);
+function incrementsOf(
+  { previous, beside, nextBeside }: CellTest,
+  { next, previous: latest }: canary.Cell,
+): Increments {
+  const isComparable =
+    previous.responses >= MIN_PREVIOUS_RESPONSES && beside.responses >= MIN_RESPONSES_BESIDE;
+  if (!isComparable) return NO_INCREMENTS;
+  // The rates of two samples differ by chance as if each had this share of the new one's responses.
+  const weight = previous.responses / (previous.responses + nextBeside);
+  const evidenceOf = (
+    frequencyOf: (counts: canary.Counts) => rates.Frequency,
+    leastRate: number,
+    increase: number,
+  ) => {
+    const rate = rates.nullRate(frequencyOf(previous), frequencyOf(beside), frequencyOf(latest));
+    const ratio = rates.logRatio(frequencyOf(next), Math.max(leastRate, rate), increase);
+    return Math.min(MAX_INTERVAL_EVIDENCE, ratio * weight);
+  };
+  const slowFrom = rates.slowBin(previous);
+  return {
+    responses: next.responses,
+    failures: evidenceOf(rates.failuresOf, MIN_FAILURE_RATE, FAILURE_INCREASE),
+    slow: evidenceOf((counts) => rates.slowOf(counts, slowFrom), MIN_SLOW_RATE, SLOW_INCREASE),
+  };
 }
 
-function withIncrements(test: CellTest, previous: canary.Counts, added: Increments): CellTest {
+function withIncrements(test: CellTest, added: Increments): CellTest {
   return {
-    previous,
+    ...test,
     responses: test.responses + added.responses,
     failures: addTo(test.failures, added.failures),
     slow: addTo(test.slow, added.slow),
@@ -184,14 +219,28 @@
   });
   if (bad[0]) return bad[0];
   const all = tests[ALL];
-  if (!all) return { kind: 'undecided', leansBad: false };
+  if (!all) return { kind: 'undecided', leaning: 'none' };
   const bound = Math.log(MISS);
   const isGood =
     Math.max(all.failures.whole, all.slow.whole) <= bound &&
-    entries.every(([, test]) => Math.max(test.failures.recent, test.slow.recent) <= 0);
+    entries.every(([, test]) => isQuiet(test.failures, test) && isQuiet(test.slow, test));
   if (isGood) return { kind: 'good' };
-  const leansBad = entries.some(([, { failures, slow }]) => failures.whole > 0 || slow.whole > 0);
-  return { kind: 'undecided', leansBad };
+  return { kind: 'undecided', leaning: leaningOf(all, entries) };
+}
+
+/** Whether the evidence of one kind of requests does not speak against the version either. */
+function isQuiet({ whole, recent }: Sums, { responses }: CellTest): boolean {
+  return recent <= RISING && (whole <= 0 || responses < MIN_CELL_RESPONSES);
+}
+
+function leaningOf(all: CellTest, entries: readonly [string, CellTest][]): Leaning {
+  const isAnyAbove = (bound: (cell: string) => number, which: keyof Sums) =>
+    entries.some(([cell, { failures, slow }]) =>
+      [failures, slow].some((sums) => sums[which] > bound(cell)),
+    );
+  if (isAnyAbove((cell) => (cell === ALL ? 0 : CELL_LEANING), 'whole')) return 'bad';
+  if (isAnyAbove(() => RISING, 'recent')) return 'rising';
+  return Math.max(all.failures.whole, all.slow.whole) <= -LIKELY_GOOD ? 'good' : 'none';
 }
 
 /** Responses of the new version that were compared, and the evidence over all of them, for the journal. */
--- a/packages/core/src/canary/steps.ts
+++ b/packages/core/src/canary/steps.ts
@@ -4,10 +4,10 @@
 import type * as canary from './types.js';
 
 /**
- * Part of `exposureShare` that is assigned while the version is unproven: a binomial count at this part
- * stays below the whole share within the slack.
+ * Part of `exposureShare` that is assigned while the version is unproven. Counts vary; where they come
+ * near the whole share at an instance, its own count holds them back.
  */
-const UNPROVEN_PART = 0.7;
+const UNPROVEN_PART = 0.85;
 
 type Step = {
   stage: canary.Stage;
@@ -17,30 +17,36 @@
 };
 
 /**
- * A version may turn bad only later or only under load, so evidence is gathered on each step. The last
- * step starts early enough that requests of 15 s at the old version end before the deadline of an order
- * of a minute.
+ * A version may turn bad only later or only under load, so evidence is gathered on each step beside the
+ * old version. All is shifted early enough that requests of 15 s at the old version end before the
+ * deadline of an order of a minute.
  */
 export const STEPS: readonly Step[] = [
   { stage: 'unproven', share: UNPROVEN_PART, untilShare: 0.3 },
-  { stage: 'shifting', share: 0.25, untilShare: 0.4 },
-  { stage: 'shifting', share: 0.5, untilShare: 0.5 },
+  { stage: 'shifting', share: 0.25, untilShare: 0.38 },
+  { stage: 'shifting', share: 0.5, untilShare: 0.46 },
+  { stage: 'shifting', share: 0.8, untilShare: 0.54 },
   { stage: 'shifted', share: 1, untilShare: 1 },
   { stage: 'shifted', share: 1, untilShare: 1 },
 ];
-export const SHIFTED_STEP = 3;
+export const SHIFTED_STEP = 4;
 /**
  * From this step on, `completed` may have been written, and nothing is rolled back: the replaced upstreams
  * may be gone.
  */
-export const COMPLETING_STEP = 4;
+export const COMPLETING_STEP = 5;
 
 /**
- * Share of the duration after which an undecided version is judged by what leans: with few requests
- * the test may not reach a bound before the deadline.
+ * Shares of the duration after which an undecided version goes on if it is most likely good, and after
+ * which it is judged by how the evidence leans: with few requests the test may not reach a bound before
+ * the deadline.
  */
-const TRUNCATION_SHARE = 0.5;
-/** Least time between two steps after a late start, so that each step shows some responses. */
+const LIKELY_SHARE = 0.5;
+const TRUNCATION_SHARE = 0.62;
+/** Share after which no step waits for the newest evidence any more. */
+const LAST_WAIT_SHARE = 0.78;
+/** Least time on one step, so that each shows some responses. */
+const MIN_STEP_SHARE = 0.04;
 const MIN_STEP_MS = 2_000;
 
 export type Verdict = 'proceed' | 'wait' | 'roll-back';
@@ -62,17 +68,32 @@
         current !== undefined &&
         step < SHIFTED_STEP &&
         ageMs >= current.untilShare * durationMs &&
-        stepMs >= MIN_STEP_MS;
+        stepMs >= Math.max(MIN_STEP_MS, MIN_STEP_SHARE * durationMs);
       if (!mayProceed) return 'wait';
-      if (finding.kind === 'good' || step > 0) return 'proceed';
-      if (ageMs < TRUNCATION_SHARE * durationMs) return 'wait';
-      return finding.leansBad ? 'roll-back' : 'proceed';
+      if (finding.kind === 'good') return 'proceed';
+      return judgeUndecided(step, finding.leaning, ageMs / durationMs);
     }
     default:
       return results.assertNever(finding);
   }
 }
 
+function judgeUndecided(step: number, leaning: sequential.Leaning, passedShare: number): Verdict {
+  const lastShare = step === 0 ? TRUNCATION_SHARE : LAST_WAIT_SHARE;
+  switch (leaning) {
+    case 'good':
+      return step > 0 || passedShare >= LIKELY_SHARE ? 'proceed' : 'wait';
+    case 'none':
+      return step > 0 || passedShare >= TRUNCATION_SHARE ? 'proceed' : 'wait';
+    case 'rising':
+      return passedShare >= lastShare ? 'proceed' : 'wait';
+    case 'bad':
+      return passedShare >= lastShare ? 'roll-back' : 'wait';
+    default:
+      return results.assertNever(leaning);
+  }
+}
+
 /** The share of requests that are assigned to the new version at a step. */
 export function shareAt(step: number, { exposureShare }: canary.Bounds): number {
   const { stage, share } = STEPS[step] ?? { stage: 'unproven', share: 0 };
