--- a/benchmark/src/benchmarks.ts
+++ b/benchmark/src/benchmarks.ts
@@ -1,4 +1,5 @@
 /** Imports every benchmark; each module registers itself on import. */
+import './canary/index.js';
 import './control-plane/index.js';
 import './cold-start/index.js';
 import './data-centre-move/index.js';
