--- a/packages/core/src/canary/applied.ts
+++ b/packages/core/src/canary/applied.ts
@@ -117,23 +117,35 @@
       requests: Math.floor(bounds.exposureSlack / (RESTARTS * Math.max(1, attempt.members))),
     },
   );
-  return { release, held: new Set(), assignments };
+  const held = newestOf(applied, known, nowMs).filter((version) => version !== to);
+  // An ended release does not keep an ordinary one from all requests.
+  const isEnded = release.stage === 'closed' && held.length > 0;
+  return {
+    release,
+    held: new Set(held),
+    assignments: isEnded ? [{ kind: 'previous' }, ANY] : assignments,
+  };
 }
 
 /**
  * Without an order, a version that appears beside another one gets no request for a moment, unless no
  * other upstream may take it. Afterwards it is an ordinary release.
  */
-function holdNewest(
+function holdNewest(applied: Applied, known: ReadonlyMap<string, number>, nowMs: number): Division {
+  const held = newestOf(applied, known, nowMs);
+  if (held.length === 0 || held.length === known.size) return UNDIVIDED;
+  return { release: undefined, held: new Set(held), assignments: [{ kind: 'previous' }, ANY] };
+}
+
+/** The versions of which an order may be on its way. */
+function newestOf(
   { releases }: Applied,
   known: ReadonlyMap<string, number>,
   nowMs: number,
-): Division {
+): readonly string[] {
   const isNew = (appearedAtMs: number) =>
     releases === undefined ? appearedAtMs !== -Infinity : nowMs - appearedAtMs < ORDER_DELAY_MS;
-  const held = [...known].flatMap(([version, atMs]) => (isNew(atMs) ? [version] : []));
-  if (held.length === 0 || held.length === known.size) return UNDIVIDED;
-  return { release: undefined, held: new Set(held), assignments: [{ kind: 'previous' }, ANY] };
+  return [...known].flatMap(([version, atMs]) => (isNew(atMs) ? [version] : []));
 }
 
 export function allows(
@@ -141,8 +153,11 @@
   assignment: side.Assignment,
   softwareVersion: string,
 ): boolean {
-  if (release) return side.allows(release, assignment, softwareVersion);
-  return assignment.kind === 'any' || !held.has(softwareVersion);
+  if (assignment.kind !== 'any' && held.has(softwareVersion)) return false;
+  if (!release) return true;
+  // In an ended release, `previous` only leaves out the versions that are held.
+  const isEnded = release.stage === 'closed' && assignment.kind === 'previous';
+  return side.allows(release, isEnded ? ANY : assignment, softwareVersion);
 }
 
 /** Counts a request that was placed at an upstream of the version. */
--- a/packages/core/src/canary/reports.ts
+++ b/packages/core/src/canary/reports.ts
@@ -18,6 +18,8 @@
  * of members until they start again.
  */
 const SILENT_MEMBER_MS = 10_000;
+/** The same on the step after that: the members that are gone have been waited for. */
+const SILENT_MEMBER_AGAIN_MS = 3_000;
 
 const HEARD_BY: Readonly<Record<State['sharing'], readonly canary.Update['scope'][]>> = {
   'with-all': ['own'],
@@ -172,7 +174,8 @@
   const sum = sumOf(running, HEARD_BY[state.sharing], now);
   const isInForce = sum.stepInForce >= running.step && sum.previousInFlight === 0;
   const areAllHeard = sum.instances >= state.members.length;
-  return isInForce && (areAllHeard || now.monotonicMs - running.stepAtMs >= SILENT_MEMBER_MS);
+  const waitMs = running.step === steps.SHIFTED_STEP ? SILENT_MEMBER_MS : SILENT_MEMBER_AGAIN_MS;
+  return isInForce && (areAllHeard || now.monotonicMs - running.stepAtMs >= waitMs);
 }
 
 /** Drops reports that no longer count, so that their number is bounded by the members. */
--- a/packages/core/test/fleet/canary.test.ts
+++ b/packages/core/test/fleet/canary.test.ts
@@ -122,6 +122,22 @@
   assert.match(place(alone, 'r-1'), /^n/);
 });
 
+/** Guards against a third version that takes the old side's requests before its own order is heard. */
+suite('a version that appears beside a release waits for an order too', () => {
+  const stages = ['unproven', 'closed'] as const;
+  stages.forEach((stage) => {
+    const state = aFleet([aRelease(stage, 0.085)]);
+    const changed = [anUpstream('x-1', 'v3', 3), anUpstream('x-2', 'v3', 3)];
+    const update = { changed, removed: [], isSnapshot: false };
+    fixtures.decided(state, { type: 'fleet.upstream-list-read', update });
+    const placedAt = (now: core.kernel.Instant) =>
+      Array.from({ length: 200 }, (_, at) => place(state, `${stage}-${at}`, {}, now));
+    assert.not(placedAt(fixtures.anInstant(100)).some((id) => id.startsWith('x')));
+    const later = placedAt(fixtures.anInstant(ORDER_DELAY_MS + 100));
+    assert.ok(later.some((id) => id.startsWith('x')));
+  });
+});
+
 suite('versions are not told apart without a limit on exposure', () => {
   const state = fixtures.aFleet([anUpstream('u-1', 'v1', 1), anUpstream('n-1', 'v2', 2)]);
   assert.ok(shareOfNew(state) > 0.2);
