--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -1,4 +1,5 @@
 /** Decisions of the fleet task. State is updated in place, since no other task sees it. */
+import type * as canary from '../canary/types.js';
 import * as routes from '../gateway/routes.js';
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
@@ -14,6 +15,7 @@
 import * as accountUsage from './account-usage.js';
 import * as speed from '../speed/index.js';
 import * as upstreamHealth from './upstream-health.js';
+import * as canarySteps from './canary-steps.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
 import * as eligibility from './eligibility.js';
@@ -48,6 +50,7 @@
       obsoleteParts: readonly inputs.ObsoleteParts[];
     }
   | { kind: 'limit-connections'; connectionsPerUpstream: Readonly<Record<string, number>> }
+  | { kind: 'report-versions'; services: readonly canary.ServiceVersions[] }
   | { kind: 'schedule-tick' }
   | { kind: 'schedule-peer-update'; delayMs: number }
   | { kind: 'send-peer-update'; update: peerWork.Update }
@@ -140,6 +143,8 @@
     case 'fleet.usage-update':
       usageUpdates.receive(state, message.update, now);
       return { state, commands: [] };
+    case 'fleet.releases-changed':
+      return { state, commands: canarySteps.setReleases(state, message.releases) };
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
@@ -207,6 +212,7 @@
 
 function onListRead(state: fleet.State, update: discovery.Update, now: task.Instant): Step {
   const changed = discovery.applyUpdate(state.registry, update, now);
+  canarySteps.recordVersions(state, now);
   return {
     state,
     commands: [
@@ -254,6 +260,7 @@
       ...quarantineSteps.onTick(state, now),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
       reports.reportToRollouts(state),
+      ...canarySteps.report(state),
       {
         kind: 'report-obsolete-parts',
         stores: state.contextStores,
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -1,4 +1,6 @@
 /** Chooses the upstream for a request: the candidate with the lowest expected time to first byte. */
+import type * as applied from '../canary/applied.js';
+import type * as side from '../canary/side.js';
 import type * as request from '../gateway/request.js';
 import type * as routes from '../gateway/routes.js';
 import type * as task from '../kernel/task.js';
@@ -7,6 +9,7 @@
 import * as promptMix from '../prompt-mix/index.js';
 import * as wave from '../rollouts/wave.js';
 import type * as waitLimit from '../shares/wait-limit.js';
+import * as canarySteps from './canary-steps.js';
 import * as eligibility from './eligibility.js';
 import * as placeCost from './place-cost.js';
 import * as queue from './queue.js';
@@ -108,7 +111,21 @@
   const claim = waitClaims.claimOf(state, placementRequest, now);
   const inputs: Inputs = { state, service, placementRequest, now, claim };
   placeCost.recordPrompt(inputs);
-  const { available, eligible, exclusions } = eligibility.judgeAll(inputs);
+  const division = canarySteps.divide(inputs);
+  return division.assignments.reduce<Decision>(
+    (found, assignment) =>
+      found.kind === 'placed' ? found : placeAmong(inputs, division, assignment),
+    refusals.none('none-usable'),
+  );
+}
+
+function placeAmong(
+  inputs: Inputs,
+  division: applied.Division,
+  assignment: side.Assignment,
+): Decision {
+  const { placementRequest, now } = inputs;
+  const { available, eligible, exclusions } = eligibility.judgeAll(inputs, division, assignment);
   if (available.length === 0) return refusals.noneAvailable(exclusions, now);
   const waves = rolloutWaves(inputs, eligible);
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
--- a/packages/core/src/fleet/reservation.ts
+++ b/packages/core/src/fleet/reservation.ts
@@ -4,6 +4,7 @@
 import * as promptMix from '../prompt-mix/index.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as speed from '../speed/index.js';
+import * as canarySteps from './canary-steps.js';
 import * as eligibility from './eligibility.js';
 import type * as placement from './placement.js';
 import * as promptPrefill from './prompt-prefill.js';
@@ -47,6 +48,7 @@
   rateLimit
     .limitsOf(upstream, service, state.bounds, now.monotonicMs)
     .forEach((limit) => rateLimit.spend(state, upstream, limit, now.monotonicMs));
+  canarySteps.recordPlaced(inputs, upstream);
   upstream.inFlight.set(placementRequest.requestId, {
     startedAtMs: now.monotonicMs,
     tokensToRead: tokens,
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,4 +1,5 @@
 /** State of the fleet task: all upstreams, and the other inputs of placement. */
+import * as applied from '../canary/applied.js';
 import type * as routes from '../gateway/routes.js';
 import type * as targets from '../rollouts/targets.js';
 import type * as promptMix from '../prompt-mix/state.js';
@@ -20,6 +21,10 @@
   /** Factor and additive allowance (requests) on the cold rate of an upstream, over all instances. */
   coldOverrun: number;
   coldSlack: number;
+  /** Largest share of requests to an unproven version, over all instances; undefined if not limited. */
+  exposureShare?: number | undefined;
+  /** Requests allowed beyond that share. */
+  exposureSlack?: number | undefined;
 };
 
 /** Changes that have not been sent to peers yet. Updated in place. */
@@ -83,6 +88,8 @@
   promptMixes: promptMix.Mixes;
   /** Updated in place. */
   quarantine: ledger.Ledger;
+  /** Updated in place. */
+  canary: applied.Applied;
 };
 
 export function initial(
@@ -128,5 +135,6 @@
     assigned: new Map(),
     promptMixes: new Map(),
     quarantine: ledger.create(instance),
+    canary: applied.create(bounds),
   };
 }
--- a/packages/core/src/fleet/waiting-requests.ts
+++ b/packages/core/src/fleet/waiting-requests.ts
@@ -212,6 +212,7 @@
     case 'fleet.probe-finished':
     case 'fleet.upstream-list-read':
     case 'fleet.evacuations-changed':
+    case 'fleet.releases-changed':
     case 'fleet.silence-update':
     case 'fleet.waiting-due':
     case 'fleet.withdraw':
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -39,5 +39,8 @@
   | 'gateway.waits'
   | 'gateway.returns'
   | 'gateway.overuse'
+  | 'canary.step'
+  | 'canary.responses'
+  | 'canary.writes'
   | 'transport.connections'
   | 'platform.answered';
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -1,4 +1,5 @@
 /** Messages to the task that exchanges peer updates with the other instances of the platform. */
+import type * as canary from '../canary/types.js';
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as quarantine from '../quarantine/types.js';
 import type * as sharing from '../speed/sharing.js';
@@ -36,6 +37,7 @@
       update: quarantine.Update;
       audience: quarantine.Audience;
     }
+  | { type: 'peer-updates.publish-canary'; update: canary.Update }
   | { type: 'peer-updates.send'; update: PeerUpdate; to: readonly string[] };
 
 /** Updates of context stores that one instance read for others. */
@@ -49,6 +51,7 @@
   | { kind: 'quarantine'; update: quarantine.Update }
   /** Ignored by releases that do not know it. */
   | { kind: 'speeds'; update: sharing.Update }
+  | { kind: 'canary'; update: canary.Update }
   | { kind: 'stores'; from: string; updates: StoreUpdates }
   | { kind: 'question'; from: string; question: readers.Question }
   | {
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -74,6 +74,25 @@
     .transform((text) => text.split(',').map((name) => name.trim()))
     .transform((names) => names.filter((name) => name !== ''))
     .describe('names of optional features, separated by commas; unknown ones are ignored'),
+  exposureShare: zod.coerce
+    .number()
+    .min(0)
+    .max(1)
+    .optional()
+    .describe('largest share of requests to an unproven version; no canary releases if absent'),
+  exposureSlack: zod.coerce
+    .number()
+    .min(0)
+    .max(1_000_000)
+    .optional()
+    .describe('requests allowed beyond that share, over all instances; 0 if absent'),
+  rollbackMs: zod.coerce
+    .number()
+    .int()
+    .min(0)
+    .max(600_000)
+    .optional()
+    .describe('longest time until a bad version gets no more requests, in ms; 5000 if absent'),
 });
 
 export type GatewaySettings = zod.infer<typeof gatewaySchema>;
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -2,6 +2,7 @@
 import * as core from '@medlarweir/core';
 
 import * as requestHistory from './request-history.js';
+import * as canarySample from './canary-sample.js';
 
 type Message = core.messages.RequestMessage;
 type State = core.gateway.lifecycleState.State;
@@ -214,5 +215,6 @@
   const { requestId } = routed.request;
   history.outcomes.push(outcome);
   const { upstream } = attempt.destination;
+  canarySample.send(context, routed, attempt, outcome);
   context.send('fleet', { type: 'fleet.attempt-ended', requestId, upstream, outcome });
 }
