--- a/packages/caller-connections/src/feed.ts
+++ b/packages/caller-connections/src/feed.ts
@@ -6,7 +6,7 @@
   isInBody(): boolean;
   /** Whether the rest is dropped unparsed. */
   isDropped(): boolean;
-  /** Resumes the socket when it is its turn. */
+  /** Lets the socket go on when it is its turn. */
   resumeInTurn(socket: net.Socket): void;
   /** Called after each piece; it may pause the socket, which keeps the rest unparsed. */
   onParsed(): void;
@@ -23,7 +23,7 @@
 /** Connections that have used up their time and are read on between two reads of all others. */
 const RESUMED_AT_ONCE = 8;
 
-/** Resumes a few of the sockets at a time, in the order in which they were added. */
+/** Lets a few sockets go on at a time, in the order in which they were added. */
 export function createTurns(): (socket: net.Socket) => void {
   const queue: net.Socket[] = [];
   function resumeNext(): void {
