--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -124,7 +124,7 @@
   division: applied.Division,
   assignment: side.Assignment,
 ): Decision {
-  const { placementRequest, now } = inputs;
+  const { now } = inputs;
   const { available, eligible, exclusions } = eligibility.judgeAll(inputs, division, assignment);
   if (available.length === 0) return refusals.noneAvailable(exclusions, now);
   const waves = rolloutWaves(inputs, eligible);
@@ -162,8 +162,9 @@
   const among = rankCandidates(inputs, first, waves, plan);
   const leastReadMs = Math.min(...among.map(({ readMs }) => readMs));
   const isFull = (each: Candidate) => waitLimits.exceeds(inputs, each);
-  if (among.some((each) => !isFull(each) && !each.isOccupied))
+  if (among.some((each) => !isFull(each) && !each.isOccupied)) {
     return { ranked: among, leastReadMs };
+  }
   const ranked = wider
     .filter((each) => each.length > first.length)
     .reduce(
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -165,3 +165,10 @@
   const { request: incoming, route } = state.routed;
   return deadlineAtMs(state) < ownDeadlineAtMs(incoming, route);
 }
+
+/** The upstream of the attempt in flight has begun to answer. */
+export function withBegun(state: State): State {
+  const { phase } = state;
+  if (phase.kind !== 'attempting') return state;
+  return { ...state, phase: { ...phase, attempt: { ...phase.attempt, hasBegun: true } } };
+}
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -184,19 +184,13 @@
   return phase.attempt?.id === attemptId ? phase.attempt : undefined;
 }
 
-function withBegun(state: State): State {
-  const { phase } = state;
-  if (phase.kind !== 'attempting') return state;
-  return { ...state, phase: { ...phase, attempt: { ...phase.attempt, hasBegun: true } } };
-}
-
 function onHead(
   state: State,
   { attempt, head }: Extract<messages.RequestMessage, { type: 'attempt.head-received' }>,
 ): Step {
   if (!currentAttempt(state, attempt)) return { state, commands: [] };
   const streamedBy = state.isHeadSent ? state.streamedBy : attempt;
-  const next: State = { ...withBegun(state), isHeadSent: true, streamedBy };
+  const next: State = { ...lifecycleState.withBegun(state), isHeadSent: true, streamedBy };
   const timerCommands: readonly lifecycleState.Command[] = [
     { kind: 'unschedule', timer: 'begin' },
     ...timers.armIdleTimer(next),
