--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -1,20 +1,26 @@
 /** Decisions of the fleet task. State is updated in place, since no other task sees it. */
-import type * as routes from '../gateway/routes.js';
+import type * as canary from '../canary/types.js';
+import * as routes from '../gateway/routes.js';
 import type * as task from '../kernel/task.js';
 import type * as fleetMessages from '../messages/fleet.js';
 import type * as gatewayMessages from '../messages/gateway.js';
+import * as promptMix from '../prompt-mix/index.js';
 import * as quarantine from '../quarantine/index.js';
 import * as results from '../results/index.js';
 import type * as inputs from '../rollouts/inputs.js';
 import * as sharedContext from '../shared-context/index.js';
 import * as silence from '../silence/index.js';
+import type * as assigned from '../returns/assigned.js';
+import type * as shares from '../shares/types.js';
+import * as accountUsage from './account-usage.js';
+import * as speed from '../speed/index.js';
 import * as upstreamHealth from './upstream-health.js';
+import * as canarySteps from './canary-steps.js';
 import * as connectionLimits from './connection-limits.js';
 import * as discovery from './discovery.js';
 import * as eligibility from './eligibility.js';
 import type * as peerWork from './peer-work.js';
-import * as placement from './placement.js';
-import * as prefillRate from './prefill-rate.js';
+import type * as placement from './placement.js';
 import type * as fleet from './state.js';
 import * as liveness from './liveness.js';
 import * as peerUpdates from './peer-updates.js';
@@ -22,9 +28,13 @@
 import * as quarantineMessages from './quarantine-messages.js';
 import * as quarantineSteps from './quarantine-steps.js';
 import * as reports from './reports.js';
+import * as responses from './responses.js';
 import * as senders from './senders.js';
 import * as silenceSteps from './silence-steps.js';
 import * as sourceChanges from './source-changes.js';
+import * as usageUpdates from './usage-updates.js';
+import type * as waitRefusals from './wait-refusals.js';
+import * as waitingRequests from './waiting-requests.js';
 
 export type Command =
   | {
@@ -40,10 +50,23 @@
       obsoleteParts: readonly inputs.ObsoleteParts[];
     }
   | { kind: 'limit-connections'; connectionsPerUpstream: Readonly<Record<string, number>> }
+  | { kind: 'report-versions'; services: readonly canary.ServiceVersions[] }
   | { kind: 'schedule-tick' }
   | { kind: 'schedule-peer-update'; delayMs: number }
   | { kind: 'send-peer-update'; update: peerWork.Update }
   | { kind: 'send-silence-update'; update: silence.types.Update }
+  | { kind: 'send-speed-update'; update: speed.sharing.Update }
+  | { kind: 'send-usage-update'; update: shares.Update }
+  | { kind: 'schedule-waiting'; delayMs: number }
+  | { kind: 'record-load-refusal'; refusal: waitRefusals.LoadRefusal }
+  | {
+      kind: 'record-wait';
+      placementRequest: placement.Request;
+      waitedMs: number;
+      /** How its caller kept to the time that this instance assigned, if it did. */
+      returned: assigned.Return | undefined;
+    }
+  | { kind: 'record-overuse'; accounts: readonly accountUsage.Overuse[] }
   | { kind: 'record-placement'; placementRequest: placement.Request; decision: placement.Decision }
   | { kind: 'record-upstream-change'; id: string; text: string; ageMs: number }
   | {
@@ -64,14 +87,26 @@
   state: fleet.State,
   message: fleetMessages.FleetMessage,
   now: task.Instant,
+): Step {
+  return waitingRequests.afterMessage(decideMessage(state, message, now), message, now);
+}
+
+function decideMessage(
+  state: fleet.State,
+  message: fleetMessages.FleetMessage,
+  now: task.Instant,
 ): Step {
   switch (message.type) {
     case 'fleet.place':
-      return onPlace(state, message, now);
+      return { state, commands: waitingRequests.onPlace(state, message, now) };
+    case 'fleet.withdraw':
+      return { state, commands: waitingRequests.withdraw(state, message.requestId, now) };
+    case 'fleet.waiting-due':
+      return { state, commands: [] };
     case 'fleet.attempt-ended':
       return onOutcome(state, message, now);
     case 'fleet.upstream-responded':
-      return onResponse(state, message, now);
+      return { state, commands: responses.record(state, message, now) };
     case 'fleet.check-liveness':
       return liveness.check(state, message, now);
     case 'fleet.check-begin':
@@ -102,6 +137,14 @@
       return { state: peerUpdates.withSharing(state, message.sharing), commands: [] };
     case 'fleet.peer-update':
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
+    case 'fleet.speed-update':
+      speed.sharing.receive(state, message.update, now);
+      return { state, commands: [] };
+    case 'fleet.usage-update':
+      usageUpdates.receive(state, message.update, now);
+      return { state, commands: [] };
+    case 'fleet.releases-changed':
+      return { state, commands: canarySteps.setReleases(state, message.releases) };
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
@@ -128,46 +171,6 @@
   { type: Type }
 >;
 
-function onPlace(
-  state: fleet.State,
-  { placementRequest, replyTo }: MessageOf<'fleet.place'>,
-  now: task.Instant,
-): Step {
-  const checked = quarantineSteps.check(state, placementRequest, now);
-  if (checked.kind === 'refused') {
-    const commands = quarantineSteps.refuse(state, placementRequest, replyTo, checked, now);
-    return { state, commands };
-  }
-  const placed = placement.place(state, placementRequest, now);
-  const message: gatewayMessages.RequestMessage =
-    placed.kind === 'placed'
-      ? { type: 'fleet.placed', destination: placed.destination }
-      : { type: 'fleet.not-placed', reason: placed.reason, freeInMs: placed.freeInMs };
-  return {
-    state,
-    commands: [
-      { kind: 'record-placement', placementRequest, decision: placed },
-      { kind: 'reply', replyTo, message },
-      ...afterPlacement(state, placementRequest, placed, checked.trialOf, replyTo),
-    ],
-  };
-}
-
-function afterPlacement(
-  state: fleet.State,
-  asked: placement.Request,
-  placed: placement.Decision,
-  trialOf: readonly string[],
-  replyTo: gatewayMessages.RequestAddress,
-): readonly Command[] {
-  if (placed.kind === 'none') return [];
-  const { destination } = placed;
-  return [
-    ...publishing.schedule(state, destination),
-    ...quarantineSteps.onPlaced(state, asked, destination.upstream, trialOf, replyTo),
-  ];
-}
-
 function onCheckBegin(
   state: fleet.State,
   { attempt, upstream: id, model, replyTo }: MessageOf<'fleet.check-begin'>,
@@ -189,6 +192,12 @@
   const upstream = state.registry.upstreams.get(id);
   if (!upstream) return { state, commands: suspicions };
   const before = upstream.reachability.kind;
+  accountUsage.recordEnded(state, upstream, requestId, outcome, now);
+  const work = upstream.inFlight.get(requestId);
+  if (work && outcome === 'answered') {
+    speed.recordEnd(state, upstream, work, now);
+    promptMix.learning.recordEnd(state, upstream, work, now);
+  }
   upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
   const scheduled = [
     ...publishing.schedule(state, { upstream: id, context: undefined }),
@@ -201,32 +210,9 @@
   return { state, commands: [...scheduled, change, ...silenceSteps.publish(state)] };
 }
 
-function onResponse(
-  state: fleet.State,
-  message: MessageOf<'fleet.upstream-responded'>,
-  now: task.Instant,
-): Step {
-  quarantineSteps.onResponse(state, message);
-  const { upstream: id, requestId, selfReport } = message;
-  const upstream = state.registry.upstreams.get(id);
-  if (!upstream) return { state, commands: [] };
-  const versions = [...upstream.versions.values()].join();
-  const before = reports.selfReportOf(upstream);
-  const begun = upstreamHealth.recordResponse(upstream, requestId, selfReport, now);
-  if (begun) prefillRate.recordSample(state, upstream.registration.service, begun, now);
-  const hasChanged = versions !== [...upstream.versions.values()].join();
-  return {
-    state,
-    commands: [
-      ...(begun ? publishing.schedule(state, { upstream: id, context: undefined }) : []),
-      ...(hasChanged ? [reports.reportToRollouts(state)] : []),
-      ...reports.recordSelfReport(upstream, before),
-    ],
-  };
-}
-
 function onListRead(state: fleet.State, update: discovery.Update, now: task.Instant): Step {
   const changed = discovery.applyUpdate(state.registry, update, now);
+  canarySteps.recordVersions(state, now);
   return {
     state,
     commands: [
@@ -247,6 +233,7 @@
     ...state,
     services,
     contextStores: table.contextStores,
+    ranks: routes.ranksInUse(table),
   });
 }
 
@@ -257,6 +244,7 @@
     now,
   );
   const expired = discovery.expire(state.registry, now);
+  promptMix.learning.recordLevels(state, now);
   const all = [...state.registry.upstreams.values()];
   all.forEach((upstream) => upstreamHealth.trimHistory(upstream, now.monotonicMs));
   const probes = all.flatMap((upstream) => reports.probeFor(state, upstream, now));
@@ -266,10 +254,13 @@
       { kind: 'schedule-tick' },
       ...publishing.snapshots(state, now),
       ...silenceSteps.onTick(state, now),
+      ...publishing.speeds(state, now),
+      ...usageUpdates.onTick(state, now),
       ...reports.recordChanges(state, expired),
       ...quarantineSteps.onTick(state, now),
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
       reports.reportToRollouts(state),
+      ...canarySteps.report(state),
       {
         kind: 'report-obsolete-parts',
         stores: state.contextStores,
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -1,21 +1,27 @@
 /** Chooses the upstream for a request: the candidate with the lowest expected time to first byte. */
+import type * as applied from '../canary/applied.js';
+import type * as side from '../canary/side.js';
 import type * as request from '../gateway/request.js';
 import type * as routes from '../gateway/routes.js';
-import * as task from '../kernel/task.js';
+import type * as task from '../kernel/task.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type * as messages from '../messages/gateway.js';
+import * as promptMix from '../prompt-mix/index.js';
 import * as wave from '../rollouts/wave.js';
-import * as sharedContext from '../shared-context/index.js';
+import type * as waitLimit from '../shares/wait-limit.js';
+import * as canarySteps from './canary-steps.js';
 import * as eligibility from './eligibility.js';
 import * as placeCost from './place-cost.js';
 import * as queue from './queue.js';
-import * as prefillRate from './prefill-rate.js';
 import * as promptPrefill from './prompt-prefill.js';
 import * as rateLimit from './rate-limit.js';
+import * as reservation from './reservation.js';
 import * as refusals from './refusals.js';
 import * as sampling from './sampling.js';
 import type * as fleet from './state.js';
 import * as upstreams from './upstream.js';
+import * as waitClaims from './wait-claims.js';
+import * as waitLimits from './wait-limits.js';
 
 export type Request = {
   requestId: string;
@@ -38,10 +44,19 @@
   isRepeat: boolean;
   /** Whether the caller has a part of the stream already, which only the rest makes worth anything. */
   isResumed: boolean;
+  /** Absent for a request that cannot wait at the instance. */
+  waiting?: waitClaims.Waiting;
 };
 
 export type Decision =
-  | { kind: 'placed'; destination: messages.Destination; costMs: number; candidates: number }
+  | {
+      kind: 'placed';
+      destination: messages.Destination;
+      costMs: number;
+      candidates: number;
+      /** Absent where prompts of different sizes are not told apart. */
+      mix?: promptMix.plan.Placed | undefined;
+    }
   | refusals.Refusal;
 
 /** Round trip to another data centre, plus the price of the bytes between data centres. */
@@ -62,21 +77,23 @@
 const BACKOFF_COST_MS = 3_000;
 /** A cold upstream answers more slowly. */
 const COLD_COST_MS = 40;
-/** Share of the latency target that queued work may take; reading the prompt needs the rest. */
-const MAX_WAIT_SHARE = 0.75;
-/** The same for a stream that is resumed: few upstreams may have its software version. */
-const MAX_RESUMED_WAIT_SHARE = 2;
 /** Share of the smoothed latency that counts. At an engine, latency depends more on prompts than on the engine. */
 const LATENCY_SHARE = 0.5;
 const ENGINE_LATENCY_SHARE = 0.1;
 
 /** An upstream that may take the request, with its estimates. */
-type Candidate = {
+export type Candidate = {
   upstream: upstreams.Upstream;
   ahead: queue.Estimate;
   /** Prompt tokens that the upstream still has to read; tokens fetched from a store count for a share. */
   tokens: number;
+  /** Time that the upstream takes for them. */
+  readMs: number;
   costMs: number;
+  /** The part of it that is the delay of others by a long prompt. */
+  interferenceMs: number;
+  /** Whether a long prompt would wait for another one there. */
+  isOccupied: boolean;
 };
 
 export type Inputs = {
@@ -84,43 +101,80 @@
   service: routes.Service;
   placementRequest: Request;
   now: task.Instant;
+  /** What decides the limits of wait under predictive load control; absent without it. */
+  claim?: waitLimit.Claim | undefined;
 };
 
 export function place(state: fleet.State, placementRequest: Request, now: task.Instant): Decision {
   const service = state.services.get(placementRequest.service);
   if (!service) return refusals.none('unknown-service');
-  const inputs: Inputs = { state, service, placementRequest, now };
+  const claim = waitClaims.claimOf(state, placementRequest, now);
+  const inputs: Inputs = { state, service, placementRequest, now, claim };
   placeCost.recordPrompt(inputs);
-  const { available, eligible, exclusions } = eligibility.judgeAll(inputs);
+  const division = canarySteps.divide(inputs);
+  return division.assignments.reduce<Decision>(
+    (found, assignment) =>
+      found.kind === 'placed' ? found : placeAmong(inputs, division, assignment),
+    refusals.none('none-usable'),
+  );
+}
+
+function placeAmong(
+  inputs: Inputs,
+  division: applied.Division,
+  assignment: side.Assignment,
+): Decision {
+  const { now } = inputs;
+  const { available, eligible, exclusions } = eligibility.judgeAll(inputs, division, assignment);
   if (available.length === 0) return refusals.noneAvailable(exclusions, now);
   const waves = rolloutWaves(inputs, eligible);
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
-  const sampled = sampling.select(inputs, available, affinityKey(placementRequest), isInWave);
-  const compared = rankCandidates(inputs, sampled, waves);
-  const isSampleFull = compared.every((each) => exceedsWaitLimit(inputs, each));
-  const ranked =
-    isSampleFull && sampled.length < available.length
-      ? rankCandidates(inputs, available, waves)
-      : compared;
+  const sound = sampling.sound(inputs, available, isInWave);
+  const plan = promptMix.plan.create(inputs, sound);
+  const compared = sampling.select(inputs, plan, available, sound);
+  const { ranked, leastReadMs } = rankUntilFree(inputs, compared, waves, plan);
   if (ranked.length === 0) return refusals.none('none-usable');
-  const best = ranked.find((each) => !exceedsWaitLimit(inputs, each));
-  if (!best) return refusals.none('full', freeInMs(inputs, ranked));
+  const best = ranked.find((each) => !waitLimits.exceeds(inputs, each, leastReadMs));
+  if (!best) return waitLimits.full(inputs, ranked);
   return {
     kind: 'placed',
-    destination: reserve(inputs, best),
+    destination: reservation.reserve(inputs, best, plan),
     costMs: Math.round(best.costMs),
-    candidates: sampled.length,
+    candidates: compared[0]?.length ?? 0,
+    mix: promptMix.plan.describe(plan, best.interferenceMs),
   };
 }
 
-/** Time until the least busy upstream has little enough work ahead. */
-function freeInMs({ placementRequest }: Inputs, ranked: readonly Candidate[]): number {
-  const leastMs = Math.min(...ranked.map(({ ahead }) => ahead.waitMs));
-  return Math.max(0, Math.ceil(leastMs - maxWaitMs(placementRequest)));
-}
+type Ranked = {
+  ranked: readonly Candidate[];
+  /** Least time that one of the first upstreams takes for the prompt. */
+  leastReadMs: number;
+};
 
-function maxWaitMs({ latencyTargetMs, isResumed }: Request): number {
-  return latencyTargetMs * (isResumed ? MAX_RESUMED_WAIT_SHARE : MAX_WAIT_SHARE);
+/** Ranks the first upstreams; all of the next set too if none of them is free. */
+function rankUntilFree(
+  inputs: Inputs,
+  compared: readonly (readonly upstreams.Upstream[])[],
+  waves: Waves,
+  plan: promptMix.plan.Plan,
+): Ranked {
+  const [first = [], ...wider] = compared;
+  const among = rankCandidates(inputs, first, waves, plan);
+  const leastReadMs = Math.min(...among.map(({ readMs }) => readMs));
+  const isFull = (each: Candidate) => waitLimits.exceeds(inputs, each);
+  if (among.some((each) => !isFull(each) && !each.isOccupied)) {
+    return { ranked: among, leastReadMs };
+  }
+  const ranked = wider
+    .filter((each) => each.length > first.length)
+    .reduce(
+      (sofar, each, at) =>
+        at > 0 && sofar.some((known) => !isFull(known))
+          ? sofar
+          : rankCandidates(inputs, each, waves, plan),
+      among,
+    );
+  return { ranked, leastReadMs };
 }
 
 /** The upstreams on which the request may still begin in time, the cheapest first. */
@@ -128,37 +182,35 @@
   inputs: Inputs,
   compared: readonly upstreams.Upstream[],
   waves: Waves,
+  plan: promptMix.plan.Plan,
 ): readonly Candidate[] {
-  const { state, service } = inputs;
   const affinityCosts = affinityCostsMs(inputs, compared);
   const estimateTokens = promptPrefill.prefillEstimator(inputs);
-  const readingRate = prefillRate.tokensPerMs(state, service.name);
   return compared
     .map((each): Candidate => {
       const ahead = queue.estimate(inputs, each);
-      const tokens = estimateTokens(each);
+      const tokens = promptMix.plan.expectedTokens(plan, each, estimateTokens(each));
       const affinityMs = affinityCosts.get(each.registration.id) ?? 0;
+      const isOccupied = promptMix.plan.isOccupied(plan, ahead);
+      const work = { tokens, isOccupied };
+      const interferenceMs = promptMix.cost.interferenceMs(plan, each, ahead, work);
+      const ownMs = expectedCostMs(inputs, each, ahead, tokens, waves);
       return {
         upstream: each,
         ahead,
         tokens,
-        costMs: expectedCostMs(inputs, each, ahead, tokens, waves) + affinityMs,
+        readMs: waitLimits.readMsOf(inputs, each, tokens / ahead.tokensPerMs),
+        costMs: ownMs + affinityMs + interferenceMs,
+        interferenceMs,
+        isOccupied,
       };
     })
-    .filter(({ upstream, ahead, tokens }) =>
-      eligibility.mayStillBegin(inputs, upstream, ahead.waitMs + tokens / readingRate),
+    .filter(({ upstream, ahead, readMs }) =>
+      eligibility.mayStillBegin(inputs, upstream, ahead.waitMs + readMs),
     )
     .sort((a, b) => a.costMs - b.costMs);
 }
 
-/**
- * Whether the first part of the answer would come too late to be of full use. Accepting such work
- * would delay all later requests too, so it is refused while the caller can still go elsewhere.
- */
-function exceedsWaitLimit({ placementRequest }: Inputs, { ahead }: Candidate): boolean {
-  return placementRequest.mayRefuse && ahead.waitMs > maxWaitMs(placementRequest);
-}
-
 type Waves = { current: ReadonlySet<string>; next: ReadonlySet<string> };
 
 function rolloutWaves(
@@ -177,18 +229,13 @@
   return { current: new Set(current), next: new Set(next) };
 }
 
-/** The last shared part of the prompt; requests without one have no affinity. */
-function affinityKey({ prompt, requestId }: Request): string {
-  return prompt?.parts.at(-2)?.id ?? requestId;
-}
-
 /** Returns small costs by upstream id, ordered by rendezvous hashing of the last shared prompt part. */
 function affinityCostsMs(
   { placementRequest }: Inputs,
   available: readonly upstreams.Upstream[],
 ): ReadonlyMap<string, number> {
   const ranked = rendezvous.rank(
-    affinityKey(placementRequest),
+    sampling.affinityKey(placementRequest),
     available.map(({ registration }) => registration.id),
   );
   return new Map(ranked.map((id, at) => [id, at * AFFINITY_STEP_COST_MS]));
@@ -202,12 +249,12 @@
   waves: Waves,
 ): number {
   const { state, now } = inputs;
-  const { registration, firstByteLatencyMs = 0 } = upstream;
+  const { registration } = upstream;
   const isElsewhere = registration.dataCentre !== state.dataCentre;
   return (
     ahead.costMs +
-    tokens / prefillRate.tokensPerMs(state, inputs.service.name) +
-    firstByteLatencyMs * (inputs.service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE) +
+    tokens / ahead.tokensPerMs +
+    latencyCostMs(inputs, upstream, ahead) +
     upstreams.currentFaultScore(upstream, now.monotonicMs) * FAULT_COST_MS +
     (isElsewhere ? OTHER_DATA_CENTRE_COST_MS : 0) +
     placeCost.costMs(inputs, upstream) +
@@ -219,63 +266,17 @@
   );
 }
 
+/** A predicted estimate contains the speed of the upstream. */
+function latencyCostMs(
+  { service }: Inputs,
+  { firstByteLatencyMs = 0 }: upstreams.Upstream,
+  { isPredicted }: queue.Estimate,
+): number {
+  if (isPredicted) return 0;
+  return firstByteLatencyMs * (service.engine ? ENGINE_LATENCY_SHARE : LATENCY_SHARE);
+}
+
 function outdatedWeightsCostMs(inputs: Inputs, upstream: upstreams.Upstream): number {
   const outdatedMs = eligibility.outdatedForMs(inputs, upstream) ?? 0;
   return outdatedMs > OUTDATED_WEIGHTS_GRACE_MS ? OUTDATED_WEIGHTS_COST_MS : 0;
 }
-
-/** Records the work at the upstream and returns the destination with its context plan. */
-function reserve(inputs: Inputs, { upstream, ahead, tokens }: Candidate): messages.Destination {
-  const { state, service, placementRequest, now } = inputs;
-  const { id, address } = upstream.registration;
-  rateLimit
-    .limitsOf(upstream, service, state.bounds, now.monotonicMs)
-    .forEach((limit) => rateLimit.spend(state, upstream, limit, now.monotonicMs));
-  upstream.inFlight.set(placementRequest.requestId, {
-    startedAtMs: now.monotonicMs,
-    tokensToRead: tokens,
-    promptTokens: promptPrefill.promptTokens(placementRequest),
-    tokensUntilFirstEvent: tokens + ahead.unreadTokens,
-    hasFirstByte: false,
-  });
-  return {
-    upstream: id,
-    address,
-    service: service.name,
-    softwareVersion: upstream.registration.softwareVersion,
-    context: contextPlanFor(inputs, upstream),
-    expected: {
-      waitMs: Math.round(ahead.waitMs),
-      tokensToRead: Math.round(tokens),
-      weightVersion: upstream.versions.get(placementRequest.prompt?.model ?? '') ?? 0,
-      replacedForMs: eligibility.outdatedForMs(inputs, upstream),
-    },
-    beginBy: beginBy(inputs, upstream),
-  };
-}
-
-/** On the newest weights, a version that is named from now on leaves the whole bound. */
-function beginBy(
-  { state, placementRequest: { prompt }, now }: Inputs,
-  upstream: upstreams.Upstream,
-): task.Instant | undefined {
-  if (!prompt) return undefined;
-  const whole = task.later(now, state.bounds.rolloutMs);
-  return eligibility.beginBy(state, upstream, prompt.model, now) ?? whole;
-}
-
-function contextPlanFor(
-  { state, service, placementRequest, now }: Inputs,
-  upstream: upstreams.Upstream,
-) {
-  if (!placementRequest.prompt || !service.engine) return undefined;
-  const { prompt } = placementRequest;
-  const situation = { inventory: state.inventory, stores: state.contextStores, now };
-  const context = sharedContext.plan.create(
-    situation,
-    prompt,
-    promptPrefill.saltOf(placementRequest, prompt, upstream),
-  );
-  upstreams.recordSentParts(upstream, context.salt, context.sharedParts, now);
-  return context;
-}
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -1,11 +1,19 @@
 /** State of the fleet task: all upstreams, and the other inputs of placement. */
+import * as applied from '../canary/applied.js';
 import type * as routes from '../gateway/routes.js';
 import type * as targets from '../rollouts/targets.js';
+import type * as promptMix from '../prompt-mix/state.js';
 import * as ledger from '../quarantine/ledger.js';
+import type * as assigned from '../returns/assigned.js';
+import * as accountLedger from '../shares/ledger.js';
+import type * as shares from '../shares/types.js';
+import * as waitingQueue from '../shares/waiting-queue.js';
 import * as inventory from '../shared-context/inventory.js';
 import * as silence from '../silence/types.js';
+import type * as speed from '../speed/types.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
+import type * as waitClaims from './wait-claims.js';
 
 export type Bounds = {
   /** Time after a replacement of weights from which requests must not start on the old ones. */
@@ -13,6 +21,10 @@
   /** Factor and additive allowance (requests) on the cold rate of an upstream, over all instances. */
   coldOverrun: number;
   coldSlack: number;
+  /** Largest share of requests to an unproven version, over all instances; undefined if not limited. */
+  exposureShare?: number | undefined;
+  /** Requests allowed beyond that share. */
+  exposureSlack?: number | undefined;
 };
 
 /** Changes that have not been sent to peers yet. Updated in place. */
@@ -22,6 +34,10 @@
   /** Ids of upstreams at which this instance's work has changed. */
   changedUpstreams: Set<string>;
   sentParts: peerWork.SentParts[];
+  /** Ids of upstreams with new samples of their speed, the newest last. */
+  changedSpeeds: Set<string>;
+  /** When the speed of upstreams was last told to peers, in monotonic ms. */
+  speedsSentAtMs: number;
   isScheduled: boolean;
 };
 
@@ -32,6 +48,8 @@
   registry: discovery.Registry;
   services: ReadonlyMap<string, routes.Service>;
   contextStores: readonly routes.ContextStore[];
+  /** Priorities of routes and client accounts in the routing table, in ascending order. */
+  ranks: readonly number[];
   inventory: inventory.Inventory;
   /** Data centres that receive no new work. */
   evacuatedDataCentres: ReadonlySet<string>;
@@ -49,13 +67,29 @@
   sharing: peerWork.Sharing;
   /** Tokens per millisecond that an engine reads, by service. Updated in place. */
   prefillRates: Map<string, number>;
+  /** How fast the services work. Updated in place. */
+  speeds: Map<string, speed.ServiceModel>;
   /** Mean tokens of a prompt, by service. Updated in place. */
   meanPromptTokens: Map<string, number>;
   outbox: Outbox;
   /** What peers tell of upstreams that do not answer. Updated in place. */
   silence: silence.State;
+  /** Names of the optional features that the settings enable. */
+  features: ReadonlySet<string>;
+  /** Services of which an upstream has reported its slowdown. Updated in place. */
+  slowdownServices: Set<string>;
+  /** Work by client account, here and as peers tell it. Updated in place. */
+  ledger: shares.Ledger;
+  /** Requests that wait for a place. Updated in place. */
+  waiting: waitingQueue.Queue<waitClaims.Waiter>;
+  /** Updated in place. */
+  assigned: assigned.Assigned;
+  /** Updated in place. */
+  promptMixes: promptMix.Mixes;
   /** Updated in place. */
   quarantine: ledger.Ledger;
+  /** Updated in place. */
+  canary: applied.Applied;
 };
 
 export function initial(
@@ -63,6 +97,7 @@
   dataCentre: string,
   bounds: Bounds,
   incarnation: string,
+  features: readonly string[] = [],
 ): State {
   return {
     instance,
@@ -71,6 +106,7 @@
     registry: discovery.create(),
     services: new Map(),
     contextStores: [],
+    ranks: [],
     inventory: inventory.create(),
     evacuatedDataCentres: new Set(),
     targetVersions: new Map(),
@@ -81,9 +117,24 @@
     peerWork: new Map(),
     sharing: 'with-all',
     prefillRates: new Map(),
+    speeds: new Map(),
     meanPromptTokens: new Map(),
-    outbox: { incarnation, changedUpstreams: new Set(), sentParts: [], isScheduled: false },
     silence: silence.create(),
+    outbox: {
+      incarnation,
+      changedUpstreams: new Set(),
+      sentParts: [],
+      changedSpeeds: new Set(),
+      speedsSentAtMs: -Infinity,
+      isScheduled: false,
+    },
+    features: new Set(features),
+    slowdownServices: new Set(),
+    ledger: accountLedger.create(),
+    waiting: waitingQueue.create(),
+    assigned: new Map(),
+    promptMixes: new Map(),
     quarantine: ledger.create(instance),
+    canary: applied.create(bounds),
   };
 }
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -31,6 +31,8 @@
       return onPlaced(state, message.destination, now);
     case 'fleet.not-placed':
       return search.onNotPlaced(state, message, now);
+    case 'fleet.queued':
+      return search.onQueued(state);
     case 'fleet.attempt-withdrawn':
       return onWithdrawn(state, message);
     case 'fleet.liveness-checked':
@@ -61,7 +63,8 @@
 }
 
 function onPlaced(state: State, destination: messages.Destination, now: task.Instant): Step {
-  if (state.phase.kind !== 'placing') return { state, commands: [] };
+  const { kind: phase } = state.phase;
+  if (phase !== 'placing' && phase !== 'queued') return { state, commands: [] };
   const { request } = state.routed;
   const attempt: lifecycleState.Attempt = {
     id: `${request.requestId}/${state.sentAttempts + 1}`,
@@ -181,19 +184,13 @@
   return phase.attempt?.id === attemptId ? phase.attempt : undefined;
 }
 
-function withBegun(state: State): State {
-  const { phase } = state;
-  if (phase.kind !== 'attempting') return state;
-  return { ...state, phase: { ...phase, attempt: { ...phase.attempt, hasBegun: true } } };
-}
-
 function onHead(
   state: State,
   { attempt, head }: Extract<messages.RequestMessage, { type: 'attempt.head-received' }>,
 ): Step {
   if (!currentAttempt(state, attempt)) return { state, commands: [] };
   const streamedBy = state.isHeadSent ? state.streamedBy : attempt;
-  const next: State = { ...withBegun(state), isHeadSent: true, streamedBy };
+  const next: State = { ...lifecycleState.withBegun(state), isHeadSent: true, streamedBy };
   const timerCommands: readonly lifecycleState.Command[] = [
     { kind: 'unschedule', timer: 'begin' },
     ...timers.armIdleTimer(next),
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -1,4 +1,5 @@
 /** Messages to the fleet task, which tracks the upstreams, and to the context stores task. */
+import type * as canary from '../canary/types.js';
 import type * as upstreamHealth from '../fleet/upstream-health.js';
 import type * as discovery from '../fleet/discovery.js';
 import type * as peerWork from '../fleet/peer-work.js';
@@ -7,6 +8,8 @@
 import type * as task from '../kernel/task.js';
 import type * as routes from '../gateway/routes.js';
 import type * as quarantine from '../quarantine/types.js';
+import type * as sharing from '../speed/sharing.js';
+import type * as shares from '../shares/types.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as silence from '../silence/types.js';
 import type * as gateway from './gateway.js';
@@ -28,6 +31,10 @@
   | rollouts.TargetVersionsChanged<'fleet.target-versions-changed'>
   | { type: 'fleet.members-changed'; names: readonly string[] }
   | { type: 'fleet.place'; placementRequest: placement.Request; replyTo: gateway.RequestAddress }
+  /** A request that waits for a place has ended. */
+  | { type: 'fleet.withdraw'; requestId: string }
+  /** Requests that wait for a place may be tried again, or have waited for as long as they may. */
+  | { type: 'fleet.waiting-due' }
   | {
       type: 'fleet.attempt-ended';
       requestId: string;
@@ -69,6 +76,10 @@
   | { type: 'fleet.peer-update'; update: peerWork.Update }
   /** The upstreams that other instances have found silent. */
   | { type: 'fleet.silence-update'; update: silence.Update }
+  /** What another instance knows of the speed of upstreams. */
+  | { type: 'fleet.speed-update'; update: sharing.Update }
+  /** Another instance's work by client account. */
+  | { type: 'fleet.usage-update'; update: shares.Update }
   /** What another instance knows of parts that crash upstreams. */
   | { type: 'fleet.quarantine-update'; update: quarantine.Update }
   /** Verdicts in the platform's store; `removed` holds names of objects. */
@@ -89,6 +100,8 @@
   | { type: 'fleet.crashes-read'; records: readonly quarantine.CrashRecord[] }
   /** Answer to a write of this instance's own record. */
   | { type: 'fleet.crashes-stored'; outcome: quarantine.WriteOutcome }
+  /** All releases of the services, which replace those before. */
+  | { type: 'fleet.releases-changed'; releases: readonly canary.Release[] }
   /** This instance's peer update is due. */
   | { type: 'fleet.publish-work' }
   | { type: 'fleet.tick' };
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -5,6 +5,7 @@
 import type * as request from '../gateway/request.js';
 import type * as routes from '../gateway/routes.js';
 import type * as task from '../kernel/task.js';
+import type * as priority from '../prompt-mix/priority.js';
 import type * as context from '../shared-context/plan.js';
 import type * as streamOrigins from './stream-origins.js';
 import type * as taskLifecycle from './task-lifecycle.js';
@@ -25,6 +26,8 @@
    * undefined for a plain request.
    */
   beginBy: task.Instant | undefined;
+  /** Where the prompt stands among those of its rank; by rank alone if undefined. */
+  turn?: priority.Turn;
 };
 
 /** The estimates that the placement was based on, for the journal. */
@@ -39,6 +42,8 @@
   weightVersion: number;
   /** Time since those weights were replaced; undefined if they are the newest. */
   replacedForMs: number | undefined;
+  /** Predicted time from the sending to the first event, or to the answer of a plain request; if known. */
+  firstEventMs?: number;
 };
 
 /**
@@ -73,7 +78,11 @@
       freeInMs: number | undefined;
       /** The evidence against a part of the prompt. */
       detail?: string;
+      /** When the caller is to return; the request is refused. Without it, the request decides. */
+      retryAfterMs?: number;
     }
+  /** The request waits for a place; an answer follows. */
+  | { type: 'fleet.queued' }
   /** A part of the prompt was found to crash upstreams while the attempt had not begun. */
   | { type: 'fleet.attempt-withdrawn'; upstream: string; reason: string }
   | { type: 'fleet.liveness-checked'; attempt: string; isSilent: boolean }
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -8,7 +8,7 @@
 export type MetricsMessage =
   | taskLifecycle.LifecycleMessage
   | { type: 'metrics.count'; name: MetricName; by: number; label?: string }
-  | { type: 'metrics.timing'; name: MetricName; ms: number }
+  | { type: 'metrics.timing'; name: MetricName; ms: number; label?: string }
   | { type: 'metrics.gauge'; name: MetricName; value: number };
 
 /** The metrics that the system sends, each under the prefix `medlarweir.`. */
@@ -23,13 +23,24 @@
   | 'first_token'
   | 'claims.writes'
   | 'answers.dropped'
+  | 'callers.dropped'
   | 'peers.notes'
   | 'platform.calls'
   | 'gateway.requests'
   | 'gateway.denied'
   | 'gateway.whole'
   | 'gateway.first_event'
+  | 'gateway.prediction_error'
+  | 'gateway.prompts'
+  | 'gateway.interference'
   | 'gateway.quarantine'
   | 'gateway.quarantined_parts'
+  | 'gateway.load_refusals'
+  | 'gateway.waits'
+  | 'gateway.returns'
+  | 'gateway.overuse'
+  | 'canary.step'
+  | 'canary.responses'
+  | 'canary.writes'
   | 'transport.connections'
   | 'platform.answered';
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -1,8 +1,11 @@
 /** Messages to the task that exchanges peer updates with the other instances of the platform. */
+import type * as canary from '../canary/types.js';
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as quarantine from '../quarantine/types.js';
+import type * as sharing from '../speed/sharing.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as silence from '../silence/types.js';
+import type * as shares from '../shares/types.js';
 import type * as readers from './readers.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
@@ -27,11 +30,14 @@
   | { type: 'peer-updates.audiences-changed'; audiences: Audiences }
   | { type: 'peer-updates.publish-work'; update: peerWork.Update }
   | { type: 'peer-updates.publish-silence'; update: silence.Update }
+  | { type: 'peer-updates.publish-speeds'; update: sharing.Update }
+  | { type: 'peer-updates.publish-usage'; update: shares.Update }
   | {
       type: 'peer-updates.publish-quarantine';
       update: quarantine.Update;
       audience: quarantine.Audience;
     }
+  | { type: 'peer-updates.publish-canary'; update: canary.Update }
   | { type: 'peer-updates.send'; update: PeerUpdate; to: readonly string[] };
 
 /** Updates of context stores that one instance read for others. */
@@ -41,7 +47,11 @@
 export type PeerUpdate =
   | { kind: 'work'; update: peerWork.Update }
   | { kind: 'silence'; update: silence.Update }
+  | { kind: 'usage'; update: shares.Update }
   | { kind: 'quarantine'; update: quarantine.Update }
+  /** Ignored by releases that do not know it. */
+  | { kind: 'speeds'; update: sharing.Update }
+  | { kind: 'canary'; update: canary.Update }
   | { kind: 'stores'; from: string; updates: StoreUpdates }
   | { kind: 'question'; from: string; question: readers.Question }
   | {
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -3,6 +3,7 @@
 
 import * as address from './address.js';
 import * as flags from './flags.js';
+import * as limits from './limits.js';
 
 const milliseconds = (fallback: number, text: string) =>
   zod.coerce.number().int().min(0).max(600_000).default(fallback).describe(`${text}, in ms`);
@@ -11,6 +12,8 @@
 
 /** In cores; beyond any machine's. */
 export const MAX_PROCESSOR_SHARE = 1_024;
+/** In characters; beyond any list of names that a platform gives. */
+const MAX_FEATURES_LENGTH = 4_096;
 
 export const gatewaySchema = zod.strictObject({
   name: zod.string().min(1).describe('name of the instance, unique in the deployment'),
@@ -61,7 +64,35 @@
   retryRatio: factor(0.2, 'retry budget: retries per request, over all instances'),
   retryExtra: factor(50, 'retry budget: additional retries per window, over all instances'),
   coldOverrun: factor(1.5, 'allowed multiple of the rate limit of a cold upstream'),
+  callerMemoryMb: limits.callerMemoryMb,
+  maxConnections: limits.maxConnections,
   coldSlack: factor(5, 'requests per second allowed in addition to that multiple'),
+  features: zod
+    .string()
+    .max(MAX_FEATURES_LENGTH)
+    .default('')
+    .transform((text) => text.split(',').map((name) => name.trim()))
+    .transform((names) => names.filter((name) => name !== ''))
+    .describe('names of optional features, separated by commas; unknown ones are ignored'),
+  exposureShare: zod.coerce
+    .number()
+    .min(0)
+    .max(1)
+    .optional()
+    .describe('largest share of requests to an unproven version; no canary releases if absent'),
+  exposureSlack: zod.coerce
+    .number()
+    .min(0)
+    .max(1_000_000)
+    .optional()
+    .describe('requests allowed beyond that share, over all instances; 0 if absent'),
+  rollbackMs: zod.coerce
+    .number()
+    .int()
+    .min(0)
+    .max(600_000)
+    .optional()
+    .describe('longest time until a bad version gets no more requests, in ms; 5000 if absent'),
 });
 
 export type GatewaySettings = zod.infer<typeof gatewaySchema>;
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -1,6 +1,7 @@
 /** Task that owns the state of the upstreams and the inventory of the context stores. */
 import * as core from '@medlarweir/core';
 
+import * as loadCommands from './load-commands.js';
 import * as quarantineCommands from './quarantine-commands.js';
 
 type Message = core.messages.FleetMessage;
@@ -13,9 +14,9 @@
   name: 'fleet',
   create: (context) => {
     const { settings, incarnation } = context;
-    const { name, dataCentre } = settings;
+    const { name, dataCentre, features } = settings;
     return {
-      initial: core.fleet.state.initial(name, dataCentre, settings, incarnation),
+      initial: core.fleet.state.initial(name, dataCentre, settings, incarnation, features),
       decide: core.fleet.decide,
       perform: (command) => perform(context, command),
       dump,
@@ -30,7 +31,10 @@
   targetVersions,
   peerWork,
   prefillRates,
+  speeds,
   quarantine,
+  waiting,
+  ledger,
 }: State): unknown {
   const upstreams = [...registry.upstreams.values()].map((each) => ({
     id: each.registration.id,
@@ -41,6 +45,7 @@
     peerWork: each.peerWork,
     versions: Object.fromEntries(each.versions),
     limitPerS: each.namedLimit?.perS,
+    speed: core.speed.describeUpstream(each),
   }));
   const stores = [...inventory.stores].map(([name, { isReachable, parts, usedTokens }]) => ({
     name,
@@ -53,8 +58,11 @@
     stores,
     members,
     heardPeers: [...peerWork.keys()],
+    speeds: core.speed.describeServices(speeds),
     tokensReadPerMs: Object.fromEntries(prefillRates),
     named: Object.fromEntries(targetVersions),
+    waiting: waiting.size,
+    usage: [...ledger.own].map(([service, accounts]) => ({ service, accounts: accounts.size })),
     quarantined: [...quarantine.verdicts.values()].map(({ verdict }) => verdict),
   };
 }
@@ -83,6 +91,9 @@
       send('transport', { type: 'transport.limits-changed', connectionsPerUpstream });
       return;
     }
+    case 'report-versions':
+      send('canary', { type: 'canary.versions-reported', services: command.services });
+      return;
     case 'schedule-tick':
       context.schedule('tick', core.fleet.TICK_INTERVAL_MS, { type: 'fleet.tick' });
       return;
@@ -95,6 +106,20 @@
     case 'send-silence-update':
       send('peerNotes', { type: 'peer-updates.publish-silence', update: command.update });
       return;
+    case 'send-speed-update':
+      send('peerNotes', { type: 'peer-updates.publish-speeds', update: command.update });
+      return;
+    case 'send-usage-update':
+      send('peerNotes', { type: 'peer-updates.publish-usage', update: command.update });
+      return;
+    case 'schedule-waiting':
+      context.schedule('waiting', command.delayMs, { type: 'fleet.waiting-due' });
+      return;
+    case 'record-load-refusal':
+    case 'record-wait':
+    case 'record-overuse':
+      loadCommands.perform(context, command);
+      return;
     case 'record-placement':
       recordPlacement(context, command);
       return;
@@ -148,6 +173,16 @@
   return Number.isFinite(ms) ? Math.round(ms) : UNKNOWN_MS;
 }
 
+/** Prompts placed by size, and the delay that a long one is expected to cause others. */
+function countMix(
+  { send }: TaskContext,
+  { size, interferenceMs }: core.promptMix.plan.Placed,
+): void {
+  send('metrics', { type: 'metrics.count', name: 'gateway.prompts', by: 1, label: size });
+  if (size === 'short') return;
+  send('metrics', { type: 'metrics.timing', name: 'gateway.interference', ms: interferenceMs });
+}
+
 function recordPlacement(
   context: TaskContext,
   { placementRequest, decision }: Extract<Command, { kind: 'record-placement' }>,
@@ -156,10 +191,11 @@
   const { requestId, service } = placementRequest;
   switch (decision.kind) {
     case 'placed': {
-      const { destination, costMs, candidates } = decision;
+      const { destination, costMs, candidates, mix } = decision;
       const { upstream } = destination;
-      const details = { service, upstream, costMs, candidates };
+      const details = { service, upstream, costMs, candidates, ...mix };
       record({ name: 'requestPlaced', requestId, details });
+      if (mix) countMix(context, mix);
       return;
     }
     case 'none': {
--- a/packages/plugins/metrics-http/src/metrics-task.ts
+++ b/packages/plugins/metrics-http/src/metrics-task.ts
@@ -1,6 +1,5 @@
 /** Task that owns the metrics and the HTTP server from which they are scraped as text. */
-import * as http from 'node:http';
-
+import * as callerConnections from '@medlarweir/caller-connections';
 import * as core from '@medlarweir/core';
 import * as promClient from 'prom-client';
 
@@ -12,7 +11,7 @@
 /** Upper bounds of the latency buckets: from a call within a data centre to the longest route. */
 const BUCKETS_MS = [2, 5, 10, 25, 50, 100, 200, 400, 800, 1_500, 3_000, 6_000, 15_000];
 const METRIC_NAME_PREFIX = 'medlarweir_';
-/** The only label of a counter; the code bounds the set of its values. */
+/** The only label of a metric; the code bounds the set of its values. */
 const LABEL_NAME = 'kind';
 
 /** Creates each metric on first use, with the name that the core's table gives it. */
@@ -42,8 +41,14 @@
         getOrCreate(
           `${name}_ms`,
           () =>
-            new promClient.Histogram({ name: `${name}_ms`, help, buckets: BUCKETS_MS, registers }),
-        ).observe(command.ms);
+            new promClient.Histogram({
+              name: `${name}_ms`,
+              help,
+              buckets: BUCKETS_MS,
+              labelNames: [LABEL_NAME],
+              registers,
+            }),
+        ).observe(command.label === undefined ? {} : { [LABEL_NAME]: command.label }, command.ms);
         return;
       case 'metrics.gauge':
         getOrCreate(name, () => new promClient.Gauge({ name, help, registers })).set(command.value);
@@ -62,17 +67,12 @@
     create: ({ record }) => {
       const registry = new promClient.Registry();
       const update = createUpdater(registry);
-      const server = serve(registry, address, (error) =>
-        record({
-          name: 'dependencyLost',
-          details: { dependency: 'metrics', reason: error.message },
-        }),
-      );
+      const scraped = serve(registry, { record }, address);
       return {
         initial: core.metrics.initial,
         decide: core.metrics.decide,
         perform: (command) => {
-          if (command.type === 'metrics.close') server.close();
+          if (command.type === 'metrics.close') scraped.connections.stop();
           else update(command);
         },
         dump: (state) => state,
@@ -83,20 +83,31 @@
 
 function serve(
   registry: promClient.Registry,
+  { record }: Pick<core.kernel.TaskContext<Message, Settings>, 'record'>,
   address: string,
-  onError: (error: Error) => void,
-): http.Server {
+): callerConnections.small.Small {
   const { host, port } = core.settings.address.split(address);
-  const server = http.createServer((request, response) => {
-    if (request.url !== '/metrics') {
-      response.writeHead(404).end();
-      return;
-    }
-    registry.metrics().then(
-      (text) => response.writeHead(200, { 'Content-Type': registry.contentType }).end(text),
-      (error: unknown) => response.writeHead(500).end(String(error)),
-    );
+  const scraped = callerConnections.small.create({
+    answer(request, response) {
+      if (request.url !== '/metrics') {
+        response.writeHead(404).end();
+        return undefined;
+      }
+      return registry.metrics().then(
+        (text) => {
+          response.writeHead(200, { 'Content-Type': registry.contentType }).end(text);
+        },
+        (error: unknown) => {
+          response.writeHead(500).end(String(error));
+        },
+      );
+    },
+    onDropped: (dropped) =>
+      record({ name: 'connectionsDropped', details: { address: 'metrics', ...dropped } }),
   });
-  server.on('error', onError);
-  return server.listen(port, host);
+  scraped.server.on('error', ({ message: reason }) =>
+    record({ name: 'dependencyLost', details: { dependency: 'metrics', reason } }),
+  );
+  scraped.server.listen(port, host);
+  return scraped;
 }
--- a/packages/plugins/peer-notes-udp/src/datagram.ts
+++ b/packages/plugins/peer-notes-udp/src/datagram.ts
@@ -6,13 +6,18 @@
 
 import * as core from '@medlarweir/core';
 
+import * as canaryRows from './canary-rows.js';
 import * as quarantineRows from './quarantine-rows.js';
 import * as schemas from './schemas.js';
 import * as silenceRows from './silence-rows.js';
+import * as speedRows from './speed-rows.js';
 import * as storeRows from './store-rows.js';
+import * as usageRows from './usage-rows.js';
 
 type PeerUpdate = core.messages.PeerUpdate;
 
+type ObjectRow = [string, number, unknown, string, unknown?];
+
 /** Half of the digest, the minimum that RFC 2104 recommends. */
 const SIGNATURE_BYTES = 16;
 /** Resolution of send times, which order the updates of one sender. */
@@ -42,8 +47,14 @@
     }
     case 'silence':
       return silenceRows.toTuple(peerUpdate.update);
+    case 'speeds':
+      return speedRows.toTuple(peerUpdate.update);
+    case 'usage':
+      return usageRows.toTuple(peerUpdate.update);
     case 'quarantine':
       return ['quarantine', peerUpdate.update.from, quarantineRows.toRows(peerUpdate.update)];
+    case 'canary':
+      return ['canary', peerUpdate.update.from, canaryRows.toRows(peerUpdate.update)];
     case 'stores':
       return ['stores', peerUpdate.from, storeRows.toRows(peerUpdate.updates)];
     case 'question':
@@ -62,13 +73,10 @@
       ];
     case 'changes': {
       const { objectKind, since, revision, objects, removed } = peerUpdate.changes;
-      const rows = objects.map(
-        ({ key, version, value, writeId }): [string, number, unknown, string] => [
-          key,
-          version,
-          value,
-          writeId,
-        ],
+      const rows = objects.map(({ key, version, value, writeId, status }): ObjectRow =>
+        status === undefined
+          ? [key, version, value, writeId]
+          : [key, version, value, writeId, status],
       );
       return ['changes', peerUpdate.from, objectKind, since, revision, rows, [...removed]];
     }
@@ -102,10 +110,18 @@
     }
     case 'silence':
       return { kind: 'silence', update: silenceRows.fromTuple(tuple) };
+    case 'speeds':
+      return { kind: 'speeds', update: speedRows.fromTuple(tuple) };
+    case 'usage':
+      return { kind: 'usage', update: usageRows.fromTuple(tuple) };
     case 'quarantine': {
       const [kind, from, rows] = tuple;
       return { kind, update: quarantineRows.fromRows(from, rows) };
     }
+    case 'canary': {
+      const [kind, from, rows] = tuple;
+      return { kind, update: canaryRows.fromRows(from, rows) };
+    }
     case 'stores': {
       const [kind, from, rows] = tuple;
       return { kind, from, updates: storeRows.fromRows(rows) };
@@ -126,11 +142,12 @@
     }
     case 'changes': {
       const [kind, from, objectKind, since, revision, objectRows, removed] = tuple;
-      const objects = objectRows.map(([key, version, value, writeId]) => ({
+      const objects = objectRows.map(([key, version, value, writeId, status]) => ({
         key,
         version,
         value,
         writeId,
+        ...(status === undefined ? {} : { status }),
       }));
       return { kind, from, changes: { objectKind, since, revision, objects, removed } };
     }
--- a/packages/plugins/peer-notes-udp/src/schemas.ts
+++ b/packages/plugins/peer-notes-udp/src/schemas.ts
@@ -7,6 +7,11 @@
 /** Token count that marks a part which the store no longer holds. */
 export const GONE_TOKENS = -1;
 
+/** Beyond what instances send. */
+const MAX_NAME_LENGTH = 1_024;
+const MAX_BINS = 64;
+const MAX_CELLS = 64;
+
 const amount = zod.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
 const nullableNumber = amount.nullable();
 
@@ -27,8 +32,15 @@
   nullableNumber,
   zod.array(zod.tuple([zod.string(), zod.array(partRow)])),
 ]);
-/** Key, version, value, write id. */
-const objectRow = zod.tuple([zod.string(), amount, zod.unknown(), zod.string()]);
+/** Key, version, value, write id, status. */
+const objectRow = zod.tuple([
+  zod.string(),
+  amount,
+  zod.unknown(),
+  zod.string(),
+  // Left out if there is none, as in rows of releases that do not know it.
+  zod.unknown().optional(),
+]);
 
 /** Model and part id. */
 const partOfModelRow = zod.tuple([zod.string(), zod.string()]);
@@ -70,6 +82,53 @@
 ]);
 /** Instances tell fewer. */
 const MAX_SILENCE_ROWS = 100;
+/** Upstream, factor in percent, samples in tenths; slowdown in percent and its age in ms, if known. */
+const speedRow = zod.union([
+  zod.tuple([zod.string(), amount, amount]),
+  zod.tuple([zod.string(), amount, amount, amount, amount]),
+]);
+/** A datagram that fits into one packet has room for fewer. */
+const MAX_SPEED_ROWS = 100;
+/** Most services, and most client accounts of one service, that an update may hold. */
+const MAX_USAGE_SERVICES = 16;
+const MAX_USAGE_ACCOUNTS = 64;
+const MAX_ACCOUNT_KEY_LENGTH = 16;
+/** Client account, used and refused work. */
+const usageRow = zod.tuple([zod.string().max(MAX_ACCOUNT_KEY_LENGTH), amount, amount]);
+/** Service, the largest accounts, and of the others their number, used and refused work. */
+const serviceUsageRow = zod.tuple([
+  zod.string(),
+  zod.array(usageRow).max(MAX_USAGE_ACCOUNTS),
+  zod.tuple([zod.number().int().nonnegative(), amount, amount]),
+]);
+const count = zod
+  .number()
+  .int()
+  .nonnegative()
+  .max(2 ** 31);
+/** Responses, failures, first bin of latencies, counts from that bin on. */
+const countsRow = zod.tuple([
+  count,
+  count,
+  zod.number().int().nonnegative().max(MAX_BINS),
+  zod.array(count).max(MAX_BINS),
+]);
+/** Name, counts of the new version and of the old one. */
+const cellRow = zod.tuple([zod.string().max(MAX_NAME_LENGTH), countsRow, countsRow]);
+/** Service, version, step, is bad, age, instances, step in force, requests at the old version, cells. */
+const releaseRow = zod.tuple([
+  zod.string().max(MAX_NAME_LENGTH),
+  zod.string().max(MAX_NAME_LENGTH),
+  count,
+  zod.boolean(),
+  amount,
+  count,
+  count,
+  count,
+  zod.array(cellRow).max(MAX_CELLS),
+]);
+/** Scope, releases. */
+const canaryRows = zod.tuple([zod.enum(['own', 'group', 'fleet']), zod.array(releaseRow)]);
 
 /** By kind, so that an update is checked against one schema only. */
 const bodies = {
@@ -92,7 +151,24 @@
     zod.enum(['own', 'group', 'fleet']),
     zod.array(silenceRow).max(MAX_SILENCE_ROWS),
   ]),
+  /** Kind, sender, scope, rows. */
+  speeds: zod.tuple([
+    zod.literal('speeds'),
+    zod.string(),
+    zod.enum(['own', 'group', 'fleet']),
+    zod.array(speedRow).max(MAX_SPEED_ROWS),
+  ]),
+  /** Kind, sender, incarnation, send time, scope, usage by service. */
+  usage: zod.tuple([
+    zod.literal('usage'),
+    zod.string(),
+    zod.string(),
+    amount,
+    zod.enum(['own', 'group', 'fleet']),
+    zod.array(serviceUsageRow).max(MAX_USAGE_SERVICES),
+  ]),
   quarantine: zod.tuple([zod.literal('quarantine'), zod.string(), quarantineRows]),
+  canary: zod.tuple([zod.literal('canary'), zod.string(), canaryRows]),
   stores: zod.tuple([zod.literal('stores'), zod.string(), zod.array(storeRow)]),
   question: zod.tuple([zod.literal('question'), zod.string(), question]),
   answer: zod.tuple([zod.literal('answer'), zod.string(), question, zod.array(position)]),
@@ -109,7 +185,18 @@
 };
 
 const kinds = zod.tuple([
-  zod.enum(['work', 'silence', 'quarantine', 'stores', 'question', 'answer', 'changes']),
+  zod.enum([
+    'work',
+    'silence',
+    'speeds',
+    'usage',
+    'quarantine',
+    'canary',
+    'stores',
+    'question',
+    'answer',
+    'changes',
+  ]),
 ]);
 const anyBody = kinds.rest(zod.unknown());
 
@@ -120,9 +207,16 @@
   return checked.success ? bodies[checked.data[0]].safeParse(found).data : undefined;
 }
 
+export type UsageTuple = zod.infer<typeof bodies.usage>;
 export type QuestionTuple = zod.infer<typeof question>;
 export type QuarantineRows = zod.infer<typeof quarantineRows>;
 export type SuspectRow = zod.infer<typeof suspectRow>;
 export type VerdictRow = zod.infer<typeof verdictRow>;
 export type SilenceBody = zod.infer<(typeof bodies)['silence']>;
+export type SpeedRow = zod.infer<typeof speedRow>;
+export type SpeedBody = zod.infer<(typeof bodies)['speeds']>;
+export type CanaryRows = zod.infer<typeof canaryRows>;
+export type ReleaseRow = zod.infer<typeof releaseRow>;
+export type CellRow = zod.infer<typeof cellRow>;
+export type CountsRow = zod.infer<typeof countsRow>;
 export type StoreTuple = zod.infer<typeof storeRow>;
--- a/packages/plugins/peer-notes-udp/test/datagram.test.ts
+++ b/packages/plugins/peer-notes-udp/test/datagram.test.ts
@@ -1,3 +1,5 @@
+import * as crypto from 'node:crypto';
+
 import * as core from '@medlarweir/core';
 import * as fixtures from '@medlarweir/core/fixtures';
 import * as peerNotes from '@medlarweir/plugin-peer-notes-udp';
@@ -11,6 +13,8 @@
  */
 const suite = uvu.suite('peer updates: datagrams');
 
+/** Payload of UDP in an Ethernet frame; larger datagrams are fragmented, and lost with any fragment. */
+const MAX_PACKET_BYTES = 1_472;
 const KEY = 'key-of-instance-2';
 const keyOf = (from: string) => (from === 'instance-2' ? KEY : undefined);
 
@@ -36,8 +40,35 @@
   return { kind: 'stores' as const, from: 'instance-2', updates };
 }
 
+function aSpeedUpdate(upstreams: number) {
+  const rows = Array.from({ length: upstreams }, (_, at) => ({
+    upstream: `i-${String(at).padStart(10, 'a')}`,
+    factor: 1.31,
+    samples: 299.9,
+    slowdown: at % 2 === 0 ? { factor: 2.5, ageMs: 1_234 } : undefined,
+  }));
+  return { kind: 'speeds' as const, update: { from: 'instance-2', scope: 'fleet' as const, rows } };
+}
+
 const QUESTION = { incarnation: 'life-1', sentAt: { monotonicMs: 5, wallMs: 6 } };
 
+function aUsageUpdate(accounts = 2) {
+  const listed = Array.from({ length: accounts }, (_, at) => ({
+    account: core.shares.ledger.keyOf(`client-account-${at}`),
+    amounts: { used: 1_234_567 + at, refused: 765_432 },
+  }));
+  const rest = { accounts: 300, used: 123_456, refused: 1_234 };
+  const services = [{ service: 'a-service-of-models', accounts: listed, rest }];
+  const update: core.shares.Update = {
+    from: 'instance-2',
+    scope: 'own',
+    incarnation: 'life-1',
+    sentAtMs: 5,
+    services,
+  };
+  return { kind: 'usage' as const, update };
+}
+
 function aQuestion() {
   return { kind: 'question' as const, from: 'instance-2', question: QUESTION };
 }
@@ -100,10 +131,28 @@
   [aWorkUpdate(), aQuarantineUpdate(), aStoreUpdate(), aQuestion(), anAnswer(), aChange()].forEach(
     (update) => assert.equal(decode(encode(update, KEY), keyOf), update),
   );
+  assert.equal(decode(encode(aSpeedUpdate(3), KEY), keyOf), aSpeedUpdate(3));
+  [
+    aWorkUpdate(),
+    aUsageUpdate(),
+    aQuarantineUpdate(),
+    aStoreUpdate(),
+    aQuestion(),
+    anAnswer(),
+    aChange(),
+  ].forEach((update) => assert.equal(decode(encode(update, KEY), keyOf), update));
 });
 
-/** Payload of UDP in an Ethernet frame; larger datagrams are fragmented, and lost with any fragment. */
-const MAX_PACKET_BYTES = 1_472;
+suite('a summary of the speed of upstreams fits into a packet', () => {
+  assert.ok(peerNotes.datagram.encode(aSpeedUpdate(25), KEY).length <= MAX_PACKET_BYTES);
+});
+
+/** During a rolling update, releases that know a kind of update send it to those that do not. */
+suite('an update of an unknown kind is ignored', () => {
+  const body = Buffer.from(JSON.stringify(['a-later-kind', 'instance-2', []]));
+  const signature = crypto.createHmac('sha256', KEY).update(body).digest().subarray(0, 16);
+  assert.is(peerNotes.datagram.decode(Buffer.concat([signature, body]), keyOf), undefined);
+});
 
 /**
  * Guards against large deployments in which instances did not know of each other's work: sums over 69
@@ -147,6 +196,17 @@
   );
 });
 
+suite('the usage of the largest client accounts fits into a packet', () => {
+  const { length } = peerNotes.datagram.encode(aUsageUpdate(32), KEY);
+  assert.ok(length <= MAX_PACKET_BYTES, `${length}`);
+});
+
+/** Guards against a peer whose update makes the receiver hold or compute without bound. */
+suite('an update with more client accounts than senders list is ignored', () => {
+  const { encode, decode } = peerNotes.datagram;
+  assert.is(decode(encode(aUsageUpdate(65), KEY), keyOf), undefined);
+});
+
 /** Guards against a burst of crashes whose evidence is lost because it does not fit into a packet. */
 suite('all evidence of a burst of crashes arrives, in datagrams that fit into packets', () => {
   const { update } = aQuarantineUpdate({
