--- a/packages/caller-connections/src/limits.ts
+++ b/packages/caller-connections/src/limits.ts
@@ -36,9 +36,22 @@
   return v8.getHeapStatistics().heap_size_limit;
 }
 
+export type ConnectionSettings = {
+  maxConnections: number;
+  /** File descriptors of the process; 0 for the limit that the system tells. */
+  maxDescriptors: number;
+};
+
 /** The most connections that leave descriptors for the rest of the process. */
-export async function maxConnections(configured: number): Promise<number> {
-  const text = await fs.readFile('/proc/self/limits', 'utf8').catch(() => '');
-  const descriptors = Number(/^Max open files\s+(\d+)/m.exec(text)?.[1] ?? Infinity);
+export async function maxConnections({
+  maxConnections: configured,
+  maxDescriptors,
+}: ConnectionSettings): Promise<number> {
+  const descriptors = maxDescriptors > 0 ? maxDescriptors : await ownDescriptors();
   return Math.max(1, Math.min(configured, descriptors - OTHER_DESCRIPTORS));
 }
+
+async function ownDescriptors(): Promise<number> {
+  const text = await fs.readFile('/proc/self/limits', 'utf8').catch(() => '');
+  return Number(/^Max open files\s+(\d+)/m.exec(text)?.[1] ?? Infinity);
+}
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -66,6 +66,7 @@
   coldOverrun: factor(1.5, 'allowed multiple of the rate limit of a cold upstream'),
   callerMemoryMb: limits.callerMemoryMb,
   maxConnections: limits.maxConnections,
+  maxDescriptors: limits.maxDescriptors,
   coldSlack: factor(5, 'requests per second allowed in addition to that multiple'),
   features: zod
     .string()
--- a/packages/core/src/settings/limits.ts
+++ b/packages/core/src/settings/limits.ts
@@ -10,6 +10,14 @@
     'memory that requests and unread responses of all callers may hold, in MB; if 0, half of the heap limit less 44 MB, and 8 at least',
   );
 
+export const maxDescriptors = zod.coerce
+  .number()
+  .int()
+  .min(0)
+  .max(100_000_000)
+  .default(0)
+  .describe('file descriptors that the process may open; if 0, the limit that the system tells');
+
 export const maxConnections = zod.coerce
   .number()
   .int()
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -56,6 +56,7 @@
     ),
   callerMemoryMb: limits.callerMemoryMb,
   maxConnections: limits.maxConnections,
+  maxDescriptors: limits.maxDescriptors,
   balancerLagMs: zod.coerce
     .number()
     .int()
--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -61,6 +61,7 @@
       memory: {
         callerBytes: context.settings.callerMemoryMb * BYTES_PER_MB,
         maxConnections: context.settings.maxConnections,
+        maxDescriptors: context.settings.maxDescriptors,
       },
       onServerClosed: () => context.self.send({ type: 'callers.closed' }),
     });
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -32,10 +32,9 @@
   memory: Memory;
 };
 
-export type Memory = {
+export type Memory = callerConnections.limits.ConnectionSettings & {
   /** What callers may hold, in bytes; 0 for a share of the heap. */
   callerBytes: number;
-  maxConnections: number;
 };
 
 export function start(handlers: Handlers): callerConnections.Connections {
@@ -49,7 +48,7 @@
   });
   const budget = callerConnections.limits.callersBudget(handlers.memory.callerBytes);
   const state = { maxConnections: handlers.memory.maxConnections };
-  void callerConnections.limits.maxConnections(state.maxConnections).then((maxConnections) => {
+  void callerConnections.limits.maxConnections(handlers.memory).then((maxConnections) => {
     Object.assign(state, { maxConnections });
   });
   const connections = callerConnections.watch(server, {
