What peers told of silent upstreams is kept when a configuration is adopted

Cause: readers are chosen anew with each configuration, and the fleet is told how updates are exchanged each time, mostly without a change. What peers had told was dropped each time, so that dark upstreams were used again and counted as cold.

Change: it is dropped only when updates are exchanged in another way.

Measured: the new test failed before (10 of 11 passed), 11 of 11 pass after.

--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -133,7 +133,7 @@
     case 'fleet.silence-update':
       return { state, commands: silenceSteps.onUpdate(state, message.update, now) };
     case 'fleet.sharing-changed':
-      silence.sharing.forget(state);
+      silence.sharing.withSharing(state, message.sharing);
       return { state: peerUpdates.withSharing(state, message.sharing), commands: [] };
     case 'fleet.peer-update':
       return { state: peerUpdates.receive(state, message.update, now), commands: [] };
--- a/packages/core/src/silence/sharing.ts
+++ b/packages/core/src/silence/sharing.ts
@@ -69,8 +69,15 @@
   state.silence.heardFrom.set(from, { scope, receivedAtMs: now.monotonicMs, rows: told });
 }
 
-/** Drops what came by way of a reader that this instance no longer follows, or from its own followers. */
-export function forget({ silence }: fleet.State): void {
+/**
+ * Drops what came another way than updates are exchanged from now on. Readers are chosen anew with each
+ * configuration, mostly without a change.
+ */
+export function withSharing(
+  { silence, sharing: before }: fleet.State,
+  sharing: peerWork.Sharing,
+): void {
+  if (sharing === before) return;
   silence.heardFrom.clear();
   silence.sent.clear();
 }
--- a/packages/core/test/silence/silence.test.ts
+++ b/packages/core/test/silence/silence.test.ts
@@ -109,6 +109,18 @@
   assert.ok(usable().includes(FIRST));
 });
 
+/** Guards against dark upstreams that are used again, as cold ones, whenever a configuration is adopted. */
+suite('what peers told is kept while updates are exchanged in the same way', () => {
+  const { send, hear, usable } = aFleetMember('through-reader');
+  hear('reader', [aRow(FIRST, { 'dc-1': 2 })]);
+  send({ type: 'fleet.sharing-changed', sharing: 'through-reader' });
+  send({ type: 'fleet.tick' }, 500);
+  assert.not.ok(usable().includes(FIRST));
+  send({ type: 'fleet.sharing-changed', sharing: 'as-reader' });
+  send({ type: 'fleet.tick' }, 500);
+  assert.ok(usable().includes(FIRST));
+});
+
 suite('a follower tells its reader at once, and repeats it until the upstream answers', () => {
   const { send, find } = aFleetMember('through-reader');
   const [first] = told(find(FIRST, true));
