One table of the scopes of peer updates that count

Cause: updates of speed had a copy of the table that updates about work use.

Change: the table stands beside the types of updates; work, speed and usage read it. Updates of silent upstreams keep theirs, which differs where instances tell each other directly.

--- a/packages/core/src/fleet/peer-updates.ts
+++ b/packages/core/src/fleet/peer-updates.ts
@@ -168,17 +168,10 @@
   });
 }
 
-/** Scopes of the updates that count; others are still on their way from before a change. */
-export const SCOPES_HEARD: Readonly<Record<peerWork.Sharing, readonly peerWork.Scope[]>> = {
-  'with-all': ['own'],
-  'through-reader': ['fleet'],
-  'as-reader': ['own', 'group'],
-};
-
 /** Changes how updates are exchanged, and drops those that came the other way. */
 export function withSharing(state: fleet.State, sharing: peerWork.Sharing): fleet.State {
   if (state.sharing === sharing) return state;
-  const heard = SCOPES_HEARD[sharing];
+  const heard = peerWork.SCOPES_HEARD[sharing];
   const kept = [...state.peerWork].filter(([, { scope }]) => heard.includes(scope));
   const reports = new Map(kept);
   refreshPeerWork(state, reports, new Set(state.registry.upstreams.keys()));
@@ -191,7 +184,10 @@
   update: peerWork.Update,
   now: task.Instant,
 ): fleet.State {
-  if (update.from === state.instance || !SCOPES_HEARD[state.sharing].includes(update.scope)) {
+  if (
+    update.from === state.instance ||
+    !peerWork.SCOPES_HEARD[state.sharing].includes(update.scope)
+  ) {
     return state;
   }
   const reports = peerWork.applyUpdate(state.peerWork, update, now);
--- a/packages/core/src/fleet/peer-work.ts
+++ b/packages/core/src/fleet/peer-work.ts
@@ -25,6 +25,13 @@
 /** How an instance exchanges updates: directly, or by way of its group's reader. */
 export type Sharing = 'with-all' | 'through-reader' | 'as-reader';
 
+/** Scopes of the updates that count; others are still on their way from before a change. */
+export const SCOPES_HEARD: Readonly<Record<Sharing, readonly Scope[]>> = {
+  'with-all': ['own'],
+  'through-reader': ['fleet'],
+  'as-reader': ['own', 'group'],
+};
+
 export type Update = {
   from: string;
   scope: Scope;
--- a/packages/core/src/fleet/usage-updates.ts
+++ b/packages/core/src/fleet/usage-updates.ts
@@ -3,7 +3,7 @@
 import * as shares from '../shares/index.js';
 import type * as accountUsage from './account-usage.js';
 import type * as decide from './decide.js';
-import * as peerUpdates from './peer-updates.js';
+import * as peerWork from './peer-work.js';
 import type * as fleet from './state.js';
 
 /** Overuse from which an account is recorded. */
@@ -13,14 +13,14 @@
 
 export function receive(state: fleet.State, update: shares.Update, now: task.Instant): void {
   const { instance, sharing, ledger } = state;
-  if (update.from === instance || !peerUpdates.SCOPES_HEARD[sharing].includes(update.scope)) return;
+  if (update.from === instance || !peerWork.SCOPES_HEARD[sharing].includes(update.scope)) return;
   shares.updates.receive(ledger, update, now);
 }
 
 /** The updates that are due. Without a service under predictive load control there is no usage to tell. */
 export function onTick(state: fleet.State, now: task.Instant): readonly decide.Command[] {
   const { instance, sharing, ledger, outbox } = state;
-  shares.updates.keepScopes(ledger, peerUpdates.SCOPES_HEARD[sharing]);
+  shares.updates.keepScopes(ledger, peerWork.SCOPES_HEARD[sharing]);
   shares.ledger.expire(ledger, now);
   const sender = { instance, incarnation: outbox.incarnation, sharing };
   const updates = shares.updates.take(ledger, sender, now);
--- a/packages/core/src/speed/sharing.ts
+++ b/packages/core/src/speed/sharing.ts
@@ -2,6 +2,7 @@
  * What instances tell each other of the speed of upstreams, beside their work in flight. Only upstreams
  * with new samples are told, a bounded number a second; a lost update costs a less exact prediction.
  */
+import * as peerWork from '../fleet/peer-work.js';
 import type * as fleet from '../fleet/state.js';
 import type * as upstreams from '../fleet/upstream.js';
 import type * as task from '../kernel/task.js';
@@ -90,17 +91,11 @@
   };
 }
 
-/** Scopes that count, as for updates about work; see `peer-updates`. */
-const SCOPES_HEARD: Readonly<Record<fleet.State['sharing'], readonly types.Scope[]>> = {
-  'with-all': ['own'],
-  'through-reader': ['fleet'],
-  'as-reader': ['own', 'group'],
-};
-
 /** Applies what a peer told; unknown upstreams are ignored. */
 export function receive(fleetState: fleet.State, update: Update, now: task.Instant): void {
   const { from, scope, rows } = update;
-  if (from === fleetState.instance || !SCOPES_HEARD[fleetState.sharing].includes(scope)) return;
+  if (from === fleetState.instance || !peerWork.SCOPES_HEARD[fleetState.sharing].includes(scope))
+    {return;}
   rows.forEach((row) => {
     const upstream = fleetState.registry.upstreams.get(row.upstream);
     if (!upstream) return;
