Formatting of the speed updates

Cause: the linter's own fix left a line longer than the formatter allows.

Change: formatted again.

Measured: npm run format:check and lint pass.

--- a/packages/core/src/speed/sharing.ts
+++ b/packages/core/src/speed/sharing.ts
@@ -94,8 +94,9 @@
 /** Applies what a peer told; unknown upstreams are ignored. */
 export function receive(fleetState: fleet.State, update: Update, now: task.Instant): void {
   const { from, scope, rows } = update;
-  if (from === fleetState.instance || !peerWork.SCOPES_HEARD[fleetState.sharing].includes(scope))
-    {return;}
+  if (from === fleetState.instance || !peerWork.SCOPES_HEARD[fleetState.sharing].includes(scope)) {
+    return;
+  }
   rows.forEach((row) => {
     const upstream = fleetState.registry.upstreams.get(row.upstream);
     if (!upstream) return;
