--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -2,6 +2,7 @@
  * Decides at which software version a stream began. What two versions write does not fit together, so a
  * stream goes on only at its own; one whose version cannot be told does not go on.
  */
+import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/stream-origins.js';
 import * as results from '../results/index.js';
@@ -15,7 +16,7 @@
 export type Command =
   | { kind: 'list' }
   | { kind: 'write'; content: record.Content; expectedVersion: number }
-  | { kind: 'answer'; ask: states.Ask; origin: origin.Origin }
+  | { kind: 'answer'; ask: states.Ask; origin: origin.Origin; basis: origin.Basis }
   | { kind: 'record-versions'; service: string; versions: readonly string[] }
   | { kind: 'wake'; afterMs: number };
 
@@ -39,7 +40,7 @@
   const all = [...answers, ...lookups.takeAnswers(state, now)];
   const commands: Command[] = [
     ...changes,
-    ...all.map((each): Command => ({ kind: 'answer', ...each })),
+    ...all.map((each): Command => ({ kind: 'answer', ...each, basis: basisOf(state, each, now) })),
   ];
   if (message.type === 'task.stop') return { state, commands };
   if (lookups.takeListing(state, now)) commands.push({ kind: 'list' });
@@ -114,6 +115,19 @@
   }
 }
 
+/** Taken after the answer, so a listing that gave it counts. */
+function basisOf(
+  { listedAt, lastListingAtMs, serving: all }: states.State,
+  { ask: { service, askedAtMs } }: lookups.Answer,
+  now: task.Instant,
+): origin.Basis {
+  return {
+    listAgeMs: listedAt ? Math.round(staleness.ageMs(listedAt, now)) : undefined,
+    hasReadRecords: lastListingAtMs >= askedAtMs,
+    versions: [...(all.get(service)?.keys() ?? [])],
+  };
+}
+
 function countVersions({ serving: all }: states.State): ReadonlyMap<string, number> {
   return new Map([...all].map(([service, versions]) => [service, versions.size]));
 }
--- a/packages/core/src/stream-origins/origin.ts
+++ b/packages/core/src/stream-origins/origin.ts
@@ -13,3 +13,13 @@
   | { kind: 'known'; version: string; evidence: Evidence }
   /** The stream may have begun at a version that does not fit any other: it must not go on. */
   | { kind: 'unknown'; gap: Gap };
+
+/** What the instance knew as it answered, for the journal. */
+export type Basis = {
+  /** Time since the list of upstreams was last confirmed; undefined before the first list. */
+  listAgeMs: number | undefined;
+  /** Whether the records of all instances were asked for since the caller came. */
+  hasReadRecords: boolean;
+  /** The versions of the service at which streams may have begun. */
+  versions: readonly string[];
+};
--- a/packages/plugins/stream-origins/src/stream-origins-task.ts
+++ b/packages/plugins/stream-origins/src/stream-origins-task.ts
@@ -8,6 +8,8 @@
 type TaskContext = core.kernel.TaskContext<Message, Settings>;
 
 const { KIND } = core.streamOrigins.record;
+/** Value in the journal before the first list of upstreams. */
+const NEVER_LISTED_MS = -1;
 
 export const definition: core.kernel.TaskDefinition<State, Message, Command, Settings> = {
   name: 'streamOrigins',
@@ -50,9 +52,11 @@
       return;
     }
     case 'answer': {
-      const { ask, origin } = command;
+      const { ask, origin, basis } = command;
       const { requestId, stream } = ask;
-      record({ name: 'streamOrigin', requestId, details: { stream, ...origin } });
+      const { listAgeMs = NEVER_LISTED_MS, ...known } = basis;
+      const details = { stream, ...origin, listAgeMs, ...known };
+      record({ name: 'streamOrigin', requestId, details });
       ask.replyTo.send({ type: 'stream-origins.found', origin });
       return;
     }
