A stream is taken for one of the only version after a reading of all records

An instance that neither began a stream nor found it recorded took it for one of the only version in a list of upstreams up to 3 s old. Other instances may have begun streams at a newer version meanwhile: the age of a view is no proof that something did not happen before the caller came. The age was counted by the monotonic clock alone, which stands still in a suspension.

Change: evidence is ordered. An instance records a further version of a service before it begins streams there (beginnings, checked by the placement), and a take-up of unknown origin waits for a reading of all records that began after it came. So whoever began the stream at another version had recorded that version before. The version that served alone needs no record: streams begin there while the store is away, and nothing is written with one version. A list that was not confirmed for 3 s, by the larger of both clocks, proves no only version, as before.

--- a/benchmark/src/speed/policies.ts
+++ b/benchmark/src/speed/policies.ts
@@ -85,6 +85,7 @@
     latencyTargetMs,
     mayRefuse: true,
     isRepeat: false,
+    beginsStream: false,
     isResumed: false,
   };
 }
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -145,6 +145,8 @@
       return { state, commands: [] };
     case 'fleet.releases-changed':
       return { state, commands: canarySteps.setReleases(state, message.releases) };
+    case 'fleet.beginnings-changed':
+      return { state: { ...state, beginnings: message.beginnings }, commands: [] };
     case 'fleet.publish-work':
       return { state, commands: publishing.changes(state, now) };
     case 'fleet.attempt-begun':
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -20,6 +20,8 @@
   | { kind: 'other-model' }
   /** The stream began at another version of the upstreams' software. */
   | { kind: 'other-software-version' }
+  /** A stream that begins there could be taken for one of another version, until the version is recorded. */
+  | { kind: 'unrecorded-version' }
   /** A release keeps the request from this version of the upstreams' software. */
   | { kind: 'other-release' }
   /** The request has been there already. */
@@ -47,6 +49,7 @@
   if (!hasSoftwareVersion(placementRequest, registration)) {
     return { kind: 'other-software-version' };
   }
+  if (!mayBeginAt(inputs, registration)) return { kind: 'unrecorded-version' };
   if (isLeaving) return { kind: 'leaving' };
   if (state.evacuatedDataCentres.has(registration.dataCentre)) return { kind: 'evacuated' };
   if (placementRequest.excludedUpstreams.includes(registration.id)) return { kind: 'tried' };
@@ -96,6 +99,7 @@
       return true;
     case 'other-model':
     case 'other-software-version':
+    case 'unrecorded-version':
     case 'other-release':
     case 'tried':
     case 'not-listed':
@@ -202,6 +206,14 @@
   return softwareVersion === undefined || softwareVersion === registration.softwareVersion;
 }
 
+function mayBeginAt(
+  { state, placementRequest: { beginsStream } }: placement.Inputs,
+  { service, softwareVersion }: upstreams.Registration,
+): boolean {
+  const versions = beginsStream ? state.beginnings[service] : undefined;
+  return versions === undefined || versions.includes(softwareVersion);
+}
+
 function servesModel({ prompt }: placement.Request, { models }: upstreams.Registration): boolean {
   return !prompt || models.some(({ model }) => model === prompt.model);
 }
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -36,6 +36,8 @@
   excludedUpstreams: readonly string[];
   /** The only one at which the request may run; undefined if any will do. */
   softwareVersion: string | undefined;
+  /** Whether the request begins a stream that its caller may take up elsewhere. */
+  beginsStream: boolean;
   /** Time to the first part of the answer that callers rely on. */
   latencyTargetMs: number;
   /** Whether the request may be refused; false once an answer has begun. */
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -10,6 +10,7 @@
 import * as waitingQueue from '../shares/waiting-queue.js';
 import * as inventory from '../shared-context/inventory.js';
 import * as silence from '../silence/types.js';
+import type * as beginnings from '../stream-origins/beginnings.js';
 import type * as speed from '../speed/types.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
@@ -51,6 +52,8 @@
   /** Priorities of routes and client accounts in the routing table, in ascending order. */
   ranks: readonly number[];
   inventory: inventory.Inventory;
+  /** Services at which streams may begin at some versions only. */
+  beginnings: beginnings.Beginnings;
   /** Data centres that receive no new work. */
   evacuatedDataCentres: ReadonlySet<string>;
   /** Newest weight version of each model; those of the first read can have been named at any time before. */
@@ -108,6 +111,7 @@
     contextStores: [],
     ranks: [],
     inventory: inventory.create(),
+    beginnings: {},
     evacuatedDataCentres: new Set(),
     targetVersions: new Map(),
     oldestInUse: { versions: new Map(), sinceMs: 0 },
--- a/packages/core/src/fleet/waiting-requests.ts
+++ b/packages/core/src/fleet/waiting-requests.ts
@@ -213,6 +213,7 @@
     case 'fleet.upstream-list-read':
     case 'fleet.evacuations-changed':
     case 'fleet.releases-changed':
+    case 'fleet.beginnings-changed':
     case 'fleet.silence-update':
     case 'fleet.waiting-due':
     case 'fleet.withdraw':
--- a/packages/core/src/messages/fleet.ts
+++ b/packages/core/src/messages/fleet.ts
@@ -12,6 +12,7 @@
 import type * as shares from '../shares/types.js';
 import type * as inventory from '../shared-context/inventory.js';
 import type * as silence from '../silence/types.js';
+import type * as beginnings from '../stream-origins/beginnings.js';
 import type * as gateway from './gateway.js';
 import type * as rollouts from './rollouts.js';
 import type * as taskLifecycle from './task-lifecycle.js';
@@ -29,6 +30,8 @@
       unchangedAt: task.Instant | undefined;
     }
   | rollouts.TargetVersionsChanged<'fleet.target-versions-changed'>
+  /** The versions of upstreams' software at which streams may begin have changed. */
+  | { type: 'fleet.beginnings-changed'; beginnings: beginnings.Beginnings }
   | { type: 'fleet.members-changed'; names: readonly string[] }
   | { type: 'fleet.place'; placementRequest: placement.Request; replyTo: gateway.RequestAddress }
   /** A request that waits for a place has ended. */
--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -6,6 +6,7 @@
 import type * as task from '../kernel/task.js';
 import type * as messages from '../messages/stream-origins.js';
 import * as results from '../results/index.js';
+import * as beginnings from './beginnings.js';
 import * as lookups from './lookups.js';
 import type * as origin from './origin.js';
 import type * as record from './record.js';
@@ -17,6 +18,7 @@
   | { kind: 'list' }
   | { kind: 'write'; content: record.Content; expectedVersion: number }
   | { kind: 'answer'; ask: states.Ask; origin: origin.Origin; basis: origin.Basis }
+  | { kind: 'tell-beginnings'; beginnings: beginnings.Beginnings }
   | { kind: 'record-versions'; service: string; versions: readonly string[] }
   | { kind: 'wake'; afterMs: number };
 
@@ -35,10 +37,13 @@
   const before = countVersions(state);
   const answers = apply(state, message, now);
   dropEnded(state, now);
+  beginnings.establish(state, now);
+  const told = beginnings.takeChange(state, now);
   const changes = versionChanges(state, before);
   if (changes.length > 0) writing.makeDue(state, now.monotonicMs);
   const all = [...answers, ...lookups.takeAnswers(state, now)];
   const commands: Command[] = [
+    ...(told ? [{ kind: 'tell-beginnings' as const, beginnings: told }] : []),
     ...changes,
     ...all.map((each): Command => ({ kind: 'answer', ...each, basis: basisOf(state, each, now) })),
   ];
--- a/packages/core/src/stream-origins/index.ts
+++ b/packages/core/src/stream-origins/index.ts
@@ -2,4 +2,5 @@
 export * from './decide.js';
 export * as record from './record.js';
 export * as state from './state.js';
+export type * from './beginnings.js';
 export type * from './origin.js';
--- a/packages/core/src/stream-origins/lookups.ts
+++ b/packages/core/src/stream-origins/lookups.ts
@@ -1,4 +1,5 @@
 /** Answers where a stream began, from what this instance knows or from what all instances wrote. */
+import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as platform from '../messages/platform.js';
 import * as keys from '../knowledge/keys.js';
@@ -16,7 +17,7 @@
 const ALL_LISTINGS_PER_S = 1_000;
 /** A caller that is not answered in this time is refused, and may come again. */
 const PATIENCE_MS = 1_000;
-/** Older lists may lack a version at which other instances begin streams. */
+/** By the larger of both clocks: in a suspension the monotonic one stands still. */
 const MAX_LIST_AGE_MS = 3_000;
 
 export type Answer = { ask: states.Ask; origin: origin.Origin };
@@ -24,7 +25,7 @@
 /** What can be told without the platform; undefined if it has to be asked. */
 function findHere(
   state: states.State,
-  { stream, service }: states.Ask,
+  { stream, service, askedAtMs }: states.Ask,
   now: task.Instant,
 ): origin.Origin | undefined {
   const own = state.streams.get(stream);
@@ -35,21 +36,30 @@
   }
   if (version !== undefined) return { kind: 'known', version, evidence: 'recorded' };
   const [only, ...others] = serving.versionsOf(state, service, now);
-  if (only === undefined || others.length > 0 || !state.hasListed) return undefined;
-  if (!state.listedAt || now.monotonicMs - state.listedAt.monotonicMs > MAX_LIST_AGE_MS) {
-    return { kind: 'unknown', gap: 'list-outdated' };
-  }
+  if (only === undefined || others.length > 0) return undefined;
+  // Whoever begins streams at another version has recorded it before, and the caller came after that.
+  if (state.recordsReadAtMs < askedAtMs) return undefined;
+  if (isListOutdated(state, now)) return { kind: 'unknown', gap: 'list-outdated' };
   return { kind: 'known', version: only, evidence: 'only-version' };
 }
 
+function isListOutdated({ listedAt }: states.State, now: task.Instant): boolean {
+  return !listedAt || staleness.ageMs(listedAt, now) > MAX_LIST_AGE_MS;
+}
+
+function unreadRecords(state: states.State, now: task.Instant): origin.Origin {
+  return {
+    kind: 'unknown',
+    gap: isListOutdated(state, now) ? 'list-outdated' : 'store-unavailable',
+  };
+}
+
 /** The answers that can be given; other asks wait for a listing. */
 export function takeAnswers(state: states.State, now: task.Instant): readonly Answer[] {
   const answers: Answer[] = [];
   const waiting = state.asks.filter((ask) => {
     const isLate = now.monotonicMs - ask.askedAtMs >= PATIENCE_MS;
-    const found =
-      findHere(state, ask, now) ??
-      (isLate ? ({ kind: 'unknown', gap: 'store-unavailable' } as const) : undefined);
+    const found = findHere(state, ask, now) ?? (isLate ? unreadRecords(state, now) : undefined);
     if (found) answers.push({ ask, origin: found });
     return !found;
   });
@@ -87,7 +97,8 @@
 ): readonly Answer[] {
   const { listing } = state;
   Object.assign(state, { listing: { kind: 'idle' } });
-  if (result.kind === 'unavailable' || listing.kind === 'idle') return [];
+  if (listing.kind === 'idle') return [];
+  if (result.kind === 'unavailable') return onUnavailable(state, listing.beganAtMs, now);
   const records = result.objects.flatMap(({ key, value, version }) => {
     const content = record.decode(value);
     return content ? [{ instance: keys.nameOf(key), version, content }] : [];
@@ -96,15 +107,32 @@
   Object.assign(state, { recorded: merge(records.map(({ content }) => content)) });
   const own = result.objects.find(({ key }) => keys.nameOf(key) === state.instance);
   if (!state.hasListed && own) restoreOwn(state, own, now);
-  Object.assign(state, { hasListed: true });
+  Object.assign(state, { hasListed: true, recordsReadAtMs: listing.beganAtMs });
   const here = takeAnswers(state, now);
-  const missing = state.asks.filter(({ askedAtMs }) => askedAtMs <= listing.beganAtMs);
-  Object.assign(state, { asks: state.asks.filter((ask) => !missing.includes(ask)) });
-  const unknown = missing.map((ask): Answer => ({
-    ask,
-    origin: { kind: 'unknown', gap: 'not-recorded' },
-  }));
-  return [...here, ...unknown];
+  return [
+    ...here,
+    ...takeAskedBefore(state, listing.beganAtMs, { kind: 'unknown', gap: 'not-recorded' }),
+  ];
+}
+
+/** An instance that has not heard of the list for long, either, has lost the store: others may know more. */
+function onUnavailable(
+  state: states.State,
+  beganAtMs: number,
+  now: task.Instant,
+): readonly Answer[] {
+  if (!isListOutdated(state, now)) return [];
+  return takeAskedBefore(state, beganAtMs, { kind: 'unknown', gap: 'list-outdated' });
+}
+
+function takeAskedBefore(
+  state: states.State,
+  beganAtMs: number,
+  found: origin.Origin,
+): readonly Answer[] {
+  const taken = state.asks.filter(({ askedAtMs }) => askedAtMs <= beganAtMs);
+  Object.assign(state, { asks: state.asks.filter((ask) => !taken.includes(ask)) });
+  return taken.map((ask) => ({ ask, origin: found }));
 }
 
 function merge(contents: readonly record.Content[]): ReadonlyMap<string, string | undefined> {
@@ -126,8 +154,10 @@
   { value, version: objectVersion }: platform.StoredObject,
   now: task.Instant,
 ): void {
-  Object.assign(state.writing, { objectVersion, hasContent: true });
-  record.decode(value)?.groups.forEach(({ service, version, streams }) =>
+  const content = record.decode(value);
+  const named = record.versionsIn(content);
+  Object.assign(state.writing, { objectVersion, hasContent: true, named });
+  content?.groups.forEach(({ service, version, streams }) =>
     streams.forEach(([stream, endsAtWallMs]) => {
       const endsAtMs = now.monotonicMs + endsAtWallMs - now.wallMs;
       if (endsAtMs <= now.monotonicMs || state.streams.has(stream)) return;
--- a/packages/core/src/stream-origins/record.ts
+++ b/packages/core/src/stream-origins/record.ts
@@ -4,6 +4,8 @@
  */
 import * as zod from 'zod';
 
+import * as serving from './serving.js';
+
 /** The kind of the objects, named by instance. */
 export const KIND = 'medlarweir-streams';
 
@@ -28,6 +30,11 @@
 
 export type Content = zod.infer<typeof schema>;
 
+/** The versions that the content names, by `serving.nameOf`. */
+export function versionsIn(content: Content | undefined): ReadonlySet<string> {
+  return new Set(content?.groups.map(serving.nameOf));
+}
+
 /** An unreadable object names no stream. */
 export function decode(found: unknown): Content | undefined {
   const checked = schema.safeParse(found);
--- a/packages/core/src/stream-origins/serving.ts
+++ b/packages/core/src/stream-origins/serving.ts
@@ -43,7 +43,7 @@
   );
 }
 
-function nameOf({ service, version }: { service: string; version: string }): string {
+export function nameOf({ service, version }: { service: string; version: string }): string {
   return `${service}\n${version}`;
 }
 
--- a/packages/core/src/stream-origins/state.ts
+++ b/packages/core/src/stream-origins/state.ts
@@ -23,6 +23,10 @@
   /** Version of the object; 0 while there is none. */
   objectVersion: number;
   hasContent: boolean;
+  /** Versions, by `serving.nameOf`, that the object in the store names, whether or not the write under way arrives. */
+  named: ReadonlySet<string>;
+  /** Those of the write under way. */
+  naming: ReadonlySet<string>;
 };
 
 export type State = {
@@ -38,10 +42,16 @@
   /** What all instances had written at the last listing; undefined where they differ. */
   recorded: ReadonlyMap<string, string | undefined>;
   hasListed: boolean;
+  /** When the last listing that was answered began, in monotonic ms. */
+  recordsReadAtMs: number;
   listing: Listing;
   lastListingAtMs: number;
   asks: Ask[];
   writing: Writing;
+  /** Versions, by `serving.nameOf`, that were the only one of their service since they came. */
+  established: Set<string>;
+  /** What the fleet was told last, as text. */
+  toldVersions: string;
   /** The longest that a stream of a route may take. */
   longestStreamMs: number;
   instances: number;
@@ -57,6 +67,7 @@
     streams: new Map(),
     recorded: new Map(),
     hasListed: isFirstStart,
+    recordsReadAtMs: -Infinity,
     listing: { kind: 'idle' },
     lastListingAtMs: -Infinity,
     asks: [],
@@ -66,7 +77,11 @@
       beganAtMs: -Infinity,
       objectVersion: 0,
       hasContent: false,
+      named: new Set(),
+      naming: new Set(),
     },
+    established: new Set(),
+    toldVersions: '',
     longestStreamMs: 0,
     instances: 1,
   };
--- a/packages/core/src/stream-origins/writing.ts
+++ b/packages/core/src/stream-origins/writing.ts
@@ -2,7 +2,7 @@
 import type * as task from '../kernel/task.js';
 import type * as platform from '../messages/platform.js';
 import * as results from '../results/index.js';
-import type * as record from './record.js';
+import * as record from './record.js';
 import * as serving from './serving.js';
 import type * as states from './state.js';
 
@@ -32,12 +32,16 @@
   const groups = groupsOf(state, now);
   Object.assign(writing, { dueAtMs: Infinity });
   if (groups.length === 0 && !writing.hasContent) return undefined;
+  const content = { writtenAtMs: now.wallMs, groups };
+  const naming = record.versionsIn(content);
   Object.assign(writing, {
     isUnderWay: true,
     beganAtMs: now.monotonicMs,
     hasContent: groups.length > 0,
+    named: new Set([...writing.named].filter((each) => naming.has(each))),
+    naming,
   });
-  return { content: { writtenAtMs: now.wallMs, groups }, expectedVersion: writing.objectVersion };
+  return { content, expectedVersion: writing.objectVersion };
 }
 
 function groupsOf(state: states.State, now: task.Instant): record.Content['groups'] {
@@ -72,10 +76,13 @@
   Object.assign(writing, { isUnderWay: false });
   switch (answer.kind) {
     case 'written':
-      Object.assign(writing, { objectVersion: answer.version });
+      Object.assign(writing, { objectVersion: answer.version, named: writing.naming });
       return;
     case 'conflict':
-      Object.assign(writing, { objectVersion: answer.current?.version ?? 0 });
+      Object.assign(writing, {
+        objectVersion: answer.current?.version ?? 0,
+        named: record.versionsIn(record.decode(answer.current?.value)),
+      });
       makeDue(state, now.monotonicMs);
       return;
     case 'object':
--- a/packages/core/test/stream-origins/origins.test.ts
+++ b/packages/core/test/stream-origins/origins.test.ts
@@ -168,6 +168,7 @@
           case 'begin': {
             const { versions, nowMs } = origins.world;
             const version = versions[action.version % versions.length] ?? 'v1';
+            if (!origins.mayBegin(action.at, version)) return;
             const stream = `s-${began.length}`;
             origins.begin(action.at, stream, version);
             began.push({ stream, version, endsAtMs: nowMs + fixtures.LONGEST_STREAM_MS });
--- a/packages/core/test/stream-origins/out-of-step.test.ts
+++ b/packages/core/test/stream-origins/out-of-step.test.ts
@@ -70,4 +70,35 @@
   assert.is(found.origin?.kind, 'unknown');
 });
 
+suite(
+  'streams begin at a further version once it is recorded, and at the first all the while',
+  () => {
+    const world = fixtures.aStreamOriginsWorld(2);
+    world.advance(1_000);
+    world.setStoreDown(true);
+    world.release(['v1', 'v2']);
+    world.advance(1_000);
+    assert.ok(world.mayBegin(0, 'v1'));
+    assert.not(world.mayBegin(0, 'v2'));
+    world.setStoreDown(false);
+    world.advance(1_000);
+    assert.ok(world.mayBegin(0, 'v1'));
+    assert.ok(world.mayBegin(0, 'v2'));
+  },
+);
+
+suite('after a start beside several versions, streams begin at those that are recorded', () => {
+  const world = fixtures.aStreamOriginsWorld(2);
+  world.advance(1_000);
+  world.release(['v1', 'v2']);
+  world.setStoreDown(true);
+  world.killAll();
+  assert.not(world.mayBegin(0, 'v1'));
+  assert.not(world.mayBegin(0, 'v2'));
+  world.setStoreDown(false);
+  world.advance(1_000);
+  assert.ok(world.mayBegin(0, 'v1'));
+  assert.ok(world.mayBegin(0, 'v2'));
+});
+
 suite.run();
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -153,6 +153,7 @@
       isolatedAccount,
       excludedUpstreams: excluded,
       softwareVersion,
+      beginsStream: route.retryPolicy === 'resumable' && softwareVersion === undefined,
       latencyTargetMs,
       mayRefuse,
       isRepeat,
--- a/packages/plugins/stream-origins/src/stream-origins-task.ts
+++ b/packages/plugins/stream-origins/src/stream-origins-task.ts
@@ -60,6 +60,9 @@
       ask.replyTo.send({ type: 'stream-origins.found', origin });
       return;
     }
+    case 'tell-beginnings':
+      send('fleet', { type: 'fleet.beginnings-changed', beginnings: command.beginnings });
+      return;
     case 'record-versions': {
       const { service, versions } = command;
       record({ name: 'softwareVersions', details: { service, versions } });
