A version that has left counts for the lag of other instances as well

Cause: an instance that hears of no change begins streams at a version that has left, for as long as it accepts credentials. Others dropped the version 2 s after the longest stream since it left, so that the last of these streams could be taken for one of the version that remained.

Change: the window covers that lag (5 s) too.

Measured: npm test -- out-of-step, with the constant left out: 1 of 6 failed; with it: 6 passed.

--- a/packages/core/src/stream-origins/serving.ts
+++ b/packages/core/src/stream-origins/serving.ts
@@ -6,6 +6,11 @@
 
 /** Time in which a caller hears that its stream broke off, and comes again. */
 const RETURN_MS = 2_000;
+/**
+ * An instance that hears of no change accepts credentials for about as long, and begins streams at a version
+ * that has left.
+ */
+const MAX_LAG_MS = 5_000;
 /** By how much the clocks of instances may differ, and for how long the store may have taken no record. */
 const RECORD_MARGIN_MS = 30_000;
 
@@ -38,7 +43,7 @@
   state.serving.forEach((versions, service) =>
     versions.forEach((untilMs, version) => {
       if (untilMs !== Infinity || current.has(nameOf({ service, version }))) return;
-      versions.set(version, now.monotonicMs + state.longestStreamMs + RETURN_MS);
+      versions.set(version, now.monotonicMs + state.longestStreamMs + MAX_LAG_MS + RETURN_MS);
     }),
   );
 }
--- a/packages/core/test/stream-origins/out-of-step.test.ts
+++ b/packages/core/test/stream-origins/out-of-step.test.ts
@@ -15,6 +15,10 @@
 /** By then a stream that was just begun is recorded. */
 const RECORDED_MS = 150;
 const ANSWERED_MS = 1_300;
+/** A record that was written before is too old to count. */
+const QUIET_MS = 40_000;
+/** For as long an instance without the store takes requests with a credential. */
+const LAG_MS = 4_400;
 
 type World = ReturnType<typeof fixtures.aStreamOriginsWorld>;
 
@@ -70,6 +74,23 @@
   assert.is(found.origin?.kind, 'unknown');
 });
 
+suite(
+  'a stream that began at a version after it had left is not taken for one of the other',
+  () => {
+    const world = fixtures.aStreamOriginsWorld(2);
+    world.release(['v1', 'v2']);
+    world.advance(QUIET_MS);
+    world.cutOff(0);
+    world.release(['v2']);
+    world.advance(LAG_MS);
+    world.begin(0, 'stream', 'v1');
+    world.advance(fixtures.LONGEST_STREAM_MS);
+    const found = world.find(1, 'stream');
+    world.advance(ANSWERED_MS);
+    assert.is(found.origin?.kind, 'unknown');
+  },
+);
+
 suite(
   'streams begin at a further version once it is recorded, and at the first all the while',
   () => {
