Liveness probes built beside the other probes

Cause: the steps of the quarantine built liveness probes for themselves; what follows needs the same, by kind of upstream.

Change: livenessProbe moves to fleet/reports, unchanged.

--- a/packages/core/src/fleet/quarantine-steps.ts
+++ b/packages/core/src/fleet/quarantine-steps.ts
@@ -6,8 +6,9 @@
 import * as results from '../results/index.js';
 import type * as decide from './decide.js';
 import type * as placement from './placement.js';
+import * as reports from './reports.js';
 import type * as fleet from './state.js';
-import * as upstreams from './upstream.js';
+import type * as upstreams from './upstream.js';
 
 type MessageOf<Type extends fleetMessages.FleetMessage['type']> = Extract<
   fleetMessages.FleetMessage,
@@ -196,7 +197,7 @@
         return [{ kind: 'reply', replyTo, message }];
       }
       case 'probe-liveness':
-        return livenessProbe(state, command.upstream, now);
+        return reports.livenessProbe(state, command.upstream, now);
       case 'send-quarantine-update':
       case 'store-verdict':
       case 'store-crashes':
@@ -212,19 +213,6 @@
   });
 }
 
-/** Only engines have a report that tells that they are up. */
-function livenessProbe(
-  { registry, services }: fleet.State,
-  id: string,
-  now: task.Instant,
-): readonly decide.Command[] {
-  const upstream = registry.upstreams.get(id);
-  if (!upstream || upstreams.isPaused(upstream, now)) return [];
-  const { address, service } = upstream.registration;
-  const kind = services.get(service)?.engine ? 'liveness' : 'connection';
-  return [{ kind: 'probe', probe: { kind, upstream: id, address } }];
-}
-
 /** Answers a request with a part that crashes upstreams, or may. */
 export function refuse(
   state: fleet.State,
--- a/packages/core/src/fleet/reports.ts
+++ b/packages/core/src/fleet/reports.ts
@@ -80,6 +80,19 @@
   return [{ kind: 'health', upstream: id, address, path: service.healthPath }];
 }
 
+/** Only engines have a report that tells that they are up. */
+export function livenessProbe(
+  { registry, services }: fleet.State,
+  id: string,
+  now: task.Instant,
+): readonly decide.Command[] {
+  const upstream = registry.upstreams.get(id);
+  if (!upstream || upstreams.isPaused(upstream, now)) return [];
+  const { address, service } = upstream.registration;
+  const kind = services.get(service)?.engine ? 'liveness' : 'connection';
+  return [{ kind: 'probe', probe: { kind, upstream: id, address } }];
+}
+
 /**
  * An upstream fetches only context of its own weights, so no fetch of obsolete context starts once no
  * upstream has those weights. Fetches in flight have ended after this time, see `FETCH_TIMEOUT_MS`.
