An instance knows within a second that it reaches no upstream

Change: fleet/reach keeps when any upstream last gave a byte and which this instance found silent since. After 500 ms without a byte while two upstreams owe answers, or one has failed, up to four are probed; three failures, or all listed upstreams found silent, are a cut. Placement then refuses with the new reason `cut-off`, as it does where all upstreams of one service were found silent. Any byte ends the cut. While it lasts, silence counts against no upstream, since one found silent is cold afterwards, and peers are told nothing of upstreams. Event 534, gauge gateway.cut_off, dump of the fleet task.

Measured: npm test -- core/test/fleet/ (99 passed), core/test/silence (11), core/test/gateway (92), core/test/quarantine (76). With the detection disabled, 5 of the 10 new tests fail (found with 4 and 40 upstreams, both tests of the end, at most four probes).

--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -95,6 +95,11 @@
     text: 'claims resumed; requests with an idempotency key are accepted',
   },
   upstreamSilent: { number: 501, level: 'warn', text: 'upstream’s stream of reports was lost' },
+  reachChanged: {
+    number: 534,
+    level: 'warn',
+    text: 'instance reaches no upstream, or reaches one again',
+  },
   upstreamChanged: { number: 531, level: 'info', text: 'upstream state changed' },
   coldRightGained: {
     number: 521,
--- a/packages/core/src/fleet/decide.ts
+++ b/packages/core/src/fleet/decide.ts
@@ -27,6 +27,7 @@
 import * as publishing from './publishing.js';
 import * as quarantineMessages from './quarantine-messages.js';
 import * as quarantineSteps from './quarantine-steps.js';
+import * as reach from './reach.js';
 import * as reports from './reports.js';
 import * as responses from './responses.js';
 import * as senders from './senders.js';
@@ -75,6 +76,13 @@
       /** Time since the last answer of the platform without them; infinite if there was none. */
       unseenMs: number;
     }
+  | {
+      kind: 'record-reach';
+      reach: reach.Reach;
+      silentForMs: number;
+      failed: number;
+      listed: number;
+    }
   | { kind: 'record-evacuation'; dataCentres: readonly string[]; unseenMs: number }
   | Exclude<quarantine.Command, { kind: 'withdraw' | 'probe-liveness' }>;
 
@@ -98,7 +106,10 @@
 ): Step {
   switch (message.type) {
     case 'fleet.place':
-      return { state, commands: waitingRequests.onPlace(state, message, now) };
+      return {
+        state,
+        commands: [...reach.check(state, now), ...waitingRequests.onPlace(state, message, now)],
+      };
     case 'fleet.withdraw':
       return { state, commands: waitingRequests.withdraw(state, message.requestId, now) };
     case 'fleet.waiting-due':
@@ -187,27 +198,30 @@
   message: MessageOf<'fleet.attempt-ended'>,
   now: task.Instant,
 ): Step {
-  const suspicions = quarantineSteps.onAttemptEnded(state, message, now);
+  const reached = message.outcome === 'answered' ? reach.onByte(state, now) : [];
+  const suspicions = [...reached, ...quarantineSteps.onAttemptEnded(state, message, now)];
   const { requestId, upstream: id, outcome } = message;
   const upstream = state.registry.upstreams.get(id);
   if (!upstream) return { state, commands: suspicions };
-  const before = upstream.reachability.kind;
+  const before = upstream.reachability;
   accountUsage.recordEnded(state, upstream, requestId, outcome, now);
   const work = upstream.inFlight.get(requestId);
   if (work && outcome === 'answered') {
     speed.recordEnd(state, upstream, work, now);
     promptMix.learning.recordEnd(state, upstream, work, now);
   }
-  upstreamHealth.recordOutcome(upstream, requestId, outcome, now);
+  const counted = reach.outcomeOf(state, outcome);
+  upstreamHealth.recordOutcome(upstream, requestId, counted, now);
   const scheduled = [
     ...publishing.schedule(state, { upstream: id, context: undefined }),
     ...suspicions,
   ];
-  if (before === upstream.reachability.kind) return { state, commands: scheduled };
+  if (before.kind === upstream.reachability.kind) return { state, commands: scheduled };
   const text = `does not answer: ${outcome}`;
   const ageMs = now.monotonicMs - upstream.lastByteAtMs;
   const change: Command = { kind: 'record-upstream-change', id, text, ageMs };
-  return { state, commands: [...scheduled, change, ...silenceSteps.publish(state)] };
+  const checked = reach.onFailure(state, upstream, before, now);
+  return { state, commands: [...scheduled, change, ...checked, ...silenceSteps.publish(state)] };
 }
 
 function onListRead(state: fleet.State, update: discovery.Update, now: task.Instant): Step {
@@ -247,6 +261,7 @@
   promptMix.learning.recordLevels(state, now);
   const all = [...state.registry.upstreams.values()];
   all.forEach((upstream) => upstreamHealth.trimHistory(upstream, now.monotonicMs));
+  const checked = reach.onTick(state, now);
   const probes = all.flatMap((upstream) => reports.probeFor(state, upstream, now));
   return {
     state,
@@ -258,6 +273,7 @@
       ...usageUpdates.onTick(state, now),
       ...reports.recordChanges(state, expired),
       ...quarantineSteps.onTick(state, now),
+      ...checked,
       ...probes.map((probe): Command => ({ kind: 'probe', probe })),
       reports.reportToRollouts(state),
       ...canarySteps.report(state),
--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -4,6 +4,7 @@
 import * as task from '../kernel/task.js';
 import * as targets from '../rollouts/targets.js';
 import type * as placement from './placement.js';
+import * as reach from './reach.js';
 import * as rateLimit from './rate-limit.js';
 import * as results from '../results/index.js';
 import * as silence from '../silence/index.js';
@@ -86,6 +87,20 @@
   return judged;
 }
 
+/** Whether this instance itself has found silent all upstreams that would take such a request. */
+export function areAllSilent({ state, service, placementRequest, now }: placement.Inputs): boolean {
+  const able = [...state.registry.upstreams.values()].filter(
+    (each) =>
+      each.registration.service === service.name &&
+      isListed(each, now) &&
+      !each.isLeaving &&
+      !state.evacuatedDataCentres.has(each.registration.dataCentre) &&
+      hasSoftwareVersion(placementRequest, each.registration) &&
+      servesModel(placementRequest, each.registration),
+  );
+  return able.length > 0 && able.every((each) => reach.isFoundSilent(state, each));
+}
+
 export type PassingExclusion = Extract<Exclusion, { untilMs: number }>;
 
 function isPassing(exclusion: Exclusion): exclusion is PassingExclusion {
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -7,6 +7,7 @@
 export * as peerWork from './peer-work.js';
 export * as placement from './placement.js';
 export * as quarantineSteps from './quarantine-steps.js';
+export type * as reach from './reach.js';
 export * as queue from './queue.js';
 export * as prefillRate from './prefill-rate.js';
 export type * as waitClaims from './wait-claims.js';
--- a/packages/core/src/fleet/liveness.ts
+++ b/packages/core/src/fleet/liveness.ts
@@ -5,6 +5,7 @@
 import * as silence from '../silence/index.js';
 import type * as decide from './decide.js';
 import * as quarantineSteps from './quarantine-steps.js';
+import * as reach from './reach.js';
 import * as silenceSteps from './silence-steps.js';
 import type * as fleet from './state.js';
 import * as upstreams from './upstream.js';
@@ -23,7 +24,10 @@
 ): decide.Step {
   const upstream = state.registry.upstreams.get(id);
   const isSilent =
-    !upstream || upstream.reachability.kind === 'silent' || silence.judgement.isReported(state, id);
+    !upstream ||
+    upstream.reachability.kind === 'silent' ||
+    silence.judgement.isReported(state, id) ||
+    (reach.isCutOff(state) && upstreamHealth.isSilent(upstream, now));
   const reply: decide.Command = {
     kind: 'reply',
     replyTo,
@@ -54,31 +58,37 @@
   const id = probe.upstream;
   switch (result.kind) {
     case 'no-response': {
+      // While cut off, this says nothing of the upstream.
+      if (reach.isCutOff(state)) return { state, commands: [] };
       const suspicions = quarantineSteps.onDown(state, upstream, now);
-      if (reachability.kind === 'silent') return { state, commands: suspicions };
       Object.assign(upstream, { reachability: { kind: 'silent' } });
+      const checked = reach.onFailure(state, upstream, reachability, now);
+      if (reachability.kind === 'silent') return { state, commands: [...suspicions, ...checked] };
       return {
         state,
         commands: [
           { kind: 'record-upstream-change', id, text: 'a probe got no answer', ageMs },
           ...suspicions,
+          ...checked,
           ...silenceSteps.publish(state),
         ],
       };
     }
     case 'unhealthy':
       if (result.pauseMs !== undefined) upstreams.pause(upstream, result.pauseMs, now);
-      return { state, commands: [] };
+      return { state, commands: reach.onByte(state, now) };
     case 'healthy': {
+      const reached = reach.onByte(state, now);
       if (probe.kind === 'liveness') Object.assign(upstream, { lastByteAtMs: now.monotonicMs });
       if (probe.kind !== 'health' || reachability.kind !== 'silent') {
-        return { state, commands: [] };
+        return { state, commands: reached };
       }
       const coldStartMs = state.services.get(registration.service)?.coldStartMs ?? 0;
       upstreamHealth.recordRecovery(upstream, result.coldMs ?? coldStartMs, now);
       return {
         state,
         commands: [
+          ...reached,
           { kind: 'record-upstream-change', id, text: 'answers again', ageMs },
           ...silenceSteps.publish(state),
         ],
--- a/packages/core/src/fleet/placement.ts
+++ b/packages/core/src/fleet/placement.ts
@@ -15,6 +15,7 @@
 import * as queue from './queue.js';
 import * as promptPrefill from './prompt-prefill.js';
 import * as rateLimit from './rate-limit.js';
+import * as reach from './reach.js';
 import * as reservation from './reservation.js';
 import * as refusals from './refusals.js';
 import * as sampling from './sampling.js';
@@ -108,6 +109,7 @@
 export function place(state: fleet.State, placementRequest: Request, now: task.Instant): Decision {
   const service = state.services.get(placementRequest.service);
   if (!service) return refusals.none('unknown-service');
+  if (reach.isCutOff(state)) return refusals.none('cut-off');
   const claim = waitClaims.claimOf(state, placementRequest, now);
   const inputs: Inputs = { state, service, placementRequest, now, claim };
   placeCost.recordPrompt(inputs);
@@ -126,7 +128,11 @@
 ): Decision {
   const { now } = inputs;
   const { available, eligible, exclusions } = eligibility.judgeAll(inputs, division, assignment);
-  if (available.length === 0) return refusals.noneAvailable(exclusions, now);
+  if (available.length === 0) {
+    return eligibility.areAllSilent(inputs)
+      ? refusals.allSilent(exclusions)
+      : refusals.noneAvailable(exclusions, now);
+  }
   const waves = rolloutWaves(inputs, eligible);
   const isInWave = (id: string) => waves.current.has(id) || waves.next.has(id);
   const sound = sampling.sound(inputs, available, isInWave);
--- a/packages/core/src/fleet/refusals.ts
+++ b/packages/core/src/fleet/refusals.ts
@@ -42,6 +42,11 @@
   return { ...none(next.kind, freeInMs), detail };
 }
 
+/** This instance reaches none of the service's upstreams; peers may. */
+export function allSilent(exclusions: readonly eligibility.Exclusion[]): Refusal {
+  return { ...none('cut-off'), detail: eligibility.summarize(exclusions) };
+}
+
 function isSoftwareVersionGone(exclusions: readonly eligibility.Exclusion[]): boolean {
   const isOther = ({ kind }: eligibility.Exclusion) => kind === 'other-software-version';
   return (
--- a/packages/core/src/fleet/responses.ts
+++ b/packages/core/src/fleet/responses.ts
@@ -7,6 +7,7 @@
 import * as prefillRate from './prefill-rate.js';
 import * as publishing from './publishing.js';
 import * as quarantineSteps from './quarantine-steps.js';
+import * as reach from './reach.js';
 import * as reports from './reports.js';
 import type * as fleet from './state.js';
 import * as upstreamHealth from './upstream-health.js';
@@ -20,8 +21,9 @@
 ): readonly decide.Command[] {
   quarantineSteps.onResponse(state, message);
   const { upstream: id, requestId, selfReport } = message;
+  const reached = reach.onByte(state, now);
   const upstream = state.registry.upstreams.get(id);
-  if (!upstream) return [];
+  if (!upstream) return reached;
   const versions = [...upstream.versions.values()].join();
   const before = reports.selfReportOf(upstream);
   accountUsage.recordResponse(state, upstream, requestId, now);
@@ -33,6 +35,7 @@
   }
   const hasChanged = versions !== [...upstream.versions.values()].join();
   return [
+    ...reached,
     ...(begun ? publishing.schedule(state, { upstream: id, context: undefined }) : []),
     ...(hasChanged ? [reports.reportToRollouts(state)] : []),
     ...reports.recordSelfReport(upstream, before),
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -13,6 +13,7 @@
 import type * as speed from '../speed/types.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
+import * as reach from './reach.js';
 import type * as waitClaims from './wait-claims.js';
 
 export type Bounds = {
@@ -74,6 +75,8 @@
   outbox: Outbox;
   /** What peers tell of upstreams that do not answer. Updated in place. */
   silence: silence.State;
+  /** Whether any upstream is reached, and the evidence. Updated in place. */
+  reach: reach.State;
   /** Names of the optional features that the settings enable. */
   features: ReadonlySet<string>;
   /** Services of which an upstream has reported its slowdown. Updated in place. */
@@ -120,6 +123,7 @@
     speeds: new Map(),
     meanPromptTokens: new Map(),
     silence: silence.create(),
+    reach: reach.create(),
     outbox: {
       incarnation,
       changedUpstreams: new Set(),
--- a/packages/core/src/fleet/waiting-requests.ts
+++ b/packages/core/src/fleet/waiting-requests.ts
@@ -142,6 +142,7 @@
     case 'full':
       return true;
     case 'unknown-service':
+    case 'cut-off':
     case 'quarantined':
     case 'suspected':
     case 'one-at-a-time':
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -51,11 +51,13 @@
  * that rate; `paused`: or have turned a request away and want none yet. `quarantined`: a
  * part of the prompt crashes upstreams. `suspected`: one may, and the request may have run already.
  * `one-at-a-time`: one may, and another request with it is in flight. `software-version-gone`: the stream
- * began at a software version that no upstream has any more.
+ * began at a software version that no upstream has any more. `cut-off`: this instance itself has found that
+ * it reaches no upstream at all, or none of the service; others may.
  */
 export type PlacementRefusal =
   | 'unknown-service'
   | 'none-usable'
+  | 'cut-off'
   | 'cold'
   | 'limited'
   | 'paused'
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -39,6 +39,7 @@
   | 'gateway.waits'
   | 'gateway.returns'
   | 'gateway.overuse'
+  | 'gateway.cut_off'
   | 'canary.step'
   | 'canary.responses'
   | 'canary.writes'
--- a/packages/core/src/silence/rows.ts
+++ b/packages/core/src/silence/rows.ts
@@ -1,4 +1,5 @@
 /** Sums up which upstreams do not answer. */
+import * as reach from '../fleet/reach.js';
 import type * as fleet from '../fleet/state.js';
 import type * as peerWork from '../fleet/peer-work.js';
 import type * as types from './types.js';
@@ -11,8 +12,10 @@
 /** An instance that finds more of a service's upstreams silent than this has lost its own network. */
 const MAX_SILENT_SHARE = 0.5;
 
-/** What this instance has found itself. */
-export function own({ registry, dataCentre }: fleet.State): readonly types.Row[] {
+/** What this instance has found itself; nothing while it reaches no upstream, as that says nothing of them. */
+export function own(state: fleet.State): readonly types.Row[] {
+  if (reach.isCutOff(state)) return [];
+  const { registry, dataCentre } = state;
   const listed = [...registry.upstreams.values()].filter(
     ({ registrationState }) => registrationState.kind === 'listed',
   );
--- a/packages/plugins/fleet/src/fleet-task.ts
+++ b/packages/plugins/fleet/src/fleet-task.ts
@@ -35,6 +35,7 @@
   quarantine,
   waiting,
   ledger,
+  reach,
 }: State): unknown {
   const upstreams = [...registry.upstreams.values()].map((each) => ({
     id: each.registration.id,
@@ -56,6 +57,7 @@
   return {
     upstreams,
     stores,
+    reach: reach.reach.kind,
     members,
     heardPeers: [...peerWork.keys()],
     speeds: core.speed.describeServices(speeds),
@@ -134,6 +136,9 @@
     case 'record-target-versions':
       recordTargetVersions(context, command);
       return;
+    case 'record-reach':
+      recordReach(context, command);
+      return;
     case 'record-evacuation': {
       const { dataCentres, unseenMs } = command;
       record({ name: 'dataCentresEvacuated', details: { dataCentres, unseenMs: known(unseenMs) } });
@@ -169,6 +174,16 @@
   record({ name: 'weightsNamed', details: { ...versions, unseenMs: known(unseenMs) } });
 }
 
+function recordReach(
+  { send, record }: TaskContext,
+  { reach, silentForMs, failed, listed }: Extract<Command, { kind: 'record-reach' }>,
+): void {
+  const isCutOff = reach.kind === 'cut-off';
+  const details = { isCutOff, silentForMs: Math.round(silentForMs), failed, listed };
+  record({ name: 'reachChanged', details });
+  send('metrics', { type: 'metrics.gauge', name: 'gateway.cut_off', value: isCutOff ? 1 : 0 });
+}
+
 function known(ms: number): number {
   return Number.isFinite(ms) ? Math.round(ms) : UNKNOWN_MS;
 }
