--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -14,6 +14,7 @@
 import type * as speed from '../speed/types.js';
 import * as discovery from './discovery.js';
 import type * as peerWork from './peer-work.js';
+import * as reach from './reach.js';
 import type * as waitClaims from './wait-claims.js';
 
 export type Bounds = {
@@ -77,6 +78,8 @@
   outbox: Outbox;
   /** What peers tell of upstreams that do not answer. Updated in place. */
   silence: silence.State;
+  /** Whether any upstream is reached, and the evidence. Updated in place. */
+  reach: reach.State;
   /** Names of the optional features that the settings enable. */
   features: ReadonlySet<string>;
   /** Services of which an upstream has reported its slowdown. Updated in place. */
@@ -124,6 +127,7 @@
     speeds: new Map(),
     meanPromptTokens: new Map(),
     silence: silence.create(),
+    reach: reach.create(),
     outbox: {
       incarnation,
       changedUpstreams: new Set(),
