Names of stream origins: recorded versions, sole versions, time-out of a look-up

Cause: the names of the state did not tell which versions are meant.

Change: recordedVersions, versionsInWrite, soleVersions, LOOKUP_TIMEOUT_MS; no change of behaviour.

--- a/packages/core/src/stream-origins/beginnings.ts
+++ b/packages/core/src/stream-origins/beginnings.ts
@@ -15,34 +15,34 @@
  * others have come, which lets streams begin while no record can be written.
  */
 export function establish(state: states.State, now: task.Instant): void {
-  const { established } = state;
+  const { soleVersions } = state;
   const known = new Map(
     [...state.serving.keys()].map((service) => [service, serving.versionsOf(state, service, now)]),
   );
   const names = [...known].flatMap(([service, versions]) =>
     versions.map((version) => serving.nameOf({ service, version })),
   );
-  [...established]
+  [...soleVersions]
     .filter((each) => !names.includes(each))
-    .forEach((each) => established.delete(each));
+    .forEach((each) => soleVersions.delete(each));
   known.forEach((versions, service) => {
     const [only, ...others] = versions;
     if (only !== undefined && others.length === 0) {
-      established.add(serving.nameOf({ service, version: only }));
+      soleVersions.add(serving.nameOf({ service, version: only }));
     }
   });
 }
 
 /** What the fleet has not been told yet; undefined if nothing has changed. */
 export function takeChange(state: states.State, now: task.Instant): Beginnings | undefined {
-  const { established, writing } = state;
+  const { soleVersions, writing } = state;
   const services = [...state.serving.keys()].filter((each) => serving.areSeveral(state, each, now));
   const beginnings = Object.fromEntries(
     services.map((service) => [
       service,
       serving.versionsOf(state, service, now).filter((version) => {
         const name = serving.nameOf({ service, version });
-        return established.has(name) || writing.named.has(name);
+        return soleVersions.has(name) || writing.recordedVersions.has(name);
       }),
     ]),
   );
--- a/packages/core/src/stream-origins/lookups.ts
+++ b/packages/core/src/stream-origins/lookups.ts
@@ -16,7 +16,7 @@
 /** Listings a second of all instances together. */
 const ALL_LISTINGS_PER_S = 1_000;
 /** A caller that is not answered in this time is refused, and may come again. */
-const PATIENCE_MS = 1_000;
+const LOOKUP_TIMEOUT_MS = 1_000;
 /** By the larger of both clocks: in a suspension the monotonic one stands still. */
 const MAX_LIST_AGE_MS = 3_000;
 
@@ -58,7 +58,7 @@
 export function takeAnswers(state: states.State, now: task.Instant): readonly Answer[] {
   const answers: Answer[] = [];
   const waiting = state.asks.filter((ask) => {
-    const isLate = now.monotonicMs - ask.askedAtMs >= PATIENCE_MS;
+    const isLate = now.monotonicMs - ask.askedAtMs >= LOOKUP_TIMEOUT_MS;
     const found = findHere(state, ask, now) ?? (isLate ? unreadRecords(state, now) : undefined);
     if (found) answers.push({ ask, origin: found });
     return !found;
@@ -86,10 +86,10 @@
 
 /** When the first ask has waited for too long. */
 export function nextRefusalMs({ asks }: states.State): number {
-  return Math.min(...asks.map(({ askedAtMs }) => askedAtMs + PATIENCE_MS), Infinity);
+  return Math.min(...asks.map(({ askedAtMs }) => askedAtMs + LOOKUP_TIMEOUT_MS), Infinity);
 }
 
-/** Asks that came before the listing began, and whose streams it does not hold, are answered as unknown. */
+/** Answers what can be told by now; asks that came before the listing began are then unknown. */
 export function onListed(
   state: states.State,
   { result }: platform.PlatformListed,
@@ -155,8 +155,8 @@
   now: task.Instant,
 ): void {
   const content = record.decode(value);
-  const named = record.versionsIn(content);
-  Object.assign(state.writing, { objectVersion, hasContent: true, named });
+  const recordedVersions = record.versionsIn(content);
+  Object.assign(state.writing, { objectVersion, hasContent: true, recordedVersions });
   content?.groups.forEach(({ service, version, streams }) =>
     streams.forEach(([stream, endsAtWallMs]) => {
       const endsAtMs = now.monotonicMs + endsAtWallMs - now.wallMs;
--- a/packages/core/src/stream-origins/state.ts
+++ b/packages/core/src/stream-origins/state.ts
@@ -24,9 +24,9 @@
   objectVersion: number;
   hasContent: boolean;
   /** Versions, by `serving.nameOf`, that the object in the store names, whether or not the write under way arrives. */
-  named: ReadonlySet<string>;
+  recordedVersions: ReadonlySet<string>;
   /** Those of the write under way. */
-  naming: ReadonlySet<string>;
+  versionsInWrite: ReadonlySet<string>;
 };
 
 export type State = {
@@ -49,7 +49,7 @@
   asks: Ask[];
   writing: Writing;
   /** Versions, by `serving.nameOf`, that were the only one of their service since they came. */
-  established: Set<string>;
+  soleVersions: Set<string>;
   /** What the fleet was told last, as text. */
   toldVersions: string;
   /** The longest that a stream of a route may take. */
@@ -77,10 +77,10 @@
       beganAtMs: -Infinity,
       objectVersion: 0,
       hasContent: false,
-      named: new Set(),
-      naming: new Set(),
+      recordedVersions: new Set(),
+      versionsInWrite: new Set(),
     },
-    established: new Set(),
+    soleVersions: new Set(),
     toldVersions: '',
     longestStreamMs: 0,
     instances: 1,
--- a/packages/core/src/stream-origins/writing.ts
+++ b/packages/core/src/stream-origins/writing.ts
@@ -33,13 +33,15 @@
   Object.assign(writing, { dueAtMs: Infinity });
   if (groups.length === 0 && !writing.hasContent) return undefined;
   const content = { writtenAtMs: now.wallMs, groups };
-  const naming = record.versionsIn(content);
+  const versionsInWrite = record.versionsIn(content);
   Object.assign(writing, {
     isUnderWay: true,
     beganAtMs: now.monotonicMs,
     hasContent: groups.length > 0,
-    named: new Set([...writing.named].filter((each) => naming.has(each))),
-    naming,
+    recordedVersions: new Set(
+      [...writing.recordedVersions].filter((each) => versionsInWrite.has(each)),
+    ),
+    versionsInWrite,
   });
   return { content, expectedVersion: writing.objectVersion };
 }
@@ -76,12 +78,15 @@
   Object.assign(writing, { isUnderWay: false });
   switch (answer.kind) {
     case 'written':
-      Object.assign(writing, { objectVersion: answer.version, named: writing.naming });
+      Object.assign(writing, {
+        objectVersion: answer.version,
+        recordedVersions: writing.versionsInWrite,
+      });
       return;
     case 'conflict':
       Object.assign(writing, {
         objectVersion: answer.current?.version ?? 0,
-        named: record.versionsIn(record.decode(answer.current?.value)),
+        recordedVersions: record.versionsIn(record.decode(answer.current?.value)),
       });
       makeDue(state, now.monotonicMs);
       return;
