Streams begin at no version that the task of origins has not heard of

Cause: the placement was restricted for services of several versions only. Where the fleet task lists a version that the task of origins does not, streams began there unrecorded. A service with the name of a property that each object has ended the fleet task.

Change: each service is told with its versions, also with one; a map instead of an object.

--- a/packages/core/src/fleet/eligibility.ts
+++ b/packages/core/src/fleet/eligibility.ts
@@ -225,7 +225,7 @@
   { state, placementRequest: { beginsStream } }: placement.Inputs,
   { service, softwareVersion }: upstreams.Registration,
 ): boolean {
-  const versions = beginsStream ? state.beginnings[service] : undefined;
+  const versions = beginsStream ? state.beginnings.get(service) : undefined;
   return versions === undefined || versions.includes(softwareVersion);
 }
 
--- a/packages/core/src/fleet/state.ts
+++ b/packages/core/src/fleet/state.ts
@@ -53,7 +53,7 @@
   /** Priorities of routes and client accounts in the routing table, in ascending order. */
   ranks: readonly number[];
   inventory: inventory.Inventory;
-  /** Services at which streams may begin at some versions only. */
+  /** At which versions of a service streams may begin; at all of those that are not there. */
   beginnings: beginnings.Beginnings;
   /** Data centres that receive no new work. */
   evacuatedDataCentres: ReadonlySet<string>;
@@ -114,7 +114,7 @@
     contextStores: [],
     ranks: [],
     inventory: inventory.create(),
-    beginnings: {},
+    beginnings: new Map(),
     evacuatedDataCentres: new Set(),
     targetVersions: new Map(),
     oldestInUse: { versions: new Map(), sinceMs: 0 },
--- a/packages/core/src/stream-origins/beginnings.ts
+++ b/packages/core/src/stream-origins/beginnings.ts
@@ -7,8 +7,8 @@
 import * as serving from './serving.js';
 import type * as states from './state.js';
 
-/** For each service of several versions, those at which streams may begin. */
-export type Beginnings = Readonly<Record<string, readonly string[]>>;
+/** For each service, the versions at which streams may begin. */
+export type Beginnings = ReadonlyMap<string, readonly string[]>;
 
 /**
  * The only version of a service needs no record: everyone who lists the service knows it. It stays so after
@@ -36,9 +36,8 @@
 /** What the fleet has not been told yet; undefined if nothing has changed. */
 export function takeChange(state: states.State, now: task.Instant): Beginnings | undefined {
   const { soleVersions, writing } = state;
-  const services = [...state.serving.keys()].filter((each) => serving.areSeveral(state, each, now));
-  const beginnings = Object.fromEntries(
-    services.map((service) => [
+  const beginnings = new Map(
+    [...state.serving.keys()].map((service) => [
       service,
       serving.versionsOf(state, service, now).filter((version) => {
         const name = serving.nameOf({ service, version });
@@ -46,7 +45,7 @@
       }),
     ]),
   );
-  const text = JSON.stringify(beginnings);
+  const text = JSON.stringify([...beginnings]);
   if (text === state.toldVersions) return undefined;
   Object.assign(state, { toldVersions: text });
   return beginnings;
--- a/packages/core/test/fleet/beginnings.test.ts
+++ b/packages/core/test/fleet/beginnings.test.ts
@@ -9,7 +9,7 @@
 /** A fleet with one upstream, of a version that is not recorded. */
 function aFleetOfAnUnrecordedVersion() {
   const listed = [fixtures.aListedUpstream('u-2', { softwareVersion: 'v2' })];
-  return fixtures.aFleet(listed, { beginnings: { models: ['v1'] } });
+  return fixtures.aFleet(listed, { beginnings: new Map([['models', ['v1']]]) });
 }
 
 function placedAt(changed: Partial<core.fleet.placement.Request>): string {
@@ -37,4 +37,14 @@
   assert.is(fixtures.placedUpstream(fleet, request), 'u-2');
 });
 
+suite('a service may have the name of a property that each object has', () => {
+  const listed = [
+    fixtures.aListedUpstream('u-2', { softwareVersion: 'v2', service: 'constructor' }),
+  ];
+  const services = new Map([['constructor', { ...fixtures.aService(), name: 'constructor' }]]);
+  const fleet = fixtures.aFleet(listed, { services, beginnings: new Map([['models', ['v1']]]) });
+  const request = fixtures.aPlacementRequest({ beginsStream: true, service: 'constructor' });
+  assert.is(fixtures.placedUpstream(fleet, request), 'u-2');
+});
+
 suite.run();
--- a/packages/core/test/stream-origins/out-of-step.test.ts
+++ b/packages/core/test/stream-origins/out-of-step.test.ts
@@ -91,6 +91,13 @@
   },
 );
 
+suite('streams begin at no version that this task has not heard of', () => {
+  const world = fixtures.aStreamOriginsWorld(2);
+  world.advance(1_000);
+  assert.ok(world.mayBegin(0, 'v1'));
+  assert.not(world.mayBegin(0, 'v2'));
+});
+
 suite(
   'streams begin at a further version once it is recorded, and at the first all the while',
   () => {
