An instance reads the records before it writes its own

Cause: an instance that starts again wrote its object before the first listing had come. The conflict gave it the version of the object, and its next write replaced the streams of the start before, which then were refused for good.

Change: nothing is written before the first listing.

Measured: npm test -- stream-origins/records: 0 of 1 before, 1 of 1 now; stream-origins/: 18 passed.

--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -153,7 +153,7 @@
 function nextMs(state: states.State, now: task.Instant): number {
   const isIdle = state.listing.kind === 'idle';
   return Math.min(
-    state.writing.isUnderWay ? Infinity : state.writing.dueAtMs,
+    state.writing.isUnderWay || !state.hasListed ? Infinity : state.writing.dueAtMs,
     isIdle ? lookups.nextListingMs(state) : Infinity,
     lookups.nextRefusalMs(state),
     serving.nextEndMs(state, now),
--- a/packages/core/src/stream-origins/writing.ts
+++ b/packages/core/src/stream-origins/writing.ts
@@ -28,7 +28,8 @@
   now: task.Instant,
 ): { content: record.Content; expectedVersion: number } | undefined {
   const { writing } = state;
-  if (writing.isUnderWay || writing.dueAtMs > now.monotonicMs) return undefined;
+  // The object may hold streams of the start before, which the first listing restores.
+  if (!state.hasListed || writing.isUnderWay || writing.dueAtMs > now.monotonicMs) return undefined;
   const groups = groupsOf(state, now);
   Object.assign(writing, { dueAtMs: Infinity });
   if (groups.length === 0 && !writing.hasContent) return undefined;
--- a/packages/core/test/fleet/beginnings.test.ts
+++ b/packages/core/test/fleet/beginnings.test.ts
@@ -41,7 +41,7 @@
   const listed = [
     fixtures.aListedUpstream('u-2', { softwareVersion: 'v2', service: 'constructor' }),
   ];
-  const services = new Map([['constructor', { ...fixtures.aService(), name: 'constructor' }]]);
+  const services = new Map([['constructor', fixtures.aService({ name: 'constructor' })]]);
   const fleet = fixtures.aFleet(listed, { services, beginnings: new Map([['models', ['v1']]]) });
   const request = fixtures.aPlacementRequest({ beginsStream: true, service: 'constructor' });
   assert.is(fixtures.placedUpstream(fleet, request), 'u-2');
