Records of versions are renewed, lapse for their writer, and do not keep each other alive

Cause: readers ignored a record some time after it was written, while its writer still began streams at the versions that it named; after a quiet time a stream could be joined at an instance that had just started. And each write named a version that had left as of now, so that look-ups and writes kept it among the versions for ever, and unknown streams were refused.

Change: while several versions serve, the record is written again each 15 s; its versions are no longer begun 30 s after the last write that arrived. It tells until when each version counts, and reading that does not extend it.

--- a/packages/core/src/stream-origins/beginnings.ts
+++ b/packages/core/src/stream-origins/beginnings.ts
@@ -6,6 +6,7 @@
 import type * as task from '../kernel/task.js';
 import * as serving from './serving.js';
 import type * as states from './state.js';
+import * as writing from './writing.js';
 
 /** For each service, the versions at which streams may begin. */
 export type Beginnings = ReadonlyMap<string, readonly string[]>;
@@ -35,13 +36,14 @@
 
 /** What the fleet has not been told yet; undefined if nothing has changed. */
 export function takeChange(state: states.State, now: task.Instant): Beginnings | undefined {
-  const { soleVersions, writing } = state;
+  const { soleVersions } = state;
+  const recorded = writing.recordedVersions(state, now);
   const beginnings = new Map(
     [...state.serving.keys()].map((service) => [
       service,
       serving.versionsOf(state, service, now).filter((version) => {
         const name = serving.nameOf({ service, version });
-        return soleVersions.has(name) || writing.recordedVersions.has(name);
+        return soleVersions.has(name) || recorded.has(name);
       }),
     ]),
   );
--- a/packages/core/src/stream-origins/lookups.ts
+++ b/packages/core/src/stream-origins/lookups.ts
@@ -154,9 +154,8 @@
   { value, version: objectVersion }: platform.StoredObject,
   now: task.Instant,
 ): void {
-  const content = record.decode(value);
-  const recordedVersions = record.versionsIn(content);
-  Object.assign(state.writing, { objectVersion, hasContent: true, recordedVersions });
+  const content = writing.setStored(state, objectVersion, value, now);
+  Object.assign(state.writing, { hasContent: true });
   content?.groups.forEach(({ service, version, streams }) =>
     streams.forEach(([stream, endsAtWallMs]) => {
       const endsAtMs = now.monotonicMs + endsAtWallMs - now.wallMs;
--- a/packages/core/src/stream-origins/record.ts
+++ b/packages/core/src/stream-origins/record.ts
@@ -4,6 +4,7 @@
  */
 import * as zod from 'zod';
 
+import * as task from '../kernel/task.js';
 import * as serving from './serving.js';
 
 /** The kind of the objects, named by instance. */
@@ -22,6 +23,8 @@
     zod.object({
       service: text,
       version: text,
+      /** Until when streams of the version may be taken up; older programs leave it out. */
+      untilMs: epochMs.optional(),
       /** Ids of streams, each with the time after which nobody takes it up, in Unix ms. */
       streams: zod.array(zod.tuple([text, epochMs])).max(MAX_STREAMS),
     }),
@@ -35,6 +38,10 @@
   return new Set(content?.groups.map(serving.nameOf));
 }
 
+export function writtenAt({ writtenAtMs }: Content, now: task.Instant): task.Instant {
+  return task.later(now, writtenAtMs - now.wallMs);
+}
+
 /** An unreadable object names no stream. */
 export function decode(found: unknown): Content | undefined {
   const checked = schema.safeParse(found);
--- a/packages/core/src/stream-origins/serving.ts
+++ b/packages/core/src/stream-origins/serving.ts
@@ -11,7 +11,7 @@
  * that has left.
  */
 const MAX_LAG_MS = 5_000;
-/** By how much the clocks of instances may differ, and for how long the store may have taken no record. */
+/** By how much the clocks of instances may differ, and for how long a record may not have been renewed. */
 const RECORD_MARGIN_MS = 30_000;
 
 export function applyList(
@@ -41,38 +41,70 @@
 function markLeft(state: states.State, now: task.Instant): void {
   const current = new Set([...state.listed.values()].map(nameOf));
   state.serving.forEach((versions, service) =>
-    versions.forEach((untilMs, version) => {
-      if (untilMs !== Infinity || current.has(nameOf({ service, version }))) return;
-      versions.set(version, now.monotonicMs + state.longestStreamMs + MAX_LAG_MS + RETURN_MS);
+    versions.forEach((known, version) => {
+      if (known.untilMs !== Infinity || current.has(nameOf({ service, version }))) return;
+      Object.assign(known, { untilMs: leftUntilMs(state, now) });
     }),
   );
 }
 
+function leftUntilMs({ longestStreamMs }: states.State, { monotonicMs }: task.Instant): number {
+  return monotonicMs + longestStreamMs + MAX_LAG_MS + RETURN_MS;
+}
+
 export function nameOf({ service, version }: { service: string; version: string }): string {
   return `${service}\n${version}`;
 }
 
+function servingOf(state: states.State, service: string, version: string): states.Serving {
+  const versions = state.serving.get(service) ?? new Map<string, states.Serving>();
+  state.serving.set(service, versions);
+  const known = versions.get(version) ?? { untilMs: -Infinity, recordedUntilMs: -Infinity };
+  versions.set(version, known);
+  return known;
+}
+
 export function extend(
   state: states.State,
   service: string,
   version: string,
   untilMs: number,
 ): void {
-  const versions = state.serving.get(service) ?? new Map<string, number>();
-  state.serving.set(service, versions);
-  versions.set(version, Math.max(versions.get(version) ?? 0, untilMs));
+  const known = servingOf(state, service, version);
+  Object.assign(known, { untilMs: Math.max(known.untilMs, untilMs) });
 }
 
 /** Versions that an instance wrote, which this one may never have seen listed. */
 export function applyRecord(
   state: states.State,
   { writtenAtMs, groups }: record.Content,
-  now: task.Instant,
+  { monotonicMs, wallMs }: task.Instant,
 ): void {
-  const ageMs = now.wallMs - writtenAtMs;
-  const untilMs = now.monotonicMs - ageMs + state.longestStreamMs + RECORD_MARGIN_MS;
-  if (untilMs <= now.monotonicMs) return;
-  groups.forEach(({ service, version }) => extend(state, service, version, untilMs));
+  groups.forEach(({ service, version, untilMs = writtenAtMs + state.longestStreamMs }) => {
+    const recordedUntilMs = monotonicMs + untilMs - wallMs;
+    if (recordedUntilMs + RECORD_MARGIN_MS <= monotonicMs) return;
+    const known = servingOf(state, service, version);
+    Object.assign(known, {
+      recordedUntilMs: Math.max(known.recordedUntilMs, recordedUntilMs),
+    });
+  });
+}
+
+/** Until when streams of the version may be taken up, for the record of this instance; in Unix ms. */
+export function countsUntilMs(
+  state: states.State,
+  service: string,
+  version: string,
+  now: task.Instant,
+): number {
+  const known = servingOf(state, service, version);
+  const ownMs = known.untilMs === Infinity ? leftUntilMs(state, now) : known.untilMs;
+  const untilMs = Math.max(ownMs, known.recordedUntilMs);
+  return Math.max(0, Math.round(now.wallMs + untilMs - now.monotonicMs));
+}
+
+function endMs(known: states.Serving): number {
+  return Math.max(known.untilMs, known.recordedUntilMs + RECORD_MARGIN_MS);
 }
 
 export function versionsOf(
@@ -81,7 +113,7 @@
   now: task.Instant,
 ): readonly string[] {
   return [...(serving.get(service) ?? [])]
-    .filter(([, untilMs]) => untilMs > now.monotonicMs)
+    .filter(([, known]) => endMs(known) > now.monotonicMs)
     .map(([version]) => version);
 }
 
@@ -91,14 +123,14 @@
 
 /** When the number of versions next falls by itself; infinite if it does not. */
 export function nextEndMs({ serving }: states.State, now: task.Instant): number {
-  const ends = [...serving.values()].flatMap((versions) => [...versions.values()]);
+  const ends = [...serving.values()].flatMap((versions) => [...versions.values()].map(endMs));
   return Math.min(...ends.filter((untilMs) => untilMs > now.monotonicMs), Infinity);
 }
 
 export function dropEnded({ serving }: states.State, now: task.Instant): void {
   serving.forEach((versions) =>
-    versions.forEach((untilMs, version) => {
-      if (untilMs <= now.monotonicMs) versions.delete(version);
+    versions.forEach((known, version) => {
+      if (endMs(known) <= now.monotonicMs) versions.delete(version);
     }),
   );
 }
--- a/packages/core/src/stream-origins/state.ts
+++ b/packages/core/src/stream-origins/state.ts
@@ -12,19 +12,29 @@
   replyTo: messages.OriginAddress;
 };
 
+/** Until when streams of a version may be taken up, in monotonic ms. */
+export type Serving = {
+  /** By what this instance knows itself; infinite while the version is listed. */
+  untilMs: number;
+  /** By what others have recorded. Not extended by reading it again. */
+  recordedUntilMs: number;
+};
+
 export type Listing = { kind: 'idle' } | { kind: 'under-way'; beganAtMs: number };
 
 /** The writes of this instance's object. */
 export type Writing = {
   isUnderWay: boolean;
+  beganAt: task.Instant | undefined;
   /** Infinite if there is nothing to write. */
   dueAtMs: number;
-  beganAtMs: number;
   /** Version of the object; 0 while there is none. */
   objectVersion: number;
   hasContent: boolean;
   /** Versions, by `serving.nameOf`, that the object in the store names, whether or not the write under way arrives. */
   recordedVersions: ReadonlySet<string>;
+  /** When that object was written. */
+  recordedAt: task.Instant | undefined;
   /** Those of the write under way. */
   versionsInWrite: ReadonlySet<string>;
 };
@@ -35,8 +45,8 @@
   listed: Map<string, { service: string; version: string }>;
   /** At least as recent as this moment; undefined before the first list. */
   listedAt: task.Instant | undefined;
-  /** Per service: until when streams of each software version may be taken up; infinite while it is listed. */
-  serving: Map<string, Map<string, number>>;
+  /** By service and software version. */
+  serving: Map<string, Map<string, Serving>>;
   /** The streams that this instance began or took up, by the id of the attempt that began them. */
   streams: Map<string, Stream>;
   /** What all instances had written at the last listing; undefined where they differ. */
@@ -73,11 +83,12 @@
     asks: [],
     writing: {
       isUnderWay: false,
+      beganAt: undefined,
       dueAtMs: Infinity,
-      beganAtMs: -Infinity,
       objectVersion: 0,
       hasContent: false,
       recordedVersions: new Set(),
+      recordedAt: undefined,
       versionsInWrite: new Set(),
     },
     soleVersions: new Set(),
--- a/packages/core/src/stream-origins/writing.ts
+++ b/packages/core/src/stream-origins/writing.ts
@@ -1,4 +1,5 @@
 /** When this instance writes its record, and what it holds. */
+import * as staleness from '../gateway/staleness.js';
 import type * as task from '../kernel/task.js';
 import type * as platform from '../messages/platform.js';
 import * as results from '../results/index.js';
@@ -11,6 +12,10 @@
 /** Writes a second of all instances together; the platform's store takes some hundred. */
 const ALL_WRITES_PER_S = 100;
 const RETRY_DELAY_MS = 300;
+/** While several versions serve: a record counts for a time after it was written. */
+const RENEWAL_MS = 15_000;
+/** Streams begin at a recorded version for as long; the record counts until the last of them can be taken up. */
+const RECORD_TERM_MS = 30_000;
 
 function intervalMs({ instances }: states.State): number {
   return Math.max(MIN_INTERVAL_MS, (instances * 1_000) / ALL_WRITES_PER_S);
@@ -18,7 +23,10 @@
 
 export function makeDue(state: states.State, atMs: number): void {
   const { writing } = state;
-  const dueAtMs = Math.max(Math.min(writing.dueAtMs, atMs), writing.beganAtMs + intervalMs(state));
+  const dueAtMs = Math.max(
+    Math.min(writing.dueAtMs, atMs),
+    (writing.beganAt?.monotonicMs ?? -Infinity) + intervalMs(state),
+  );
   Object.assign(writing, { dueAtMs });
 }
 
@@ -31,13 +39,14 @@
   // The object may hold streams of the start before, which the first listing restores.
   if (!state.hasListed || writing.isUnderWay || writing.dueAtMs > now.monotonicMs) return undefined;
   const groups = groupsOf(state, now);
-  Object.assign(writing, { dueAtMs: Infinity });
+  const dueAtMs = groups.length > 0 ? now.monotonicMs + RENEWAL_MS : Infinity;
+  Object.assign(writing, { dueAtMs });
   if (groups.length === 0 && !writing.hasContent) return undefined;
   const content = { writtenAtMs: now.wallMs, groups };
   const versionsInWrite = record.versionsIn(content);
   Object.assign(writing, {
     isUnderWay: true,
-    beganAtMs: now.monotonicMs,
+    beganAt: now,
     hasContent: groups.length > 0,
     recordedVersions: new Set(
       [...writing.recordedVersions].filter((each) => versionsInWrite.has(each)),
@@ -53,6 +62,7 @@
     serving.versionsOf(state, service, now).map((version) => ({
       service,
       version,
+      untilMs: serving.countsUntilMs(state, service, version, now),
       streams: streamsOf(state, service, version, now),
     })),
   );
@@ -70,6 +80,32 @@
     .map(([stream, { endsAtMs }]) => [stream, Math.round(wallMs + endsAtMs - monotonicMs)]);
 }
 
+/** The versions that others find in this instance's record. */
+export function recordedVersions(
+  { writing }: states.State,
+  now: task.Instant,
+): ReadonlySet<string> {
+  const { recordedAt, recordedVersions: versions } = writing;
+  const hasLapsed = !recordedAt || staleness.ageMs(recordedAt, now) > RECORD_TERM_MS;
+  return hasLapsed ? new Set() : versions;
+}
+
+/** What the store holds of this instance. */
+export function setStored(
+  state: states.State,
+  objectVersion: number,
+  value: unknown,
+  now: task.Instant,
+): record.Content | undefined {
+  const content = record.decode(value);
+  Object.assign(state.writing, {
+    objectVersion,
+    recordedVersions: record.versionsIn(content),
+    recordedAt: content && record.writtenAt(content, now),
+  });
+  return content;
+}
+
 export function onAnswered(
   state: states.State,
   answer: platform.PlatformAnswer,
@@ -82,13 +118,11 @@
       Object.assign(writing, {
         objectVersion: answer.version,
         recordedVersions: writing.versionsInWrite,
+        recordedAt: writing.beganAt,
       });
       return;
     case 'conflict':
-      Object.assign(writing, {
-        objectVersion: answer.current?.version ?? 0,
-        recordedVersions: record.versionsIn(record.decode(answer.current?.value)),
-      });
+      setStored(state, answer.current?.version ?? 0, answer.current?.value, now);
       makeDue(state, now.monotonicMs);
       return;
     case 'object':
--- a/packages/core/test/stream-origins/records.test.ts
+++ b/packages/core/test/stream-origins/records.test.ts
@@ -31,4 +31,46 @@
   },
 );
 
+/** Guards against a join by an instance that starts again after a quiet time. */
+suite(
+  'a version counts for as long as it is listed anywhere, however long no stream has begun',
+  () => {
+    const world = aWorldOf(['v1', 'v2']);
+    world.advance(60 * ONE_SECOND_MS);
+    world.cutOff(0);
+    world.begin(0, 'stream', 'v1');
+    world.release(['v2']);
+    world.restart(1);
+    const found = world.find(1, 'stream');
+    world.advance(ANSWERED_MS);
+    assert.is(found.origin?.kind, 'unknown');
+  },
+);
+
+suite(
+  'an instance that cannot renew its record begins no stream at the versions that it names',
+  () => {
+    const world = aWorldOf(['v1', 'v2']);
+    assert.ok(world.mayBegin(0, 'v2'));
+    world.setStoreDown(true);
+    world.advance(40 * ONE_SECOND_MS);
+    assert.not(world.mayBegin(0, 'v2'));
+  },
+);
+
+suite('a version that has left stops counting, though streams are looked up all the while', () => {
+  const world = aWorldOf(['v1', 'v2']);
+  world.release(['v2']);
+  Array.from({ length: 240 }).forEach((_, at) => {
+    world.begin(0, `begun-${at}`, 'v2');
+    world.find(0, `asked-${at}`);
+    world.advance(ONE_SECOND_MS);
+  });
+  const { writes } = world.world;
+  const found = world.find(1, 'stream');
+  world.advance(ANSWERED_MS);
+  assert.equal(found.origin, { kind: 'known', version: 'v2', evidence: 'only-version' });
+  assert.is(world.world.writes, writes);
+});
+
 suite.run();
