A further version is recorded at once, however many instances there are

Cause: the record of a further version waited for the interval between writes of streams, which grows with the deployment (3.8 s at 380 instances). Until then no stream begins at the version.

Change: a change of the versions keeps the least interval of one instance only.

--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -40,7 +40,7 @@
   beginnings.establish(state, now);
   const told = beginnings.takeChange(state, now);
   const changes = versionChanges(state, before);
-  if (changes.length > 0) writing.makeDue(state, now.monotonicMs);
+  if (changes.length > 0) writing.makeVersionsDue(state, now);
   const all = [...answers, ...lookups.takeAnswers(state, now)];
   const commands: Command[] = [
     ...(told ? [{ kind: 'tell-beginnings' as const, beginnings: told }] : []),
--- a/packages/core/src/stream-origins/writing.ts
+++ b/packages/core/src/stream-origins/writing.ts
@@ -30,6 +30,13 @@
   Object.assign(writing, { dueAtMs });
 }
 
+/** Streams wait for the record of a further version, so it is not spread over all instances like those of streams. */
+export function makeVersionsDue({ writing }: states.State, now: task.Instant): void {
+  const earliestMs = (writing.beganAt?.monotonicMs ?? -Infinity) + MIN_INTERVAL_MS;
+  const dueAtMs = Math.min(writing.dueAtMs, Math.max(now.monotonicMs, earliestMs));
+  Object.assign(writing, { dueAtMs });
+}
+
 /** The content of a write that is due; nothing is written while each service has one version. */
 export function takeDue(
   state: states.State,
--- a/packages/core/test/stream-origins/records.test.ts
+++ b/packages/core/test/stream-origins/records.test.ts
@@ -73,4 +73,14 @@
   assert.is(world.world.writes, writes);
 });
 
+suite('in a large deployment, streams begin at a further version as soon as in a small one', () => {
+  const world = aWorldOf(['v1', 'v2']);
+  world.resize(380);
+  world.begin(0, 'stream', 'v2');
+  world.advance(ONE_SECOND_MS);
+  world.release(['v1', 'v2', 'v3']);
+  world.advance(200);
+  assert.ok(world.mayBegin(0, 'v3'));
+});
+
 suite.run();
