Look-ups of origins are repeated within their time

Cause: a listing of the records could take longer (1.5 s) than the look-up that waits for it (1 s), so one lost answer of the store refused a take-up, with one version as well.

Change: such a listing has a time-out of 450 ms.

--- a/packages/core/src/messages/platform.ts
+++ b/packages/core/src/messages/platform.ts
@@ -112,7 +112,13 @@
       key: string;
       replyTo: task.Address<PlatformAnswered>;
     }
-  | { type: 'platform.list'; kind: string; replyTo: task.Address<PlatformListed> }
+  | {
+      type: 'platform.list';
+      kind: string;
+      /** For each call, if it is shorter than the usual one. */
+      timeoutMs?: number | undefined;
+      replyTo: task.Address<PlatformListed>;
+    }
   /** A conditional update: it takes effect only if the object is at `expectedVersion`. */
   | {
       type: 'platform.write';
--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -15,7 +15,7 @@
 import * as writing from './writing.js';
 
 export type Command =
-  | { kind: 'list' }
+  | { kind: 'list'; timeoutMs: number }
   | { kind: 'write'; content: record.Content; expectedVersion: number }
   | { kind: 'answer'; ask: states.Ask; origin: origin.Origin; basis: origin.Basis }
   | { kind: 'tell-beginnings'; beginnings: beginnings.Beginnings }
@@ -48,7 +48,8 @@
     ...all.map((each): Command => ({ kind: 'answer', ...each, basis: basisOf(state, each, now) })),
   ];
   if (message.type === 'task.stop') return { state, commands };
-  if (lookups.takeListing(state, now)) commands.push({ kind: 'list' });
+  if (lookups.takeListing(state, now))
+    commands.push({ kind: 'list', timeoutMs: lookups.LISTING_TIMEOUT_MS });
   const due = writing.takeDue(state, now);
   if (due) commands.push({ kind: 'write', ...due });
   const wakeAtMs = nextMs(state, now);
--- a/packages/core/src/stream-origins/lookups.ts
+++ b/packages/core/src/stream-origins/lookups.ts
@@ -15,6 +15,8 @@
 const START_INTERVAL_MS = 500;
 /** Listings a second of all instances together. */
 const ALL_LISTINGS_PER_S = 1_000;
+/** Time-out of a listing: a slow store takes 300 ms, and the time of a look-up is enough for a second one. */
+export const LISTING_TIMEOUT_MS = 450;
 /** A caller that is not answered in this time is refused, and may come again. */
 const LOOKUP_TIMEOUT_MS = 1_000;
 /** By the larger of both clocks: in a suspension the monotonic one stands still. */
--- a/packages/plugins/stream-origins/src/stream-origins-task.ts
+++ b/packages/plugins/stream-origins/src/stream-origins-task.ts
@@ -36,7 +36,12 @@
   const { self, send, record, settings, incarnation } = context;
   switch (command.kind) {
     case 'list':
-      send('platform', { type: 'platform.list', kind: KIND, replyTo: self });
+      send('platform', {
+        type: 'platform.list',
+        kind: KIND,
+        timeoutMs: command.timeoutMs,
+        replyTo: self,
+      });
       return;
     case 'write': {
       const { content: value, expectedVersion } = command;
