Requests that find this instance cut off go through another instance

Cause: An instance knew only its own connections to upstreams, so that its callers were refused while it reached none.

Change: Where placement refuses with 'cut-off', a request that certainly has not run is sent to another instance at its address for callers, with a marker that keeps it from going further. The relays task chooses the peer: own data centre first, spread by request id, at most three, leaving out those that are cut off, unreachable or silent. Members publish their address for callers. What was sent and got no whole answer counts as possibly run; a peer's refusals are passed on. The request counts for the retry budget at the peer only.

--- a/packages/core/src/events/catalogue.ts
+++ b/packages/core/src/events/catalogue.ts
@@ -80,6 +80,11 @@
     level: 'warn',
     text: 'connections of clients dropped for want of memory or connections',
   },
+  relaySkipped: {
+    number: 439,
+    level: 'info',
+    text: 'instance left out for a while as one to send requests through',
+  },
   lateAnswerDropped: { number: 404, level: 'warn', text: 'stale or duplicate message dropped' },
   claimRecorded: { number: 405, level: 'debug', text: 'claim recorded' },
   runResumed: { number: 406, level: 'info', text: 'run resumed' },
--- a/packages/core/src/fleet/waiting-requests.ts
+++ b/packages/core/src/fleet/waiting-requests.ts
@@ -146,6 +146,7 @@
     case 'suspected':
     case 'one-at-a-time':
     case 'software-version-gone':
+    case 'cut-off':
       return false;
     default:
       return results.assertNever(reason);
--- a/packages/core/src/gateway/decide.ts
+++ b/packages/core/src/gateway/decide.ts
@@ -78,6 +78,8 @@
   switch (message.type) {
     case 'gateway.begin-request':
       return onBegin(state, message, now);
+    case 'gateway.request-relayed':
+      return { state: withoutRequest(state, message.service), commands: [] };
     case 'gateway.ask-retry-budget':
       return onAskRetry(state, message, now);
     case 'gateway.table-read':
@@ -206,6 +208,11 @@
   return { ...state, retryUsage: new Map(state.retryUsage).set(service, usage) };
 }
 
+function withoutRequest(state: State, service: string): State {
+  const usage = retryBudget.withdrawRequest(state.retryUsage.get(service) ?? retryBudget.unused);
+  return { ...state, retryUsage: new Map(state.retryUsage).set(service, usage) };
+}
+
 function onAskRetry(
   state: State,
   { service, replyTo }: Extract<messages.GatewayMessage, { type: 'gateway.ask-retry-budget' }>,
--- a/packages/core/src/gateway/lifecycle-endings.ts
+++ b/packages/core/src/gateway/lifecycle-endings.ts
@@ -3,7 +3,7 @@
  * connection so that a partial response cannot be taken for a complete one.
  */
 import * as results from '../results/index.js';
-import type * as attemptResult from './attempt-result.js';
+import * as attemptResult from './attempt-result.js';
 import * as lifecycleState from './lifecycle-state.js';
 
 type State = lifecycleState.State;
@@ -57,6 +57,11 @@
   return refuse(next, 'promptQuarantined', undefined);
 }
 
+/** Refuses a request that another instance sent here, which is to send it to a further one. */
+export function refuseRelayed(state: State): Step {
+  return refuse(state, 'instanceCutOff', undefined);
+}
+
 function refuse(
   state: State,
   code:
@@ -67,7 +72,8 @@
     | 'retriesExhausted'
     | 'answerLost'
     | 'promptQuarantined'
-    | 'streamNotResumable',
+    | 'streamNotResumable'
+    | 'instanceCutOff',
   retryAfterMs: number | undefined,
 ): Step {
   const { status } = results.resultCodes[code];
@@ -118,12 +124,15 @@
     : [];
   const withdrawn: readonly lifecycleState.Command[] =
     phase.kind === 'queued' ? [{ kind: 'withdraw-placement' }] : [];
+  const recalled: readonly lifecycleState.Command[] =
+    phase.kind === 'relaying' ? [{ kind: 'abort-relay' }] : [];
   return {
     state: { ...state, phase: { kind: 'ended' } },
     commands: [
       ...replies,
       ...aborted,
       ...withdrawn,
+      ...recalled,
       { kind: 'record-request-end', outcome: { ...outcome, reason: state.lastFailureReason } },
     ],
   };
@@ -173,3 +182,13 @@
       return results.assertNever(result);
   }
 }
+
+/** Records a journal entry for each attempt whose response is not delivered. */
+export function logCommands(
+  attempt: lifecycleState.Attempt,
+  result: attemptResult.Result,
+): readonly lifecycleState.Command[] {
+  if (attemptResult.classify(result).kind === 'deliver') return [];
+  const { upstream } = attempt.destination;
+  return [{ kind: 'record-failed-attempt', upstream, reason: describeResult(result) }];
+}
--- a/packages/core/src/gateway/lifecycle-search.ts
+++ b/packages/core/src/gateway/lifecycle-search.ts
@@ -4,6 +4,7 @@
 import type * as messages from '../messages/gateway.js';
 import * as endings from './lifecycle-endings.js';
 import * as lifecycleState from './lifecycle-state.js';
+import * as relay from './lifecycle-relay.js';
 import * as timers from './lifecycle-timers.js';
 import * as overload from './overload.js';
 
@@ -59,6 +60,7 @@
   const { kind: phase } = given.phase;
   if (phase !== 'placing' && phase !== 'queued') return { state: given, commands: [] };
   const state: State = { ...given, phase: { kind: 'placing' } };
+  if (reason === 'cut-off' && relay.mayLeave(state)) return relay.begin(state);
   if (retryAfterMs !== undefined) {
     const refused = { ...state, lastFailureReason: `no upstream: ${reason}` };
     return endings.giveUp(refused, 'noUpstream', retryAfterMs);
--- a/packages/core/src/gateway/lifecycle-state.ts
+++ b/packages/core/src/gateway/lifecycle-state.ts
@@ -39,6 +39,8 @@
   /** Waits for the retry budget's decision; the attempt, if any, stays in flight. */
   | { kind: 'asking'; attempt: Attempt | undefined }
   | { kind: 'attempting'; attempt: Attempt }
+  /** Another instance has the request, since this one reaches no upstream. */
+  | { kind: 'relaying' }
   | { kind: 'ended' };
 
 export type State = {
@@ -83,6 +85,9 @@
   | { kind: 'withdraw-placement' }
   | { kind: 'send'; attempt: Attempt; lastEventId: string | undefined; deadlineAtMs: number }
   | { kind: 'abort'; attempt: string }
+  | { kind: 'relay'; deadlineAtMs: number }
+  | { kind: 'abort-relay' }
+  | { kind: 'record-relayed'; peer: string }
   | { kind: 'ask-retry-budget' }
   | { kind: 'check-liveness'; attempt: Attempt }
   | { kind: 'check-begin'; attempt: Attempt }
--- a/packages/core/src/gateway/lifecycle-withdrawal.ts
+++ b/packages/core/src/gateway/lifecycle-withdrawal.ts
@@ -53,6 +53,7 @@
     case 'identifying':
     case 'placing':
     case 'queued':
+    case 'relaying':
     case 'ended':
       return { state, commands: [] };
     default:
--- a/packages/core/src/gateway/lifecycle.ts
+++ b/packages/core/src/gateway/lifecycle.ts
@@ -9,6 +9,7 @@
 import * as endings from './lifecycle-endings.js';
 import * as lifecycleState from './lifecycle-state.js';
 import * as origins from './lifecycle-origin.js';
+import * as relay from './lifecycle-relay.js';
 import * as retry from './lifecycle-retry.js';
 import * as search from './lifecycle-search.js';
 import * as timers from './lifecycle-timers.js';
@@ -49,6 +50,11 @@
       return onEnded(state, message, now);
     case 'stream-origins.found':
       return origins.onFound(state, message.origin);
+    case 'relay.sent':
+    case 'relay.head':
+    case 'relay.events':
+    case 'relay.ended':
+      return relay.onReply(state, message);
     case 'caller.disconnected':
       return endings.onCallerDisconnected(state);
     case 'request.timer-fired':
@@ -238,20 +244,16 @@
     : [];
   return {
     state: step.state,
-    commands: [...begun, report, ...stopTimers, ...logCommands(attempt, result), ...step.commands],
+    commands: [
+      ...begun,
+      report,
+      ...stopTimers,
+      ...endings.logCommands(attempt, result),
+      ...step.commands,
+    ],
   };
 }
 
-/** Records a journal entry for each attempt whose response is not delivered. */
-function logCommands(
-  attempt: lifecycleState.Attempt,
-  result: attemptResult.Result,
-): readonly lifecycleState.Command[] {
-  if (attemptResult.classify(result).kind === 'deliver') return [];
-  const { upstream } = attempt.destination;
-  return [{ kind: 'record-failed-attempt', upstream, reason: endings.describeResult(result) }];
-}
-
 function afterAttempt(
   state: State,
   attempt: lifecycleState.Attempt,
--- a/packages/core/src/gateway/request.ts
+++ b/packages/core/src/gateway/request.ts
@@ -30,6 +30,8 @@
   lastEventId: string | undefined;
   /** The attempt of the caller that brought the first event of the stream that is resumed. */
   streamBegunBy: string | undefined;
+  /** The instance that sent the request on, since it reaches no upstream. */
+  relayedBy: string | undefined;
   receivedAt: task.Instant;
 };
 
--- a/packages/core/src/gateway/retry-budget.ts
+++ b/packages/core/src/gateway/retry-budget.ts
@@ -28,6 +28,11 @@
   return { ...usage, requests: [...withinWindow(usage.requests, nowMs, limits), nowMs] };
 }
 
+/** Takes the newest request back: another instance counts it. */
+export function withdrawRequest(usage: Usage): Usage {
+  return { ...usage, requests: usage.requests.slice(0, -1) };
+}
+
 /** Returns the usage after one more retry, or `undefined` if the budget is used up. */
 export function spendRetry(usage: Usage, nowMs: number, limits: Limits): Usage | undefined {
   const requests = withinWindow(usage.requests, nowMs, limits);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,7 @@
 export * as promptMix from './prompt-mix/index.js';
 export * as quarantine from './quarantine/index.js';
 export * as readers from './readers/index.js';
+export * as relays from './relays/index.js';
 export * as results from './results/index.js';
 export * as rollouts from './rollouts/index.js';
 export * as returns from './returns/index.js';
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -7,6 +7,7 @@
 import type * as task from '../kernel/task.js';
 import type * as priority from '../prompt-mix/priority.js';
 import type * as context from '../shared-context/plan.js';
+import type * as relays from './relays.js';
 import type * as streamOrigins from './stream-origins.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
@@ -51,7 +52,8 @@
  * that rate; `paused`: or have turned a request away and want none yet. `quarantined`: a
  * part of the prompt crashes upstreams. `suspected`: one may, and the request may have run already.
  * `one-at-a-time`: one may, and another request with it is in flight. `software-version-gone`: the stream
- * began at a software version that no upstream has any more.
+ * began at a software version that no upstream has any more. `cut-off`: this instance reaches no upstream,
+ * and others may.
  */
 export type PlacementRefusal =
   | 'unknown-service'
@@ -63,7 +65,8 @@
   | 'quarantined'
   | 'suspected'
   | 'one-at-a-time'
-  | 'software-version-gone';
+  | 'software-version-gone'
+  | 'cut-off';
 
 export type RequestTimer = 'deadline' | 'idle' | 'place' | 'begin';
 
@@ -98,6 +101,7 @@
     }
   | { type: 'attempt.ended'; attempt: string; end: attemptResult.Result }
   | streamOrigins.OriginFound
+  | relays.RelayReply
   | { type: 'caller.disconnected' }
   | { type: 'request.timer-fired'; timer: RequestTimer };
 
@@ -127,6 +131,8 @@
   | { type: 'gateway.upstreams-known' }
   /** The list of quarantined parts has been read for the first time. */
   | { type: 'gateway.verdicts-known' }
+  /** A request goes through another instance, which counts it. */
+  | { type: 'gateway.request-relayed'; service: string }
   | { type: 'gateway.ask-retry-budget'; service: string; replyTo: RequestAddress }
   | { type: 'gateway.tick' };
 
--- a/packages/core/src/messages/index.ts
+++ b/packages/core/src/messages/index.ts
@@ -17,6 +17,7 @@
 export * from './peers.js';
 export * from './platform.js';
 export * from './readers.js';
+export * from './relays.js';
 export * from './rollouts.js';
 export * from './routing.js';
 export * from './sources.js';
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -28,6 +28,7 @@
   | 'platform.calls'
   | 'gateway.requests'
   | 'gateway.denied'
+  | 'gateway.relays'
   | 'gateway.whole'
   | 'gateway.first_event'
   | 'gateway.prediction_error'
--- a/packages/core/src/messages/mailboxes.ts
+++ b/packages/core/src/messages/mailboxes.ts
@@ -17,6 +17,7 @@
 import type * as peers from './peers.js';
 import type * as platform from './platform.js';
 import type * as readers from './readers.js';
+import type * as relays from './relays.js';
 import type * as rollouts from './rollouts.js';
 import type * as routing from './routing.js';
 import type * as sources from './sources.js';
@@ -45,6 +46,7 @@
   peers: peers.PeersMessage;
   platform: platform.PlatformMessage;
   readers: readers.ReadersMessage;
+  relays: relays.RelaysMessage;
   rollouts: rollouts.RolloutsMessage;
   routing: routing.RoutingMessage;
   sources: sources.SourcesMessage;
--- a/packages/core/src/messages/peer-updates.ts
+++ b/packages/core/src/messages/peer-updates.ts
@@ -15,6 +15,8 @@
   dataCentre: string;
   /** HOST:PORT at which it receives peer updates; `undefined` if it receives none. */
   notes: string | undefined;
+  /** HOST:PORT at which it takes requests; `undefined` if its entry does not say. */
+  callers: string | undefined;
   /** Share of a core that the instance has; 0 if it does not say. */
   processorShare: number;
   /** The key with which it signs its peer updates. */
--- a/packages/core/src/results/request-codes.ts
+++ b/packages/core/src/results/request-codes.ts
@@ -106,6 +106,13 @@
   title: 'stream cannot go on',
   hint: 'Not run. Begin the stream anew, without `Last-Event-Id`: no upstream can go on with it.',
 };
+/** Another instance sent the request here because it reaches no upstream, and this one reaches none either. */
+const instanceCutOff: code.Code = {
+  number: 2009,
+  status: 421,
+  title: 'instance reaches no upstream',
+  hint: 'Not run. The instance that sent the request asks another one.',
+};
 /** The right to send to a cold upstream expired before the send. */
 const coldRightLapsed: code.Code = {
   number: 2101,
@@ -179,6 +186,7 @@
   leaving,
   promptQuarantined,
   streamNotResumable,
+  instanceCutOff,
   coldRightLapsed,
   inProgress,
   outcomeUnknown,
--- a/packages/core/test/readers/source.test.ts
+++ b/packages/core/test/readers/source.test.ts
@@ -16,6 +16,7 @@
     name: `instance-${at}`,
     dataCentre: 'dc-1',
     notes: `h:${at + 1}`,
+    callers: undefined,
     processorShare: 0,
     signingKey: undefined,
   }));
--- a/packages/plugins/gateway/src/request-history.ts
+++ b/packages/plugins/gateway/src/request-history.ts
@@ -8,6 +8,8 @@
   routed: core.gateway.lifecycleState.RoutedRequest;
   content: string;
   caller: core.messages.ReplyAddress;
+  /** Under which the request goes through another instance, if it does. */
+  relay: string;
   context: core.kernel.TaskContext<core.messages.RequestMessage, Settings>;
   history: AttemptHistory;
 };
@@ -15,6 +17,8 @@
 /** Attempt data for the journal entry at the end of the request. Only the commands' performance writes it. */
 export type AttemptHistory = {
   upstreams: string[];
+  /** Instances through which the request was sent. */
+  relayedTo: string[];
   softwareVersions: string[];
   expectedWork: core.messages.ExpectedWork[];
   outcomes: string[];
@@ -31,6 +35,7 @@
 export function empty(): AttemptHistory {
   return {
     upstreams: [],
+    relayedTo: [],
     softwareVersions: [],
     expectedWork: [],
     outcomes: [],
@@ -111,6 +116,7 @@
       service,
       clientAccount: clientAccount?.name ?? '',
       upstreams: history.upstreams,
+      relayedTo: history.relayedTo,
       softwareVersions: history.softwareVersions,
       streamBegunBy: request.streamBegunBy ?? '',
       expectedWaitMs: history.expectedWork.map(({ waitMs }) => String(waitMs)),
--- a/packages/plugins/gateway/src/request-task.ts
+++ b/packages/plugins/gateway/src/request-task.ts
@@ -1,4 +1,6 @@
 /** Task that handles one request: executes the commands of the request lifecycle. */
+import * as crypto from 'node:crypto';
+
 import * as core from '@medlarweir/core';
 
 import * as requestHistory from './request-history.js';
@@ -20,7 +22,8 @@
     create: (context) => {
       const { request, clientAccount } = routed;
       const content = core.gateway.requestContent.nameOf(request, clientAccount?.name ?? '');
-      const scope = { routed, content, caller, context, history: requestHistory.empty() };
+      const history = requestHistory.empty();
+      const scope = { routed, content, caller, context, relay: crypto.randomUUID(), history };
       return {
         initial: core.gateway.lifecycleState.initial(routed),
         decide: core.gateway.lifecycle.decide,
@@ -85,6 +88,15 @@
     case 'abort':
       send('transport', { type: 'transport.abort', attempt: command.attempt });
       return;
+    case 'relay':
+      relay(scope, command);
+      return;
+    case 'abort-relay':
+      send('relays', { type: 'relays.abort', relay: scope.relay });
+      return;
+    case 'record-relayed':
+      scope.history.relayedTo.push(command.peer);
+      return;
     case 'ask-retry-budget':
       send('gateway', { type: 'gateway.ask-retry-budget', service: routed.service, replyTo: self });
       return;
@@ -193,6 +205,17 @@
   });
 }
 
+function relay(
+  { routed: { request, route, service }, context, relay: id }: RequestContext,
+  { deadlineAtMs }: Extract<Command, { kind: 'relay' }>,
+): void {
+  const { responseMode: delivery } = route;
+  const replyTo = context.self;
+  const relayRequest = { relay: id, request, delivery, deadlineAtMs, replyTo };
+  context.send('gateway', { type: 'gateway.request-relayed', service });
+  context.send('relays', { type: 'relays.send', relayRequest });
+}
+
 function checkBegin(
   { routed, context }: RequestContext,
   { attempt: { id: attempt, destination } }: Extract<Command, { kind: 'check-begin' }>,
--- a/packages/plugins/peer-notes-udp/test/audiences.test.ts
+++ b/packages/plugins/peer-notes-udp/test/audiences.test.ts
@@ -11,6 +11,7 @@
     name: `instance-${at}`,
     dataCentre: `dc-${at % 3}`,
     notes: `10.0.0.1:${at}`,
+    callers: undefined,
     processorShare: 0,
     signingKey: 'key',
   };
