--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -40,6 +40,7 @@
   | 'gateway.waits'
   | 'gateway.returns'
   | 'gateway.overuse'
+  | 'gateway.cut_off'
   | 'canary.step'
   | 'canary.responses'
   | 'canary.writes'
