--- a/packages/core/src/fleet/waiting-requests.ts
+++ b/packages/core/src/fleet/waiting-requests.ts
@@ -142,11 +142,11 @@
     case 'full':
       return true;
     case 'unknown-service':
-    case 'cut-off':
     case 'quarantined':
     case 'suspected':
     case 'one-at-a-time':
     case 'software-version-gone':
+    case 'cut-off':
       return false;
     default:
       return results.assertNever(reason);
--- a/packages/core/src/messages/gateway.ts
+++ b/packages/core/src/messages/gateway.ts
@@ -7,6 +7,7 @@
 import type * as task from '../kernel/task.js';
 import type * as priority from '../prompt-mix/priority.js';
 import type * as context from '../shared-context/plan.js';
+import type * as relays from './relays.js';
 import type * as streamOrigins from './stream-origins.js';
 import type * as taskLifecycle from './task-lifecycle.js';
 
@@ -65,7 +66,8 @@
   | 'quarantined'
   | 'suspected'
   | 'one-at-a-time'
-  | 'software-version-gone';
+  | 'software-version-gone'
+  | 'cut-off';
 
 export type RequestTimer = 'deadline' | 'idle' | 'place' | 'begin';
 
@@ -100,6 +102,7 @@
     }
   | { type: 'attempt.ended'; attempt: string; end: attemptResult.Result }
   | streamOrigins.OriginFound
+  | relays.RelayReply
   | { type: 'caller.disconnected' }
   | { type: 'request.timer-fired'; timer: RequestTimer };
 
@@ -129,6 +132,8 @@
   | { type: 'gateway.upstreams-known' }
   /** The list of quarantined parts has been read for the first time. */
   | { type: 'gateway.verdicts-known' }
+  /** A request goes through another instance, which counts it. */
+  | { type: 'gateway.request-relayed'; service: string }
   | { type: 'gateway.ask-retry-budget'; service: string; replyTo: RequestAddress }
   | { type: 'gateway.tick' };
 
