Braces around a broken line

Cause: the linter asks for braces where a condition's statement stands on a line of its own.

Change: the braces; no change of behaviour.

Measured: npx eslint packages/core/src/stream-origins: no problem.

--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -48,8 +48,9 @@
     ...all.map((each): Command => ({ kind: 'answer', ...each, basis: basisOf(state, each, now) })),
   ];
   if (message.type === 'task.stop') return { state, commands };
-  if (lookups.takeListing(state, now))
+  if (lookups.takeListing(state, now)) {
     commands.push({ kind: 'list', timeoutMs: lookups.LISTING_TIMEOUT_MS });
+  }
   const due = writing.takeDue(state, now);
   if (due) commands.push({ kind: 'write', ...due });
   const wakeAtMs = nextMs(state, now);
