--- a/packages/core/src/stream-origins/decide.ts
+++ b/packages/core/src/stream-origins/decide.ts
@@ -124,13 +124,13 @@
 
 /** Taken after the answer, so a listing that gave it counts. */
 function basisOf(
-  { listedAt, lastListingAtMs, serving: all }: states.State,
+  { listedAt, recordsReadAtMs, serving: all }: states.State,
   { ask: { service, askedAtMs } }: lookups.Answer,
   now: task.Instant,
 ): origin.Basis {
   return {
     listAgeMs: listedAt ? Math.round(staleness.ageMs(listedAt, now)) : undefined,
-    hasReadRecords: lastListingAtMs >= askedAtMs,
+    hasReadRecords: recordsReadAtMs >= askedAtMs,
     versions: [...(all.get(service)?.keys() ?? [])],
   };
 }
--- a/packages/core/src/stream-origins/origin.ts
+++ b/packages/core/src/stream-origins/origin.ts
@@ -18,7 +18,7 @@
 export type Basis = {
   /** Time since the list of upstreams was last confirmed; undefined before the first list. */
   listAgeMs: number | undefined;
-  /** Whether the records of all instances were asked for since the caller came. */
+  /** Whether a reading of the records of all instances that began after the caller came was answered. */
   hasReadRecords: boolean;
   /** The versions of the service at which streams may have begun. */
   versions: readonly string[];
