--- a/packages/stand-ins/src/crowd.ts
+++ b/packages/stand-ins/src/crowd.ts
@@ -2,6 +2,8 @@
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 
+import * as pacing from './replica/pacing.js';
+
 /** What each connection of a crowd sends. None of it breaks a limit on the size of a request. */
 export type Kind =
   /** A head of very many short lines, and a body that stops short of its end. */
@@ -19,7 +21,15 @@
   /** Whole requests behind each other; the responses stay unread. */
   | 'valid-pipeline'
   /** Half a head of very many short lines. */
-  | 'half-heads';
+  | 'half-heads'
+  /** A body with a length that stops one byte short of it. */
+  | 'stalled-bodies'
+  /** A whole body for an upstream that answers late. */
+  | 'whole-bodies'
+  /** Requests behind each other for large responses, which stay unread. */
+  | 'large-answers'
+  /** A stream of large events, which stays unread. */
+  | 'large-streams';
 
 export const KINDS: readonly Kind[] = [
   'short-lines',
@@ -30,6 +40,10 @@
   'invalid-pipeline',
   'valid-pipeline',
   'half-heads',
+  'stalled-bodies',
+  'whole-bodies',
+  'large-answers',
+  'large-streams',
 ];
 
 /** An ordinary request to the address, as its start line and its header lines. */
@@ -44,6 +58,12 @@
 const LARGE_CHUNK_BYTES = 256 * 1024;
 const PIPELINED_BARE = 20_000;
 const PIPELINED_WHOLE = 2_000;
+const PIPELINED_LARGE = 8;
+const LARGE_ANSWER_BYTES = 2 * 1024 * 1024;
+const LARGE_EVENTS = 64;
+const LARGE_EVENT_BYTES = 32 * 1024;
+/** Below the time-out of the requests. */
+const LATE_ANSWER_MS = 2_000;
 /** The longest that the system may take to accept what the crowd writes. */
 const WRITE_TIMEOUT_MS = 10_000;
 
@@ -80,6 +100,10 @@
   return `${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`;
 }
 
+function lengthOf(bytes: number): string {
+  return `content-length: ${bytes}`;
+}
+
 /** The bytes that each connection of the crowd writes. */
 export function bytesOf(kind: Kind, { startLine, headerLines }: Ordinary): Buffer {
   const head = (...added: readonly string[]) =>
@@ -107,6 +131,24 @@
       return Buffer.from(`${head('content-length: 0')}\r\n`.repeat(PIPELINED_WHOLE));
     case 'half-heads':
       return Buffer.from(`${head()}${linesUpTo(HEAD_BYTES, (at) => `${nameOf(at)}:`)}`);
+    case 'stalled-bodies':
+      return Buffer.from(`${head(lengthOf(BODY_BYTES + 1))}\r\n${'x'.repeat(BODY_BYTES)}`);
+    case 'whole-bodies': {
+      const late = `${pacing.PACE_HEADERS.delayMs}: ${LATE_ANSWER_MS}`;
+      return Buffer.from(`${head(lengthOf(BODY_BYTES), late)}\r\n${'x'.repeat(BODY_BYTES)}`);
+    }
+    case 'large-answers': {
+      const large = `${pacing.PACE_HEADERS.answerBytes}: ${LARGE_ANSWER_BYTES}`;
+      return Buffer.from(`${head(lengthOf(0), large)}\r\n`.repeat(PIPELINED_LARGE));
+    }
+    case 'large-streams': {
+      const large = [
+        `${pacing.PACE_HEADERS.events}: ${LARGE_EVENTS}`,
+        `${pacing.PACE_HEADERS.pauseMs}: 0`,
+        `${pacing.PACE_HEADERS.eventBytes}: ${LARGE_EVENT_BYTES}`,
+      ];
+      return Buffer.from(`${head(lengthOf(0), ...large)}\r\n`);
+    }
     default:
       throw new Error(`unexpected kind: ${JSON.stringify(kind satisfies never)}`);
   }
@@ -114,28 +156,47 @@
 
 /**
  * Opens the connections and resolves once the system has accepted the bytes of each, or the connection has
- * ended, or the time for it is over. Nothing that comes back is read.
+ * ended, or the time for it is over. Nothing that comes back is read. A connection that ends is opened again
+ * at once, up to `returns` times.
  */
-export async function gather(address: string, connections: number, bytes: Buffer): Promise<Crowd> {
+export async function gather(
+  address: string,
+  connections: number,
+  bytes: Buffer,
+  returns = 0,
+): Promise<Crowd> {
   const [host = '', port] = address.split(':');
-  const sockets: net.Socket[] = [];
-  const written = Array.from({ length: connections }, () => {
+  const sockets = new Set<net.Socket>();
+  const state = { isOver: false };
+  const write = (returnsLeft: number): Promise<void> => {
     const socket = net.connect({ host, port: Number(port) });
     socket.pause();
-    sockets.push(socket);
+    sockets.add(socket);
     return new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, WRITE_TIMEOUT_MS);
       const settle = () => {
         clearTimeout(timer);
         resolve();
       };
+      const comeBack = () => {
+        sockets.delete(socket);
+        if (returnsLeft > 0 && !state.isOver) void write(returnsLeft - 1).then(settle);
+        else settle();
+      };
       socket.on('error', () => undefined);
-      socket.on('close', settle);
-      socket.write(bytes, settle);
+      socket.on('close', comeBack);
+      socket.write(bytes, (error) => {
+        if (!error) settle();
+      });
     });
-  });
-  await Promise.all(written);
-  return { end: () => sockets.forEach((socket) => socket.destroy()) };
+  };
+  await Promise.all(Array.from({ length: connections }, () => write(returns)));
+  return {
+    end() {
+      state.isOver = true;
+      sockets.forEach((socket) => socket.destroy());
+    },
+  };
 }
 
 /** How long an answer may be under way. */
--- a/packages/stand-ins/src/replica/event-streams.ts
+++ b/packages/stand-ins/src/replica/event-streams.ts
@@ -10,7 +10,14 @@
  */
 export type Ending = 'proper' | 'reset-inside' | 'unframed' | 'unframed-empty' | 'unframed-inside';
 
-export type Stream = { after: number; events: number; pauseMs: number; ending: Ending };
+export type Stream = {
+  after: number;
+  events: number;
+  pauseMs: number;
+  /** What the data of each event is filled up to. */
+  eventBytes: number;
+  ending: Ending;
+};
 
 export function endingOf(fault: replica.Fault): Ending {
   if (fault === 'cut' || resumptions.isResumption(fault)) return 'reset-inside';
@@ -32,7 +39,7 @@
 export function write(
   response: http.ServerResponse,
   headers: Readonly<Record<string, string>>,
-  { after, events, pauseMs, ending }: Stream,
+  { after, events, pauseMs, eventBytes, ending }: Stream,
 ): void {
   const isUnframed = ending.startsWith('unframed');
   // Without chunks and with `close`, Node.js writes neither of the framing headers.
@@ -52,7 +59,7 @@
       response.end();
       return;
     }
-    response.write(`id: ${at}\ndata: ${at}\n\n`);
+    response.write(`id: ${at}\ndata: ${String(at).padEnd(eventBytes, '.')}\n\n`);
     setTimeout(() => send(at + 1), pauseMs);
   };
   send(first);
--- a/packages/stand-ins/src/replica/replica.ts
+++ b/packages/stand-ins/src/replica/replica.ts
@@ -174,7 +174,7 @@
     socket: net.Socket,
     response: http.ServerResponse,
   ): void {
-    const body = `answer to ${received.requestId} by ${id}`;
+    const body = pacing.paddedBody(received.headers, `answer to ${received.requestId} by ${id}`);
     const headers = headersOf(received);
     const lines = headerLines.of(headers);
     const closeDelimited = `HTTP/1.1 200 OK\r\n${lines}connection: close\r\n\r\n${body}`;
@@ -236,10 +236,10 @@
 
   function stream(received: ReceivedRequest, response: http.ServerResponse): void {
     const { fault } = state;
-    const { events, pauseMs } = pacing.streamPaceOf(received.headers, state);
+    const pace = pacing.streamPaceOf(received.headers, state);
     const after = Number(received.headers['last-event-id'] ?? 0);
     const ending = eventStreams.endingOf(fault);
-    eventStreams.write(response, headersOf(received), { after, events, pauseMs, ending });
+    eventStreams.write(response, headersOf(received), { after, ...pace, ending });
   }
 
   const server = http.createServer((request, response) => {
