Buffers out of use are collected before the process leaves its machine

Callers of a small machine would have lost its instance: with large bodies a process had 150 to 166 MB with half of the heap, and 171 to 193 MB with the deploy file's command on a machine of 178 MB.

Cause: what is counted is not all that is held. Each read and each piece of a body leaves a buffer, and V8 collects for memory outside its heap only once that has grown by half of the old-space limit, whatever the machine has. The budgets followed from the heap alone.

The tasks that read bodies count their buffers; above a watermark of resident memory these are collected after each 4 MB.

Why it works: what waits for its collection is bounded by the bytes read since the last one, no longer by the heap's limit. Below the watermark nothing is collected.

--- a/packages/caller-connections/src/bodies.ts
+++ b/packages/caller-connections/src/bodies.ts
@@ -44,6 +44,7 @@
     const { full, last, usedOfLast } = state.blocks;
     const body = Buffer.concat([...full, last.subarray(0, usedOfLast)]);
     close();
+    turn.kept(body.length);
     callback({ kind: 'whole', body });
   });
 }
--- a/packages/caller-connections/src/connections.ts
+++ b/packages/caller-connections/src/connections.ts
@@ -9,54 +9,14 @@
 import * as holdings from './holdings.js';
 import * as pauses from './pauses.js';
 import * as turns from './turns.js';
-
-/** All in ms; callers that keep within them are never cut. */
-export type Limits = {
-  /** From the first byte of a head to its end. */
-  headMs: number;
-  /** From the end of a head to that of the body. */
-  bodyMs: number;
-  /** Without a byte of a request. */
-  idleMs: number;
-};
-
-export type Ended = {
-  reason: answers.Fault | 'behind-a-request';
-  /** Of the HTTP parser; empty if a limit was passed. */
-  code: string;
-  /** 0 if the connection got no answer of its own. */
-  status: number;
-  /** Bytes that had been read from it; what the system holds unread is not among them. */
-  readBytes: number;
-  openRequests: number;
-};
-
-export type Options = Pick<holdings.Options, 'budget' | 'refuse'> & {
-  limits(): Limits;
-  /** Beyond them, connections without a request are closed, those of the least use first. */
-  maxConnections(): number;
-  /** Connections were dropped for want of memory or of connections; called for many at once. */
-  onDropped(dropped: holdings.Dropped): void;
-  /** What the answer to a connection without a request says, beside its status. */
-  errorBody: answers.ErrorBody | undefined;
-  onEnded(ended: Ended): void;
-};
-
-export type Connections = {
-  /** The turn of a request. Undefined if its connection takes none any more; it must not be answered. */
-  begin(request: http.IncomingMessage, response: http.ServerResponse): turns.Turn | undefined;
-  /** Stops accepting connections and closes idle ones. Calls back once the others are closed, too. */
-  stop(onClosed?: () => void): void;
-  /** Closes all, also those with a request in flight. */
-  closeAll(): void;
-};
+import type * as types from './types.js';
 
 /** Requests that wait on a connection before it is read no further for now. */
 const MAX_READ_AHEAD = 16;
 /** How long an answered connection is read on. */
 const LINGER_MS = 1_000;
 
-export function watch(server: http.Server, options: Options): Connections {
+export function watch(server: http.Server, options: types.Options): types.Connections {
   const all = new Map<net.Socket, connectionState.Connection>();
   const held = holdings.create(options);
   const paused = pauses.create();
@@ -75,6 +35,7 @@
       isInBody: () => waiting.at(-1)?.request.complete === false,
       isDropped: () => holding.isDropped,
       resumeInTurn,
+      onRead: options.collector.allocated,
       onParsed() {
         held.update(holding);
         // What a destroyed connection held is free once it is closed, which is after all reads.
@@ -145,7 +106,7 @@
 
   function report(
     { socket, turns: { length: openRequests } }: connectionState.Connection,
-    reason: Ended['reason'],
+    reason: types.Ended['reason'],
     code: string,
     status: number,
   ): void {
@@ -254,7 +215,11 @@
       whenOver: (callback) => waiting.onOver.push(callback),
       isTaken: () => !holding.isDropped && !waiting.isOver,
       hold,
-      parsed: (bytes) => held.parsed(holding, bytes),
+      parsed(bytes) {
+        held.parsed(holding, bytes);
+        options.collector.allocated(bytes);
+      },
+      kept: options.collector.kept,
       written() {
         const unreadBytes = response.writableLength;
         hold(unreadBytes - waiting.unreadBytes);
--- a/packages/caller-connections/src/feed.ts
+++ b/packages/caller-connections/src/feed.ts
@@ -8,6 +8,8 @@
   isDropped(): boolean;
   /** Lets the socket go on when it is its turn. */
   resumeInTurn(socket: net.Socket): void;
+  /** Called with the bytes of each read buffer. */
+  onRead(bytes: number): void;
   /** Called after each piece; it may pause the socket, which keeps the rest unparsed. */
   onParsed(): void;
 };
@@ -66,6 +68,7 @@
   parsers.forEach((each) => socket.removeListener('data', each));
   socket.on('data', (chunk: Buffer) => {
     unparsed.push(chunk);
+    options.onRead(chunk.length);
     parse();
   });
   socket.on('resume', parse);
--- a/packages/caller-connections/src/index.ts
+++ b/packages/caller-connections/src/index.ts
@@ -7,3 +7,4 @@
 export * as limits from './limits.js';
 export * as small from './small.js';
 export type * from './turns.js';
+export type * from './types.js';
--- a/packages/caller-connections/src/limits.ts
+++ b/packages/caller-connections/src/limits.ts
@@ -1,15 +1,11 @@
-/** Limits that follow from the process: its heap and its descriptors. */
+/** Limits that follow from the process: its memory and its descriptors. */
 import * as fs from 'node:fs/promises';
 import * as v8 from 'node:v8';
 
+import type * as processMemory from '@medlarweir/process-memory';
+
 import type * as memoryBudget from './memory-budget.js';
 
-/** What a process holds of its own: 32 MB in calm, and room for what it does at work. */
-const OWN_BYTES = 44 * 1_024 * 1_024;
-/** Of the rest of the heap: the runtime needs room to collect. */
-const CALLERS_SHARE = 0.5;
-/** Two of the largest bodies, whatever the heap. */
-const MIN_CALLERS_BYTES = 8 * 1_024 * 1_024;
 /** Of the callers' budget. */
 const CONNECTION_SHARE = 0.25;
 /** The largest body and the largest answer (4 MiB each), and the longest head in the shortest lines. */
@@ -19,22 +15,27 @@
 /** Of 4,100 descriptors the platform uses 200; upstreams and the store need a few hundred. */
 const OTHER_DESCRIPTORS = 500;
 
-/** `bytes` of 0 take half of what the largest heap of the process leaves for callers. */
-export function callersBudget(bytes: number): memoryBudget.Budget {
-  const derivedBytes = Math.max(MIN_CALLERS_BYTES, (heapBytes() - OWN_BYTES) * CALLERS_SHARE);
-  const processBytes = bytes > 0 ? bytes : derivedBytes;
+/** `bytes` of 0 take what the division of the memory leaves for callers. */
+export function callersBudget(
+  bytes: number,
+  { callersBytes }: processMemory.division.Division,
+): memoryBudget.Budget {
+  const processBytes = bytes > 0 ? bytes : callersBytes;
   const connectionBytes = Math.max(MIN_CONNECTION_BYTES, processBytes * CONNECTION_SHARE);
   return { processBytes, connectionBytes };
 }
 
 export function smallBudget(): memoryBudget.Budget {
-  const processBytes = heapBytes() * SMALL_SHARE;
+  const processBytes = v8.getHeapStatistics().heap_size_limit * SMALL_SHARE;
   return { processBytes, connectionBytes: processBytes * CONNECTION_SHARE };
 }
 
-function heapBytes(): number {
-  return v8.getHeapStatistics().heap_size_limit;
-}
+/** Settings of what the callers of an instance may hold. */
+export type Memory = ConnectionSettings & {
+  /** What callers may hold, in bytes; 0 for a share of the division. */
+  callerBytes: number;
+  division: processMemory.division.Division;
+};
 
 export type ConnectionSettings = {
   maxConnections: number;
--- a/packages/caller-connections/src/small.ts
+++ b/packages/caller-connections/src/small.ts
@@ -4,6 +4,7 @@
 import * as connections from './connections.js';
 import type * as holdings from './holdings.js';
 import * as limits from './limits.js';
+import type * as types from './types.js';
 
 export type Options = {
   /** Answers at once, or when the promise that it returns is fulfilled; that must not fail. */
@@ -11,11 +12,11 @@
   onDropped(dropped: holdings.Dropped): void;
 };
 
-export type Small = { server: http.Server; connections: connections.Connections };
+export type Small = { server: http.Server; connections: types.Connections };
 
 /** A balancer, scrapers and operators use a few. */
 const MAX_CONNECTIONS = 128;
-const LIMITS: connections.Limits = { headMs: 3_000, bodyMs: 3_000, idleMs: 15_000 };
+const LIMITS: types.Limits = { headMs: 3_000, bodyMs: 3_000, idleMs: 15_000 };
 const MAX_HEADER_BYTES = 16_384;
 
 export function create({ answer, onDropped }: Options): Small {
@@ -47,6 +48,8 @@
     budget: () => budget,
     refuse: (response) => response.writeHead(503, { Connection: 'close' }).end(),
     onDropped,
+    // Bodies are not read here.
+    collector: { allocated: () => undefined, kept: () => undefined },
   });
   return { server, connections: watched };
 }
--- a/packages/caller-connections/src/turns.ts
+++ b/packages/caller-connections/src/turns.ts
@@ -18,6 +18,8 @@
   hold(bytes: number): void;
   /** Counts bytes of the body and its framing as read. */
   parsed(bytes: number): void;
+  /** Counts a body that is kept until the request has been answered. */
+  kept(bytes: number): void;
   /** Counts the written part of the response that the caller has not read; called after each write. */
   written(): void;
 };
--- a/packages/caller-connections/test/connections.test.ts
+++ b/packages/caller-connections/test/connections.test.ts
@@ -41,6 +41,7 @@
     budget: () => ({ connectionBytes: 1_000_000, processBytes: 10_000_000 }),
     refuse: (response) => response.destroy(),
     onDropped: () => undefined,
+    collector: { allocated: () => undefined, kept: () => undefined },
   });
   const address = await standIns.addresses.listen(server);
   const close = () => {
--- a/packages/core/src/settings/gateway.ts
+++ b/packages/core/src/settings/gateway.ts
@@ -64,6 +64,7 @@
   retryRatio: factor(0.2, 'retry budget: retries per request, over all instances'),
   retryExtra: factor(50, 'retry budget: additional retries per window, over all instances'),
   coldOverrun: factor(1.5, 'allowed multiple of the rate limit of a cold upstream'),
+  memoryMb: limits.memoryMb,
   callerMemoryMb: limits.callerMemoryMb,
   maxConnections: limits.maxConnections,
   maxDescriptors: limits.maxDescriptors,
--- a/packages/core/src/settings/limits.ts
+++ b/packages/core/src/settings/limits.ts
@@ -7,7 +7,16 @@
   .max(1_048_576)
   .default(0)
   .describe(
-    'memory that requests and unread responses of all callers may hold, in MB; if 0, half of the heap limit less 44 MB, and 8 at least',
+    'memory that requests and unread responses of all callers may hold, in MB; if 0, a share of the heap limit and of the machine’s memory, and 8 at least',
+  );
+
+export const memoryMb = zod.coerce
+  .number()
+  .min(0)
+  .max(1_048_576)
+  .default(0)
+  .describe(
+    'resident memory that the process may have on its machine, in MB; if 0, what the system tells',
   );
 
 export const maxDescriptors = zod.coerce
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -54,6 +54,7 @@
     .describe(
       'time from SIGTERM until the process is killed: late requests that need longer are refused, in ms',
     ),
+  memoryMb: limits.memoryMb,
   callerMemoryMb: limits.callerMemoryMb,
   maxConnections: limits.maxConnections,
   maxDescriptors: limits.maxDescriptors,
--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -4,6 +4,7 @@
  */
 import type * as callerConnections from '@medlarweir/caller-connections';
 import * as core from '@medlarweir/core';
+import * as processMemory from '@medlarweir/process-memory';
 
 import * as connections from './connections.js';
 import * as requests from './requests.js';
@@ -62,6 +63,7 @@
         callerBytes: context.settings.callerMemoryMb * BYTES_PER_MB,
         maxConnections: context.settings.maxConnections,
         maxDescriptors: context.settings.maxDescriptors,
+        division: processMemory.division.ofProcess(context.settings.memoryMb),
       },
       onServerClosed: () => context.self.send({ type: 'callers.closed' }),
     });
--- a/packages/plugins/callers-http/src/connections.ts
+++ b/packages/plugins/callers-http/src/connections.ts
@@ -28,7 +28,7 @@
   onListening(address: string): void;
   onConnectionEnded(ended: callerConnections.Ended): void;
   onDropped(dropped: callerConnections.Dropped): void;
-  memory: server.Memory;
+  memory: callerConnections.limits.Memory;
   onServerClosed(): void;
 };
 
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -4,6 +4,7 @@
 
 import * as callerConnections from '@medlarweir/caller-connections';
 import * as httpFields from '@medlarweir/http-fields';
+import * as processMemory from '@medlarweir/process-memory';
 
 import type * as decode from './decode.js';
 import * as encode from './encode.js';
@@ -29,12 +30,7 @@
   /** A connection ended without a request, or for what followed one. */
   onConnectionEnded(ended: callerConnections.Ended): void;
   onDropped(dropped: callerConnections.Dropped): void;
-  memory: Memory;
-};
-
-export type Memory = callerConnections.limits.ConnectionSettings & {
-  /** What callers may hold, in bytes; 0 for a share of the heap. */
-  callerBytes: number;
+  memory: callerConnections.limits.Memory;
 };
 
 export function start(handlers: Handlers): callerConnections.Connections {
@@ -46,7 +42,8 @@
       turn.whenFirst(() => handlers.onRequest({ response, turn, readResult })),
     );
   });
-  const budget = callerConnections.limits.callersBudget(handlers.memory.callerBytes);
+  const { callerBytes, division } = handlers.memory;
+  const budget = callerConnections.limits.callersBudget(callerBytes, division);
   const state = { maxConnections: handlers.memory.maxConnections };
   void callerConnections.limits.maxConnections(handlers.memory).then((maxConnections) => {
     Object.assign(state, { maxConnections });
@@ -59,6 +56,7 @@
     budget: () => budget,
     refuse,
     onDropped: handlers.onDropped,
+    collector: processMemory.collector.create(division.watermarks),
   });
   // Told to callers; `connections` keeps to it.
   server.keepAliveTimeout = LIMITS.idleMs;
