--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -38,11 +38,14 @@
   const server = http.createServer({ requireHostHeader: false }, (request, response) => {
     const turn = connections.begin(request, response);
     if (!turn) return;
-    readRequest(request, turn, handlers.maxBodyBytes(), (readResult) =>
+    readRequest(bodies, request, turn, handlers.maxBodyBytes(), (readResult) =>
       turn.whenFirst(() => handlers.onRequest({ response, turn, readResult })),
     );
   });
   const { callerBytes, division } = handlers.memory;
+  const bodies = callerConnections.bodies.createReader(
+    processMemory.blocks.createPool(division.callersBytes),
+  );
   const budget = callerConnections.limits.callersBudget(callerBytes, division);
   const state = { maxConnections: handlers.memory.maxConnections };
   void callerConnections.limits.maxConnections(handlers.memory).then((maxConnections) => {
@@ -76,6 +79,7 @@
 
 /** Does not call back if the caller disconnects before the request is complete. */
 function readRequest(
+  bodies: callerConnections.bodies.Reader,
   request: http.IncomingMessage,
   turn: callerConnections.Turn,
   limitBytes: number,
@@ -87,7 +91,7 @@
     callback({ kind: 'malformed', detail: head.error });
     return;
   }
-  callerConnections.bodies.read(
+  bodies.read(
     request,
     turn,
     () => limitBytes,
