Messages of peers are read within a budget of memory

Clients at the address of peers ended an entry instance: 400 connections with 20,000 bare requests sent ahead, and 3,000 with half a head, both without a deployment key.

Cause: that address was served by a plain HTTP server, whose connections had no budget and no limit.

A request without an accepted key is refused before its body is read.

Why it works: requests of one connection are handled one at a time and read a few ahead, so what a connection can hold is counted and dropped when all hold too much.

--- a/examples/test/untrusted-callers.test.ts
+++ b/examples/test/untrusted-callers.test.ts
@@ -17,7 +17,8 @@
 const HEAP_MB = 64;
 /** What the process may have beside its heap. */
 const BESIDE_HEAP_MB = 104;
-const MAX_RESIDENT_BYTES = (HEAP_MB + BESIDE_HEAP_MB) * 1_024 * 1_024;
+const MACHINE_MB = HEAP_MB + BESIDE_HEAP_MB;
+const MAX_RESIDENT_BYTES = MACHINE_MB * 1_024 * 1_024;
 /** Beside the crowd's connections. */
 const MAX_OTHER_DESCRIPTORS = 100;
 /** The longest until an ordinary request is answered while the crowd stays. */
@@ -48,7 +49,7 @@
     limits: { ...fixtures.aConfiguration().limits, maxBodyBytes: MAX_BODY_BYTES },
   });
   const flags = [`--max-old-space-size=${HEAP_MB}`, '--max-semi-space-size=4'];
-  return runningInstance.anInstance(configuration, flags);
+  return runningInstance.anInstance(configuration, flags, { 'memory-mb': String(MACHINE_MB) });
 }
 
 async function expectHealth(
@@ -87,8 +88,16 @@
   ['peers', 'bare-pipeline', 60],
 ];
 
-CASES.forEach(([listener, kind, connections]) => {
-  suite(`an instance serves beside clients of kind ${kind} at ${listener}`, async (context) => {
+/** Crowds that ended the process while the address of peers had no budget. */
+const LARGE_CASES: typeof CASES = [
+  ['peers', 'bare-pipeline', 400],
+  ['peers', 'half-heads', 3_000],
+];
+
+[...CASES, ...LARGE_CASES].forEach(([listener, kind, connections], at) => {
+  const size = at < CASES.length ? '' : `${connections} `;
+  const name = `an instance serves beside ${size}clients of kind ${kind} at ${listener}`;
+  suite(name, async (context) => {
     const instance = await start(context);
     const bytes = standIns.crowd.bytesOf(kind, ORDINARY);
     const crowd = await standIns.crowd.gather(instance[listener], connections, bytes);
--- a/packages/plugins/peers-trpc/src/peers-task.ts
+++ b/packages/plugins/peers-trpc/src/peers-task.ts
@@ -10,6 +10,7 @@
 
 import * as client from './client.js';
 import * as router from './router.js';
+import * as peersServer from './server.js';
 
 type Message =
   | core.messages.PeersMessage
@@ -42,7 +43,7 @@
   },
 };
 
-type Sockets = { servers: Set<http.Server>; clients: Map<string, client.Client> };
+type Sockets = { servers: Set<peersServer.Server>; clients: Map<string, client.Client> };
 
 function decide(state: State, message: Message): Step {
   switch (message.type) {
@@ -101,9 +102,9 @@
       sockets.servers.add(listen(context));
       return;
     case 'close':
-      sockets.servers.forEach((server) => {
-        server.close();
-        server.closeAllConnections();
+      sockets.servers.forEach(({ connections }) => {
+        connections.stop();
+        connections.closeAll();
       });
       return;
     case 'notify':
@@ -120,26 +121,34 @@
   }
 }
 
-function listen(context: TaskContext): http.Server {
-  const { settings, self } = context;
-  const server = standalone.createHTTPServer({
+function listen(context: TaskContext): peersServer.Server {
+  const { settings, self, record } = context;
+  const keys = [settings.deploymentKey, settings.otherDeploymentKey].filter(
+    (key) => key !== undefined,
+  );
+  const isAuthenticated = ({ headers }: http.IncomingMessage) =>
+    hasAcceptedKey(headers.authorization ?? '', keys);
+  const handle = standalone.createHTTPHandler({
     router: router.createRouter({
       onGossipMessage: (received) => self.send({ type: 'peers.received', message: received }),
       dump: () => context.dump(),
     }),
-    createContext: ({ req }) => ({
-      isAuthenticated: hasAcceptedKey(req.headers.authorization ?? '', [
-        settings.deploymentKey,
-        ...(settings.otherDeploymentKey === undefined ? [] : [settings.otherDeploymentKey]),
-      ]),
-    }),
+    createContext: ({ req }) => ({ isAuthenticated: isAuthenticated(req) }),
+  });
+  const opened = peersServer.create({
+    isAuthenticated,
+    handle,
+    onDropped: (dropped) =>
+      record({ name: 'connectionsDropped', details: { address: 'peers', ...dropped } }),
+    memoryMb: settings.memoryMb,
   });
+  const { server } = opened;
   server.on('listening', () => {
     const bound = server.address() as net.AddressInfo;
     self.send({ type: 'peers.listening', address: `${bound.address}:${bound.port}` });
   });
   core.kernel.listen(server, settings.peers, context);
-  return server;
+  return opened;
 }
 
 /** Compares SHA-256 digests with every key in constant time. */
