--- a/packages/stand-ins/src/crowd.ts
+++ b/packages/stand-ins/src/crowd.ts
@@ -203,7 +203,7 @@
 const ANSWER_TIMEOUT_MS = 10_000;
 
 /** Whether a request on a new connection is answered with 200; it has to close its connection. */
-function isAnswered(address: string, request: string): Promise<boolean> {
+export function isAnswered(address: string, request: string): Promise<boolean> {
   const [host = '', port] = address.split(':');
   return new Promise((resolve) => {
     const received = { text: '' };
@@ -238,3 +238,23 @@
   const lines = [startLine, ...headerLines, 'connection: close', 'content-length: 0'];
   return `${lines.join('\r\n')}\r\n\r\n`;
 }
+
+export type Limits = { headBytes: number; bodyBytes: number };
+
+/**
+ * A request at its limits: a head in the shortest lines, and a body, whose response is as large. It
+ * closes its connection.
+ */
+export function largestText(ordinary: Ordinary, { headBytes, bodyBytes }: Limits): string {
+  const { startLine, headerLines } = ordinary;
+  const lines = [
+    startLine,
+    ...headerLines,
+    'connection: close',
+    lengthOf(bodyBytes),
+    `${pacing.PACE_HEADERS.answerBytes}: ${bodyBytes}`,
+  ];
+  const head = `${lines.join('\r\n')}\r\n`;
+  const filled = linesUpTo(headBytes - head.length, (at) => `${nameOf(at)}:`);
+  return `${head}${filled}\r\n${'x'.repeat(bodyBytes)}`;
+}
