Collections of buffers are counted; tasks own their collectors

Cause: an operator could not see that a process collects early, and the servers made their own collector, so that the task could not report it.

Change: the tasks create the collector and hand it to what reads for them; the metric memory.collections counts its collections by kind.

--- a/packages/caller-connections/src/limits.ts
+++ b/packages/caller-connections/src/limits.ts
@@ -35,6 +35,7 @@
   /** What callers may hold, in bytes; 0 for a share of the division. */
   callerBytes: number;
   division: processMemory.division.Division;
+  collector: processMemory.collector.Collector;
 };
 
 export type ConnectionSettings = {
--- a/packages/core/src/messages/journal.ts
+++ b/packages/core/src/messages/journal.ts
@@ -24,6 +24,7 @@
   | 'claims.writes'
   | 'answers.dropped'
   | 'callers.dropped'
+  | 'memory.collections'
   | 'peers.notes'
   | 'platform.calls'
   | 'gateway.requests'
--- a/packages/plugins/callers-http/src/callers-task.ts
+++ b/packages/plugins/callers-http/src/callers-task.ts
@@ -48,6 +48,7 @@
 export const definition: core.kernel.TaskDefinition<State, Message, Command> = {
   name: 'callers',
   create: (context) => {
+    const division = processMemory.division.ofProcess(context.settings.memoryMb);
     const sockets = connections.create({
       onRequest: (requestId, readResult) =>
         context.self.send({ type: 'http.request-received', requestId, readResult }),
@@ -63,7 +64,17 @@
         callerBytes: context.settings.callerMemoryMb * BYTES_PER_MB,
         maxConnections: context.settings.maxConnections,
         maxDescriptors: context.settings.maxDescriptors,
-        division: processMemory.division.ofProcess(context.settings.memoryMb),
+        division,
+        collector: processMemory.collector.create({
+          watermarks: division.watermarks,
+          onCollected: (label) =>
+            context.send('metrics', {
+              type: 'metrics.count',
+              name: 'memory.collections',
+              by: 1,
+              label,
+            }),
+        }),
       },
       onServerClosed: () => context.self.send({ type: 'callers.closed' }),
     });
--- a/packages/plugins/callers-http/src/server.ts
+++ b/packages/plugins/callers-http/src/server.ts
@@ -42,7 +42,7 @@
       turn.whenFirst(() => handlers.onRequest({ response, turn, readResult })),
     );
   });
-  const { callerBytes, division } = handlers.memory;
+  const { callerBytes, division, collector } = handlers.memory;
   const bodies = callerConnections.bodies.createReader(
     processMemory.blocks.createPool(division.callersBytes),
   );
@@ -59,7 +59,7 @@
     budget: () => budget,
     refuse,
     onDropped: handlers.onDropped,
-    collector: processMemory.collector.create(division.watermarks),
+    collector,
   });
   // Told to callers; `connections` keeps to it.
   server.keepAliveTimeout = LIMITS.idleMs;
--- a/packages/plugins/peers-trpc/src/peers-task.ts
+++ b/packages/plugins/peers-trpc/src/peers-task.ts
@@ -6,6 +6,7 @@
 import type * as net from 'node:net';
 
 import * as core from '@medlarweir/core';
+import * as processMemory from '@medlarweir/process-memory';
 import * as standalone from '@trpc/server/adapters/standalone';
 
 import * as client from './client.js';
@@ -140,7 +141,16 @@
     handle,
     onDropped: (dropped) =>
       record({ name: 'connectionsDropped', details: { address: 'peers', ...dropped } }),
-    memoryMb: settings.memoryMb,
+    collector: processMemory.collector.create({
+      watermarks: processMemory.division.ofProcess(settings.memoryMb).watermarks,
+      onCollected: (label) =>
+        context.send('metrics', {
+          type: 'metrics.count',
+          name: 'memory.collections',
+          by: 1,
+          label,
+        }),
+    }),
   });
   const { server } = opened;
   server.on('listening', () => {
--- a/packages/plugins/peers-trpc/src/server.ts
+++ b/packages/plugins/peers-trpc/src/server.ts
@@ -9,8 +9,7 @@
   /** Answers a request whose body, as text, is its property `body`. */
   handle: http.RequestListener;
   onDropped(dropped: callerConnections.Dropped): void;
-  /** Resident memory of the process, in MB; 0 for what the system tells. */
-  memoryMb: number;
+  collector: processMemory.collector.Collector;
 };
 
 export type Server = { server: http.Server; connections: callerConnections.Connections };
@@ -26,7 +25,7 @@
 /** A few relays, and operators; a planned deployment has 380 instances. */
 const MAX_CONNECTIONS = 1_000;
 
-export function create({ isAuthenticated, handle, onDropped, memoryMb }: Options): Server {
+export function create({ isAuthenticated, handle, onDropped, collector }: Options): Server {
   // Node answers a missing host itself, and such requests would not be counted.
   const server = http.createServer({ requireHostHeader: false }, (request, response) => {
     const turn = connections.begin(request, response);
@@ -62,20 +61,19 @@
       },
     );
   });
-  const { watermarks } = processMemory.division.ofProcess(memoryMb);
   const bodies = callerConnections.bodies.createReader(
     processMemory.blocks.createPool(MAX_MESSAGE_BYTES),
   );
   const connections = callerConnections.watch(server, {
     limits: () => LIMITS,
     errorBody: undefined,
-    // The peers are told nothing else about broken requests, and a line for each is not worth its time.
+    // Broken requests to this address are not worth a line each.
     onEnded: () => undefined,
     maxConnections: () => MAX_CONNECTIONS,
     budget: () => BUDGET,
     refuse: (response) => response.writeHead(503, { Connection: 'close' }).end(),
     onDropped,
-    collector: processMemory.collector.create(watermarks),
+    collector,
   });
   return { server, connections };
 }
--- a/packages/process-memory/src/collector.ts
+++ b/packages/process-memory/src/collector.ts
@@ -20,14 +20,22 @@
   collect(collection: 'young' | 'all'): void;
 };
 
-export function create(watermarks: pressure.Watermarks, runtime: Runtime = ofProcess()): Collector {
+export type Options = {
+  watermarks: pressure.Watermarks;
+  onCollected(collection: 'young' | 'all'): void;
+  runtime?: Runtime;
+};
+
+export function create({ watermarks, onCollected, runtime = ofProcess() }: Options): Collector {
   let state = pressure.initial;
   function onAllocated(next: pressure.State): void {
     state = next;
     if (!pressure.isMeasurementDue(state)) return;
     const step = pressure.measure(state, runtime.residentBytes(), watermarks);
     state = step.state;
-    if (step.collection !== 'none') runtime.collect(step.collection);
+    if (step.collection === 'none') return;
+    runtime.collect(step.collection);
+    onCollected(step.collection);
   }
   return {
     allocated: (bytes) => onAllocated(pressure.allocate(state, bytes)),
--- a/packages/process-memory/test/pressure.test.ts
+++ b/packages/process-memory/test/pressure.test.ts
@@ -15,9 +15,10 @@
   const made: string[] = [];
   const runtime: processMemory.collector.Runtime = {
     residentBytes: () => residentMb * MB,
-    collect: (collection) => made.push(collection),
+    collect: () => undefined,
   };
-  return { made, ...collector.create(WATERMARKS, runtime) };
+  const onCollected = (collection: string) => made.push(collection);
+  return { made, ...collector.create({ watermarks: WATERMARKS, onCollected, runtime }) };
 }
 
 suite('nothing is collected below the watermarks, however much is allocated', () => {
@@ -52,9 +53,14 @@
 });
 
 suite('the runtime can be asked for both collections', () => {
-  const made = collector.create({ youngBytes: 0, allBytes: 0 });
-  made.allocated(4 * MB);
-  made.kept(8 * MB);
+  const made: string[] = [];
+  const { allocated, kept } = collector.create({
+    watermarks: { youngBytes: 0, allBytes: 0 },
+    onCollected: (collection) => made.push(collection),
+  });
+  allocated(4 * MB);
+  kept(8 * MB);
+  assert.equal(made, ['young', 'all']);
 });
 
 suite.run();
