review: a key that was taken away works again at an instance that starts during a drill of the store

The store may come back from an old copy. An instance that starts then takes the table of that copy, since only a newer one that it has had itself keeps it from an older one. For leases the same process counts what it reads as an old copy for ten seconds; for keys it does not.

Adds case 9, with a store stand-in that keeps a copy and comes back from it, and an instance that is killed and started again meanwhile.

--- a/review/lib-2/processes.mjs
+++ b/review/lib-2/processes.mjs
@@ -108,6 +108,18 @@
   return standIn('store', [path.join(ROOT, 'packages/stand-ins/dist/main.js'), 'platform']);
 }
 
+/** The same in a process that can keep a copy and come back from it. */
+export async function startDrillStore() {
+  const control = {};
+  const program = path.join(ROOT, 'review/lib-2/drill-store.mjs');
+  const started = await standIn('store', [program], (message) => Object.assign(control, message));
+  const tell = (what) => {
+    record(`store: ${what}`);
+    return call(control.control, 'POST', `/${what}`);
+  };
+  return { ...started, copy: () => tell('copy'), restore: () => tell('restore') };
+}
+
 /** The replica of this review, with the options of `replica.mjs`; `ran` collects what it received. */
 export async function startReplica(options) {
   const seen = [];
@@ -242,12 +254,19 @@
 const NET = `127.${100 + (process.pid % 100)}.${1 + (Math.floor(process.pid / 100) % 250)}`;
 
 /** Starts an instance with the command of the deploy file, and waits until it says that it is ready. */
-export async function startInstance(name, number, store, { zone = 'covilha', limits = {} } = {}) {
+/** `again`: an instance that ended, which is started again at its addresses. */
+export async function startInstance(
+  name,
+  number,
+  store,
+  { zone = 'covilha', limits = {}, again } = {},
+) {
   const ip = `${NET}.${number}`;
-  const front = `${ip}:${await freePort(ip)}`;
-  const readiness = `${ip}:${await freePort(ip)}`;
+  const front = again?.front ?? `${ip}:${await freePort(ip)}`;
+  const readiness = again?.readiness ?? `${ip}:${await freePort(ip)}`;
   const settings = {
     ...SETTINGS,
+    bootstrap: again === undefined,
     limits: { ...SETTINGS.limits, ...limits },
     node: name,
     zone,
