review: the cases send requests that differ, as those of sound clients do

Requests with the same path, caller and body count as the same one that comes again, and the instances quarantine one under which replicas end. In cases 6 and 9 all requests were of that kind.

Each request has a path of its own now.

--- a/review/lib-2/open-loop.mjs
+++ b/review/lib-2/open-loop.mjs
@@ -34,7 +34,7 @@
         // A client retries on a new connection.
         agent: mayComeBack ? agent : false,
         method: isRead ? 'GET' : 'POST',
-        path: isRead ? '/log/x' : '/book/x',
+        path: isRead ? `/log/${id}` : `/book/${id}`,
         headers: {
           ...deployment.headersOf(id, Math.round(budgetMs)),
           ...(isRead ? {} : { 'content-length': '0' }),
